--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -1,38 +1,76 @@
 package cmds
 
 import (
+	"context"
+	"os"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
 	"plantainwinch/conf"
 	"plantainwinch/server"
+	"plantainwinch/trans/lines"
 )
 
 func newServe() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
-		Use:     "serve -c FILE",
-		Short:   "Run one entry",
-		Long:    "Run one entry until SIGTERM or SIGINT, which stop it without cutting a request short.",
+		Use:   "serve -c FILE",
+		Short: "Run one entry",
+		Long: "Run one entry until SIGTERM or SIGINT, which stop it without cutting a request short.\n" +
+			"[Platform] Adapter in the settings says which platform it runs on.",
 		Example: "  plantainwinch serve -c entry.ini",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := conf.Load(path)
+			adapter, err := conf.Adapter(path)
 			if err != nil {
 				return err
 			}
-			server.TuneMemory()
-			log := newLogger()
-			s := &server.Server{Settings: settings, Log: log}
-			if err := s.Prepare(); err != nil {
-				return err
+			if adapter == conf.AdapterRegion {
+				return serveRegion(cmd.Context(), path)
 			}
-			log.Info("serving", zap.String("Entry", settings.Entry.Name), zap.String("Callers", s.CallersAddress()))
-			s.Run(cmd.Context())
-			return nil
+			return serveCell(cmd.Context(), path)
 		},
 	}
 	cmd.Flags().StringVarP(&path, "config", "c", "", "file with the entry's settings")
 	_ = cmd.MarkFlagRequired("config")
 	return cmd
 }
+
+func serveCell(ctx context.Context, path string) error {
+	settings, err := conf.Load(path)
+	if err != nil {
+		return err
+	}
+	server.TuneMemory()
+	log := newLogger()
+	s := &server.Server{Settings: settings, Log: log}
+	if err := s.Prepare(); err != nil {
+		return err
+	}
+	log.Info("serving", zap.String("Entry", settings.Entry.Name), zap.String("Callers", s.CallersAddress()))
+	s.Run(ctx)
+	return nil
+}
+
+func serveRegion(ctx context.Context, path string) error {
+	settings, err := conf.LoadRegion(path)
+	if err != nil {
+		return err
+	}
+	reg := metrics.NewRegistry()
+	out := lines.New(os.Stdout, reg)
+	var group conc.WaitGroup
+	writing, end := context.WithCancel(context.Background())
+	group.Go(func() { out.Run(writing) })
+	defer group.Wait()
+	defer end()
+	s := &server.Region{Settings: settings, Log: out.Logger(), Metrics: reg}
+	if err := s.Prepare(); err != nil {
+		return err
+	}
+	s.Run(ctx)
+	return nil
+}
--- a/conf/decode.go
+++ b/conf/decode.go
@@ -175,6 +175,12 @@
 			return merry.New("not a whole number: write it with digits only, without a unit")
 		}
 		field.SetInt(int64(n))
+	case float64:
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil || n < 0 {
+			return merry.New("not a number: write it such as 0.4")
+		}
+		field.SetFloat(n)
 	default:
 		if text == "" {
 			return merry.New("is empty: give it a value or remove the line")
--- /dev/null
+++ b/conf/region.go
@@ -0,0 +1,177 @@
+package conf
+
+import (
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"plantainwinch/winch"
+)
+
+// Adapters that [Platform] Adapter may name.
+const (
+	// AdapterCell is the project's own stand-in platform; it is the default.
+	AdapterCell = "Cell"
+	// AdapterRegion is the users' platform.
+	AdapterRegion = "Region"
+)
+
+// RegionListen holds the addresses that an entry of a region serves on.
+type RegionListen struct {
+	Callers string `conf:"required"`
+	// Ready is where the platform asks whether new callers may be sent here.
+	Ready   string `conf:"required"`
+	Peers   string `conf:"required"`
+	Metrics string
+}
+
+// RegionPlatform says where the platform's services are.
+type RegionPlatform struct {
+	Adapter string `conf:"required"`
+	Address string `conf:"required"`
+	// Advice is the address of the advice service, where there is one.
+	Advice string
+}
+
+// RegionLimits are those of the VM.
+type RegionLimits struct {
+	Memory winch.Bytes `conf:"required"`
+	// Processors is the part of a processor that the VM has.
+	Processors float64 `conf:"required"`
+}
+
+// RegionTiming holds the bounds that the platform's operator sets.
+type RegionTiming struct {
+	// Lease is the longest lease that workers grant.
+	Lease time.Duration
+	// Keep is how long ended jobs are still known.
+	Keep time.Duration
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+}
+
+// Region are all settings of one entry of a region.
+type Region struct {
+	Entry    Entry
+	Listen   RegionListen
+	Platform RegionPlatform
+	Peers    Peers
+	Limits   RegionLimits
+	Timing   RegionTiming
+}
+
+// Adapter returns what a settings file says in [Platform] Adapter.
+func Adapter(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", merry.Errorf("settings cannot be read: %v", err)
+	}
+	f, err := Parse(path, text)
+	if err != nil {
+		return "", err
+	}
+	known := []string{AdapterCell, AdapterRegion}
+	section, err := f.ini.GetSection("Platform")
+	if err != nil || !section.HasKey("Adapter") {
+		return AdapterCell, nil
+	}
+	name := section.Key("Adapter").String()
+	if !slices.Contains(known, name) {
+		return "", f.Errorf("Platform", "Adapter", "Adapter = %s: write one of %s", name, strings.Join(known, ", "))
+	}
+	return name, nil
+}
+
+// LoadRegion reads the settings of an entry of a region.
+func LoadRegion(path string) (Region, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Region{}, merry.Errorf("settings cannot be read: %v", err)
+	}
+	return DecodeRegion(path, text)
+}
+
+// DecodeRegion reads the settings of an entry of a region.
+func DecodeRegion(name string, text []byte) (Region, error) {
+	s := Region{Timing: RegionTiming{Lease: 6 * time.Second, Keep: 2 * time.Minute, Grace: 6 * time.Second}}
+	f, err := Parse(name, text)
+	if err != nil {
+		return s, err
+	}
+	err = f.decode([]target{
+		{"Entry", &s.Entry}, {"Listen", &s.Listen}, {"Platform", &s.Platform},
+		{"Peers", &s.Peers}, {"Limits", &s.Limits}, {"Timing", &s.Timing},
+	})
+	if err != nil {
+		return s, err
+	}
+	return s, s.check(f)
+}
+
+func (s *Region) check(f *File) error {
+	addresses := []address{
+		{"Listen", "Callers", s.Listen.Callers}, {"Listen", "Ready", s.Listen.Ready}, {"Listen", "Peers", s.Listen.Peers},
+		{"Platform", "Address", s.Platform.Address},
+	}
+	if s.Listen.Metrics != "" {
+		addresses = append(addresses, address{"Listen", "Metrics", s.Listen.Metrics})
+	}
+	if s.Platform.Advice != "" {
+		addresses = append(addresses, address{"Platform", "Advice", s.Platform.Advice})
+	}
+	if err := f.checkAddresses(addresses); err != nil {
+		return err
+	}
+	if s.Limits.Processors <= 0 {
+		return f.Errorf("Limits", "Processors", "Processors = %g: write the VM's part of a processor, such as 0.4", s.Limits.Processors)
+	}
+	if s.Limits.Memory < 32<<20 {
+		return f.Errorf("Limits", "Memory", "Memory = %s: an entry needs 32MB at least", FormatBytes(s.Limits.Memory))
+	}
+	if s.Timing.Lease < time.Second || s.Timing.Grace < time.Second {
+		return f.Errorf("Timing", "", "Lease and Grace: write one second at least")
+	}
+	return nil
+}
+
+// address is a key that must hold an IP number and a port.
+type address struct{ section, key, value string }
+
+func (f *File) checkAddresses(list []address) error {
+	for _, a := range list {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return f.Errorf(a.section, a.key, "%s = %s: write an IP number and a port, such as 127.0.0.1:7001", a.key, a.value)
+		}
+	}
+	return nil
+}
+
+// target is a section and the struct that it is decoded into.
+type target struct {
+	section string
+	into    any
+}
+
+// decode reads all sections and refuses unknown ones.
+func (f *File) decode(targets []target) error {
+	var names []string
+	for _, t := range targets {
+		names = append(names, t.section)
+	}
+	for _, section := range f.Sections() {
+		if !slices.Contains(names, section) {
+			return f.Errorf(section, "", "unknown section [%s]: did you mean [%s]? known are %s",
+				section, Nearest(section, names), strings.Join(names, ", "))
+		}
+	}
+	for _, t := range targets {
+		if err := f.Section(t.section, t.into); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -4,7 +4,6 @@
 	"net"
 	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -41,6 +40,8 @@
 
 // Platform says where the platform's service is.
 type Platform struct {
+	// Adapter is AdapterCell in these settings.
+	Adapter string
 	Address string `conf:"required"`
 }
 
@@ -116,21 +117,12 @@
 	if err != nil {
 		return s, err
 	}
-	targets := map[string]any{
-		"Entry": &s.Entry, "Cell": &s.Cell, "Listen": &s.Listen, "Platform": &s.Platform,
-		"Peers": &s.Peers, "Limits": &s.Limits, "Timing": &s.Timing,
-	}
-	names := []string{"Entry", "Cell", "Listen", "Platform", "Peers", "Limits", "Timing"}
-	for _, section := range f.Sections() {
-		if targets[section] == nil {
-			return s, f.Errorf(section, "", "unknown section [%s]: did you mean [%s]? known are %s",
-				section, Nearest(section, names), strings.Join(names, ", "))
-		}
-	}
-	for _, section := range names {
-		if err := f.Section(section, targets[section]); err != nil {
-			return s, err
-		}
+	err = f.decode([]target{
+		{"Entry", &s.Entry}, {"Cell", &s.Cell}, {"Listen", &s.Listen}, {"Platform", &s.Platform},
+		{"Peers", &s.Peers}, {"Limits", &s.Limits}, {"Timing", &s.Timing},
+	})
+	if err != nil {
+		return s, err
 	}
 	return s, s.check(f)
 }
@@ -145,16 +137,14 @@
 	if len(s.Cell.OperatorKeyHash) != 64 {
 		return f.Errorf("Cell", "OperatorKeyHash", "OperatorKeyHash is no SHA-256: write the 64 hexadecimal digits that `plantainwinch key hash` prints")
 	}
-	addresses := []struct{ section, key, value string }{
+	err := f.checkAddresses([]address{
 		{"Listen", "Callers", s.Listen.Callers},
 		{"Listen", "Operators", s.Listen.Operators},
 		{"Listen", "Peers", s.Listen.Peers},
 		{"Platform", "Address", s.Platform.Address},
-	}
-	for _, a := range addresses {
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
-			return f.Errorf(a.section, a.key, "%s = %s: write an IP number and a port, such as 127.0.0.1:7001", a.key, a.value)
-		}
+	})
+	if err != nil {
+		return err
 	}
 	for _, a := range s.Peers.Addresses {
 		if _, _, err := net.SplitHostPort(a); err != nil {
--- /dev/null
+++ b/coord/fleet/advise.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"plantainwinch/winch"
+)
+
+const (
+	// firstShare is the share of workers that is taken to be allowed before a
+	// queue's first answer.
+	firstShare = 0.4
+	// shareStep is how much one answer moves what is known of a queue's share.
+	shareStep = 0.2
+	// askLeast and askMost bound the workers of one question; the service takes
+	// 100 at most.
+	askLeast = 8
+	askMost  = 100
+	// askSpare is how many times the room that a step needs is asked for, since
+	// other work takes some of it before the answer comes.
+	askSpare = 2.0
+	// askAgain is the pause after a question that failed.
+	askAgain = 100 * time.Millisecond
+)
+
+// advice is what is known of the workers that may run a step. Who may does not
+// change; a ticket ages, and ends with the worker's boot.
+type advice struct {
+	allowed map[string]permit
+	denied  map[string]bool
+	asking  bool
+	asked   time.Time
+	retry   time.Time
+}
+
+type permit struct {
+	value string
+	until time.Time
+}
+
+func (t permit) good(now time.Time) bool {
+	return now.Add(ticketMargin).Before(t.until)
+}
+
+func (a *advice) ticket(id string) string {
+	return a.allowed[id].value
+}
+
+func (a *advice) expire(id string) {
+	if t, ok := a.allowed[id]; ok {
+		t.until = time.Time{}
+		a.allowed[id] = t
+	}
+}
+
+// advise asks which workers may run a step, if it has tasks that wait and no
+// worker with room and a good ticket for them.
+func (p *Planner) advise(s *step, now time.Time, r rank) {
+	cost := s.job.queue.Advice
+	if cost == nil || s.waiting == 0 || s.known.asking || now.Before(s.known.retry) {
+		return
+	}
+	if !s.job.team.allows(s.spec.Need) || p.covered(s, now) >= s.waiting {
+		return
+	}
+	ids := p.toAsk(s, now)
+	if len(ids) == 0 {
+		return
+	}
+	s.known.asking = true
+	s.known.asked = now
+	p.counts.Asked++
+	p.asks = append(p.asks, Ask{
+		Phase: s.id(), Workers: ids, Urgent: s.job.queue.Priority == 0, Rank: float64(r.class)*1e6 + r.key,
+		Cost: cost.Call + time.Duration(len(ids))*cost.Worker,
+	})
+}
+
+// covered counts the tasks that fit into workers with good tickets.
+func (p *Planner) covered(s *step, now time.Time) int {
+	n := 0
+	for _, w := range p.candidates(s, now) {
+		n += p.fit(s, w)
+	}
+	return n
+}
+
+// fit returns how many tasks of a step fit into a worker's free room.
+func (p *Planner) fit(s *step, w *worker) int {
+	charge, left := s.spec.Charge(), w.free()
+	n := len(s.tasks)
+	if charge.Milli > 0 {
+		n = min(n, int(left.Milli/charge.Milli))
+	}
+	if charge.Memory > 0 {
+		n = min(n, int(left.Memory/charge.Memory))
+	}
+	if charge.Accelerators > 0 {
+		n = min(n, left.Accelerators/charge.Accelerators)
+	}
+	if s.spec.MostPerVM > 0 {
+		n = min(n, s.spec.MostPerVM-p.onWorker(s, w))
+	}
+	return max(0, n)
+}
+
+// toAsk chooses the workers to ask about: with room, not known to be forbidden,
+// those known to be allowed first, as many as probably suffice.
+func (p *Planner) toAsk(s *step, now time.Time) []string {
+	type option struct {
+		w     *worker
+		fit   int
+		score float64
+	}
+	var options []option
+	for id, w := range p.workers {
+		if s.known.denied[id] || !p.suits(s, w, now) {
+			continue
+		}
+		t, known := s.known.allowed[id]
+		if known && t.good(now) {
+			continue
+		}
+		n := p.fit(s, w)
+		if n == 0 {
+			continue
+		}
+		score := p.score(s, w, w.free())
+		if known {
+			score++
+		}
+		options = append(options, option{w, n, score})
+	}
+	slices.SortFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.w.vm.ID, b.w.vm.ID))
+	})
+	var out []string
+	room := 0.0
+	need := askSpare * float64(s.waiting-p.covered(s, now))
+	for _, o := range options {
+		if len(out) == askMost || len(out) >= askLeast && room >= need {
+			break
+		}
+		out = append(out, o.w.vm.ID)
+		if _, known := s.known.allowed[o.w.vm.ID]; known {
+			room += float64(o.fit)
+		} else {
+			room += float64(o.fit) * max(0.1, s.job.queue.share)
+		}
+	}
+	return out
+}
+
+// Advice takes the answer to an Ask.
+func (p *Planner) Advice(a Ask, tickets []winch.Ticket, valid time.Duration, sent time.Time) {
+	s := p.asked(a)
+	if s == nil {
+		return
+	}
+	if s.known.allowed == nil {
+		s.known.allowed = make(map[string]permit)
+		s.known.denied = make(map[string]bool)
+	}
+	fresh, allowed := 0, 0
+	for _, id := range a.Workers {
+		if _, known := s.known.allowed[id]; !known {
+			fresh++
+			s.known.denied[id] = true
+		}
+	}
+	if s.job.queue != nil && valid == 0 && s.job.queue.Advice != nil {
+		valid = s.job.queue.Advice.Valid
+	}
+	for _, t := range tickets {
+		if s.known.denied[t.Worker] {
+			allowed++
+			delete(s.known.denied, t.Worker)
+		}
+		s.known.allowed[t.Worker] = permit{t.Value, sent.Add(valid)}
+	}
+	if fresh > 0 && s.job.queue != nil {
+		q := s.job.queue
+		q.share += shareStep * (float64(allowed)/float64(fresh) - q.share)
+	}
+}
+
+// AdviceFailed notes that a question got no answer.
+func (p *Planner) AdviceFailed(a Ask) {
+	if s := p.asked(a); s != nil {
+		s.known.retry = time.Now().Add(askAgain)
+	}
+}
+
+func (p *Planner) asked(a Ask) *step {
+	j := p.jobs[a.Phase.Job]
+	if j == nil {
+		return nil
+	}
+	s := j.step(a.Phase.K, a.Phase.Phase)
+	if s != nil {
+		s.known.asking = false
+	}
+	return s
+}
--- /dev/null
+++ b/coord/fleet/events.go
@@ -0,0 +1,276 @@
+package fleet
+
+import (
+	"time"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// Event takes what a keeper tells of a worker.
+func (p *Planner) Event(e proto.KeepEvent) {
+	w := p.workers[e.Worker]
+	if w == nil {
+		delete(p.roster, e.Worker)
+		return
+	}
+	switch e.Kind {
+	case proto.EventListed:
+		p.listed(w, e)
+	case proto.EventStarted:
+		p.started(w, e)
+	case proto.EventNotStarted:
+		p.notStarted(w, e)
+	case proto.EventEnded:
+		p.endedAll(w, e.Ended)
+	case proto.EventVanished:
+		p.vanished(w, runKey{e.Task, e.Run})
+	case proto.EventStatus:
+		p.status(w, e.Running)
+	case proto.EventFound:
+		p.found(w, e.Running)
+	case proto.EventLost:
+		p.Lost(e.Worker)
+	}
+}
+
+// listed takes the first lists of a worker in a session. They are whole: a run
+// that is in neither does not exist and never will through an earlier order.
+func (p *Planner) listed(w *worker, e proto.KeepEvent) {
+	seen := make(map[runKey]bool)
+	for _, x := range e.Running {
+		seen[runKey{x.Task, x.Run}] = true
+	}
+	p.endedAll(w, e.Ended)
+	for key, r := range w.runs {
+		if !seen[key] {
+			p.endRun(r)
+			p.requeued(r)
+		}
+	}
+	p.found(w, e.Running)
+	p.status(w, e.Running)
+	for _, r := range w.runs {
+		if r.stopping {
+			r.stopping = false
+			p.stop(r)
+		}
+	}
+	w.ready = true
+	delete(p.roster, w.vm.ID)
+	// Ends that were recorded before are forgotten again, in case the order was lost.
+	w.forgot = 0
+	p.forget(w)
+}
+
+// found takes runs that were not ordered in this session: it adopts those that
+// do work which still has to be done, and stops the others.
+func (p *Planner) found(w *worker, list []winch.Running) {
+	for _, x := range list {
+		key := runKey{x.Task, x.Run}
+		if w.runs[key] != nil {
+			continue
+		}
+		t := p.task(x.Task)
+		adopt := t != nil && t.free() && !t.step.job.cancelled && !t.step.job.state.Final() && t.step.gang.fits(x.Run)
+		if t != nil {
+			t.step.job.adopted = true
+		}
+		r := p.addRun(w, t, x.Task, x.Run)
+		r.started = true
+		if !adopt {
+			p.stop(r)
+			continue
+		}
+		t.checkpoint = x.Checkpoint
+		t.step.gang.adopt(x.Run)
+		t.step.job.update()
+	}
+}
+
+func (p *Planner) task(id winch.RunID) *task {
+	j := p.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	s := j.step(id.K, id.Phase)
+	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[id.Index]
+}
+
+func (p *Planner) started(w *worker, e proto.KeepEvent) {
+	r := w.runs[runKey{e.Task, e.Run}]
+	if r == nil {
+		return
+	}
+	r.started = true
+	r.since, r.moved = time.Now(), time.Now()
+	p.counts.Started++
+	r.task.step.job.update()
+}
+
+func (p *Planner) notStarted(w *worker, e proto.KeepEvent) {
+	r := w.runs[runKey{e.Task, e.Run}]
+	if r == nil {
+		return
+	}
+	p.counts.NotStarted++
+	p.endRun(r)
+	if r.task == nil {
+		return
+	}
+	switch e.Result {
+	case winch.StartTicket:
+		r.task.step.known.expire(w.vm.ID)
+	case winch.StartNoRoom, winch.StartRefused, winch.StartUncertain:
+		w.health.rest(refusedRest)
+	}
+}
+
+// requeued notes that a run ended without being ordered to.
+func (p *Planner) requeued(r *run) {
+	p.counts.Lost++
+	if r.task != nil {
+		p.gangBroken(r)
+	}
+}
+
+func (p *Planner) vanished(w *worker, key runKey) {
+	if r := w.runs[key]; r != nil {
+		p.endRun(r)
+		p.requeued(r)
+	}
+}
+
+func (p *Planner) endedAll(w *worker, list []winch.Ended) {
+	for _, e := range list {
+		if e.Number <= w.lastEnd {
+			continue
+		}
+		w.lastEnd = e.Number
+		p.ended(w, e)
+	}
+	p.forget(w)
+}
+
+// ended takes one end. It counts whether or not this planner knew of the run:
+// an end that an earlier planner did not record is listed again.
+func (p *Planner) ended(w *worker, e winch.Ended) {
+	r := w.runs[runKey{e.Task, e.Run}]
+	if r != nil {
+		p.endRun(r)
+	}
+	t := p.task(e.Task)
+	mark := endMark{number: e.Number}
+	if t != nil {
+		if e.Checkpoint != "" {
+			t.checkpoint = e.Checkpoint
+		}
+		j := t.step.job
+		if p.settle(w, t, r, e) {
+			mark.job, mark.changes = j, j.changes
+		}
+		j.update()
+	}
+	w.ends = append(w.ends, mark)
+}
+
+// settle applies an end to the task and reports whether it has to be recorded.
+func (p *Planner) settle(w *worker, t *task, r *run, e winch.Ended) bool {
+	s := t.step
+	j := s.job
+	if j.state.Final() {
+		return false
+	}
+	switch e.Kind {
+	case winch.EndDone:
+		p.counts.Done++
+		w.health.good()
+		if s.spec.Lasting {
+			p.gangBroken(r)
+			return false
+		}
+		s.learn(r)
+		p.finishTask(t)
+	case winch.EndFailed:
+		p.counts.Failed++
+		w.health.bad(j.rec.ID)
+		t.avoid = w.vm.ID
+		if s.spec.Lasting {
+			return false
+		}
+		p.failTask(t)
+		p.gangBroken(r)
+	default:
+		p.gangBroken(r)
+		return false
+	}
+	p.change(j)
+	return true
+}
+
+// finishTask marks a task, or a whole gang, as ended well and stops what else
+// runs of it.
+func (p *Planner) finishTask(t *task) {
+	tasks := []*task{t}
+	if t.step.spec.Gang {
+		tasks = t.step.tasks
+	}
+	for _, x := range tasks {
+		x.finish()
+		if t.step.spec.Gang {
+			continue // The worker ends the other members by itself.
+		}
+		for _, r := range x.runs {
+			p.stop(r)
+		}
+	}
+	t.step.job.update()
+}
+
+// failTask counts a failure and fails the job after the last attempt.
+func (p *Planner) failTask(t *task) {
+	j := t.step.job
+	key := t.failKey()
+	j.failed[key]++
+	t.failed = j.failed[key]
+	most := 1
+	if j.queue != nil {
+		most = max(1, j.queue.Attempts)
+	}
+	if t.failed >= most && !t.done {
+		j.finish(winch.JobFailed)
+		p.stopJob(j)
+	}
+}
+
+// learn takes the run time of a task that ended well.
+func (s *step) learn(r *run) {
+	if r == nil || !r.started {
+		return
+	}
+	took := time.Since(r.since)
+	s.samples++
+	s.took += (took - s.took) / time.Duration(s.samples)
+}
+
+// status takes how the runs of a worker go.
+func (p *Planner) status(w *worker, list []winch.Running) {
+	now := time.Now()
+	for _, x := range list {
+		r := w.runs[runKey{x.Task, x.Run}]
+		if r == nil {
+			continue
+		}
+		if r.percent != x.Percent {
+			r.percent, r.moved = x.Percent, now
+		}
+		r.load = x.Load
+		if r.task != nil && x.Checkpoint != "" {
+			r.task.checkpoint = x.Checkpoint
+		}
+	}
+	p.pace(w, now)
+}
--- /dev/null
+++ b/coord/fleet/fleet.go
@@ -0,0 +1,174 @@
+// Package fleet decides which task of which phased job runs on which worker VM
+// of a region. It holds no connection and starts no goroutine: events go in by
+// calls, orders, questions to the advice service and changed records come out.
+// All calls come from one goroutine.
+package fleet
+
+import (
+	"time"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// Ask is a question to the advice service.
+type Ask struct {
+	Phase   winch.RunID // Phase names job, run and phase; the index is zero.
+	Workers []string
+	// Urgent asks go before others and are never left behind slow ones.
+	Urgent bool
+	// Rank orders asks of the same urgency; the lowest is first.
+	Rank float64
+	// Cost is how long the service takes to answer.
+	Cost time.Duration
+}
+
+// Planner holds what is known of jobs and workers. Set the fields before the
+// first call.
+type Planner struct {
+	// Term counts the holders of the region's office. Run numbers begin with it,
+	// so that they rise from one planner to the next.
+	Term uint64
+	// Barrier is when everything that an earlier planner may have started on a
+	// worker that does not answer has surely ended. Until then, or until all
+	// workers of the roster have answered, its jobs are only adopted.
+	Barrier time.Time
+	// Fresh is the revision after which an accepted job cannot have been started
+	// by an earlier planner.
+	Fresh uint64
+	// FreshFrom is when jobs that are heard of count as fresh: before it, an
+	// earlier planner may still believe that it holds the office.
+	FreshFrom time.Time
+
+	jobs    map[string]*job
+	workers map[string]*worker
+	queues  map[string]*queue
+	teams   map[string]*team
+	// roster holds the workers that earlier planners may have used and that have
+	// not answered yet.
+	roster map[string]bool
+	runs   uint64
+
+	orders []proto.Order
+	asks   []Ask
+	dirty  []*job
+	counts Counts
+}
+
+// Counts are totals since the planner took over.
+type Counts struct {
+	Started, NotStarted, Done, Failed, Stopped, Lost, Asked, Evicted int64
+	Waiting, Running                                                 int
+}
+
+// New returns an empty planner.
+func New(term uint64) *Planner {
+	return &Planner{
+		Term: term, jobs: make(map[string]*job), workers: make(map[string]*worker),
+		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
+	}
+}
+
+type queue struct {
+	winch.Queue
+	// share is the part of the workers asked about that the advice service allows,
+	// learnt from its answers.
+	share float64
+}
+
+type team struct {
+	winch.RegionTeam
+	// used is what all runs of the team hold that may exist, stopping ones included.
+	used winch.Room
+}
+
+// SetConfig puts a configuration in force.
+func (p *Planner) SetConfig(c *winch.RegionConfig) {
+	for _, q := range c.Queues {
+		known := p.queues[q.Name]
+		if known == nil {
+			known = &queue{share: firstShare}
+			p.queues[q.Name] = known
+		}
+		known.Queue = q
+	}
+	for _, t := range c.Teams {
+		p.team(t.Name).RegionTeam = t
+	}
+	for _, j := range p.jobs {
+		if j.queue == nil {
+			j.queue = p.queues[j.rec.Queue]
+		}
+	}
+}
+
+func (p *Planner) team(name string) *team {
+	t := p.teams[name]
+	if t == nil {
+		t = &team{RegionTeam: winch.RegionTeam{Name: name}}
+		p.teams[name] = t
+	}
+	return t
+}
+
+// Orders returns the orders since the last call.
+func (p *Planner) Orders() []proto.Order {
+	out := p.orders
+	p.orders = nil
+	return out
+}
+
+// Asks returns the questions to the advice service since the last call.
+func (p *Planner) Asks() []Ask {
+	out := p.asks
+	p.asks = nil
+	return out
+}
+
+// Counts returns the totals, and what waits and runs now.
+func (p *Planner) Counts() Counts {
+	c := p.counts
+	for _, j := range p.jobs {
+		for _, s := range j.steps {
+			if s.ready() {
+				c.Waiting += s.waiting
+			}
+		}
+	}
+	for _, w := range p.workers {
+		c.Running += len(w.runs)
+	}
+	return c
+}
+
+// Command returns the command of a job.
+func (p *Planner) Command(id string) string {
+	if j := p.jobs[id]; j != nil {
+		return j.rec.Command
+	}
+	return ""
+}
+
+// State returns the state of a job that a caller may be shown, and whether the
+// job is known. A final state is shown once it is recorded.
+func (p *Planner) State(id string) (winch.JobState, bool) {
+	j := p.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if j.cancelled && j.shown != winch.JobDone && j.shown != winch.JobFailed {
+		return winch.JobCancelled, true
+	}
+	return j.shown, true
+}
+
+// Waiting returns, by queue, how many jobs have not begun.
+func (p *Planner) Waiting() map[string]int {
+	out := make(map[string]int)
+	for _, j := range p.jobs {
+		if !j.begun && !j.cancelled && !j.state.Final() {
+			out[j.rec.Queue]++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/coord/fleet/gang.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"time"
+
+	"plantainwinch/winch"
+)
+
+// gangWait bounds how long a gang may be incomplete before its members are
+// taken back; workers end a lone member after three seconds or more.
+const gangWait = 1500 * time.Millisecond
+
+// gangRun is the run that the members of a gang share. All members of a run
+// carry one number and one checkpoint.
+type gangRun struct {
+	number     uint64
+	checkpoint string
+	begun      time.Time
+	ending     bool
+}
+
+// fits reports whether a run found at a worker can belong to the current run.
+func (g *gangRun) fits(number uint64) bool {
+	return g.number == 0 || g.number == number && !g.ending
+}
+
+func (g *gangRun) adopt(number uint64) {
+	if g.number == 0 {
+		g.number = number
+		g.begun = time.Now()
+	}
+}
+
+// gangBroken takes note that a member's run ended otherwise than well: the
+// gang's run is over, and what is left of it is stopped.
+func (p *Planner) gangBroken(r *run) {
+	if r == nil || r.task == nil || !r.task.step.spec.Gang {
+		return
+	}
+	s := r.task.step
+	if s.gang.number != r.key.run || s.done > 0 {
+		return
+	}
+	s.gang.ending = true
+	if s.gang.checkpoint == "" || r.task.checkpoint != "" {
+		s.gang.checkpoint = r.task.checkpoint
+	}
+	for _, t := range s.tasks {
+		for _, x := range t.runs {
+			p.stop(x)
+		}
+	}
+}
+
+// placeGang starts all members or none, and completes a run some of whose
+// members were refused.
+func (p *Planner) placeGang(s *step, now time.Time) {
+	if s.done > 0 {
+		return
+	}
+	if s.gang.ending || s.gang.number == 0 {
+		p.startGang(s, now)
+		return
+	}
+	if s.live == len(s.tasks) {
+		return
+	}
+	if now.Sub(s.gang.begun) > gangWait || s.job.adopted && s.gang.number < p.Term*runsPerTerm {
+		p.endGang(s)
+		return
+	}
+	for _, t := range s.tasks {
+		if t.free() {
+			p.placeTask(t, now, s.gang.number, s.gang.checkpoint)
+		}
+	}
+}
+
+// endGang takes a run back that cannot be completed.
+func (p *Planner) endGang(s *step) {
+	s.gang.ending = true
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			p.stop(r)
+		}
+	}
+}
+
+func (p *Planner) startGang(s *step, now time.Time) {
+	for _, t := range s.tasks {
+		if !t.free() {
+			return // A member of the last run has not surely ended.
+		}
+	}
+	picked := p.pickGang(s, now)
+	if picked == nil {
+		return
+	}
+	checkpoint := s.gang.checkpoint
+	for _, t := range s.tasks {
+		if checkpoint == "" {
+			checkpoint = t.checkpoint
+		}
+	}
+	s.gang = gangRun{number: p.nextRun(), checkpoint: checkpoint, begun: now}
+	for i, t := range s.tasks {
+		p.order(t, picked[i], s.gang.number, checkpoint)
+	}
+}
+
+// pickGang chooses a worker for each member, or returns nil if not all fit.
+func (p *Planner) pickGang(s *step, now time.Time) []*worker {
+	charge := s.spec.Charge()
+	var total winch.Room
+	taken := make(map[*worker]winch.Room)
+	count := make(map[*worker]int)
+	var out []*worker
+	for range s.tasks {
+		total = total.Add(s.spec.Need)
+		if !s.job.team.allows(total) {
+			return nil
+		}
+		var best *worker
+		var bestScore float64
+		for _, w := range p.candidates(s, now) {
+			left := w.free().Sub(taken[w])
+			if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w)+count[w] >= s.spec.MostPerVM {
+				continue
+			}
+			if score := p.score(s, w, left); best == nil || score > bestScore {
+				best, bestScore = w, score
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		taken[best] = taken[best].Add(charge)
+		count[best]++
+		out = append(out, best)
+	}
+	return out
+}
--- /dev/null
+++ b/coord/fleet/job.go
@@ -0,0 +1,329 @@
+package fleet
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"plantainwinch/winch"
+)
+
+// job is an accepted job while it is not forgotten.
+type job struct {
+	rec   *winch.PhasedJob
+	queue *queue // queue is nil until a configuration names it.
+	team  *team
+	steps []*step
+	// state is what this planner knows, shown what is recorded and may be told.
+	state     winch.JobState
+	shown     winch.JobState
+	cancelled bool
+	begun     bool
+	// adopted says that an earlier planner may have started tasks of the job.
+	adopted bool
+	ended   time.Time
+
+	// changes counts what is to be recorded, saved how much of it is.
+	changes  uint64
+	saved    uint64
+	saving   bool
+	revision uint64 // revision of the progress record; zero if there is none.
+	failed   map[string]int
+	pressing bool // pressing says that a caller waits for the record.
+}
+
+// step is one phase of one run of a job's phases.
+type step struct {
+	job   *job
+	spec  *winch.Phase
+	k     int
+	phase int
+	tasks []*task
+	after []*step
+	due   time.Time
+	// waiting counts the tasks that neither run nor have ended.
+	waiting int
+	done    int
+	live    int
+	// tail is the longest chain of estimates from this phase to the job's end.
+	tail  time.Duration
+	known advice
+	gang  gangRun
+	// took is the mean run time of the tasks that ended well at a sound pace.
+	took    time.Duration
+	samples int
+}
+
+// task is one task of a step.
+type task struct {
+	step  *step
+	index int
+	done  bool
+	// runs holds the runs that may exist; more than one only while an unwanted
+	// one is stopping.
+	runs       []*run
+	checkpoint string
+	failed     int
+	// avoid names the worker at which the task failed last.
+	avoid string
+	// since is when the task last began to wait.
+	since time.Time
+}
+
+func (t *task) id() winch.RunID {
+	return winch.RunID{Job: t.step.job.rec.ID, K: t.step.k, Phase: t.step.phase, Index: t.index}
+}
+
+func (s *step) id() winch.RunID {
+	return winch.RunID{Job: s.job.rec.ID, K: s.k, Phase: s.phase}
+}
+
+// ready reports whether the step's turn has come.
+func (s *step) ready() bool {
+	j := s.job
+	if s.waiting == 0 || j.cancelled || j.state.Final() || j.queue == nil {
+		return false
+	}
+	for _, a := range s.after {
+		if a.done < len(a.tasks) {
+			return false
+		}
+	}
+	return s.due.IsZero() || !time.Now().Before(s.due)
+}
+
+// Add takes an accepted job, with what is recorded of its progress. A job that
+// is known already is left as it is.
+func (p *Planner) Add(rec *winch.PhasedJob, progress *winch.Progress, revision uint64) {
+	if p.jobs[rec.ID] != nil {
+		return
+	}
+	j := &job{
+		rec: rec, queue: p.queues[rec.Queue], team: p.team(rec.Team), state: winch.JobQueued, shown: winch.JobQueued,
+		revision: revision, failed: make(map[string]int), adopted: rec.Revision <= p.Fresh || time.Now().Before(p.FreshFrom),
+	}
+	p.jobs[rec.ID] = j
+	for k := range max(1, rec.Times) {
+		j.addRun(k)
+	}
+	if progress != nil {
+		j.restore(progress)
+	}
+	j.update()
+	j.shown = j.state
+}
+
+func (j *job) addRun(k int) {
+	first := len(j.steps)
+	for i := range j.rec.Phases {
+		s := &step{job: j, spec: &j.rec.Phases[i], k: k, phase: i}
+		if j.rec.Times > 0 {
+			s.due = j.rec.First.Add(time.Duration(k) * j.rec.Every)
+		}
+		for _, a := range s.spec.After {
+			s.after = append(s.after, j.steps[first+a])
+		}
+		for index := range s.spec.Count {
+			s.tasks = append(s.tasks, &task{step: s, index: index, since: time.Now()})
+		}
+		s.waiting = len(s.tasks)
+		j.steps = append(j.steps, s)
+	}
+	j.chain(first)
+}
+
+// chain computes the longest chain of estimates from each phase on. A phase
+// names earlier phases only, so one pass backwards is enough.
+func (j *job) chain(first int) {
+	steps := j.steps[first:]
+	for i, s := range slices.Backward(steps) {
+		s.tail += s.spec.Estimate
+		for _, a := range s.spec.After {
+			if a < i {
+				steps[a].tail = max(steps[a].tail, s.tail)
+			}
+		}
+	}
+}
+
+// objective is when the job should have ended.
+func (j *job) objective(s *step) time.Time {
+	var longest time.Duration
+	for _, x := range j.steps {
+		if x.k == s.k {
+			longest = max(longest, x.tail)
+		}
+	}
+	begin := j.rec.Accepted
+	if !s.due.IsZero() {
+		begin = s.due
+	}
+	stretch, target := 1.0, time.Duration(0)
+	if j.queue != nil {
+		stretch, target = j.queue.Stretch, j.queue.Target
+	}
+	return begin.Add(target + time.Duration(stretch*float64(longest)))
+}
+
+func (j *job) step(k, phase int) *step {
+	i := k*len(j.rec.Phases) + phase
+	if k < 0 || phase < 0 || phase >= len(j.rec.Phases) || i >= len(j.steps) {
+		return nil
+	}
+	return j.steps[i]
+}
+
+// restore takes over what is recorded.
+func (j *job) restore(progress *winch.Progress) {
+	j.state = progress.State
+	if j.state == "" {
+		j.state = winch.JobQueued
+	}
+	j.ended = progress.Ended
+	for key, n := range progress.Failed {
+		j.failed[key] = n
+	}
+	for _, s := range j.steps {
+		var bits []byte
+		if phases := progress.Done[s.k]; s.phase < len(phases) {
+			bits = phases[s.phase]
+		}
+		for _, t := range s.tasks {
+			t.failed = j.failed[t.failKey()]
+			if t.index/8 < len(bits) && bits[t.index/8]&(1<<(t.index%8)) != 0 {
+				t.finish()
+			}
+		}
+	}
+}
+
+// failKey names what failures are counted by: a task, or a whole gang.
+func (t *task) failKey() string {
+	s := t.step
+	key := strconv.Itoa(s.k) + "." + strconv.Itoa(s.phase)
+	if s.spec.Gang {
+		return key
+	}
+	return key + "." + strconv.Itoa(t.index)
+}
+
+// finish marks a task as ended well.
+func (t *task) finish() {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.done++
+	t.recount()
+}
+
+// recount keeps the step's numbers right after a change of the task.
+func (t *task) recount() {
+	s := t.step
+	s.waiting, s.live = 0, 0
+	for _, x := range s.tasks {
+		if x.wanted() != nil {
+			s.live++
+		} else if !x.done {
+			s.waiting++
+		}
+	}
+}
+
+// wanted returns the run that does the task's work, if there is one.
+func (t *task) wanted() *run {
+	for _, r := range t.runs {
+		if !r.stopping {
+			return r
+		}
+	}
+	return nil
+}
+
+// free reports whether the task may be started: it has no run that may exist.
+func (t *task) free() bool {
+	return !t.done && len(t.runs) == 0
+}
+
+// update derives the job's state and notes a change of it.
+func (j *job) update() {
+	if j.state.Final() {
+		return
+	}
+	all := true
+	for _, s := range j.steps {
+		if s.spec.Lasting || s.done < len(s.tasks) {
+			all = false
+		}
+		if s.live > 0 || s.done > 0 {
+			j.begun = true
+		}
+	}
+	switch {
+	case all:
+		j.finish(winch.JobDone)
+	case j.begun:
+		j.state = winch.JobRunning
+		j.shown = winch.JobRunning
+	}
+}
+
+func (j *job) finish(state winch.JobState) {
+	j.state = state
+	j.ended = time.Now()
+	j.pressing = true
+}
+
+// Cancel stops all work of a job whose cancel is recorded.
+func (p *Planner) Cancel(id string) {
+	j := p.jobs[id]
+	if j == nil || j.cancelled || j.state.Final() {
+		return
+	}
+	j.cancelled = true
+	j.finish(winch.JobCancelled)
+	p.change(j)
+	p.stopJob(j)
+}
+
+func (p *Planner) stopJob(j *job) {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			for _, r := range slices.Clone(t.runs) {
+				p.stop(r)
+			}
+		}
+	}
+}
+
+// Known reports whether the planner has the job.
+func (p *Planner) Known(id string) bool {
+	return p.jobs[id] != nil
+}
+
+// Expired returns the jobs that ended before a time and whose end is recorded.
+func (p *Planner) Expired(before time.Time) []string {
+	var out []string
+	for id, j := range p.jobs {
+		if j.state.Final() && j.shown == j.state && j.ended.Before(before) && !j.hasRuns() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Forget drops a job.
+func (p *Planner) Forget(id string) {
+	delete(p.jobs, id)
+}
+
+func (j *job) hasRuns() bool {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if len(t.runs) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coord/fleet/place.go
@@ -0,0 +1,256 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// runsPerTerm is the room for run numbers in the term of one planner.
+	runsPerTerm = 10_000_000
+	// lateFactor is how many objectives a job may take until it is worth nothing;
+	// it then comes after all others, but still runs.
+	lateFactor = 3
+	// ticketMargin is how long a ticket must still be good when a start is
+	// ordered: the way to the worker takes a few milliseconds, more under load.
+	ticketMargin = 60 * time.Millisecond
+	// urgentReserve is the part of all processors that work of queues after the
+	// first leaves free, so that a burst of urgent work starts at once.
+	urgentReserve = 0.06
+)
+
+func (p *Planner) nextRun() uint64 {
+	p.runs++
+	return p.Term*runsPerTerm + p.runs
+}
+
+// rank orders waiting steps; the lowest goes first.
+type rank struct {
+	class int
+	key   float64
+}
+
+// classes of waiting steps.
+const (
+	rankUrgent = iota
+	rankLasting
+	rankUsual
+	rankLate
+)
+
+func (s *step) rank(now time.Time) rank {
+	j := s.job
+	objective := j.objective(s)
+	left := objective.Sub(now).Seconds()
+	slack := left - s.tail.Seconds()
+	total := objective.Sub(j.rec.Accepted)
+	switch {
+	case s.spec.Lasting:
+		return rank{rankLasting, j.rec.Accepted.Sub(now).Seconds()}
+	case now.After(j.rec.Accepted.Add(lateFactor*total)) && s.due.IsZero():
+		return rank{rankLate, slack}
+	case j.queue.Priority == 0:
+		return rank{rankUrgent, slack}
+	case left < s.tail.Seconds()/2:
+		// What cannot be on time any more goes behind what can.
+		return rank{rankUsual, 1e4 + slack}
+	}
+	return rank{rankUsual, slack}
+}
+
+// Schedule starts what can start. It is called after events, at most every few
+// milliseconds.
+func (p *Planner) Schedule() {
+	now := time.Now()
+	adopting := p.Adopting()
+	type entry struct {
+		step *step
+		rank rank
+	}
+	var waiting []entry
+	for _, j := range p.jobs {
+		if j.state.Final() || adopting && j.adopted {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.waiting > 0 && s.ready() {
+				waiting = append(waiting, entry{s, s.rank(now)})
+			}
+		}
+	}
+	slices.SortFunc(waiting, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(a.rank.class, b.rank.class), cmp.Compare(a.rank.key, b.rank.key),
+			cmp.Compare(a.step.job.rec.ID, b.step.job.rec.ID), cmp.Compare(a.step.phase, b.step.phase), cmp.Compare(a.step.k, b.step.k))
+	})
+	for _, e := range waiting {
+		p.place(e.step, now)
+		p.advise(e.step, now, e.rank)
+	}
+}
+
+func (p *Planner) place(s *step, now time.Time) {
+	if s.spec.Gang {
+		p.placeGang(s, now)
+		return
+	}
+	for _, t := range s.tasks {
+		if t.free() && !p.placeTask(t, now, 0, t.checkpoint) {
+			return
+		}
+	}
+}
+
+// allows reports whether the team may have more running.
+func (t *team) allows(more winch.Room) bool {
+	after := t.used.Add(more)
+	limit := t.Cap
+	return (limit.Milli == 0 || after.Milli <= limit.Milli) &&
+		(limit.Memory == 0 || after.Memory <= limit.Memory) &&
+		(limit.Accelerators == 0 || after.Accelerators <= limit.Accelerators)
+}
+
+// placeTask starts a task at the best worker and reports whether there was one.
+func (p *Planner) placeTask(t *task, now time.Time, number uint64, checkpoint string) bool {
+	s := t.step
+	if !s.job.team.allows(s.spec.Need) || !p.spare(s) {
+		return false
+	}
+	charge := s.spec.Charge()
+	var best *worker
+	var bestScore float64
+	for _, w := range p.candidates(s, now) {
+		left := w.free()
+		if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w) >= s.spec.MostPerVM {
+			continue
+		}
+		score := p.score(s, w, left)
+		if w.vm.ID == t.avoid {
+			score -= avoidCost
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best == nil {
+		return false
+	}
+	if number == 0 {
+		number = p.nextRun()
+	}
+	p.order(t, best, number, checkpoint)
+	return true
+}
+
+// order starts a task at a worker.
+func (p *Planner) order(t *task, w *worker, number uint64, checkpoint string) {
+	p.addRun(w, t, t.id(), number)
+	t.step.job.begun = true
+	p.orders = append(p.orders, proto.Order{
+		Kind: proto.OrderStart, Worker: w.vm.ID, Task: t.id(), Run: number,
+		Checkpoint: checkpoint, Ticket: t.step.known.ticket(w.vm.ID),
+	})
+}
+
+// spare reports whether a step leaves the reserve for urgent work.
+func (p *Planner) spare(s *step) bool {
+	if s.job.queue.Priority == 0 || s.spec.Fills || s.spec.Lasting {
+		return true
+	}
+	var free, all int64
+	for _, w := range p.workers {
+		if w.usable() {
+			free += w.free().Milli
+			all += w.vm.Room.Milli
+		}
+	}
+	return float64(free-s.spec.Need.Milli) >= urgentReserve*float64(all)
+}
+
+// candidates returns the workers that may run the step now, whatever their room.
+func (p *Planner) candidates(s *step, now time.Time) []*worker {
+	var out []*worker
+	if s.job.queue.Advice != nil {
+		for id, ticket := range s.known.allowed {
+			w := p.workers[id]
+			if w != nil && ticket.good(now) && p.suits(s, w, now) {
+				out = append(out, w)
+			}
+		}
+	} else {
+		for _, w := range p.workers {
+			if p.suits(s, w, now) {
+				out = append(out, w)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
+	return out
+}
+
+// suits reports whether a worker is of the kind that the step needs.
+func (p *Planner) suits(s *step, w *worker, now time.Time) bool {
+	if !w.usable() || w.health.resting(now) || w.vm.Service != s.job.queue.Service {
+		return false
+	}
+	if s.spec.Label != "" && !slices.Contains(w.vm.Labels, s.spec.Label) {
+		return false
+	}
+	return true
+}
+
+// onWorker counts the runs of a step at a worker, stopping ones included.
+func (p *Planner) onWorker(s *step, w *worker) int {
+	n := 0
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.worker == w {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Weights of a worker's score; the share of free processors, 0 to 1, is the unit.
+const (
+	// avoidCost keeps a task from the worker at which it failed last, if there is another.
+	avoidCost = 2.0
+	// farCost keeps a task near its data: elsewhere it takes several times as long.
+	farCost = 4.0
+	// besideCost keeps filling tasks from workers that serve, and the other way
+	// round: they disturb each other.
+	besideCost = 3.0
+)
+
+// score rates a worker for a task; the highest is best.
+func (p *Planner) score(s *step, w *worker, left winch.Room) float64 {
+	free := float64(left.Milli)
+	if s.spec.Fills {
+		free -= float64(w.fills)
+	}
+	score := free / float64(max(1, w.vm.Room.Milli))
+	if s.spec.Rack != "" && s.spec.Rack != w.vm.Rack {
+		score -= farCost
+	}
+	if s.spec.SameRack && s.rackElsewhere(w.vm.Rack) {
+		score -= farCost
+	}
+	if s.spec.Fills && w.serving > 0 || s.spec.Target > 0 && w.fills > 0 {
+		score -= besideCost
+	}
+	return score
+}
+
+// rackElsewhere reports whether the step already runs on another rack.
+func (s *step) rackElsewhere(rack string) bool {
+	for _, t := range s.tasks {
+		if r := t.wanted(); r != nil && r.worker.vm.Rack != rack {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coord/fleet/record.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"slices"
+
+	"plantainwinch/winch"
+)
+
+// Record is the progress of a job to be written, and the revision that the
+// record must still have.
+type Record struct {
+	Job      string
+	Progress winch.Progress
+	Revision uint64
+	Changes  uint64
+}
+
+// change notes that a job's record is to be written.
+func (p *Planner) change(j *job) {
+	j.changes++
+	if !slices.Contains(p.dirty, j) {
+		p.dirty = append(p.dirty, j)
+	}
+}
+
+// Pressing reports whether a record waits that a caller waits for.
+func (p *Planner) Pressing() bool {
+	return slices.ContainsFunc(p.dirty, func(j *job) bool { return j.pressing && !j.saving })
+}
+
+// Unsaved reports whether any record waits.
+func (p *Planner) Unsaved() bool {
+	return len(p.dirty) > 0
+}
+
+// Records returns at most n records to write, those that callers wait for
+// first. None of a job is returned again before Saved or Unwritten was called for it.
+func (p *Planner) Records(n int) []Record {
+	slices.SortStableFunc(p.dirty, func(a, b *job) int {
+		switch {
+		case a.pressing == b.pressing:
+			return 0
+		case a.pressing:
+			return -1
+		}
+		return 1
+	})
+	var out []Record
+	var rest []*job
+	for _, j := range p.dirty {
+		if len(out) == n || j.saving {
+			rest = append(rest, j)
+			continue
+		}
+		j.saving = true
+		out = append(out, Record{Job: j.rec.ID, Progress: j.progress(), Revision: j.revision, Changes: j.changes})
+	}
+	p.dirty = rest
+	return out
+}
+
+func (j *job) progress() winch.Progress {
+	out := winch.Progress{Failed: make(map[string]int), Done: make(map[int][][]byte), Ended: j.ended}
+	if j.state.Final() {
+		out.State = j.state
+	}
+	for key, n := range j.failed {
+		out.Failed[key] = n
+	}
+	for _, s := range j.steps {
+		if s.done == 0 {
+			continue
+		}
+		if out.Done[s.k] == nil {
+			out.Done[s.k] = make([][]byte, len(j.rec.Phases))
+		}
+		bits := make([]byte, (len(s.tasks)+7)/8)
+		for _, t := range s.tasks {
+			if t.done {
+				bits[t.index/8] |= 1 << (t.index % 8)
+			}
+		}
+		out.Done[s.k][s.phase] = bits
+	}
+	return out
+}
+
+// Saved notes that a record was written at a revision.
+func (p *Planner) Saved(r Record, revision uint64) {
+	j := p.jobs[r.Job]
+	if j == nil {
+		return
+	}
+	j.saving = false
+	j.revision = revision
+	j.saved = max(j.saved, r.Changes)
+	if r.Progress.State.Final() {
+		j.shown = r.Progress.State
+		j.pressing = false
+	}
+	for _, w := range p.workers {
+		p.forget(w)
+	}
+}
+
+// Unwritten notes that a record was not written, or not surely. The revision,
+// if it is not zero, is the one that the record has now.
+func (p *Planner) Unwritten(r Record, revision uint64) {
+	j := p.jobs[r.Job]
+	if j == nil {
+		return
+	}
+	j.saving = false
+	if revision != 0 {
+		j.revision = revision
+	}
+	if !slices.Contains(p.dirty, j) {
+		p.dirty = append(p.dirty, j)
+	}
+}
--- /dev/null
+++ b/coord/fleet/worker.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// runKey names a run at a worker.
+type runKey struct {
+	task winch.RunID
+	run  uint64
+}
+
+// run is one start of a task at a worker, from the order on until it has surely
+// ended there.
+type run struct {
+	key    runKey
+	task   *task // task is nil for a run of a job that is not known.
+	team   *team
+	worker *worker
+	need   winch.Room // need is charged to the team, charge to the worker.
+	charge winch.Room
+	// started says that the worker confirmed the start.
+	started  bool
+	stopping bool
+	since    time.Time
+	// percent is the progress last reported, moved when it last changed.
+	percent float64
+	moved   time.Time
+	load    float64
+	pace    int // pace is the percentage in force, 100 at the start.
+	pacedAt time.Time
+}
+
+// worker is one boot of a worker VM.
+type worker struct {
+	vm   winch.WorkerVM
+	used winch.Room
+	// ready says that the worker's lists were received in this session.
+	ready bool
+	// gone says that the worker is not in the platform's list any more.
+	gone bool
+	runs map[runKey]*run
+	// ends holds the ends that are not recorded yet, in the order of their numbers.
+	ends     []endMark
+	lastEnd  uint64
+	forgot   uint64
+	fills    int64 // fills is the sum of what filling runs could use.
+	serving  int   // serving counts runs with a target.
+	closely  bool
+	health   health
+	heldBack time.Time // heldBack is when fills here may next be given more.
+}
+
+// endMark is an end whose number may be forgotten once the job's record has
+// reached changes.
+type endMark struct {
+	number  uint64
+	job     *job
+	changes uint64
+}
+
+func (w *worker) free() winch.Room {
+	return w.vm.Room.Sub(w.used)
+}
+
+// usable reports whether the worker may be given work.
+func (w *worker) usable() bool {
+	return w.ready && !w.gone && !w.vm.Draining
+}
+
+// SetWorkers takes the platform's list. Workers that are missing get no new
+// work; what runs there counts until it has surely ended.
+func (p *Planner) SetWorkers(list []winch.WorkerVM) {
+	listed := make(map[string]bool, len(list))
+	for _, vm := range list {
+		listed[vm.ID] = true
+		w := p.workers[vm.ID]
+		if w != nil && w.vm.Born != vm.Born && vm.Born != 0 {
+			p.Lost(vm.ID)
+			delete(p.workers, vm.ID)
+			w = nil
+		}
+		if w == nil {
+			w = &worker{runs: make(map[runKey]*run)}
+			p.workers[vm.ID] = w
+		}
+		w.vm = vm
+		w.gone = false
+	}
+	for id, w := range p.workers {
+		if listed[id] {
+			continue
+		}
+		w.gone = true
+		if len(w.runs) == 0 && w.ready {
+			delete(p.workers, id)
+		}
+	}
+}
+
+// SetGone adds workers that earlier planners may have used and that are not in
+// the platform's list any more: work may still run there.
+func (p *Planner) SetGone(vms map[string]winch.WorkerVM) {
+	for id, vm := range vms {
+		if p.workers[id] == nil && p.roster[id] {
+			p.workers[id] = &worker{vm: vm, gone: true, runs: make(map[runKey]*run)}
+		}
+	}
+}
+
+// SetRoster names the workers that earlier planners may have used.
+func (p *Planner) SetRoster(ids []string) {
+	for _, id := range ids {
+		p.roster[id] = true
+	}
+}
+
+// Adopting reports whether work of an earlier planner may still run unseen.
+func (p *Planner) Adopting() bool {
+	if len(p.roster) == 0 {
+		return false
+	}
+	if time.Now().After(p.Barrier) {
+		clear(p.roster)
+		return false
+	}
+	return true
+}
+
+// Held returns the workers that need to be held, with their VMs.
+func (p *Planner) Held() []winch.WorkerVM {
+	out := make([]winch.WorkerVM, 0, len(p.workers))
+	for _, w := range p.workers {
+		out = append(out, w.vm)
+	}
+	return out
+}
+
+// Unready marks workers whose keeper is lost: nothing is started there until
+// their lists have come again.
+func (p *Planner) Unready(ids []string) {
+	for _, id := range ids {
+		if w := p.workers[id]; w != nil {
+			w.ready = false
+		}
+	}
+}
+
+// addRun charges a run to the worker and the team.
+func (p *Planner) addRun(w *worker, t *task, id winch.RunID, number uint64) *run {
+	r := &run{key: runKey{id, number}, task: t, worker: w, since: time.Now(), moved: time.Now(), pace: 100}
+	if t != nil {
+		spec := t.step.spec
+		r.need, r.charge, r.team = spec.Need, spec.Charge(), t.step.job.team
+		r.team.used = r.team.used.Add(r.need)
+		t.runs = append(t.runs, r)
+		t.recount()
+		w.count(spec, 1)
+	}
+	w.used = w.used.Add(r.charge)
+	w.runs[r.key] = r
+	p.watch(w)
+	return r
+}
+
+// watch has a worker reported more often while tasks that fill run beside tasks
+// that serve.
+func (p *Planner) watch(w *worker) {
+	closely := w.serving > 0 && w.fills > 0
+	if closely != w.closely {
+		w.closely = closely
+		p.orders = append(p.orders, proto.Order{Kind: proto.OrderLook, Worker: w.vm.ID, Closely: closely})
+	}
+}
+
+// count keeps what runs beside each other on the worker.
+func (w *worker) count(spec *winch.Phase, n int) {
+	if spec.Fills {
+		w.fills += int64(n) * spec.Need.Milli
+	}
+	if spec.Target > 0 {
+		w.serving += n
+	}
+}
+
+// endRun takes a run's charges back once it has surely ended.
+func (p *Planner) endRun(r *run) {
+	w := r.worker
+	if w.runs[r.key] != r {
+		return
+	}
+	delete(w.runs, r.key)
+	w.used = w.used.Sub(r.charge)
+	if r.task == nil {
+		return
+	}
+	w.count(r.task.step.spec, -1)
+	p.watch(w)
+	r.team.used = r.team.used.Sub(r.need)
+	r.task.runs = slices.DeleteFunc(r.task.runs, func(x *run) bool { return x == r })
+	if r.task.wanted() == nil {
+		r.task.since = time.Now()
+	}
+	r.task.recount()
+}
+
+// stop orders the end of a run. Its room stays charged until the end is listed.
+func (p *Planner) stop(r *run) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	if r.task != nil {
+		r.task.recount()
+	}
+	p.counts.Stopped++
+	p.orders = append(p.orders, proto.Order{Kind: proto.OrderStop, Worker: r.worker.vm.ID, Task: r.key.task, Run: r.key.run})
+}
+
+// forget tells a worker which ends are recorded.
+func (p *Planner) forget(w *worker) {
+	upTo := w.forgot
+	for len(w.ends) > 0 {
+		e := w.ends[0]
+		if e.job != nil && e.job.saved < e.changes && p.jobs[e.job.rec.ID] == e.job {
+			break
+		}
+		upTo = e.number
+		w.ends = w.ends[1:]
+	}
+	if upTo > w.forgot {
+		w.forgot = upTo
+		p.orders = append(p.orders, proto.Order{Kind: proto.OrderForget, Worker: w.vm.ID, Forget: upTo})
+	}
+}
+
+// Lost takes note that all that ran on a worker has surely ended.
+func (p *Planner) Lost(id string) {
+	delete(p.roster, id)
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	w.ready = false
+	for _, r := range w.runs {
+		p.counts.Lost++
+		p.endRun(r)
+		if r.task != nil {
+			p.gangBroken(r)
+		}
+	}
+	w.ends = nil
+	if w.gone {
+		delete(p.workers, id)
+	}
+}
--- /dev/null
+++ b/coord/keep/holder.go
@@ -0,0 +1,313 @@
+package keep
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// holdWait is how long a worker may wait for an end before it answers. Each
+	// answer is a look that costs both sides; ends are answered at once.
+	holdWait = 1500 * time.Millisecond
+	// closeWait is used while the planner paces runs by what the worker reports: a
+	// target may be missed for a few seconds only.
+	closeWait = 500 * time.Millisecond
+	// holdPause is the pause between an answer and the next hold, so that ends
+	// which come close together are told in one.
+	holdPause = 15 * time.Millisecond
+	// answerTime is how long an answer may take beyond what the worker may wait.
+	answerTime = 600 * time.Millisecond
+	// retryPause is the pause after a call that was not answered.
+	retryPause = 100 * time.Millisecond
+	// startTime is how long a start is good for at the worker. It is short, so
+	// that one that is held up on its way is refused when it arrives.
+	startTime = 1200 * time.Millisecond
+	// senders is how many orders to one worker may be on their way at once, each
+	// on a connection of its own.
+	senders = 2
+	// clockDrift is how much slower than ours a worker's clock may be.
+	clockDrift = 0.02
+	// lapseMargin is added when a lease counts as lapsed: a message may be that
+	// long on its way, and the worker ends runs a moment after the time.
+	lapseMargin = 300 * time.Millisecond
+	// statusEvery bounds how often the state of runs is told to the planner.
+	statusEvery = 400 * time.Millisecond
+	// mostListed is how many ends a worker lists at a time; with so many, runs may
+	// have ended that are not listed yet.
+	mostListed = 500
+)
+
+type runKey struct {
+	task winch.RunID
+	run  uint64
+}
+
+// known is what a holder knows of a run that was ordered or listed.
+type known struct {
+	// acked is when the worker last confirmed an order about the run; zero while
+	// the first order is on its way.
+	acked time.Time
+	// doubt says that the start was not answered and the run is being stopped.
+	doubt bool
+}
+
+// command is an order with what its start needs.
+type command struct {
+	proto.Order
+	text string
+}
+
+// holder keeps one boot of one worker.
+type holder struct {
+	keeper *Keeper
+	vm     winch.WorkerVM
+	token  uint64
+	cancel context.CancelFunc
+	ring   chan command
+	began  time.Time
+
+	mu     sync.Mutex
+	runs   map[runKey]*known
+	forget uint64
+	// clock is the worker's clock at the moment clockAt of ours.
+	clock   time.Duration
+	clockAt time.Time
+	// lapse is when the lease last asked for has surely ended.
+	lapse    time.Time
+	listed   bool
+	closely  bool // closely says that the planner paces runs by what is reported.
+	lastEnd  uint64
+	statusAt time.Time
+}
+
+func (h *holder) run(ctx context.Context) {
+	var group conc.WaitGroup
+	for range senders {
+		group.Go(func() { h.send(ctx) })
+	}
+	group.Go(func() {
+		defer h.cancel()
+		h.renew(ctx)
+	})
+	group.Wait()
+}
+
+// take queues an order; what goes with the next hold needs no message of its own.
+func (h *holder) take(o proto.Order, text string) {
+	switch o.Kind {
+	case proto.OrderForget:
+		h.mu.Lock()
+		h.forget = max(h.forget, o.Forget)
+		h.mu.Unlock()
+		return
+	case proto.OrderLook:
+		h.mu.Lock()
+		h.closely = o.Closely
+		h.mu.Unlock()
+		return
+	}
+	select {
+	case h.ring <- command{o, text}:
+	default:
+		h.keeper.count("Keep.RingFull")
+		if o.Kind == proto.OrderStart {
+			h.emit(proto.KeepEvent{Kind: proto.EventNotStarted, Task: o.Task, Run: o.Run, Result: winch.StartRefused})
+		}
+	}
+}
+
+func (h *holder) emit(e proto.KeepEvent) {
+	e.Worker = h.vm.ID
+	h.keeper.emit(h, e)
+}
+
+// renew holds the worker until it is surely gone, fenced off or given up.
+func (h *holder) renew(ctx context.Context) {
+	authority := h.keeper.authority()
+	h.mu.Lock()
+	// An earlier keeper's lease ends with the authority that it had at the latest,
+	// and none was given a longer one than this keeper has now.
+	h.lapse = h.began.Add(surely(max(h.keeper.Lease, authority)))
+	h.mu.Unlock()
+	for ctx.Err() == nil {
+		if h.keeper.authority() <= 0 {
+			// Nothing may be kept without the planner; a new one sets new holders.
+			pause(ctx, retryPause)
+			continue
+		}
+		sent := time.Now()
+		answer, err := h.call(ctx, sent)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			h.answered(sent, answer)
+			pause(ctx, holdPause)
+			continue
+		}
+		if h.over(err) {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func (h *holder) call(ctx context.Context, sent time.Time) (winch.Holding, error) {
+	call := winch.HoldCall{Token: h.token}
+	lease := min(h.keeper.Lease, h.keeper.authority())
+	h.mu.Lock()
+	call.Forget = h.forget
+	if h.listed {
+		call.Wait = holdWait
+		if h.closely {
+			call.Wait = closeWait
+		}
+		call.Until = h.clockNow(sent) + lease
+		h.lapse = later(h.lapse, sent.Add(surely(lease)))
+	}
+	h.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, call.Wait+answerTime)
+	defer cancel()
+	return h.keeper.Runner.Hold(callCtx, h.vm, call)
+}
+
+// over reports whether an error ends the holding of the worker.
+func (h *holder) over(err error) bool {
+	h.mu.Lock()
+	lapsed := time.Now().After(h.lapse)
+	h.mu.Unlock()
+	switch {
+	case errors.Is(err, winch.ErrFenced):
+		h.keeper.Log.Info("worker is held by a newer keeper", zap.String("worker", h.vm.ID), zap.Uint64("token", h.token))
+		h.emit(proto.KeepEvent{Kind: proto.EventFenced})
+		return true
+	case errors.Is(err, winch.ErrOtherBoot), lapsed:
+		h.keeper.Log.Info("worker lost", zap.String("worker", h.vm.ID), zap.Bool("lapsed", lapsed), zap.Error(err))
+		h.emit(proto.KeepEvent{Kind: proto.EventLost})
+		h.keeper.Runner.Drop(h.vm)
+		return true
+	}
+	h.keeper.count("Keep.HoldFailed")
+	return false
+}
+
+// surely returns the time of ours after which a time on a worker's clock has
+// passed there too.
+func surely(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*clockDrift/(1-clockDrift)) + lapseMargin
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// clockNow returns what the worker's clock shows at least. The mutex is held.
+func (h *holder) clockNow(now time.Time) time.Duration {
+	return h.clock + now.Sub(h.clockAt)
+}
+
+func (h *holder) setClock(clock time.Duration) {
+	if clock <= 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.clock, h.clockAt = clock, time.Now()
+}
+
+// answered takes the lists of a worker.
+func (h *holder) answered(sent time.Time, answer winch.Holding) {
+	h.setClock(answer.Clock)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var fresh []winch.Ended
+	for _, e := range answer.Ended {
+		if e.Number > h.lastEnd {
+			h.lastEnd = e.Number
+			fresh = append(fresh, e)
+		}
+		delete(h.runs, runKey{e.Task, e.Run})
+	}
+	if !h.listed {
+		h.first(answer, fresh)
+		return
+	}
+	if len(fresh) > 0 {
+		h.emit(proto.KeepEvent{Kind: proto.EventEnded, Ended: fresh})
+	}
+	h.compare(sent, answer)
+	h.look(answer.Running)
+}
+
+// first tells the first lists whole.
+func (h *holder) first(answer winch.Holding, ends []winch.Ended) {
+	h.listed = true
+	for _, r := range answer.Running {
+		h.runs[runKey{r.Task, r.Run}] = &known{acked: h.began}
+	}
+	h.emit(proto.KeepEvent{Kind: proto.EventListed, Running: answer.Running, Ended: ends})
+}
+
+// compare finds runs that the worker does not have any more, or has against
+// what is known. Only orders that were confirmed before the hold was sent count:
+// answers on different connections overtake each other.
+func (h *holder) compare(sent time.Time, answer winch.Holding) {
+	running := make(map[runKey]bool, len(answer.Running))
+	var found []winch.Running
+	for _, r := range answer.Running {
+		key := runKey{r.Task, r.Run}
+		running[key] = true
+		if h.runs[key] == nil {
+			h.runs[key] = &known{acked: sent}
+			found = append(found, r)
+		}
+	}
+	if len(found) > 0 {
+		h.emit(proto.KeepEvent{Kind: proto.EventFound, Running: found})
+	}
+	if len(answer.Ended) >= mostListed {
+		return
+	}
+	for key, r := range h.runs {
+		if running[key] || r.acked.IsZero() || !r.acked.Before(sent) {
+			continue
+		}
+		delete(h.runs, key)
+		if r.doubt {
+			h.emit(proto.KeepEvent{Kind: proto.EventNotStarted, Task: key.task, Run: key.run, Result: winch.StartUncertain})
+			continue
+		}
+		h.keeper.count("Keep.Vanished")
+		h.emit(proto.KeepEvent{Kind: proto.EventVanished, Task: key.task, Run: key.run})
+	}
+}
+
+// look tells how the runs go, not too often.
+func (h *holder) look(running []winch.Running) {
+	now := time.Now()
+	if len(running) == 0 || now.Sub(h.statusAt) < statusEvery {
+		return
+	}
+	h.statusAt = now
+	h.emit(proto.KeepEvent{Kind: proto.EventStatus, Running: running})
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/coord/keep/keep.go
@@ -0,0 +1,215 @@
+// Package keep holds worker VMs for the planner of a region: it renews their
+// leases, passes orders on and tells what happened. It decides nothing about
+// work; it does find out what became of an order that was not answered.
+package keep
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// mostEvents bounds what waits for the planner. A planner that takes nothing
+	// for so long has lost the session, and a new one lists everything anyway.
+	mostEvents = 20_000
+	// ringSize bounds the orders that wait for one worker.
+	ringSize = 512
+)
+
+// Keeper holds workers. Set the fields before Run.
+type Keeper struct {
+	Runner  winch.Runner
+	Log     *zap.Logger
+	Metrics metrics.Registry
+	// Lease is how long workers go on without hearing of a keeper.
+	Lease time.Duration
+	// StopTime is the longest time that a worker takes to stop a run.
+	StopTime time.Duration
+
+	mu      sync.Mutex
+	session proto.Session
+	until   time.Time // until is when the planner's authority ends.
+	holders map[string]*holder
+	events  []proto.KeepEvent
+	wake    chan struct{}
+	group   *conc.WaitGroup
+	ctx     context.Context
+}
+
+// Prepare makes the keeper ready; Run must follow.
+func (k *Keeper) Prepare() {
+	k.holders = make(map[string]*holder)
+	k.wake = make(chan struct{}, 1)
+	k.group = conc.NewWaitGroup()
+	k.ctx = context.Background()
+}
+
+// Run ends all holders when ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	<-ctx.Done()
+	k.mu.Lock()
+	for id, h := range k.holders {
+		h.cancel()
+		delete(k.holders, id)
+	}
+	k.session.Number = ^uint64(0) // No later session of this term is taken.
+	k.mu.Unlock()
+	k.group.Wait()
+}
+
+// newer reports whether a session comes after another.
+func newer(a, b proto.Session) bool {
+	return a.Term > b.Term || a.Term == b.Term && a.Number > b.Number
+}
+
+// Set takes the workers to hold. A set of an older session is ignored: it may
+// have been on its way when its planner lost the office.
+func (k *Keeper) Set(set proto.KeepSet) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if newer(k.session, set.Session) {
+		return
+	}
+	if newer(set.Session, k.session) {
+		k.begin(set.Session)
+	}
+	k.until = time.Now().Add(set.Authority)
+	wanted := make(map[string]bool, len(set.Workers))
+	for _, w := range set.Workers {
+		wanted[w.VM.ID] = true
+		h := k.holders[w.VM.ID]
+		if h != nil && h.token == w.Token {
+			continue
+		}
+		if h != nil {
+			h.cancel()
+		}
+		k.hold(w)
+	}
+	for id, h := range k.holders {
+		if !wanted[id] {
+			h.cancel()
+			delete(k.holders, id)
+		}
+	}
+}
+
+func (k *Keeper) begin(s proto.Session) {
+	for id, h := range k.holders {
+		h.cancel()
+		delete(k.holders, id)
+	}
+	k.session = s
+	k.events = nil
+	k.Log.Info("keeper session", zap.Uint64("term", s.Term), zap.Uint64("session", s.Number))
+}
+
+func (k *Keeper) hold(w proto.Kept) {
+	ctx, cancel := context.WithCancel(k.ctx)
+	h := &holder{
+		keeper: k, vm: w.VM, token: w.Token, cancel: cancel, began: time.Now(),
+		ring: make(chan command, ringSize), runs: make(map[runKey]*known),
+	}
+	k.holders[w.VM.ID] = h
+	k.group.Go(func() {
+		defer cancel()
+		h.run(ctx)
+	})
+}
+
+// Orders passes orders to the workers.
+func (k *Keeper) Orders(msg proto.KeepOrders) {
+	for i, h := range k.addressed(msg) {
+		if h != nil {
+			o := msg.Orders[i]
+			h.take(o, msg.Commands[o.Task.Job])
+		}
+	}
+}
+
+// addressed returns the holder of each order. Its lock is not held while a
+// holder's is taken: holders take both in the other order.
+func (k *Keeper) addressed(msg proto.KeepOrders) []*holder {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if msg.Session != k.session {
+		return nil
+	}
+	out := make([]*holder, len(msg.Orders))
+	for i, o := range msg.Orders {
+		out[i] = k.holders[o.Worker]
+	}
+	return out
+}
+
+// Poll returns what happened since the last poll of the session, and waits for
+// something to happen. A zero session in the answer says that the session of
+// the question is not this keeper's.
+func (k *Keeper) Poll(ctx context.Context, ask proto.KeepPoll) proto.KeepNews {
+	timer := time.NewTimer(ask.Wait)
+	defer timer.Stop()
+	for {
+		news, ready := k.collect(ask)
+		if ready {
+			return news
+		}
+		select {
+		case <-ctx.Done():
+			return news
+		case <-timer.C:
+			news.Session = ask.Session
+			return news
+		case <-k.wake:
+		}
+	}
+}
+
+func (k *Keeper) collect(ask proto.KeepPoll) (proto.KeepNews, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if ask.Session != k.session {
+		return proto.KeepNews{}, true
+	}
+	if until := time.Now().Add(ask.Authority); until.After(k.until) {
+		k.until = until
+	}
+	if len(k.events) == 0 {
+		return proto.KeepNews{}, false
+	}
+	news := proto.KeepNews{Session: k.session, Events: k.events}
+	k.events = nil
+	return news, true
+}
+
+// emit queues events for the planner; those of a holder that was replaced are dropped.
+func (k *Keeper) emit(h *holder, events ...proto.KeepEvent) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.holders[h.vm.ID] != h || len(k.events) > mostEvents {
+		return
+	}
+	k.events = append(k.events, events...)
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// authority returns how long the keeper may still keep what runs.
+func (k *Keeper) authority() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Until(k.until)
+}
+
+func (k *Keeper) count(name string) {
+	metrics.GetOrRegisterCounter(name, k.Metrics).Inc(1)
+}
--- /dev/null
+++ b/coord/keep/send.go
@@ -0,0 +1,111 @@
+package keep
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// orderTime is how long the answer to an order is waited for.
+const orderTime = 600 * time.Millisecond
+
+// send passes queued orders to the worker, one after the other.
+func (h *holder) send(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-h.ring:
+			h.execute(ctx, c)
+		}
+	}
+}
+
+func (h *holder) execute(ctx context.Context, c command) {
+	switch c.Kind {
+	case proto.OrderStart:
+		h.start(ctx, c)
+	case proto.OrderStop:
+		h.stopUntilHeard(ctx, runKey{c.Task, c.Run}, false)
+	case proto.OrderPace:
+		callCtx, cancel := context.WithTimeout(ctx, orderTime)
+		defer cancel()
+		if err := h.keeper.Runner.Pace(callCtx, h.vm, h.token, c.Task, c.Run, c.Percent); err != nil {
+			h.keeper.count("Keep.PaceFailed")
+		}
+	}
+}
+
+func (h *holder) start(ctx context.Context, c command) {
+	key := runKey{c.Task, c.Run}
+	now := time.Now()
+	h.mu.Lock()
+	h.runs[key] = &known{}
+	until := h.clockNow(now) + startTime
+	h.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	result, clock := h.keeper.Runner.Start(callCtx, h.vm, winch.StartCall{
+		Token: h.token, Task: c.Task, Run: c.Run, Command: c.text,
+		Checkpoint: c.Checkpoint, Ticket: c.Ticket, Until: until,
+	})
+	h.setClock(clock)
+	switch result {
+	case winch.StartOK:
+		h.confirm(key, false)
+		h.emit(proto.KeepEvent{Kind: proto.EventStarted, Task: c.Task, Run: c.Run})
+	case winch.StartUncertain:
+		h.keeper.Log.Info("start not answered", zap.String("job", c.Task.Job), zap.Any("task", c.Task), zap.Uint64("run", c.Run), zap.String("worker", h.vm.ID))
+		h.stopUntilHeard(ctx, key, true)
+	case winch.StartOtherBoot:
+		h.emit(proto.KeepEvent{Kind: proto.EventLost})
+		h.cancel()
+	default:
+		h.mu.Lock()
+		delete(h.runs, key)
+		h.mu.Unlock()
+		h.keeper.Log.Info("start refused", zap.String("job", c.Task.Job), zap.Any("task", c.Task), zap.Uint64("run", c.Run),
+			zap.String("worker", h.vm.ID), zap.Stringer("reason", result))
+		h.emit(proto.KeepEvent{Kind: proto.EventNotStarted, Task: c.Task, Run: c.Run, Result: result})
+	}
+}
+
+// confirm notes that the worker has answered an order about a run.
+func (h *holder) confirm(key runKey, doubt bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.runs[key]
+	if r == nil {
+		// Its end was listed already, or it is of an earlier session and was not
+		// listed in this one.
+		h.emit(proto.KeepEvent{Kind: proto.EventVanished, Task: key.task, Run: key.run})
+		return
+	}
+	r.acked = time.Now()
+	r.doubt = doubt
+}
+
+// stopUntilHeard stops a run, again and again until the worker has answered.
+// After the answer a start of the run that is still on its way is refused, so
+// the next lists tell for good whether it was started.
+func (h *holder) stopUntilHeard(ctx context.Context, key runKey, doubt bool) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, orderTime)
+		err := h.keeper.Runner.Stop(callCtx, h.vm, h.token, key.task, key.run)
+		cancel()
+		switch {
+		case err == nil:
+			h.confirm(key, doubt)
+			return
+		case errors.Is(err, winch.ErrFenced), errors.Is(err, winch.ErrOtherBoot):
+			return // The next hold learns the same and tells it.
+		}
+		h.keeper.count("Keep.StopFailed")
+		pause(ctx, retryPause)
+	}
+}
--- /dev/null
+++ b/coord/lanes/lanes.go
@@ -0,0 +1,131 @@
+// Package lanes deals questions to the advice service over the entries of a
+// region. The service answers one question at a time for each entry, so an
+// entry is a lane; a question behind a slow one waits for all of it.
+package lanes
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// urgentPart is the part of the lanes that slow questions leave to urgent
+	// ones. A slow one takes half a second and more, an urgent one some 30 ms; with
+	// no lane kept free, urgent ones wait behind slow ones for most of their time.
+	urgentPart = 1.0 / 3
+	// restAfterFailure is how long a lane that gave no answer is left alone.
+	restAfterFailure = time.Second
+)
+
+// Question is one question that waits for a lane.
+type Question[T any] struct {
+	Body   T
+	Urgent bool
+	Rank   float64
+}
+
+// Lanes holds the lanes and what waits for them. It is owned by one goroutine.
+type Lanes[T any] struct {
+	lanes   map[string]*lane
+	waiting []Question[T]
+	slow    int // slow counts lanes that are busy with questions that are not urgent.
+}
+
+type lane struct {
+	busy   bool
+	urgent bool
+	rest   time.Time
+}
+
+// SetLanes names the lanes there are. What a lane that is gone was asked still
+// has to be ended with Done.
+func (l *Lanes[T]) SetLanes(names []string) {
+	if l.lanes == nil {
+		l.lanes = make(map[string]*lane)
+	}
+	for name, x := range l.lanes {
+		if !slices.Contains(names, name) && !x.busy {
+			delete(l.lanes, name)
+		}
+	}
+	for _, name := range names {
+		if l.lanes[name] == nil {
+			l.lanes[name] = &lane{}
+		}
+	}
+}
+
+// Add queues a question.
+func (l *Lanes[T]) Add(q Question[T]) {
+	l.waiting = append(l.waiting, q)
+}
+
+// Waiting returns the number of queued questions.
+func (l *Lanes[T]) Waiting() int {
+	return len(l.waiting)
+}
+
+// Next returns a free lane and the question to ask there, or false if nothing
+// can be asked now.
+func (l *Lanes[T]) Next(now time.Time) (string, Question[T], bool) {
+	var none Question[T]
+	if len(l.waiting) == 0 {
+		return "", none, false
+	}
+	slices.SortStableFunc(l.waiting, func(a, b Question[T]) int {
+		switch {
+		case a.Urgent == b.Urgent:
+			return cmp.Compare(a.Rank, b.Rank)
+		case a.Urgent:
+			return -1
+		}
+		return 1
+	})
+	name := l.free(now)
+	q := l.waiting[0]
+	if name == "" || !q.Urgent && l.slow >= l.mostSlow() {
+		return "", none, false
+	}
+	l.waiting = slices.Delete(l.waiting, 0, 1)
+	x := l.lanes[name]
+	x.busy, x.urgent = true, q.Urgent
+	if !q.Urgent {
+		l.slow++
+	}
+	return name, q, true
+}
+
+// mostSlow is how many lanes may be busy with slow questions.
+func (l *Lanes[T]) mostSlow() int {
+	n := len(l.lanes)
+	if n <= 1 {
+		return n
+	}
+	return n - max(1, int(float64(n)*urgentPart))
+}
+
+func (l *Lanes[T]) free(now time.Time) string {
+	best := ""
+	for name, x := range l.lanes {
+		if !x.busy && now.After(x.rest) && (best == "" || name < best) {
+			best = name
+		}
+	}
+	return best
+}
+
+// Done frees a lane; ok says that its question was answered.
+func (l *Lanes[T]) Done(name string, ok bool, now time.Time) {
+	x := l.lanes[name]
+	if x == nil || !x.busy {
+		return
+	}
+	x.busy = false
+	if !x.urgent {
+		l.slow--
+	}
+	if !ok {
+		x.rest = now.Add(restAfterFailure)
+	}
+}
--- /dev/null
+++ b/proto/keep.go
@@ -0,0 +1,179 @@
+package proto
+
+import (
+	"time"
+
+	"plantainwinch/winch"
+)
+
+// Kinds of messages between the entries of a region.
+const (
+	KindKeepSet    winch.Kind = "KeepSet"
+	KindKeepOrders winch.Kind = "KeepOrders"
+	KindKeepPoll   winch.Kind = "KeepPoll"
+	KindAdvise     winch.Kind = "Advise"
+	KindAccepted   winch.Kind = "Accepted"
+	KindCancel     winch.Kind = "Cancel"
+	KindState      winch.Kind = "State"
+	KindWaiting    winch.Kind = "Waiting"
+	KindSettings   winch.Kind = "Settings"
+)
+
+// Session names one uninterrupted relation of a planner with a keeper. A
+// planner that loses a keeper's answers begins a new session with new tokens,
+// so nothing of the old one has to be repaired.
+type Session struct {
+	Term   uint64 `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// Kept is one worker that a keeper holds, with the fencing token to use.
+type Kept struct {
+	VM    winch.WorkerVM `cbor:"1,keyasint"`
+	Token uint64         `cbor:"2,keyasint"`
+}
+
+// KeepSet tells a keeper which workers it holds from now on.
+type KeepSet struct {
+	Session Session `cbor:"1,keyasint"`
+	Workers []Kept  `cbor:"2,keyasint,omitempty"`
+	// Authority is how long the keeper may keep what runs without hearing of the
+	// planner again. A duration crosses machines whose clocks differ.
+	Authority time.Duration `cbor:"3,keyasint"`
+}
+
+// OrderKind says what an Order asks for.
+type OrderKind uint8
+
+// Kinds of orders.
+const (
+	OrderStart OrderKind = iota + 1
+	OrderStop
+	OrderPace
+	OrderForget
+	// OrderLook says whether the worker's runs are to be reported more often.
+	OrderLook
+)
+
+// Order is one order to a worker.
+type Order struct {
+	Kind       OrderKind   `cbor:"1,keyasint"`
+	Worker     string      `cbor:"2,keyasint"`
+	Task       winch.RunID `cbor:"3,keyasint,omitzero"`
+	Run        uint64      `cbor:"4,keyasint,omitempty"`
+	Checkpoint string      `cbor:"5,keyasint,omitempty"`
+	Ticket     string      `cbor:"6,keyasint,omitempty"`
+	Percent    int         `cbor:"7,keyasint,omitempty"`
+	Forget     uint64      `cbor:"8,keyasint,omitempty"`
+	Closely    bool        `cbor:"9,keyasint,omitempty"`
+}
+
+// KeepOrders carries orders. Commands holds the command of each job named.
+type KeepOrders struct {
+	Session  Session           `cbor:"1,keyasint"`
+	Orders   []Order           `cbor:"2,keyasint"`
+	Commands map[string]string `cbor:"3,keyasint,omitempty"`
+}
+
+// KeepPoll asks a keeper for what has happened; it answers at once if there is
+// something, and after Wait at the latest.
+type KeepPoll struct {
+	Session   Session       `cbor:"1,keyasint"`
+	Authority time.Duration `cbor:"2,keyasint"`
+	Wait      time.Duration `cbor:"3,keyasint"`
+}
+
+// KeepNews is what happened at a keeper's workers since its last answer.
+type KeepNews struct {
+	Session Session     `cbor:"1,keyasint"`
+	Events  []KeepEvent `cbor:"2,keyasint,omitempty"`
+}
+
+// EventKind says what a KeepEvent tells.
+type EventKind uint8
+
+// Kinds of events.
+const (
+	// EventListed: the first answer of a worker under the session's token. What is
+	// not in its lists does not run there and never will through earlier orders.
+	EventListed EventKind = iota + 1
+	EventStarted
+	// EventNotStarted: a start surely had no effect and never will; Result says why.
+	EventNotStarted
+	EventEnded
+	// EventVanished: a run that the worker neither runs nor lists as ended.
+	EventVanished
+	// EventStatus: how the runs of a worker go.
+	EventStatus
+	// EventLost: the lease on everything at the worker has surely lapsed, or
+	// another boot has taken its place.
+	EventLost
+	// EventFenced: the worker knows a higher token.
+	EventFenced
+	// EventFound: a run that the planner did not order in this session.
+	EventFound
+)
+
+// KeepEvent is one event at a worker.
+type KeepEvent struct {
+	Kind    EventKind         `cbor:"1,keyasint"`
+	Worker  string            `cbor:"2,keyasint"`
+	Task    winch.RunID       `cbor:"3,keyasint,omitzero"`
+	Run     uint64            `cbor:"4,keyasint,omitempty"`
+	Result  winch.StartResult `cbor:"5,keyasint,omitempty"`
+	Ended   []winch.Ended     `cbor:"6,keyasint,omitempty"`
+	Running []winch.Running   `cbor:"7,keyasint,omitempty"`
+}
+
+// AdviseAsk asks an entry to call the advice service in its lane.
+type AdviseAsk struct {
+	Phase   winch.RunID `cbor:"1,keyasint"`
+	Workers []string    `cbor:"2,keyasint"`
+}
+
+// AdviseGive is the answer; Failed says that the service gave none.
+type AdviseGive struct {
+	Tickets []winch.Ticket `cbor:"1,keyasint,omitempty"`
+	Valid   time.Duration  `cbor:"2,keyasint,omitempty"`
+	Failed  string         `cbor:"3,keyasint,omitempty"`
+}
+
+// Accepted tells the planner of jobs that were committed.
+type Accepted struct {
+	Jobs []AcceptedJob `cbor:"1,keyasint"`
+}
+
+// AcceptedJob is a committed job with its revision.
+type AcceptedJob struct {
+	Job      winch.PhasedJob `cbor:"1,keyasint"`
+	Revision uint64          `cbor:"2,keyasint"`
+}
+
+// CancelJob tells the planner of a committed cancel.
+type CancelJob struct {
+	ID string `cbor:"1,keyasint"`
+}
+
+// StateAsk asks the planner for a job's state.
+type StateAsk struct {
+	ID string `cbor:"1,keyasint"`
+}
+
+// StateGive is the answer; Known is false if the planner has not heard of the
+// job, or is no planner.
+type StateGive struct {
+	Known bool           `cbor:"1,keyasint,omitempty"`
+	State winch.JobState `cbor:"2,keyasint,omitempty"`
+}
+
+// Waiting tells all entries how many jobs of each queue have not begun.
+type Waiting struct {
+	Term   uint64         `cbor:"1,keyasint"`
+	Queues map[string]int `cbor:"2,keyasint,omitempty"`
+}
+
+// Settings passes the operator's configuration on, as the store holds it.
+type Settings struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Data    []byte `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/region/accept.go
@@ -0,0 +1,170 @@
+package region
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// acceptRing bounds the submissions that wait to be written.
+	acceptRing = 1024
+	// acceptMost is how many one transaction may carry: a condition and a write each.
+	acceptMost = winch.TxnEntries / 2
+	// acceptors is how many transactions may be on their way at once. One whose
+	// answer is lost must not hold the others up.
+	acceptors = 4
+	// retryAfter is when a caller may come back while the store is away.
+	retryAfter = time.Second
+)
+
+// acceptor writes submissions into the store, several in one transaction.
+type acceptor struct {
+	node *Node
+	ring chan *submission
+}
+
+type submission struct {
+	job  *winch.PhasedJob
+	done chan winch.Result
+}
+
+func (a *acceptor) prepare(n *Node) {
+	a.node = n
+	a.ring = make(chan *submission, acceptRing)
+}
+
+func (a *acceptor) run(ctx context.Context) {
+	var group conc.WaitGroup
+	for range acceptors {
+		group.Go(func() { a.write(ctx) })
+	}
+	group.Wait()
+}
+
+func (a *acceptor) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-a.ring:
+			a.commit(ctx, a.gather(first))
+		}
+	}
+}
+
+// gather takes what else waits, each ID once: a second submission of an ID
+// waits for the next transaction, which finds it written.
+func (a *acceptor) gather(first *submission) []*submission {
+	batch := []*submission{first}
+	seen := map[string]bool{first.job.ID: true}
+	for len(batch) < acceptMost {
+		select {
+		case s := <-a.ring:
+			if seen[s.job.ID] {
+				a.put(s)
+				return batch
+			}
+			seen[s.job.ID] = true
+			batch = append(batch, s)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (a *acceptor) put(s *submission) {
+	select {
+	case a.ring <- s:
+	default:
+		s.done <- winch.RefuseFor(winch.QueueFull, "too many submissions wait to be stored", retryAfter)
+	}
+}
+
+// commit writes a batch. A submission whose key is there already was accepted
+// before; the others are written without it.
+func (a *acceptor) commit(ctx context.Context, batch []*submission) {
+	for len(batch) > 0 {
+		txn := winch.Txn{Expect: make(map[string]uint64)}
+		for _, s := range batch {
+			key := keyJob(s.job.ID)
+			txn.Expect[key] = 0
+			txn.Writes = append(txn.Writes, winch.Write{Key: key, Data: encode(s.job)})
+		}
+		revision, err := a.node.Table.Commit(ctx, txn)
+		var conflict *winch.ConflictError
+		switch {
+		case err == nil:
+			a.accepted(batch, revision)
+			return
+		case errors.As(err, &conflict):
+			left := a.known(batch, conflict)
+			if len(left) == len(batch) {
+				a.answer(batch, winch.Uncertain(winch.StoreUnavailable, "the store's answer does not tell what is stored"))
+				return
+			}
+			batch = left
+		case errors.Is(err, winch.ErrUnavailable):
+			a.node.Log.Info("submissions not stored", zap.Int("count", len(batch)), zap.Error(err))
+			a.answer(batch, winch.RefuseFor(winch.StoreUnavailable, "the store did not take the submission", retryAfter))
+			return
+		default:
+			a.node.Log.Info("submissions may be stored", zap.Int("count", len(batch)), zap.Error(err))
+			a.answer(batch, winch.Uncertain(winch.StoreUnavailable, "the store did not answer; submit again with the same ID"))
+			return
+		}
+	}
+}
+
+// known answers the submissions that were accepted before and returns the rest.
+func (a *acceptor) known(batch []*submission, conflict *winch.ConflictError) []*submission {
+	var left []*submission
+	for _, s := range batch {
+		if conflict.Current[keyJob(s.job.ID)].Version != 0 {
+			s.done <- winch.Result{Outcome: winch.Done}
+			continue
+		}
+		left = append(left, s)
+	}
+	return left
+}
+
+func (a *acceptor) answer(batch []*submission, result winch.Result) {
+	for _, s := range batch {
+		s.done <- result
+	}
+}
+
+func (a *acceptor) accepted(batch []*submission, revision uint64) {
+	var msg proto.Accepted
+	for _, s := range batch {
+		s.job.Revision = revision
+		s.done <- winch.Result{Outcome: winch.Done}
+		a.node.Log.Info("accepted", zap.String("job", s.job.ID), zap.String("queue", s.job.Queue), zap.String("team", s.job.Team), zap.Uint64("revision", revision))
+		msg.Jobs = append(msg.Jobs, proto.AcceptedJob{Job: *s.job, Revision: revision})
+	}
+	a.node.tellPlanner(proto.KindAccepted, msg)
+}
+
+// Submit implements winch.Region. The answer comes when the job is stored, or
+// when it is known that it surely is not, or when ctx ends.
+func (n *Node) Submit(ctx context.Context, job *winch.PhasedJob) winch.Result {
+	if !n.healthy() {
+		return winch.RefuseFor(winch.StoreUnavailable, "the store does not answer", retryAfter)
+	}
+	s := &submission{job: job, done: make(chan winch.Result, 1)}
+	n.accept.put(s)
+	select {
+	case result := <-s.done:
+		return result
+	case <-ctx.Done():
+		return winch.Uncertain(winch.DeadlinePassed, "the store has not answered in time; submit again with the same ID")
+	}
+}
--- /dev/null
+++ b/region/cell.go
@@ -0,0 +1,200 @@
+package region
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"plantainwinch/winch"
+)
+
+// cellView is what the store says of the cell: its entries, the office, the
+// last term and the roster.
+type cellView struct {
+	mu      sync.Mutex
+	members map[string]member // members by node.
+	office  office
+	// officeAt and termAt are the revisions of the records; zero if there is none.
+	officeAt uint64
+	term     office
+	termAt   uint64
+	read     bool
+}
+
+// take applies one key.
+func (c *cellView) take(e winch.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.members == nil {
+		c.members = make(map[string]member)
+	}
+	switch {
+	case strings.HasPrefix(e.Key, prefixNode):
+		name := strings.TrimPrefix(e.Key, prefixNode)
+		var m member
+		if e.Deleted || decode(e.Data, &m) != nil {
+			delete(c.members, name)
+			return
+		}
+		c.members[name] = m
+	case e.Key == keyOffice:
+		c.office, c.officeAt = office{}, 0
+		if !e.Deleted && decode(e.Data, &c.office) == nil {
+			c.officeAt = e.Version
+		}
+	case e.Key == keyTerm:
+		if !e.Deleted && decode(e.Data, &c.term) == nil {
+			c.termAt = e.Version
+		}
+	}
+}
+
+// reset replaces all by what was read.
+func (c *cellView) reset(values []winch.Value) {
+	c.mu.Lock()
+	c.members = make(map[string]member)
+	c.office, c.officeAt = office{}, 0
+	c.read = true
+	c.mu.Unlock()
+	for _, v := range values {
+		c.take(winch.Event{Value: v})
+	}
+}
+
+// holder returns the name of the holder of the office, or "".
+func (c *cellView) holder() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.office.Holder
+}
+
+// list returns the members, those with most processor first.
+func (c *cellView) list() []member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]member, 0, len(c.members))
+	for _, m := range c.members {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b member) int {
+		return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(a.Node, b.Node))
+	})
+	return out
+}
+
+// PeerAddresses returns where the other entries are.
+func (n *Node) PeerAddresses() []string {
+	var out []string
+	for _, m := range n.cell.list() {
+		if m.Name != n.Name {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
+// runCell follows the cell's records until ctx ends.
+func (n *Node) runCell(ctx context.Context) {
+	n.follow(ctx, prefixCell, pacing{wait: followWait}, func(values []winch.Value) {
+		n.cell.reset(values)
+		n.cellChanged()
+	}, func(events []winch.Event) {
+		for _, e := range events {
+			n.cell.take(e)
+		}
+		n.cellChanged()
+	})
+}
+
+func (n *Node) cellChanged() {
+	n.wakeOffice()
+	if l := n.lead.Load(); l != nil {
+		l.post(l.reassign)
+	}
+}
+
+// pacing says how changes are followed: each call waits for a change, or calls
+// are some time apart and take all changes since the last.
+type pacing struct {
+	wait time.Duration
+	gap  time.Duration
+}
+
+// follow reads a prefix and then its changes, until ctx ends. After a gap in
+// the history all is read anew.
+func (n *Node) follow(ctx context.Context, prefix string, pace pacing, all func([]winch.Value), changes func([]winch.Event)) {
+	after := uint64(0)
+	for ctx.Err() == nil {
+		if after == 0 {
+			values, asOf, err := n.Table.Read(ctx, prefix)
+			if err != nil {
+				pause(ctx, retryPause)
+				continue
+			}
+			all(values)
+			after = asOf
+		}
+		events, next, err := n.Table.Follow(ctx, prefix, after, pace.wait)
+		switch {
+		case errors.Is(err, winch.ErrCompacted):
+			n.Log.Info("history is gone, reading anew", zap.String("prefix", prefix), zap.Uint64("after", after))
+			after = 0
+		case err != nil:
+			pause(ctx, retryPause)
+		default:
+			after = max(after, next)
+			if len(events) > 0 {
+				changes(events)
+			}
+			if pace.gap > 0 {
+				pause(ctx, pace.gap)
+			}
+		}
+	}
+}
+
+// runNode keeps the entry's own record, and with it the knowledge whether the
+// store answers.
+func (n *Node) runNode(ctx context.Context) {
+	lease := uint64(0)
+	was := false
+	for ctx.Err() == nil {
+		if !n.leaving.Load() {
+			lease = n.keepRecord(ctx, lease)
+		} else if lease != 0 && n.Table.End(ctx, lease) == nil {
+			lease = 0
+		}
+		if now := n.healthy(); now != was {
+			was = now
+			n.Log.Info("store", zap.Bool("answers", now))
+		}
+		pause(ctx, nodeRenew)
+	}
+}
+
+// keepRecord renews the record's lease or writes the record, and returns the lease.
+func (n *Node) keepRecord(ctx context.Context, lease uint64) uint64 {
+	if lease != 0 {
+		err := n.Table.Keep(ctx, lease)
+		if !errors.Is(err, winch.ErrMissing) {
+			return lease
+		}
+	}
+	lease, err := n.Table.Lease(ctx, nodeTTL)
+	if err != nil {
+		return 0
+	}
+	me := member{Name: n.Name, Node: n.Host, Domain: n.Domain, Address: n.Address, Share: n.Share}
+	_, err = n.Table.Commit(ctx, winch.Txn{Writes: []winch.Write{{Key: prefixNode + n.Host, Data: encode(me), Lease: lease}}})
+	if err != nil {
+		return 0
+	}
+	n.Log.Info("registered", zap.String("name", n.Name), zap.Uint64("lease", lease))
+	return lease
+}
--- /dev/null
+++ b/region/keys.go
@@ -0,0 +1,111 @@
+package region
+
+import (
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"plantainwinch/winch"
+)
+
+// Keys of the store that the entries of a region write. docs/PLATFORM.md tells
+// who writes which under which condition.
+const (
+	prefixCell = "cell/"
+	prefixNode = "cell/node/"
+	keyOffice  = "cell/office"
+	keyTerm    = "cell/term"
+	keyRoster  = "cell/roster"
+	prefixJobs = "job/"
+	// suffixes of the keys that lie beside a job's own.
+	suffixProgress = "/p"
+	suffixCancel   = "/x"
+)
+
+func keyJob(id string) string      { return prefixJobs + id }
+func keyProgress(id string) string { return prefixJobs + id + suffixProgress }
+func keyCancel(id string) string   { return prefixJobs + id + suffixCancel }
+
+// jobKey splits a key under prefixJobs into the job's ID and its suffix.
+func jobKey(key string) (id, suffix string) {
+	rest := strings.TrimPrefix(key, prefixJobs)
+	if i := strings.IndexByte(rest, '/'); i >= 0 {
+		return rest[:i], rest[i:]
+	}
+	return rest, ""
+}
+
+// member is what an entry writes of itself.
+type member struct {
+	Name    string // Name is unique to the boot.
+	Node    string
+	Domain  string
+	Address string // Address is where peers reach the entry.
+	Share   int    // Share is the entry's part of a processor, in thousandths.
+}
+
+// office names the holder of the region's office.
+type office struct {
+	Holder string
+	Term   uint64
+}
+
+// roster lists the workers that a planner may have given work to.
+type roster struct {
+	Workers []winch.WorkerVM
+}
+
+// encode returns the stored form of a record.
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(merry.Prepend(err, "record cannot be encoded"))
+	}
+	return data
+}
+
+func decode(data []byte, into any) error {
+	return merry.Wrap(cbor.Unmarshal(data, into))
+}
+
+// stored is all that lies under one job.
+type stored struct {
+	job       *winch.PhasedJob
+	progress  *winch.Progress
+	revision  uint64 // revision is that of the progress record.
+	cancelled bool
+}
+
+// take adds one key of the job.
+func (s *stored) take(suffix string, v winch.Value) error {
+	switch suffix {
+	case "":
+		s.job = new(winch.PhasedJob)
+		if err := decode(v.Data, s.job); err != nil {
+			s.job = nil
+			return err
+		}
+		s.job.Revision = v.Version
+	case suffixProgress:
+		s.progress = new(winch.Progress)
+		s.revision = v.Version
+		return decode(v.Data, s.progress)
+	case suffixCancel:
+		s.cancelled = true
+	}
+	return nil
+}
+
+// state is what a caller may be told of a job.
+func (s *stored) state() winch.JobState {
+	switch {
+	case s.progress != nil && s.progress.State.Final():
+		return s.progress.State
+	case s.cancelled:
+		return winch.JobCancelled
+	case s.progress != nil:
+		return winch.JobRunning
+	}
+	return winch.JobQueued
+}
--- /dev/null
+++ b/region/lead.go
@@ -0,0 +1,335 @@
+package region
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"plantainwinch/coord/fleet"
+	"plantainwinch/coord/lanes"
+	"plantainwinch/duty"
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// leadRing bounds the events that wait for the planner.
+	leadRing = 16384
+	// gatherTime is how long events are gathered before the planner decides: it
+	// looks at all that waits each time.
+	gatherTime = 3 * time.Millisecond
+	// idleTime is how often it decides without events: tickets and times run out.
+	idleTime = 100 * time.Millisecond
+	// tokensPerOffice is the room for fencing tokens below one revision of the office.
+	tokensPerOffice = 1 << 20
+	// jobsGap is how often the store's changes of jobs are read. Entries tell the
+	// planner of them at once; this finds what was not told.
+	jobsGap = time.Second
+	// workersGap is how often changes of the workers' list are read. A worker must
+	// get no work two seconds after it began to drain.
+	workersGap = 400 * time.Millisecond
+	// returnTime is how long after a disturbance of the store workers whose
+	// entries lapsed meanwhile may take to be back.
+	returnTime = 2200 * time.Millisecond
+	// sweepEvery is how often the records of old jobs are removed.
+	sweepEvery = 5 * time.Second
+)
+
+// lead is this entry's time as planner of the region: it joins the decisions of
+// package fleet with the store, the keepers and the lanes.
+type lead struct {
+	node     *Node
+	term     uint64
+	revision uint64 // revision of the office; all records are written under it.
+	lease    uint64
+	valid    atomic.Pointer[validity]
+	duty     *duty.Duty
+	cancel   context.CancelFunc
+	ctx      context.Context
+	group    *conc.WaitGroup
+	timer    *time.Timer
+
+	// All below is owned by the duty.
+	planner  *fleet.Planner
+	lanes    lanes.Lanes[fleet.Ask]
+	proxies  map[string]*proxy
+	keepers  map[string]string     // keepers names the keeper of each worker.
+	kept     map[string]proto.Kept // kept holds the token of each worker.
+	workers  map[string]winch.WorkerVM
+	missing  map[string]time.Time
+	roster   map[string]winch.WorkerVM
+	tokens   uint64
+	sessions uint64
+	armed    bool
+	closed   bool
+	loaded   bool
+
+	pressing chan struct{}
+	unsaved  chan struct{}
+	rosterCh chan struct{}
+}
+
+func newLead(n *Node, term, revision, lease uint64, until time.Time) *lead {
+	l := &lead{
+		node: n, term: term, revision: revision, lease: lease,
+		duty: duty.New("Planner", leadRing, nil), planner: fleet.New(term),
+		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept),
+		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), roster: make(map[string]winch.WorkerVM),
+		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
+		group: conc.NewWaitGroup(),
+	}
+	v := newValidity(until)
+	l.valid.Store(&v)
+	now := time.Now()
+	l.planner.Barrier = now.Add(barrier())
+	l.planner.FreshFrom = now.Add(officeTTL)
+	l.planner.SetConfig(n.Config())
+	return l
+}
+
+// barrier is how long work of an earlier planner may run on workers that do not
+// answer: its office may have been valid for a whole lease in its own view, and
+// its keepers went on for the grace after it, on clocks that may be slower.
+func barrier() time.Duration {
+	const drift = 0.025
+	d := officeTTL + keepGrace
+	return d + time.Duration(float64(d)*drift) + 300*time.Millisecond
+}
+
+// run serves as planner until the office is lost or given up.
+func (l *lead) run(ctx context.Context) {
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	defer l.cancel()
+	l.timer = time.NewTimer(idleTime)
+	l.group.Go(func() { l.renew(l.ctx) })
+	l.node.lead.Store(l)
+	if l.load(l.ctx) {
+		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep} {
+			l.group.Go(func() { f(l.ctx) })
+		}
+		l.duty.Every(l.ctx, l.timer.C, l.decide)
+	}
+	l.cancel()
+	l.node.lead.CompareAndSwap(l, nil)
+	l.group.Wait()
+}
+
+// renew keeps the office's lease and ends the lead when it is lost.
+func (l *lead) renew(ctx context.Context) {
+	defer l.cancel()
+	for ctx.Err() == nil {
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, officeTTL/2)
+		err := l.node.Table.Keep(callCtx, l.lease)
+		cancel()
+		switch {
+		case err == nil:
+			v := newValidity(sent.Add(officeTTL))
+			l.valid.Store(&v)
+		case errors.Is(err, winch.ErrMissing):
+			l.node.Log.Info("office lost", zap.Uint64("term", l.term))
+			return
+		}
+		pause(ctx, officeRenew)
+	}
+}
+
+// authority is how long keepers may go on without hearing of this planner again.
+func (l *lead) authority() time.Duration {
+	return max(0, l.valid.Load().left()+keepGrace)
+}
+
+// post hands work to the planner's goroutine. A full ring drops it and ends the
+// lead: what was dropped could be an end, and a new planner reads all anew.
+func (l *lead) post(f func()) {
+	if l.duty.Post(f) != nil {
+		l.node.Log.Error("planner cannot follow, giving up the office")
+		l.cancel()
+	}
+}
+
+// load reads what earlier planners left.
+func (l *lead) load(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		err := l.readAll(ctx)
+		if err == nil {
+			l.loaded = true
+			return true
+		}
+		l.node.Log.Info("records cannot be read yet", zap.Error(err))
+		pause(ctx, retryPause)
+	}
+	return false
+}
+
+func (l *lead) readAll(ctx context.Context) error {
+	values, _, err := l.node.Table.Read(ctx, keyRoster)
+	if err != nil {
+		return err
+	}
+	for _, v := range values {
+		var r roster
+		if err := decode(v.Data, &r); err != nil {
+			return err
+		}
+		var ids []string
+		for _, vm := range r.Workers {
+			l.roster[vm.ID] = vm
+			ids = append(ids, vm.ID)
+		}
+		l.planner.SetRoster(ids)
+	}
+	values, asOf, err := l.node.Table.Read(ctx, prefixJobs)
+	if err != nil {
+		return err
+	}
+	l.planner.Fresh = asOf
+	l.takeJobs(values)
+	return nil
+}
+
+// takeJobs adds the jobs that the planner does not know yet.
+func (l *lead) takeJobs(values []winch.Value) {
+	all := make(map[string]*stored)
+	for _, v := range values {
+		id, suffix := jobKey(v.Key)
+		if l.planner.Known(id) && suffix == "" {
+			continue
+		}
+		s := all[id]
+		if s == nil {
+			s = &stored{}
+			all[id] = s
+		}
+		if err := s.take(suffix, v); err != nil {
+			l.node.Log.Error("record cannot be read", zap.String("key", v.Key), zap.Error(err))
+		}
+	}
+	for id, s := range all {
+		if s.job != nil {
+			l.planner.Add(s.job, s.progress, s.revision)
+		}
+		if s.cancelled {
+			l.planner.Cancel(id)
+		}
+	}
+}
+
+func (l *lead) followJobs(ctx context.Context) {
+	take := func(values []winch.Value) {
+		l.post(func() {
+			l.takeJobs(values)
+			l.wake()
+		})
+	}
+	l.node.follow(ctx, prefixJobs, pacing{gap: jobsGap}, take, func(events []winch.Event) {
+		var values []winch.Value
+		for _, e := range events {
+			if !e.Deleted {
+				values = append(values, e.Value)
+			}
+		}
+		take(values)
+	})
+}
+
+// take takes what an entry tells: jobs that were accepted, or a cancel.
+func (l *lead) take(_ winch.Kind, body any) {
+	l.post(func() {
+		switch m := body.(type) {
+		case proto.Accepted:
+			for _, a := range m.Jobs {
+				job := a.Job
+				job.Revision = a.Revision
+				l.planner.Add(&job, nil, 0)
+			}
+		case proto.CancelJob:
+			l.planner.Cancel(m.ID)
+		}
+		l.wake()
+	})
+}
+
+// state answers what is known of a job.
+func (l *lead) state(ctx context.Context, id string) proto.StateGive {
+	var give proto.StateGive
+	_ = l.duty.Do(ctx, func() {
+		if l.valid.Load().left() > 0 {
+			give.State, give.Known = l.planner.State(id)
+		}
+	}) // Without an answer the store is asked.
+	return give
+}
+
+// wake has the planner decide soon.
+func (l *lead) wake() {
+	if !l.armed {
+		l.armed = true
+		l.timer.Reset(gatherTime)
+	}
+}
+
+// decide starts what can start, if the office surely is still held.
+func (l *lead) decide() {
+	l.armed = false
+	l.timer.Reset(idleTime)
+	l.dropMissing()
+	if !l.closed && l.valid.Load().left() > 0 {
+		l.planner.Schedule()
+	}
+	l.dispatch()
+	l.ask()
+	l.save()
+}
+
+// save has changed records written.
+func (l *lead) save() {
+	switch {
+	case l.planner.Pressing():
+		signal(l.pressing)
+	case l.planner.Unsaved():
+		signal(l.unsaved)
+	}
+}
+
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// runWaiting tells all entries how many jobs have not begun.
+func (l *lead) runWaiting(ctx context.Context) {
+	for ctx.Err() == nil {
+		var msg proto.Waiting
+		if l.duty.Do(ctx, func() { msg = proto.Waiting{Term: l.term, Queues: l.planner.Waiting()} }) == nil && l.valid.Load().left() > 0 {
+			l.node.takeWaiting(msg)
+			for _, name := range l.node.Peers.Names() {
+				_ = l.node.Peers.Tell(name, proto.KindWaiting, msg) // A peer that hears nothing says that it does not know.
+			}
+		}
+		pause(ctx, waitingEvery)
+	}
+}
+
+// handOver gives the office up: nothing more is started, what ended is
+// recorded, and the end of the lease tells the others.
+func (l *lead) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, officeTTL/2)
+	defer cancel()
+	_ = l.duty.Do(ctx, func() { l.closed = true })
+	for range 3 {
+		if !l.commit(ctx) {
+			break
+		}
+	}
+	if err := l.node.Table.End(ctx, l.lease); err != nil {
+		l.node.Log.Info("office lapses by itself", zap.Error(err))
+	}
+	l.cancel()
+}
--- /dev/null
+++ b/region/office.go
@@ -0,0 +1,133 @@
+package region
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"plantainwinch/winch"
+)
+
+const (
+	// rankDelay is how much later each entry tries to take a free office than the
+	// one before it: two calls to the store.
+	rankDelay = 25 * time.Millisecond
+	// officeLook is how often the office is looked at where no change was told.
+	officeLook = time.Second
+	// validMargin is taken off the office's lease: work that is decided just
+	// before its end still has to be sent.
+	validMargin = 150 * time.Millisecond
+)
+
+// runOffice takes the region's office whenever it is free, until ctx ends.
+func (n *Node) runOffice(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.mayTake() {
+			pause(ctx, time.Duration(n.rank())*rankDelay)
+			if n.mayTake() {
+				n.tryOffice(ctx)
+			}
+		}
+		timer := time.NewTimer(officeLook)
+		select {
+		case <-ctx.Done():
+		case <-n.changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// mayTake reports whether the office is free as far as is known.
+func (n *Node) mayTake() bool {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	return n.cell.read && n.cell.officeAt == 0 && !n.stopping.Load() && n.settings.config.Load() != nil
+}
+
+// rank is this entry's place among those that may take the office.
+func (n *Node) rank() int {
+	for i, m := range n.cell.list() {
+		if m.Name == n.Name {
+			return i
+		}
+	}
+	return len(n.cell.list())
+}
+
+// tryOffice takes the office if the store still finds it free, and serves as
+// planner until it is lost or given up.
+func (n *Node) tryOffice(ctx context.Context) {
+	sent := time.Now()
+	lease, err := n.Table.Lease(ctx, officeTTL)
+	if err != nil {
+		pause(ctx, retryPause)
+		return
+	}
+	n.cell.mu.Lock()
+	last, termAt := n.cell.term, n.cell.termAt
+	n.cell.mu.Unlock()
+	mine := office{Holder: n.Name, Term: last.Term + 1}
+	revision, err := n.Table.Commit(ctx, winch.Txn{
+		Expect: map[string]uint64{keyOffice: 0, keyTerm: termAt},
+		Writes: []winch.Write{{Key: keyOffice, Data: encode(mine), Lease: lease}, {Key: keyTerm, Data: encode(mine)}},
+	})
+	if err != nil {
+		n.lostElection(ctx, err, lease)
+		return
+	}
+	n.Log.Info("office taken", zap.Uint64("term", mine.Term), zap.Uint64("revision", revision))
+	n.cell.take(winch.Event{Value: winch.Value{Key: keyOffice, Data: encode(mine), Version: revision}})
+	n.cell.take(winch.Event{Value: winch.Value{Key: keyTerm, Data: encode(mine), Version: revision}})
+	l := newLead(n, mine.Term, revision, lease, sent.Add(officeTTL))
+	l.run(ctx)
+	n.lead.CompareAndSwap(l, nil)
+	n.Log.Info("office given up", zap.Uint64("term", mine.Term))
+	n.forgetOffice(revision)
+}
+
+// lostElection learns from a refusal what the records are now. A transaction
+// that was not answered may have won: its lease is ended, so that the office is
+// free again.
+func (n *Node) lostElection(ctx context.Context, err error, lease uint64) {
+	var conflict *winch.ConflictError
+	if errors.As(err, &conflict) {
+		for _, v := range conflict.Current {
+			if v.Version != 0 {
+				n.cell.take(winch.Event{Value: v})
+			}
+		}
+	}
+	if err := n.Table.End(ctx, lease); err != nil {
+		pause(ctx, retryPause)
+	}
+}
+
+// forgetOffice drops what is believed of an office that this entry held; the
+// store's changes tell who has it now.
+func (n *Node) forgetOffice(revision uint64) {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	if n.cell.officeAt == revision {
+		n.cell.office, n.cell.officeAt = office{}, 0
+	}
+}
+
+// validity is until when the office surely is this entry's. It is counted from
+// before the renewal was sent, on two clocks: the steady one stands still while
+// the VM is suspended, and the time of day may be set.
+type validity struct {
+	steady time.Time
+	wall   time.Time
+}
+
+func newValidity(until time.Time) validity {
+	return validity{steady: until, wall: until.Round(0)}
+}
+
+func (v validity) left() time.Duration {
+	now := time.Now()
+	return min(v.steady.Sub(now), v.wall.Sub(now.Round(0))) - validMargin
+}
--- /dev/null
+++ b/region/proxy.go
@@ -0,0 +1,442 @@
+package region
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"plantainwinch/coord/fleet"
+	"plantainwinch/coord/lanes"
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// pollWait is how long a keeper may wait for something to tell.
+	pollWait = 250 * time.Millisecond
+	// pollTime is how long its answer may take beyond that. A keeper that does not
+	// answer in time is replaced; its workers go on meanwhile.
+	pollTime = 700 * time.Millisecond
+	// uneven is how many more workers than another a keeper may have.
+	uneven = 6
+	// adviceTime is how long an answer of the advice service may take beyond what
+	// the queue's configuration says: other questions of the lane come first.
+	adviceTime = 800 * time.Millisecond
+)
+
+// proxy is the planner's side of one keeper in one session.
+type proxy struct {
+	lead    *lead
+	name    string
+	session proto.Session
+	local   bool
+	cancel  context.CancelFunc
+}
+
+// live returns the entries that can be keepers and lanes now.
+func (l *lead) live() map[string]member {
+	linked := make(map[string]bool)
+	for _, name := range l.node.Peers.Names() {
+		linked[name] = true
+	}
+	out := make(map[string]member)
+	for _, m := range l.node.cell.list() {
+		if linked[m.Name] || m.Name == l.node.Name && !l.node.leaving.Load() {
+			out[m.Name] = m
+		}
+	}
+	return out
+}
+
+// reassign gives each worker a keeper: one of its own failure domain if there
+// is one, so that a domain which is cut off keeps its work.
+func (l *lead) reassign() {
+	if l.closed {
+		return
+	}
+	live := l.live()
+	var lanes []string
+	for name := range live {
+		lanes = append(lanes, name)
+	}
+	l.lanes.SetLanes(lanes)
+	for name, p := range l.proxies {
+		if _, ok := live[name]; !ok {
+			l.dropKeeper(p)
+		}
+	}
+	count := make(map[string]int)
+	changed := make(map[string]bool)
+	for _, vm := range l.planner.Held() {
+		if name := l.keepers[vm.ID]; name != "" {
+			count[name]++
+		}
+	}
+	for _, vm := range l.planner.Held() {
+		if _, recorded := l.roster[vm.ID]; !recorded {
+			continue
+		}
+		now := l.keepers[vm.ID]
+		best := l.bestKeeper(vm, live, count)
+		if best == "" || now != "" && (now == best || count[now]-count[best] <= uneven || live[now].Domain != live[best].Domain) {
+			continue
+		}
+		if now != "" {
+			count[now]--
+			changed[now] = true
+			l.planner.Unready([]string{vm.ID})
+		}
+		count[best]++
+		changed[best] = true
+		l.keepers[vm.ID] = best
+		l.tokens++
+		l.kept[vm.ID] = proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens}
+	}
+	l.dropKept(changed)
+	for name := range changed {
+		l.sendSet(name)
+	}
+	l.wake()
+}
+
+// bestKeeper returns the entry with the fewest workers for its processor share,
+// in the worker's failure domain if there is one.
+func (l *lead) bestKeeper(vm winch.WorkerVM, live map[string]member, count map[string]int) string {
+	best := ""
+	better := func(a, b string) bool {
+		if b == "" {
+			return true
+		}
+		nearA, nearB := live[a].Domain == vm.Domain, live[b].Domain == vm.Domain
+		if nearA != nearB {
+			return nearA
+		}
+		loadA := float64(count[a]) / float64(max(1, live[a].Share))
+		loadB := float64(count[b]) / float64(max(1, live[b].Share))
+		return loadA < loadB || loadA == loadB && a < b
+	}
+	for name := range live {
+		if better(name, best) {
+			best = name
+		}
+	}
+	return best
+}
+
+// dropKept takes workers from their keepers that the planner does not hold any more.
+func (l *lead) dropKept(changed map[string]bool) {
+	held := make(map[string]bool)
+	for _, vm := range l.planner.Held() {
+		held[vm.ID] = true
+	}
+	for id, name := range l.keepers {
+		if !held[id] {
+			delete(l.keepers, id)
+			delete(l.kept, id)
+			changed[name] = true
+		}
+	}
+}
+
+// sendSet tells a keeper its workers, in a new session if there is none.
+func (l *lead) sendSet(name string) {
+	p := l.proxies[name]
+	if p == nil {
+		l.sessions++
+		p = &proxy{lead: l, name: name, local: name == l.node.Name, session: proto.Session{Term: l.term, Number: l.sessions}}
+		l.proxies[name] = p
+		ctx, cancel := context.WithCancel(l.ctx)
+		p.cancel = cancel
+		defer l.group.Go(func() { p.poll(ctx) })
+	}
+	set := proto.KeepSet{Session: p.session, Authority: l.authority()}
+	for id, keeper := range l.keepers {
+		if keeper == name {
+			set.Workers = append(set.Workers, l.kept[id])
+		}
+	}
+	p.tell(proto.KindKeepSet, set)
+}
+
+func (p *proxy) tell(kind winch.Kind, body any) {
+	n := p.lead.node
+	if p.local {
+		switch m := body.(type) {
+		case proto.KeepSet:
+			n.keeper.Set(m)
+		case proto.KeepOrders:
+			n.keeper.Orders(m)
+		}
+		return
+	}
+	if n.Peers.Tell(p.name, kind, body) != nil {
+		p.cancel() // What was not sent would leave both sides with different views.
+	}
+}
+
+// poll takes the keeper's news until the session breaks.
+func (p *proxy) poll(ctx context.Context) {
+	l := p.lead
+	for ctx.Err() == nil {
+		news, err := p.ask(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil || news.Session != p.session {
+			l.node.Log.Info("keeper lost", zap.String("keeper", p.name), zap.Uint64("session", p.session.Number), zap.Error(err))
+			break
+		}
+		if len(news.Events) > 0 {
+			l.post(func() { l.events(p, news.Events) })
+		}
+	}
+	l.post(func() {
+		if l.proxies[p.name] == p {
+			l.dropKeeper(p)
+			l.reassign()
+		}
+	})
+}
+
+func (p *proxy) ask(ctx context.Context) (proto.KeepNews, error) {
+	ask := proto.KeepPoll{Session: p.session, Authority: p.lead.authority(), Wait: pollWait}
+	if p.local {
+		return p.lead.node.keeper.Poll(ctx, ask), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollWait+pollTime)
+	defer cancel()
+	var news proto.KeepNews
+	err := p.lead.node.Peers.Ask(ctx, p.name, proto.KindKeepPoll, ask, &news)
+	return news, err
+}
+
+// dropKeeper takes all workers from a keeper. They are given to another, or to
+// it in a new session, with tokens that fence the old one off.
+func (l *lead) dropKeeper(p *proxy) {
+	p.cancel()
+	delete(l.proxies, p.name)
+	var ids []string
+	for id, name := range l.keepers {
+		if name == p.name {
+			ids = append(ids, id)
+			delete(l.keepers, id)
+			delete(l.kept, id)
+		}
+	}
+	l.planner.Unready(ids)
+}
+
+// events takes a keeper's news; those of a session that was given up are stale.
+func (l *lead) events(p *proxy, events []proto.KeepEvent) {
+	if l.proxies[p.name] != p {
+		return
+	}
+	for _, e := range events {
+		if l.keepers[e.Worker] != p.name {
+			continue
+		}
+		l.logEvent(e)
+		l.planner.Event(e)
+		switch e.Kind {
+		case proto.EventFenced:
+			l.node.Log.Info("fenced off", zap.String("worker", e.Worker))
+			l.cancel()
+			return
+		case proto.EventLost:
+			l.lostWorker(e.Worker)
+		}
+	}
+	l.wake()
+}
+
+// lostWorker forgets a worker's keeper, so that the worker is held again if it
+// is still listed.
+func (l *lead) lostWorker(id string) {
+	delete(l.keepers, id)
+	delete(l.kept, id)
+	delete(l.roster, id)
+	signal(l.rosterCh)
+}
+
+// dispatch sends the planner's orders to the keepers.
+func (l *lead) dispatch() {
+	byKeeper := make(map[string]*proto.KeepOrders)
+	for _, o := range l.planner.Orders() {
+		name := l.keepers[o.Worker]
+		p := l.proxies[name]
+		if p == nil {
+			if o.Kind == proto.OrderStart {
+				l.planner.Event(proto.KeepEvent{
+					Kind: proto.EventNotStarted, Worker: o.Worker, Task: o.Task, Run: o.Run, Result: winch.StartRefused,
+				})
+			}
+			continue
+		}
+		msg := byKeeper[name]
+		if msg == nil {
+			msg = &proto.KeepOrders{Session: p.session, Commands: make(map[string]string)}
+			byKeeper[name] = msg
+		}
+		if o.Kind == proto.OrderStart {
+			msg.Commands[o.Task.Job] = l.planner.Command(o.Task.Job)
+		}
+		l.logOrder(o)
+		msg.Orders = append(msg.Orders, o)
+	}
+	for name, msg := range byKeeper {
+		l.proxies[name].tell(proto.KindKeepOrders, *msg)
+	}
+}
+
+// ask deals questions to the advice service over the lanes.
+func (l *lead) ask() {
+	for _, a := range l.planner.Asks() {
+		l.lanes.Add(lanes.Question[fleet.Ask]{Body: a, Urgent: a.Urgent, Rank: a.Rank})
+	}
+	for {
+		name, q, ok := l.lanes.Next(time.Now())
+		if !ok {
+			return
+		}
+		l.group.Go(func() { l.question(name, q.Body) })
+	}
+}
+
+func (l *lead) question(lane string, a fleet.Ask) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(l.ctx, a.Cost+adviceTime)
+	defer cancel()
+	ask := proto.AdviseAsk{Phase: a.Phase, Workers: a.Workers}
+	var give proto.AdviseGive
+	var err error
+	if lane == l.node.Name {
+		give = l.node.advise(ctx, ask)
+	} else {
+		err = l.node.Peers.Ask(ctx, lane, proto.KindAdvise, ask, &give)
+	}
+	ok := err == nil && give.Failed == ""
+	if !ok {
+		l.node.Log.Info("no advice", zap.String("lane", lane), zap.String("job", a.Phase.Job), zap.String("failed", give.Failed), zap.Error(err))
+	}
+	l.post(func() {
+		l.lanes.Done(lane, ok, time.Now())
+		if ok {
+			l.planner.Advice(a, give.Tickets, give.Valid, sent)
+		} else {
+			l.planner.AdviceFailed(a)
+		}
+		l.wake()
+	})
+}
+
+func (l *lead) logOrder(o proto.Order) {
+	switch o.Kind {
+	case proto.OrderStart:
+		l.node.Log.Info("start", zap.String("job", o.Task.Job), zap.Int("phase", o.Task.Phase), zap.Int("index", o.Task.Index),
+			zap.Uint64("run", o.Run), zap.String("worker", o.Worker))
+	case proto.OrderStop:
+		l.node.Log.Info("stop", zap.String("job", o.Task.Job), zap.Int("phase", o.Task.Phase), zap.Int("index", o.Task.Index),
+			zap.Uint64("run", o.Run), zap.String("worker", o.Worker))
+	case proto.OrderPace:
+		l.node.Log.Info("pace", zap.String("job", o.Task.Job), zap.Uint64("run", o.Run), zap.String("worker", o.Worker), zap.Int("percent", o.Percent))
+	}
+}
+
+func (l *lead) logEvent(e proto.KeepEvent) {
+	switch e.Kind {
+	case proto.EventListed:
+		l.node.Log.Info("worker listed", zap.String("worker", e.Worker), zap.Int("running", len(e.Running)), zap.Int("ended", len(e.Ended)))
+	case proto.EventLost:
+		l.node.Log.Info("worker lost", zap.String("worker", e.Worker))
+	case proto.EventNotStarted, proto.EventVanished:
+		l.node.Log.Info("not running", zap.String("job", e.Task.Job), zap.Uint64("run", e.Run), zap.String("worker", e.Worker), zap.Stringer("result", e.Result))
+	}
+	for _, x := range e.Ended {
+		l.node.Log.Info("ended", zap.String("job", x.Task.Job), zap.Int("phase", x.Task.Phase), zap.Int("index", x.Task.Index),
+			zap.Uint64("run", x.Run), zap.String("worker", e.Worker), zap.String("kind", string(x.Kind)))
+	}
+}
+
+// followWorkers keeps the list of workers.
+func (l *lead) followWorkers(ctx context.Context) {
+	codec := l.node.Codec
+	l.node.follow(ctx, codec.WorkerPrefix(), pacing{gap: workersGap}, func(values []winch.Value) {
+		l.post(func() {
+			listed := make(map[string]bool)
+			for _, v := range values {
+				if vm, ok := codec.Worker(v.Key, v.Data); ok {
+					listed[vm.ID] = true
+					l.listWorker(vm)
+				}
+			}
+			for id := range l.workers {
+				if !listed[id] {
+					l.unlistWorker(id)
+				}
+			}
+			l.setWorkers()
+		})
+	}, func(events []winch.Event) {
+		l.post(func() {
+			for _, e := range events {
+				vm, ok := codec.Worker(e.Key, e.Data)
+				if !e.Deleted && ok {
+					l.listWorker(vm)
+					continue
+				}
+				l.unlistWorker(e.Key[len(codec.WorkerPrefix()):])
+			}
+			l.setWorkers()
+		})
+	})
+}
+
+func (l *lead) listWorker(vm winch.WorkerVM) {
+	delete(l.missing, vm.ID)
+	l.workers[vm.ID] = vm
+}
+
+// unlistWorker notes that a worker's entry is gone. Entries also lapse while
+// the store is away and then come back, so one counts as gone only after that time.
+func (l *lead) unlistWorker(id string) {
+	if _, known := l.workers[id]; known {
+		if _, noted := l.missing[id]; !noted {
+			l.missing[id] = time.Now().Add(returnTime)
+		}
+	}
+}
+
+// dropMissing removes the workers whose entries did not come back.
+func (l *lead) dropMissing() {
+	dropped := false
+	for id, until := range l.missing {
+		if time.Now().After(until) {
+			delete(l.missing, id)
+			delete(l.workers, id)
+			dropped = true
+		}
+	}
+	if dropped {
+		l.setWorkers()
+	}
+}
+
+// setWorkers passes the list to the planner and has new workers recorded.
+func (l *lead) setWorkers() {
+	list := make([]winch.WorkerVM, 0, len(l.workers))
+	for _, vm := range l.workers {
+		list = append(list, vm)
+	}
+	l.planner.SetWorkers(list)
+	l.planner.SetGone(l.roster)
+	fresh := slices.ContainsFunc(l.planner.Held(), func(vm winch.WorkerVM) bool {
+		_, recorded := l.roster[vm.ID]
+		return !recorded
+	})
+	if fresh {
+		signal(l.rosterCh)
+	}
+	l.reassign()
+}
--- /dev/null
+++ b/region/record.go
@@ -0,0 +1,175 @@
+package region
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"plantainwinch/coord/fleet"
+	"plantainwinch/winch"
+)
+
+const (
+	// commitGap is the pause between two transactions that no caller waits for:
+	// one carries all that has changed meanwhile.
+	commitGap = 150 * time.Millisecond
+	// commitMost is how many records one transaction carries, with a condition and
+	// a write each, and the condition on the office.
+	commitMost = (winch.TxnEntries - 1) / 2
+	// sweepMost is how many jobs one transaction removes, of three keys each.
+	sweepMost = (winch.TxnEntries - 1) / 3
+)
+
+// runCommits writes changed records until ctx ends.
+func (l *lead) runCommits(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.pressing:
+		case <-l.unsaved:
+			timer := time.NewTimer(commitGap)
+			select {
+			case <-ctx.Done():
+			case <-l.pressing:
+			case <-timer.C:
+			}
+			timer.Stop()
+		}
+		l.commit(ctx)
+	}
+}
+
+// commit writes one batch of records under the office and reports whether more
+// may be waiting.
+func (l *lead) commit(ctx context.Context) bool {
+	var batch []fleet.Record
+	if l.duty.Do(ctx, func() { batch = l.planner.Records(commitMost) }) != nil || len(batch) == 0 {
+		return false
+	}
+	txn := winch.Txn{Expect: map[string]uint64{keyOffice: l.revision}}
+	for _, r := range batch {
+		key := keyProgress(r.Job)
+		txn.Expect[key] = r.Revision
+		txn.Writes = append(txn.Writes, winch.Write{Key: key, Data: encode(r.Progress)})
+	}
+	revision, err := l.node.Table.Commit(ctx, txn)
+	var conflict *winch.ConflictError
+	if errors.As(err, &conflict) && conflict.Current[keyOffice].Version != l.revision {
+		l.node.Log.Info("office is another's", zap.Uint64("term", l.term))
+		l.cancel()
+		return false
+	}
+	l.post(func() {
+		for _, r := range batch {
+			if err == nil {
+				l.planner.Saved(r, revision)
+				continue
+			}
+			// A write whose answer was lost may have changed the record's revision.
+			now := uint64(0)
+			if conflict != nil {
+				now = conflict.Current[keyProgress(r.Job)].Version
+			}
+			l.planner.Unwritten(r, now)
+		}
+		l.wake()
+	})
+	if err != nil {
+		l.node.Log.Info("records not written", zap.Int("count", len(batch)), zap.Error(err))
+		pause(ctx, retryPause/3)
+	}
+	return err == nil
+}
+
+// runSweep removes the records of jobs that ended long ago.
+func (l *lead) runSweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, sweepEvery)
+		var ids []string
+		if l.duty.Do(ctx, func() { ids = l.planner.Expired(time.Now().Add(-l.node.Timing.Keep)) }) != nil || len(ids) == 0 {
+			continue
+		}
+		ids = ids[:min(len(ids), sweepMost)]
+		txn := winch.Txn{Expect: map[string]uint64{keyOffice: l.revision}}
+		for _, id := range ids {
+			txn.Remove = append(txn.Remove, keyJob(id), keyProgress(id), keyCancel(id))
+		}
+		if _, err := l.node.Table.Commit(ctx, txn); err != nil {
+			l.node.Log.Info("old records not removed", zap.Error(err))
+			continue
+		}
+		l.post(func() {
+			for _, id := range ids {
+				l.planner.Forget(id)
+			}
+		})
+	}
+}
+
+// runRoster records which workers may be given work, before they are. A planner
+// that takes over must hear of each of them, or wait, until it starts again what
+// an earlier one may have started.
+func (l *lead) runRoster(ctx context.Context) {
+	known := l.readRoster(ctx)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.rosterCh:
+		}
+		var wanted map[string]winch.WorkerVM
+		if l.duty.Do(ctx, func() { wanted = l.wantedRoster() }) != nil {
+			return
+		}
+		var record roster
+		for _, vm := range wanted {
+			record.Workers = append(record.Workers, vm)
+		}
+		revision, err := l.node.Table.Commit(ctx, winch.Txn{
+			Expect: map[string]uint64{keyOffice: l.revision, keyRoster: known},
+			Writes: []winch.Write{{Key: keyRoster, Data: encode(record)}},
+		})
+		var conflict *winch.ConflictError
+		if errors.As(err, &conflict) {
+			known = conflict.Current[keyRoster].Version
+		}
+		if err != nil {
+			l.node.Log.Info("roster not written", zap.Error(err))
+			pause(ctx, retryPause)
+			signal(l.rosterCh)
+			continue
+		}
+		known = revision
+		l.post(func() {
+			l.roster = wanted
+			l.reassign()
+		})
+	}
+}
+
+func (l *lead) readRoster(ctx context.Context) uint64 {
+	for ctx.Err() == nil {
+		values, _, err := l.node.Table.Read(ctx, keyRoster)
+		if err == nil {
+			for _, v := range values {
+				return v.Version
+			}
+			return 0
+		}
+		pause(ctx, retryPause)
+	}
+	return 0
+}
+
+// wantedRoster is every worker that is listed, or held because work may still
+// run there.
+func (l *lead) wantedRoster() map[string]winch.WorkerVM {
+	out := make(map[string]winch.WorkerVM)
+	for _, vm := range l.planner.Held() {
+		out[vm.ID] = vm
+	}
+	return out
+}
--- /dev/null
+++ b/region/serve.go
@@ -0,0 +1,192 @@
+package region
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// stateTime bounds the question to the planner for a job's state; the store
+	// is asked after it.
+	stateTime = 300 * time.Millisecond
+	// waitingEvery is how often the planner tells all entries what waits, and
+	// waitingAge how old that may be when it is shown.
+	waitingEvery = 500 * time.Millisecond
+	waitingAge   = 1900 * time.Millisecond
+)
+
+// waitingView is what the planner last told of the jobs that have not begun.
+type waitingView struct {
+	term   uint64
+	queues map[string]int
+	at     time.Time
+}
+
+// State implements winch.Region. The planner knows most; without it the store
+// tells what is recorded.
+func (n *Node) State(ctx context.Context, id string) (winch.JobState, winch.Result) {
+	if give := n.askState(ctx, id); give.Known {
+		return give.State, winch.Result{}
+	}
+	s, err := n.readJob(ctx, id)
+	if err != nil {
+		return "", winch.RefuseFor(winch.StoreUnavailable, "neither planner nor store answer", retryAfter)
+	}
+	if s.job == nil {
+		return "", winch.Refuse(winch.UnknownJob, "no such submission")
+	}
+	n.tellPlanner(proto.KindAccepted, proto.Accepted{Jobs: []proto.AcceptedJob{{Job: *s.job, Revision: s.job.Revision}}})
+	return s.state(), winch.Result{}
+}
+
+func (n *Node) askState(ctx context.Context, id string) proto.StateGive {
+	ctx, cancel := context.WithTimeout(ctx, stateTime)
+	defer cancel()
+	if l := n.lead.Load(); l != nil {
+		return l.state(ctx, id)
+	}
+	var give proto.StateGive
+	if err := n.Peers.Ask(ctx, n.cell.holder(), proto.KindState, proto.StateAsk{ID: id}, &give); err != nil {
+		return proto.StateGive{}
+	}
+	return give
+}
+
+func (n *Node) readJob(ctx context.Context, id string) (stored, error) {
+	var s stored
+	values, _, err := n.Table.Read(ctx, keyJob(id))
+	if err != nil {
+		return s, err
+	}
+	for _, v := range values {
+		got, suffix := jobKey(v.Key)
+		if got != id {
+			continue
+		}
+		if err := s.take(suffix, v); err != nil {
+			n.Log.Error("record cannot be read", zap.String("key", v.Key), zap.Error(err))
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+// Cancel implements winch.Region. It is answered when the cancel is stored.
+func (n *Node) Cancel(ctx context.Context, id string) winch.Result {
+	if !n.healthy() {
+		return winch.RefuseFor(winch.StoreUnavailable, "the store does not answer", retryAfter)
+	}
+	s, err := n.readJob(ctx, id)
+	switch {
+	case err != nil:
+		return winch.RefuseFor(winch.StoreUnavailable, "the store did not answer", retryAfter)
+	case s.job == nil:
+		return winch.Refuse(winch.UnknownJob, "no such submission")
+	case s.cancelled || s.progress != nil && s.progress.State.Final():
+		return winch.Result{Outcome: winch.Done}
+	}
+	key := keyCancel(id)
+	_, err = n.Table.Commit(ctx, winch.Txn{
+		Expect: map[string]uint64{key: 0}, Writes: []winch.Write{{Key: key, Data: encode(time.Now())}},
+	})
+	if err != nil && !errors.Is(err, winch.ErrConflict) {
+		if errors.Is(err, winch.ErrUnavailable) {
+			return winch.RefuseFor(winch.StoreUnavailable, "the store did not take the cancel", retryAfter)
+		}
+		return winch.Uncertain(winch.StoreUnavailable, "the store did not answer; cancel again")
+	}
+	n.tellPlanner(proto.KindCancel, proto.CancelJob{ID: id})
+	return winch.Result{Outcome: winch.Done}
+}
+
+// Waiting implements winch.Region.
+func (n *Node) Waiting(_ context.Context, queue string) (int, winch.Result) {
+	v := n.waiting.Load()
+	if v == nil || time.Since(v.at) > waitingAge {
+		return 0, winch.RefuseFor(winch.StoreUnavailable, "the region has no planner at the moment", retryAfter)
+	}
+	return v.queues[queue], winch.Result{}
+}
+
+// tellPlanner passes something on that is in the store. A message that is lost
+// does no harm: the planner reads the store's changes too.
+func (n *Node) tellPlanner(kind winch.Kind, body any) {
+	if l := n.lead.Load(); l != nil {
+		l.take(kind, body)
+		return
+	}
+	_ = n.Peers.Tell(n.cell.holder(), kind, body)
+}
+
+// Handle answers messages from other entries.
+func (n *Node) Handle(ctx context.Context, from string, kind winch.Kind, read func(into any) error) any {
+	switch kind {
+	case proto.KindKeepSet:
+		return got(read, func(m proto.KeepSet) any { n.keeper.Set(m); return nil })
+	case proto.KindKeepOrders:
+		return got(read, func(m proto.KeepOrders) any { n.keeper.Orders(m); return nil })
+	case proto.KindKeepPoll:
+		return got(read, func(m proto.KeepPoll) any { return n.keeper.Poll(ctx, m) })
+	case proto.KindAdvise:
+		return got(read, func(m proto.AdviseAsk) any { return n.advise(ctx, m) })
+	case proto.KindSettings:
+		return got(read, func(m proto.Settings) any {
+			if len(m.Data) > 0 {
+				n.settings.take(n.Codec.ConfigKey(), m.Data, from)
+			}
+			return nil
+		})
+	case proto.KindWaiting:
+		return got(read, func(m proto.Waiting) any { n.takeWaiting(m); return nil })
+	case proto.KindAccepted:
+		return got(read, func(m proto.Accepted) any { n.forLead(kind, m); return nil })
+	case proto.KindCancel:
+		return got(read, func(m proto.CancelJob) any { n.forLead(kind, m); return nil })
+	case proto.KindState:
+		return got(read, func(m proto.StateAsk) any {
+			if l := n.lead.Load(); l != nil {
+				return l.state(ctx, m.ID)
+			}
+			return proto.StateGive{}
+		})
+	}
+	n.Log.Error("message of an unknown kind", zap.String("from", from), zap.String("kind", string(kind)))
+	return nil
+}
+
+// got decodes a message and passes it to f; one that cannot be read is dropped.
+func got[T any](read func(into any) error, f func(T) any) any {
+	var m T
+	if read(&m) != nil {
+		return nil
+	}
+	return f(m)
+}
+
+func (n *Node) forLead(kind winch.Kind, body any) {
+	if l := n.lead.Load(); l != nil {
+		l.take(kind, body)
+	}
+}
+
+func (n *Node) takeWaiting(m proto.Waiting) {
+	if v := n.waiting.Load(); v != nil && v.term > m.Term {
+		return
+	}
+	n.waiting.Store(&waitingView{term: m.Term, queues: m.Queues, at: time.Now()})
+}
+
+// advise calls the advice service in this entry's lane.
+func (n *Node) advise(ctx context.Context, ask proto.AdviseAsk) proto.AdviseGive {
+	tickets, valid, err := n.Advisor.Advise(ctx, ask.Phase, ask.Workers)
+	if err != nil {
+		return proto.AdviseGive{Failed: err.Error()}
+	}
+	return proto.AdviseGive{Tickets: tickets, Valid: valid}
+}
--- /dev/null
+++ b/server/region.go
@@ -0,0 +1,176 @@
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"plantainwinch/conf"
+	"plantainwinch/platform"
+	"plantainwinch/proto"
+	"plantainwinch/region"
+	"plantainwinch/trans/peer"
+)
+
+const (
+	// memoryPart is the part of a VM's memory that the runtime may use: what is
+	// received and not yet read counts against the VM too.
+	memoryPart = 0.7
+	// idleTimeout closes a caller's connection that is not used; callers come back
+	// within seconds while they wait for a job.
+	idleTimeout = 30 * time.Second
+	// noticeTime is how long the platform takes to see that an entry is not ready:
+	// it asks every second and believes the second answer.
+	noticeTime = 2300 * time.Millisecond
+	// endTime is kept free before SIGKILL for closing what is idle.
+	endTime = 1500 * time.Millisecond
+)
+
+// Region is one entry of a region with its listeners. Set the exported fields,
+// then Prepare and Run.
+type Region struct {
+	Settings conf.Region
+	Log      *zap.Logger
+	Metrics  metrics.Registry
+
+	Node *region.Node
+	Mesh *peer.Mesh
+
+	table     *platform.Table
+	runner    *platform.Runner
+	listeners map[string]net.Listener
+}
+
+// Prepare opens the listeners and builds the entry.
+func (s *Region) Prepare() error {
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.Settings.Limits.Memory)))
+	if err := s.listen(); err != nil {
+		return err
+	}
+	e := s.Settings.Entry
+	boot := e.Name + "/" + rand.Text()[:6]
+	s.Mesh = &peer.Mesh{
+		Self:  proto.Hello{Version: proto.Version, Cell: "region", Entry: boot, Domain: e.Domain},
+		Token: s.Settings.Peers.Token, Log: s.Log, Metrics: s.Metrics,
+	}
+	s.table = platform.NewTable(s.Settings.Platform.Address)
+	s.runner = &platform.Runner{}
+	s.Node = &region.Node{
+		Name: boot, Host: e.Name, Domain: e.Domain, Address: s.Settings.Listen.Peers,
+		Share:  int(1000 * s.Settings.Limits.Processors),
+		Timing: region.Timing{Lease: s.Settings.Timing.Lease, Keep: s.Settings.Timing.Keep, Grace: s.Settings.Timing.Grace},
+		Table:  s.table, Runner: s.runner, Advisor: platform.NewAdvisor(s.Settings.Platform.Advice),
+		Codec: platform.Codec{}, Peers: s.Mesh, Log: s.Log, Metrics: s.Metrics,
+	}
+	s.Node.Prepare()
+	s.table.Heard = s.Node.Heard
+	s.Mesh.Handler = s.Node.Handle
+	s.Mesh.First = s.Node.First
+	s.Mesh.Addresses = s.Node.PeerAddresses
+	s.Mesh.Linked = func(hello proto.Hello, up bool) {
+		s.Log.Info("peer link", zap.String("peer", hello.Entry), zap.String("domain", hello.Domain), zap.Bool("up", up))
+		s.Node.LinkChanged()
+	}
+	s.gauges()
+	return nil
+}
+
+func (s *Region) gauges() {
+	for name, f := range map[string]func() int64{
+		"Control.Store.Calls":  s.table.Calls,
+		"Control.Worker.Calls": s.runner.Calls,
+		"Control.Peer.Bytes":   func() int64 { _, bytes := s.Mesh.Cost(); return bytes },
+	} {
+		_ = s.Metrics.Register(name, metrics.NewFunctionalGauge(f))
+	}
+}
+
+func (s *Region) listen() error {
+	s.listeners = make(map[string]net.Listener)
+	l := s.Settings.Listen
+	for _, x := range []struct{ key, address string }{
+		{"Callers", l.Callers}, {"Ready", l.Ready}, {"Peers", l.Peers}, {"Metrics", l.Metrics},
+	} {
+		if x.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", x.address)
+		if err != nil {
+			for _, open := range s.listeners {
+				_ = open.Close()
+			}
+			return listenError(x.key, x.address, err)
+		}
+		s.listeners[x.key] = ln
+	}
+	return nil
+}
+
+// Run serves until ctx ends, and then stops as planned: the office and the
+// workers go to others at once, callers are served until the platform sends no
+// more of them, and no request is cut.
+func (s *Region) Run(ctx context.Context) {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	servers := s.servers()
+	var group conc.WaitGroup
+	for name, server := range servers {
+		group.Go(func() { _ = server.Serve(s.listeners[name]) })
+	}
+	group.Go(func() { s.Mesh.Run(background) })
+	group.Go(func() { s.Node.Run(background) })
+	s.Log.Info("serving", zap.String("name", s.Node.Name), zap.String("domain", s.Node.Domain), zap.String("callers", s.Settings.Listen.Callers))
+	<-ctx.Done()
+	s.stop(servers)
+	cancel()
+	group.Wait()
+	s.Log.Info("stopped", zap.String("name", s.Node.Name))
+}
+
+func (s *Region) stop(servers map[string]*http.Server) {
+	s.Log.Info("stopping", zap.String("name", s.Node.Name))
+	begin := time.Now()
+	s.Node.Stop(context.Background())
+	time.Sleep(noticeTime)
+	left := s.Settings.Timing.Grace - endTime - time.Since(begin)
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, endTime/2))
+	defer cancel()
+	if err := servers["Callers"].Shutdown(ctx); err != nil {
+		s.Log.Error("requests are cut", zap.Error(err))
+	}
+	for _, server := range servers {
+		_ = server.Close()
+	}
+}
+
+func (s *Region) servers() map[string]*http.Server {
+	front := &platform.Front{Region: s.Node, Log: s.Log, Metrics: s.Metrics}
+	peers := http.NewServeMux()
+	peers.Handle(peer.Path, s.Mesh)
+	handlers := map[string]http.Handler{
+		"Callers": front, "Ready": front.Ready(), "Peers": peers, "Metrics": metricsHandler(s.Metrics),
+	}
+	out := make(map[string]*http.Server)
+	for name := range s.listeners {
+		out[name] = &http.Server{
+			Handler: handlers[name], ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			ErrorLog: zap.NewStdLog(s.Log.Named(name)),
+		}
+	}
+	return out
+}
+
+// metricsHandler writes all metrics as text.
+func metricsHandler(reg metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		metrics.WriteOnce(reg, w)
+	})
+}
--- /dev/null
+++ b/winch/phase.go
@@ -0,0 +1,165 @@
+package winch
+
+import "time"
+
+// Room is what a task of a phased job needs, what a worker VM has, or what a
+// team may have running at once.
+type Room struct {
+	Milli        int64 // Milli is in thousandths of a processor.
+	Memory       Bytes
+	Accelerators int
+}
+
+// Add returns the sum of both.
+func (r Room) Add(o Room) Room {
+	return Room{r.Milli + o.Milli, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o.
+func (r Room) Sub(o Room) Room {
+	return Room{r.Milli - o.Milli, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether r is within o in every dimension.
+func (r Room) Fits(o Room) bool {
+	return r.Milli <= o.Milli && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
+}
+
+// Phase is a step of a phased job: Count alike tasks that may start once all
+// tasks of the phases in After have ended well.
+type Phase struct {
+	Count    int
+	Need     Room
+	Estimate time.Duration `cbor:",omitempty"` // Estimate is the caller's guess of a task's run time, often wrong.
+	After    []int         `cbor:",omitempty"`
+	// Checkpoints says that tasks save their progress and can resume from it.
+	Checkpoints bool `cbor:",omitempty"`
+	// Gang says that the tasks work only while all of them run.
+	Gang     bool   `cbor:",omitempty"`
+	SameRack bool   `cbor:",omitempty"`
+	Label    string `cbor:",omitempty"` // Label is one that the worker VM must have.
+	Rack     string `cbor:",omitempty"` // Rack is where the data is; tasks elsewhere are slower.
+	// MostPerVM bounds the tasks of the phase on one worker VM; zero is no bound.
+	MostPerVM int `cbor:",omitempty"`
+	// Copies says that several runs of one task may overlap.
+	Copies bool `cbor:",omitempty"`
+	// Lasting says that the tasks run until the job is cancelled and are started
+	// again however they end. MayMiss of them may be away at a time through
+	// actions of the scheduler.
+	Lasting bool   `cbor:",omitempty"`
+	MayMiss int    `cbor:",omitempty"`
+	Image   string `cbor:",omitempty"`
+	// Target is the tail response time that a lasting task must stay below.
+	Target time.Duration `cbor:",omitempty"`
+	// Fills says that the tasks use processors that the others leave idle; their
+	// Need.Milli does not count against a worker VM.
+	Fills bool `cbor:",omitempty"`
+}
+
+// Charge returns the room that a task of the phase takes from a worker VM.
+func (p *Phase) Charge() Room {
+	need := p.Need
+	if p.Fills {
+		need.Milli = 0
+	}
+	return need
+}
+
+// PhasedJob is an accepted job made of phases. All of it but Revision is
+// written once, when the job is accepted.
+type PhasedJob struct {
+	ID       string // ID is chosen by the caller and makes resubmission idempotent.
+	Queue    string
+	Team     string
+	Command  string
+	Phases   []Phase
+	Accepted time.Time
+	// Times is how often the phases are to run; zero stands for once, at once.
+	// Run k is due at First + k * Every.
+	Times int           `cbor:",omitempty"`
+	First time.Time     `cbor:",omitzero"`
+	Every time.Duration `cbor:",omitempty"`
+	// Revision is the store's revision at which the job was accepted.
+	Revision uint64 `cbor:"-"`
+}
+
+// Progress is what is recorded of a phased job while it runs. Only the holder
+// of the region's office writes it.
+type Progress struct {
+	State JobState `cbor:",omitempty"` // State is empty until it is final.
+	// Done lists the tasks that ended well, by run and phase, as bit sets.
+	Done map[int][][]byte `cbor:",omitempty"`
+	// Failed counts the ends in failure of a task, or of a whole gang.
+	Failed map[string]int `cbor:",omitempty"`
+	Ended  time.Time      `cbor:",omitzero"`
+}
+
+// RunID names a task of a phased job: run K of its phases, phase and index.
+type RunID struct {
+	Job   string
+	K     int
+	Phase int
+	Index int
+}
+
+// Queue is where phased jobs of one kind are handed in.
+type Queue struct {
+	Name    string
+	Host    string
+	Prefix  string
+	Service string
+	// Priority orders queues; zero comes first.
+	Priority int
+	// Attempts is how many ends in failure of one task fail the job.
+	Attempts int
+	// A job is on time if it takes at most Target plus Stretch times its longest
+	// chain of work.
+	Target  time.Duration
+	Stretch float64
+	// Public says that callers need no key.
+	Public bool
+	// Timeout bounds one call of a caller.
+	Timeout time.Duration
+	// Advice is set if only the workers that the advice service allows may run a phase.
+	Advice *AdviceCost
+}
+
+// AdviceCost is what a call of the advice service takes and how long its
+// tickets are good for.
+type AdviceCost struct {
+	Call   time.Duration
+	Worker time.Duration
+	Valid  time.Duration
+}
+
+// RegionTeam is a team as the platform's operator declares it.
+type RegionTeam struct {
+	Name   string
+	Keys   []string
+	Weight float64
+	// Cap is the most that the team may have running; a zero field is no bound.
+	Cap Room
+}
+
+// RegionConfig is the configuration of a region under one version.
+type RegionConfig struct {
+	Version   uint64
+	Queues    []Queue
+	Teams     []RegionTeam
+	MaxBody   int64
+	MaxHeader int
+}
+
+// WorkerVM is one boot of a worker VM.
+type WorkerVM struct {
+	ID       string
+	Address  string
+	Service  string
+	Domain   string
+	Rack     string
+	Labels   []string
+	Room     Room
+	Draining bool
+	// Born is the boot's start in Unix milliseconds; it tells boots under one ID apart.
+	Born int64
+}
