--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -49,14 +49,14 @@
 			p.requeued(r)
 		}
 	}
-	p.found(w, e.Running)
-	p.status(w, e.Running)
 	for _, r := range w.runs {
 		if r.stopping {
-			r.stopping = false
+			r.stopping = false // The order may have been lost with the last session.
 			p.stop(r)
 		}
 	}
+	p.found(w, e.Running)
+	p.status(w, e.Running)
 	w.ready = true
 	delete(p.roster, w.vm.ID)
 	// Ends that were recorded before are forgotten again, in case the order was lost.
@@ -73,7 +73,7 @@
 			continue
 		}
 		t := p.task(x.Task)
-		adopt := t != nil && t.free() && !t.step.job.cancelled && !t.step.job.state.Final() && t.step.gang.fits(x.Run)
+		adopt := t != nil && t.free() && !t.step.job.cancelled && !t.step.job.state.Final() && t.step.fits(x.Run)
 		if t != nil {
 			t.step.job.adopted = true
 		}
@@ -84,7 +84,7 @@
 			continue
 		}
 		t.checkpoint = x.Checkpoint
-		t.step.gang.adopt(x.Run)
+		t.step.adopt(x.Run)
 		t.step.job.update()
 	}
 }
--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -190,3 +190,69 @@
 		is.Equal(before+len(c.step()), 10)
 	})
 }
+
+// Listing is what a worker with these runs tells the next planner.
+func listing(c *cell, worker string) proto.KeepEvent {
+	e := proto.KeepEvent{Kind: proto.EventListed, Worker: worker}
+	for _, o := range c.running {
+		if o.Worker == worker {
+			e.Running = append(e.Running, winch.Running{Task: o.Task, Run: o.Run})
+		}
+	}
+	return e
+}
+
+// The planner is lost while tasks of one phase run at several workers. The next
+// planner finds them there and lets them go on; if it stopped them, each change
+// of the planner would cost all work that runs.
+func TestTakeoverStopsNothing(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t, 3, usualQueue())
+			phase := tasks(9, 4000)
+			phase.Gang = gang
+			c.add("a", "mix", "choir", phase)
+			is.Equal(len(c.step()), 9)
+
+			next := newCell(t, 3, usualQueue())
+			next.planner = New(2)
+			next.planner.SetConfig(&winch.RegionConfig{Queues: []winch.Queue{usualQueue()}})
+			next.planner.SetRoster([]string{"w0", "w1", "w2"})
+			next.planner.Barrier = time.Now().Add(8 * time.Second)
+			next.planner.SetWorkers(c.planner.Held())
+			next.planner.Fresh = 100
+			next.planner.Add(c.planner.jobs["a"].rec, nil, 0)
+			is.Equal(len(next.step()), 0) // nothing is started before all workers have answered
+			for _, w := range []string{"w0", "w1", "w2"} {
+				next.planner.Event(listing(c, w))
+			}
+			is.Equal(len(next.step()), 0)
+			is.Equal(len(next.planner.Orders()), 0)
+			is.Equal(next.planner.Counts().Running, 9)
+			is.Equal(next.planner.Counts().Stopped, int64(0))
+		})
+	}
+}
+
+// A worker that an earlier planner used does not answer the next one. What is
+// not found elsewhere may run there, so it is not started until that has surely
+// ended; jobs accepted since are started at once.
+func TestUnansweredWorkerHoldsOldWorkBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, usualQueue())
+		c.planner.SetRoster([]string{"gone"})
+		c.planner.Barrier = time.Now().Add(8 * time.Second)
+		c.planner.Fresh = 7
+		c.add("old", "mix", "choir", tasks(1, 1000))
+		c.planner.Add(&winch.PhasedJob{ID: "new", Queue: "mix", Team: "choir", Phases: []winch.Phase{tasks(1, 1000)}, Accepted: time.Now(), Revision: 8}, nil, 0)
+		starts := c.step()
+		is.Equal(len(starts), 1)
+		is.Equal(starts[0].Task.Job, "new")
+		time.Sleep(8*time.Second + time.Millisecond)
+		starts = c.step()
+		is.Equal(len(starts), 1)
+		is.Equal(starts[0].Task.Job, "old")
+	})
+}
--- a/coord/fleet/gang.go
+++ b/coord/fleet/gang.go
@@ -19,15 +19,17 @@
 	ending     bool
 }
 
-// fits reports whether a run found at a worker can belong to the current run.
-func (g *gangRun) fits(number uint64) bool {
-	return g.number == 0 || g.number == number && !g.ending
+// fits reports whether a run found at a worker can belong to the step: members
+// of a gang share one run, other tasks have runs of their own.
+func (s *step) fits(number uint64) bool {
+	return !s.spec.Gang || s.gang.number == 0 || s.gang.number == number && !s.gang.ending
 }
 
-func (g *gangRun) adopt(number uint64) {
-	if g.number == 0 {
-		g.number = number
-		g.begun = time.Now()
+// adopt takes the run of a gang's member over.
+func (s *step) adopt(number uint64) {
+	if s.spec.Gang && s.gang.number == 0 {
+		s.gang.number = number
+		s.gang.begun = time.Now()
 	}
 }
 
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -85,8 +85,13 @@
 	// clock is the worker's clock at the moment clockAt of ours.
 	clock   time.Duration
 	clockAt time.Time
-	// lapse is when the lease last asked for has surely ended.
+	// until is the end of the lease last asked for, on the worker's clock, and
+	// lapse when that has surely passed there. Neither moves while the worker does
+	// not answer: a call that gets no answer may be carried out all the same, and a
+	// worker that is gone has to count as lost some time.
+	until    time.Duration
 	lapse    time.Time
+	silent   bool
 	listed   bool
 	closely  bool // closely says that the planner paces runs by what is reported.
 	lastEnd  uint64
@@ -197,8 +202,11 @@
 		if h.closely {
 			call.Wait = closeWait
 		}
-		call.Until = h.clockNow(sent) + lease
-		h.lapse = later(h.lapse, sent.Add(surely(lease)))
+		if !h.silent {
+			h.until = h.clockNow(sent) + lease
+			h.lapse = later(h.lapse, sent.Add(surely(lease)))
+		}
+		call.Until = h.until
 	}
 	h.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, call.Wait+answerTime)
@@ -209,6 +217,7 @@
 // over reports whether an error ends the holding of the worker.
 func (h *holder) over(err error) bool {
 	h.mu.Lock()
+	h.silent = true
 	lapsed := time.Now().After(h.lapse)
 	h.mu.Unlock()
 	switch {
@@ -258,6 +267,7 @@
 	h.setClock(answer.Clock)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.silent = false
 	var fresh []winch.Ended
 	for _, e := range answer.Ended {
 		if e.Number > h.lastEnd {
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -176,7 +176,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if ask.Session != k.session {
-		return proto.KeepNews{}, true
+		return proto.KeepNews{Term: k.session.Term}, true
 	}
 	if until := time.Now().Add(ask.Authority); until.After(k.until) {
 		k.until = until
--- /dev/null
+++ b/coord/keep/keep_test.go
@@ -0,0 +1,236 @@
+package keep
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// fakeWorker is one worker VM. It answers, or is silent, as the test says.
+type fakeWorker struct {
+	mu      sync.Mutex
+	silent  bool
+	begin   time.Time
+	until   time.Duration
+	forget  uint64
+	token   uint64
+	holds   int
+	running []winch.Running
+	ended   []winch.Ended
+	// loseStarts makes starts go unanswered; late says that they take effect.
+	loseStarts bool
+	late       bool
+}
+
+func (w *fakeWorker) clock() time.Duration { return time.Since(w.begin) }
+
+func (w *fakeWorker) wait(ctx context.Context) (winch.Holding, error) {
+	<-ctx.Done()
+	return winch.Holding{}, winch.ErrUncertain
+}
+
+func (w *fakeWorker) Hold(ctx context.Context, _ winch.WorkerVM, c winch.HoldCall) (winch.Holding, error) {
+	w.mu.Lock()
+	if w.silent {
+		w.mu.Unlock()
+		return w.wait(ctx)
+	}
+	defer w.mu.Unlock()
+	if c.Token < w.token {
+		return winch.Holding{}, winch.ErrFenced
+	}
+	w.token = c.Token
+	w.holds++
+	w.until = max(w.until, c.Until)
+	w.forget = max(w.forget, c.Forget)
+	var kept []winch.Ended
+	for _, e := range w.ended {
+		if e.Number > w.forget {
+			kept = append(kept, e)
+		}
+	}
+	w.ended = kept
+	if len(kept) == 0 {
+		w.mu.Unlock()
+		time.Sleep(c.Wait)
+		w.mu.Lock()
+	}
+	return winch.Holding{Clock: w.clock(), Running: append([]winch.Running(nil), w.running...), Ended: append([]winch.Ended(nil), w.ended...)}, nil
+}
+
+func (w *fakeWorker) Start(ctx context.Context, _ winch.WorkerVM, c winch.StartCall) (winch.StartResult, time.Duration) {
+	w.mu.Lock()
+	lose := w.loseStarts
+	if !lose || w.late {
+		w.running = append(w.running, winch.Running{Task: c.Task, Run: c.Run})
+	}
+	w.mu.Unlock()
+	if lose {
+		<-ctx.Done()
+		return winch.StartUncertain, 0
+	}
+	return winch.StartOK, w.clock()
+}
+
+func (w *fakeWorker) Stop(_ context.Context, _ winch.WorkerVM, _ uint64, task winch.RunID, run uint64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, r := range w.running {
+		if r.Task == task && r.Run == run {
+			w.running = append(w.running[:i:i], w.running[i+1:]...)
+			w.ended = append(w.ended, winch.Ended{Number: 1, Task: task, Run: run, Kind: winch.EndStopped})
+		}
+	}
+	return nil
+}
+
+func (w *fakeWorker) Pace(context.Context, winch.WorkerVM, uint64, winch.RunID, uint64, int) error {
+	return nil
+}
+
+func (w *fakeWorker) Drop(winch.WorkerVM) {}
+
+// rig is a keeper with one worker and the planner's side of a session.
+type rig struct {
+	keeper  *Keeper
+	worker  *fakeWorker
+	session proto.Session
+	mu      sync.Mutex
+	events  []proto.KeepEvent
+}
+
+func newRig(ctx context.Context) *rig {
+	r := &rig{worker: &fakeWorker{begin: time.Now()}, session: proto.Session{Term: 1, Number: 1}}
+	r.keeper = &Keeper{Runner: r.worker, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Lease: 6 * time.Second}
+	r.keeper.Prepare()
+	r.keeper.group.Go(func() { r.poll(ctx) })
+	r.keeper.Set(proto.KeepSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Kept{{VM: winch.WorkerVM{ID: "w"}, Token: 5}}})
+	return r
+}
+
+func (r *rig) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		news := r.keeper.Poll(ctx, proto.KeepPoll{Session: r.session, Authority: 8 * time.Second, Wait: time.Second})
+		if news.Session != r.session {
+			time.Sleep(10 * time.Millisecond)
+		}
+		r.mu.Lock()
+		r.events = append(r.events, news.Events...)
+		r.mu.Unlock()
+	}
+}
+
+func (r *rig) count(kind proto.EventKind) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rig) end(cancel context.CancelFunc) {
+	cancel()
+	r.keeper.mu.Lock()
+	for _, h := range r.keeper.holders {
+		h.cancel()
+	}
+	r.keeper.mu.Unlock()
+	r.keeper.group.Wait()
+}
+
+var oneTask = winch.RunID{Job: "0123456789abcdef"}
+
+// A worker loses power for good. Holds that get no answer may arrive late, so
+// each could prolong the lease; if each did, the worker would never count as
+// lost, and what ran there would never run again.
+func TestSilentWorkerIsLostAfterItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		time.Sleep(3 * time.Second)
+		is.Equal(r.count(proto.EventListed), 1)
+		r.worker.mu.Lock()
+		r.worker.silent = true
+		r.worker.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		is.Equal(r.count(proto.EventLost), 0) // the lease may still run
+		time.Sleep(5 * time.Second)
+		is.Equal(r.count(proto.EventLost), 1)
+		r.end(cancel)
+	})
+}
+
+// The planner is lost. Its keepers go on for the authority that they have and
+// no longer: another planner starts the work elsewhere after that time.
+func TestKeeperStopsWithItsAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		time.Sleep(2 * time.Second)
+		cancel() // no more polls
+		lost := time.Now()
+		time.Sleep(30 * time.Second)
+		r.worker.mu.Lock()
+		end := r.worker.begin.Add(r.worker.until)
+		r.worker.mu.Unlock()
+		is.True(end.Sub(lost) > 4*time.Second)             // what runs is kept for a while
+		is.True(end.Sub(lost) < 8*time.Second+time.Second) // and ends with the authority
+		r.end(cancel)
+	})
+}
+
+// A start gets no answer and did take effect. The run is stopped and its end is
+// told, so that the task can be started again; it never runs twice.
+func TestUnansweredStartIsStopped(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			r := newRig(ctx)
+			time.Sleep(time.Second)
+			r.worker.mu.Lock()
+			r.worker.loseStarts, r.worker.late = true, late
+			r.worker.mu.Unlock()
+			r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Task: oneTask, Run: 3}}})
+			time.Sleep(6 * time.Second)
+			is.Equal(r.count(proto.EventStarted), 0)
+			is.Equal(r.count(proto.EventEnded)+r.count(proto.EventNotStarted), 1)
+			r.worker.mu.Lock()
+			is.Equal(len(r.worker.running), 0)
+			r.worker.mu.Unlock()
+			r.end(cancel)
+		})
+	}
+}
+
+// A planner that was replaced and is cut off from the store goes on asking a
+// keeper that serves the next planner. The keeper takes none of its orders and
+// tells it the later term.
+func TestKeeperTellsAnOlderPlannerTheLaterTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		r.keeper.Set(proto.KeepSet{Session: proto.Session{Term: 2, Number: 1}, Authority: time.Second})
+		r.keeper.Set(proto.KeepSet{Session: proto.Session{Term: 1, Number: 9}, Authority: time.Second})
+		news := r.keeper.Poll(ctx, proto.KeepPoll{Session: r.session, Wait: time.Second})
+		is.Equal(news.Session, proto.Session{})
+		is.Equal(news.Term, uint64(2))
+		r.end(cancel)
+	})
+}
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -87,6 +87,8 @@
 type KeepNews struct {
 	Session Session     `cbor:"1,keyasint"`
 	Events  []KeepEvent `cbor:"2,keyasint,omitempty"`
+	// Term is that of the keeper's own session, if it is another.
+	Term uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // EventKind says what a KeepEvent tells.
--- a/region/lead.go
+++ b/region/lead.go
@@ -63,6 +63,7 @@
 	kept     map[string]proto.Kept // kept holds the token of each worker.
 	workers  map[string]winch.WorkerVM
 	missing  map[string]time.Time
+	resting  map[string]bool // resting holds keepers that get no session for a moment.
 	roster   map[string]winch.WorkerVM
 	tokens   uint64
 	sessions uint64
@@ -80,7 +81,7 @@
 		node: n, term: term, revision: revision, lease: lease,
 		duty: duty.New("Planner", leadRing, nil), planner: fleet.New(term),
 		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept),
-		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), roster: make(map[string]winch.WorkerVM),
+		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), roster: make(map[string]winch.WorkerVM),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
 		group: conc.NewWaitGroup(),
 	}
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -19,6 +19,8 @@
 	// pollTime is how long its answer may take beyond that. A keeper that does not
 	// answer in time is replaced; its workers go on meanwhile.
 	pollTime = 700 * time.Millisecond
+	// keeperRest is the pause before a keeper whose session broke gets another.
+	keeperRest = 200 * time.Millisecond
 	// uneven is how many more workers than another a keeper may have.
 	uneven = 6
 	// adviceTime is how long an answer of the advice service may take beyond what
@@ -32,6 +34,7 @@
 	name    string
 	session proto.Session
 	local   bool
+	ctx     context.Context
 	cancel  context.CancelFunc
 }
 
@@ -62,6 +65,9 @@
 		lanes = append(lanes, name)
 	}
 	l.lanes.SetLanes(lanes)
+	for name := range l.resting {
+		delete(live, name)
+	}
 	for name, p := range l.proxies {
 		if _, ok := live[name]; !ok {
 			l.dropKeeper(p)
@@ -147,9 +153,8 @@
 		l.sessions++
 		p = &proxy{lead: l, name: name, local: name == l.node.Name, session: proto.Session{Term: l.term, Number: l.sessions}}
 		l.proxies[name] = p
-		ctx, cancel := context.WithCancel(l.ctx)
-		p.cancel = cancel
-		defer l.group.Go(func() { p.poll(ctx) })
+		p.ctx, p.cancel = context.WithCancel(l.ctx)
+		defer l.group.Go(p.poll) // The set goes out before the first question.
 	}
 	set := proto.KeepSet{Session: p.session, Authority: l.authority()}
 	for id, keeper := range l.keepers {
@@ -177,13 +182,20 @@
 }
 
 // poll takes the keeper's news until the session breaks.
-func (p *proxy) poll(ctx context.Context) {
-	l := p.lead
+func (p *proxy) poll() {
+	l, ctx := p.lead, p.ctx
 	for ctx.Err() == nil {
 		news, err := p.ask(ctx)
 		if ctx.Err() != nil {
 			break
 		}
+		if err == nil && news.Term > l.term {
+			// This planner was replaced and has not heard of it: it is cut off from
+			// the store, and what it would do has no effect any more.
+			l.node.Log.Info("a later planner has taken over", zap.String("keeper", p.name), zap.Uint64("term", news.Term))
+			l.cancel()
+			return
+		}
 		if err != nil || news.Session != p.session {
 			l.node.Log.Info("keeper lost", zap.String("keeper", p.name), zap.Uint64("session", p.session.Number), zap.Error(err))
 			break
@@ -195,11 +207,25 @@
 	l.post(func() {
 		if l.proxies[p.name] == p {
 			l.dropKeeper(p)
+			l.rest(p.name)
 			l.reassign()
 		}
 	})
 }
 
+// rest leaves a keeper alone for a moment after a session broke, so that one
+// that refuses every session does not keep the planner busy.
+func (l *lead) rest(name string) {
+	l.resting[name] = true
+	l.group.Go(func() {
+		pause(l.ctx, keeperRest)
+		l.post(func() {
+			delete(l.resting, name)
+			l.reassign()
+		})
+	})
+}
+
 func (p *proxy) ask(ctx context.Context) (proto.KeepNews, error) {
 	ask := proto.KeepPoll{Session: p.session, Authority: p.lead.authority(), Wait: pollWait}
 	if p.local {
