--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -32,9 +32,22 @@
 		p.found(w, e.Running)
 	case proto.EventLost:
 		p.Lost(e.Worker)
+	case proto.EventKnown:
+		p.knew(w, e)
 	}
 }
 
+// knew takes what the keeper of an earlier planner's session knew of a worker.
+// All orders went through it, so nothing else runs there. The worker gets no
+// work before its own lists have come.
+func (p *Planner) knew(w *worker, e proto.KeepEvent) {
+	if w.ready {
+		return
+	}
+	p.found(w, e.Running)
+	delete(p.roster, w.vm.ID)
+}
+
 // listed takes the first lists of a worker in a session. They are whole: a run
 // that is in neither does not exist and never will through an earlier order.
 func (p *Planner) listed(w *worker, e proto.KeepEvent) {
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -104,10 +104,10 @@
 
 // SetGone adds workers that earlier planners may have used and that are not in
 // the platform's list any more: work may still run there.
-func (p *Planner) SetGone(vms map[string]winch.WorkerVM) {
-	for id, vm := range vms {
-		if p.workers[id] == nil && p.roster[id] {
-			p.workers[id] = &worker{vm: vm, gone: true, runs: make(map[runKey]*run)}
+func (p *Planner) SetGone(vms []winch.WorkerVM) {
+	for _, vm := range vms {
+		if p.workers[vm.ID] == nil && p.roster[vm.ID] {
+			p.workers[vm.ID] = &worker{vm: vm, gone: true, runs: make(map[runKey]*run)}
 		}
 	}
 }
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -93,6 +93,7 @@
 	lapse    time.Time
 	silent   bool
 	listed   bool
+	closed   bool // closed says that no start may be sent any more.
 	closely  bool // closely says that the planner paces runs by what is reported.
 	lastEnd  uint64
 	statusAt time.Time
@@ -110,6 +111,19 @@
 	group.Wait()
 }
 
+// known ends the sending of starts and returns the runs that may exist at the
+// worker, and whether that is all.
+func (h *holder) known() ([]winch.Running, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	var out []winch.Running
+	for key := range h.runs {
+		out = append(out, winch.Running{Task: key.task, Run: key.run})
+	}
+	return out, h.listed
+}
+
 // take queues an order; what goes with the next hold needs no message of its own.
 func (h *holder) take(o proto.Order, text string) {
 	switch o.Kind {
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -102,13 +102,18 @@
 	}
 }
 
+// begin ends all holders. If the session is a later planner's, that planner is
+// told what they knew.
 func (k *Keeper) begin(s proto.Session) {
+	k.events = nil
 	for id, h := range k.holders {
 		h.cancel()
 		delete(k.holders, id)
+		if running, whole := h.known(); whole && s.Term > k.session.Term {
+			k.events = append(k.events, proto.KeepEvent{Kind: proto.EventKnown, Worker: id, Running: running})
+		}
 	}
 	k.session = s
-	k.events = nil
 	k.Log.Info("keeper session", zap.Uint64("term", s.Term), zap.Uint64("session", s.Number))
 }
 
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -45,6 +45,10 @@
 	key := runKey{c.Task, c.Run}
 	now := time.Now()
 	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		return
+	}
 	h.runs[key] = &known{}
 	until := h.clockNow(now) + startTime
 	h.mu.Unlock()
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -114,6 +114,9 @@
 	EventFenced
 	// EventFound: a run that the planner did not order in this session.
 	EventFound
+	// EventKnown: what a keeper knew of a worker when a later planner's session
+	// began. It lets that planner go on if the worker does not answer.
+	EventKnown
 )
 
 // KeepEvent is one event at a worker.
--- a/region/keys.go
+++ b/region/keys.go
@@ -51,9 +51,17 @@
 	Term   uint64
 }
 
-// roster lists the workers that a planner may have given work to.
+// roster lists the workers that a planner may have given work to, and through
+// which keeper.
 type roster struct {
-	Workers []winch.WorkerVM
+	Workers []rostered
+}
+
+type rostered struct {
+	VM winch.WorkerVM
+	// Keeper is the entry through which all orders to the worker go. What it knows
+	// of the worker's runs is therefore all that may run there.
+	Keeper string
 }
 
 // encode returns the stored form of a record.
--- a/region/lead.go
+++ b/region/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -64,7 +65,9 @@
 	workers  map[string]winch.WorkerVM
 	missing  map[string]time.Time
 	resting  map[string]bool // resting holds keepers that get no session for a moment.
-	roster   map[string]winch.WorkerVM
+	wanted   map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
+	roster   map[string]rostered
+	before   map[string]rostered // before is the roster of the earlier planner.
 	tokens   uint64
 	sessions uint64
 	armed    bool
@@ -81,7 +84,7 @@
 		node: n, term: term, revision: revision, lease: lease,
 		duty: duty.New("Planner", leadRing, nil), planner: fleet.New(term),
 		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept),
-		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), roster: make(map[string]winch.WorkerVM),
+		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
 		group: conc.NewWaitGroup(),
 	}
@@ -180,10 +183,11 @@
 			return err
 		}
 		var ids []string
-		for _, vm := range r.Workers {
-			l.roster[vm.ID] = vm
-			ids = append(ids, vm.ID)
+		for _, w := range r.Workers {
+			l.before[w.VM.ID] = w
+			ids = append(ids, w.VM.ID)
 		}
+		l.wanted, l.roster = maps.Clone(l.before), maps.Clone(l.before)
 		l.planner.SetRoster(ids)
 	}
 	values, asOf, err := l.node.Table.Read(ctx, prefixJobs)
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -54,17 +55,14 @@
 }
 
 // reassign gives each worker a keeper: one of its own failure domain if there
-// is one, so that a domain which is cut off keeps its work.
+// is one, so that a domain which is cut off keeps its work. A keeper is used once
+// it is recorded in the roster.
 func (l *lead) reassign() {
 	if l.closed {
 		return
 	}
 	live := l.live()
-	var lanes []string
-	for name := range live {
-		lanes = append(lanes, name)
-	}
-	l.lanes.SetLanes(lanes)
+	l.lanes.SetLanes(slices.Collect(maps.Keys(live)))
 	for name := range l.resting {
 		delete(live, name)
 	}
@@ -73,38 +71,62 @@
 			l.dropKeeper(p)
 		}
 	}
+	held := l.planner.Held()
+	l.want(held, live)
+	l.activate(held, live)
+	l.wake()
+}
+
+// want chooses the keepers, and has them recorded where they differ from the roster.
+func (l *lead) want(held []winch.WorkerVM, live map[string]member) {
+	wanted := make(map[string]rostered, len(held))
 	count := make(map[string]int)
-	changed := make(map[string]bool)
-	for _, vm := range l.planner.Held() {
-		if name := l.keepers[vm.ID]; name != "" {
-			count[name]++
+	for _, vm := range held {
+		if now := l.wanted[vm.ID].Keeper; now != "" {
+			count[now]++
 		}
 	}
-	for _, vm := range l.planner.Held() {
-		if _, recorded := l.roster[vm.ID]; !recorded {
-			continue
-		}
-		now := l.keepers[vm.ID]
+	for _, vm := range held {
+		now := l.wanted[vm.ID].Keeper
+		_, there := live[now]
 		best := l.bestKeeper(vm, live, count)
-		if best == "" || now != "" && (now == best || count[now]-count[best] <= uneven || live[now].Domain != live[best].Domain) {
-			continue
+		if best != "" && (!there || live[now].Domain != vm.Domain && live[best].Domain == vm.Domain || count[now]-count[best] > uneven && live[now].Domain == live[best].Domain) {
+			count[now]--
+			count[best]++
+			now = best
 		}
 		if now != "" {
-			count[now]--
-			changed[now] = true
+			wanted[vm.ID] = rostered{VM: vm, Keeper: now}
+		}
+	}
+	l.wanted = wanted
+	if !maps.EqualFunc(wanted, l.roster, func(a, b rostered) bool { return a.Keeper == b.Keeper && a.VM.Born == b.VM.Born }) {
+		signal(l.rosterCh)
+	}
+}
+
+// activate has the recorded keepers hold their workers.
+func (l *lead) activate(held []winch.WorkerVM, live map[string]member) {
+	changed := make(map[string]bool)
+	for _, vm := range held {
+		name := l.wanted[vm.ID].Keeper
+		recorded := l.roster[vm.ID]
+		if _, ok := live[name]; !ok || recorded.Keeper != name || recorded.VM.Born != vm.Born || l.keepers[vm.ID] == name {
+			continue
+		}
+		if old := l.keepers[vm.ID]; old != "" {
+			changed[old] = true
 			l.planner.Unready([]string{vm.ID})
 		}
-		count[best]++
-		changed[best] = true
-		l.keepers[vm.ID] = best
+		changed[name] = true
+		l.keepers[vm.ID] = name
 		l.tokens++
 		l.kept[vm.ID] = proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens}
 	}
-	l.dropKept(changed)
+	l.dropKept(held, changed)
 	for name := range changed {
 		l.sendSet(name)
 	}
-	l.wake()
 }
 
 // bestKeeper returns the entry with the fewest workers for its processor share,
@@ -132,9 +154,9 @@
 }
 
 // dropKept takes workers from their keepers that the planner does not hold any more.
-func (l *lead) dropKept(changed map[string]bool) {
+func (l *lead) dropKept(list []winch.WorkerVM, changed map[string]bool) {
 	held := make(map[string]bool)
-	for _, vm := range l.planner.Held() {
+	for _, vm := range list {
 		held[vm.ID] = true
 	}
 	for id, name := range l.keepers {
@@ -260,6 +282,10 @@
 		return
 	}
 	for _, e := range events {
+		if e.Kind == proto.EventKnown {
+			l.known(p.name, e)
+			continue
+		}
 		if l.keepers[e.Worker] != p.name {
 			continue
 		}
@@ -277,13 +303,20 @@
 	l.wake()
 }
 
+// known takes what a keeper knew of a worker when this planner's session began.
+// If the roster names the keeper, that is all that may run there.
+func (l *lead) known(keeper string, e proto.KeepEvent) {
+	if l.before[e.Worker].Keeper == keeper {
+		l.planner.Event(e)
+	}
+}
+
 // lostWorker forgets a worker's keeper, so that the worker is held again if it
 // is still listed.
 func (l *lead) lostWorker(id string) {
 	delete(l.keepers, id)
 	delete(l.kept, id)
-	delete(l.roster, id)
-	signal(l.rosterCh)
+	l.reassign()
 }
 
 // dispatch sends the planner's orders to the keepers.
@@ -458,13 +491,10 @@
 		list = append(list, vm)
 	}
 	l.planner.SetWorkers(list)
-	l.planner.SetGone(l.roster)
-	fresh := slices.ContainsFunc(l.planner.Held(), func(vm winch.WorkerVM) bool {
-		_, recorded := l.roster[vm.ID]
-		return !recorded
-	})
-	if fresh {
-		signal(l.rosterCh)
+	gone := make([]winch.WorkerVM, 0, len(l.before))
+	for _, w := range l.before {
+		gone = append(gone, w.VM)
 	}
+	l.planner.SetGone(gone)
 	l.reassign()
 }
--- a/region/record.go
+++ b/region/record.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -109,9 +111,9 @@
 	}
 }
 
-// runRoster records which workers may be given work, before they are. A planner
-// that takes over must hear of each of them, or wait, until it starts again what
-// an earlier one may have started.
+// runRoster records which workers may be given work, and through which keeper,
+// before they are. A planner that takes over must hear of each of them, or wait,
+// until it starts again what an earlier one may have started.
 func (l *lead) runRoster(ctx context.Context) {
 	known := l.readRoster(ctx)
 	for ctx.Err() == nil {
@@ -120,14 +122,11 @@
 			return
 		case <-l.rosterCh:
 		}
-		var wanted map[string]winch.WorkerVM
-		if l.duty.Do(ctx, func() { wanted = l.wantedRoster() }) != nil {
+		var wanted map[string]rostered
+		if l.duty.Do(ctx, func() { wanted = maps.Clone(l.wanted) }) != nil {
 			return
 		}
-		var record roster
-		for _, vm := range wanted {
-			record.Workers = append(record.Workers, vm)
-		}
+		record := roster{Workers: slices.Collect(maps.Values(wanted))}
 		revision, err := l.node.Table.Commit(ctx, winch.Txn{
 			Expect: map[string]uint64{keyOffice: l.revision, keyRoster: known},
 			Writes: []winch.Write{{Key: keyRoster, Data: encode(record)}},
@@ -163,13 +162,3 @@
 	}
 	return 0
 }
-
-// wantedRoster is every worker that is listed, or held because work may still
-// run there.
-func (l *lead) wantedRoster() map[string]winch.WorkerVM {
-	out := make(map[string]winch.WorkerVM)
-	for _, vm := range l.planner.Held() {
-		out[vm.ID] = vm
-	}
-	return out
-}
