The roster names keepers and runs, so that planners wait only for what may run unseen

Now: lost and left workers are dropped at once; the roster names each worker's keeper, which tells the next planner what it knows; a planned hand-over records the runs; after the barrier what did not answer counts as lost.

--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -256,3 +256,18 @@
 		is.Equal(starts[0].Task.Job, "old")
 	})
 }
+
+// A worker drains, leaves and is lost. Nothing can run there, so it is dropped:
+// a planner that takes over later would else wait for its answer, and start
+// nothing of the jobs it finds for many seconds.
+func TestWorkerThatLeftIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 2, usualQueue())
+		list := c.planner.Held()
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventLost, Worker: list[0].ID})
+		is.True(c.planner.Empty(list[0].ID))
+		c.planner.SetWorkers(list[1:])
+		is.Equal(len(c.planner.Held()), 1)
+	})
+}
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -43,6 +43,9 @@
 	ready bool
 	// gone says that the worker is not in the platform's list any more.
 	gone bool
+	// empty says that surely nothing runs there: the boot is new to the region, or
+	// all that ran has ended, and nothing was ordered since.
+	empty bool
 	runs map[runKey]*run
 	// ends holds the ends that are not recorded yet, in the order of their numbers.
 	ends     []endMark
@@ -85,7 +88,7 @@
 			w = nil
 		}
 		if w == nil {
-			w = &worker{runs: make(map[runKey]*run)}
+			w = &worker{runs: make(map[runKey]*run), empty: !p.roster[vm.ID]}
 			p.workers[vm.ID] = w
 		}
 		w.vm = vm
@@ -96,12 +99,18 @@
 			continue
 		}
 		w.gone = true
-		if len(w.runs) == 0 && w.ready {
+		if len(w.runs) == 0 && (w.ready || w.empty) {
 			delete(p.workers, id)
 		}
 	}
 }
 
+// Empty reports whether surely nothing runs at a worker.
+func (p *Planner) Empty(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.empty
+}
+
 // SetGone adds workers that earlier planners may have used and that are not in
 // the platform's list any more: work may still run there.
 func (p *Planner) SetGone(vms []winch.WorkerVM) {
@@ -124,11 +133,25 @@
 	if len(p.roster) == 0 {
 		return false
 	}
-	if time.Now().After(p.Barrier) {
-		clear(p.roster)
-		return false
+	if time.Now().Before(p.Barrier) {
+		return true
+	}
+	for id := range p.roster {
+		p.Lost(id)
 	}
-	return true
+	clear(p.roster)
+	return false
+}
+
+// RunsAt returns the runs that may exist at a worker.
+func (p *Planner) RunsAt(id string) []winch.Running {
+	var out []winch.Running
+	if w := p.workers[id]; w != nil {
+		for key := range w.runs {
+			out = append(out, winch.Running{Task: key.task, Run: key.run})
+		}
+	}
+	return out
 }
 
 // Held returns the workers that need to be held, with their VMs.
@@ -163,6 +186,7 @@
 	}
 	w.used = w.used.Add(r.charge)
 	w.runs[r.key] = r
+	w.empty = false
 	p.watch(w)
 	return r
 }
@@ -254,6 +278,7 @@
 		}
 	}
 	w.ends = nil
+	w.empty = true
 	if w.gone {
 		delete(p.workers, id)
 	}
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -73,6 +73,7 @@
 	keeper *Keeper
 	vm     winch.WorkerVM
 	token  uint64
+	empty  bool // empty says that nothing ran there when the holder began.
 	cancel context.CancelFunc
 	ring   chan command
 	began  time.Time
@@ -121,7 +122,7 @@
 	for key := range h.runs {
 		out = append(out, winch.Running{Task: key.task, Run: key.run})
 	}
-	return out, h.listed
+	return out, h.listed || h.empty
 }
 
 // take queues an order; what goes with the next hold needs no message of its own.
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -120,7 +120,7 @@
 func (k *Keeper) hold(w proto.Kept) {
 	ctx, cancel := context.WithCancel(k.ctx)
 	h := &holder{
-		keeper: k, vm: w.VM, token: w.Token, cancel: cancel, began: time.Now(),
+		keeper: k, vm: w.VM, token: w.Token, empty: w.Empty, cancel: cancel, began: time.Now(),
 		ring: make(chan command, ringSize), runs: make(map[runKey]*known), recorded: make(chan struct{}, 1),
 	}
 	k.holders[w.VM.ID] = h
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -31,6 +31,8 @@
 type Kept struct {
 	VM    winch.WorkerVM `cbor:"1,keyasint"`
 	Token uint64         `cbor:"2,keyasint"`
+	// Empty says that nothing runs there but what is ordered in this session.
+	Empty bool `cbor:"3,keyasint,omitempty"`
 }
 
 // KeepSet tells a keeper which workers it holds from now on.
--- a/region/lead.go
+++ b/region/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,12 +69,16 @@
 	wanted   map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
 	roster   map[string]rostered
 	before   map[string]rostered // before is the roster of the earlier planner.
+	rosterAt uint64              // rosterAt is the revision of the roster's record.
 	tokens   uint64
 	sessions uint64
 	armed    bool
 	closed   bool
 	loaded   bool
 
+	// rosterMu guards rosterAt once the lead runs.
+	rosterMu sync.Mutex
+
 	pressing chan struct{}
 	unsaved  chan struct{}
 	rosterCh chan struct{}
@@ -185,10 +190,12 @@
 		var ids []string
 		for _, w := range r.Workers {
 			l.before[w.VM.ID] = w
+			l.roster[w.VM.ID] = rostered{VM: w.VM, Keeper: w.Keeper}
 			ids = append(ids, w.VM.ID)
 		}
-		l.wanted, l.roster = maps.Clone(l.before), maps.Clone(l.before)
+		l.wanted = maps.Clone(l.roster)
 		l.planner.SetRoster(ids)
+		l.rosterAt = v.Version
 	}
 	values, asOf, err := l.node.Table.Read(ctx, prefixJobs)
 	if err != nil {
@@ -196,9 +203,30 @@
 	}
 	l.planner.Fresh = asOf
 	l.takeJobs(values)
+	l.settle()
 	return nil
 }
 
+// settle takes over what an earlier planner recorded of its workers when it
+// handed the office over.
+func (l *lead) settle() {
+	l.planner.SetGone(l.earlier())
+	for id, w := range l.before {
+		if w.Settled {
+			l.planner.Event(proto.KeepEvent{Kind: proto.EventKnown, Worker: id, Running: w.Runs})
+		}
+	}
+}
+
+// earlier returns the workers that the earlier planner used.
+func (l *lead) earlier() []winch.WorkerVM {
+	out := make([]winch.WorkerVM, 0, len(l.before))
+	for _, w := range l.before {
+		out = append(out, w.VM)
+	}
+	return out
+}
+
 // takeJobs adds the jobs that the planner does not know yet.
 func (l *lead) takeJobs(values []winch.Value) {
 	all := make(map[string]*stored)
@@ -345,12 +373,16 @@
 func (l *lead) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, officeTTL/2)
 	defer cancel()
-	_ = l.duty.Do(ctx, func() { l.closed = true })
+	_ = l.duty.Do(ctx, func() {
+		l.closed = true
+		l.dispatch()
+	})
 	for range 3 {
 		if !l.commit(ctx) {
 			break
 		}
 	}
+	l.recordRuns(ctx)
 	if err := l.node.Table.End(ctx, l.lease); err != nil {
 		l.node.Log.Info("office lapses by itself", zap.Error(err))
 	}
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -121,7 +121,7 @@
 		changed[name] = true
 		l.keepers[vm.ID] = name
 		l.tokens++
-		l.kept[vm.ID] = proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens}
+		l.kept[vm.ID] = proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens, Empty: l.planner.Empty(vm.ID)}
 	}
 	l.dropKept(held, changed)
 	for name := range changed {
@@ -491,10 +491,6 @@
 		list = append(list, vm)
 	}
 	l.planner.SetWorkers(list)
-	gone := make([]winch.WorkerVM, 0, len(l.before))
-	for _, w := range l.before {
-		gone = append(gone, w.VM)
-	}
-	l.planner.SetGone(gone)
+	l.planner.SetGone(l.earlier())
 	l.reassign()
 }
--- a/region/record.go
+++ b/region/record.go
@@ -115,7 +115,6 @@
 // before they are. A planner that takes over must hear of each of them, or wait,
 // until it starts again what an earlier one may have started.
 func (l *lead) runRoster(ctx context.Context) {
-	known := l.readRoster(ctx)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -126,22 +125,12 @@
 		if l.duty.Do(ctx, func() { wanted = maps.Clone(l.wanted) }) != nil {
 			return
 		}
-		record := roster{Workers: slices.Collect(maps.Values(wanted))}
-		revision, err := l.node.Table.Commit(ctx, winch.Txn{
-			Expect: map[string]uint64{keyOffice: l.revision, keyRoster: known},
-			Writes: []winch.Write{{Key: keyRoster, Data: encode(record)}},
-		})
-		var conflict *winch.ConflictError
-		if errors.As(err, &conflict) {
-			known = conflict.Current[keyRoster].Version
-		}
-		if err != nil {
+		if err := l.writeRoster(ctx, wanted); err != nil {
 			l.node.Log.Info("roster not written", zap.Error(err))
 			pause(ctx, retryPause)
 			signal(l.rosterCh)
 			continue
 		}
-		known = revision
 		l.post(func() {
 			l.roster = wanted
 			l.reassign()
@@ -149,16 +138,39 @@
 	}
 }
 
-func (l *lead) readRoster(ctx context.Context) uint64 {
-	for ctx.Err() == nil {
-		values, _, err := l.node.Table.Read(ctx, keyRoster)
-		if err == nil {
-			for _, v := range values {
-				return v.Version
-			}
-			return 0
+func (l *lead) writeRoster(ctx context.Context, workers map[string]rostered) error {
+	l.rosterMu.Lock()
+	defer l.rosterMu.Unlock()
+	revision, err := l.node.Table.Commit(ctx, winch.Txn{
+		Expect: map[string]uint64{keyOffice: l.revision, keyRoster: l.rosterAt},
+		Writes: []winch.Write{{Key: keyRoster, Data: encode(roster{Workers: slices.Collect(maps.Values(workers))})}},
+	})
+	var conflict *winch.ConflictError
+	if errors.As(err, &conflict) {
+		l.rosterAt = conflict.Current[keyRoster].Version
+	}
+	if err == nil {
+		l.rosterAt = revision
+	}
+	return err
+}
+
+// recordRuns writes down all that may run at each worker, once nothing more is
+// started, so that the next planner need not wait for a worker that does not answer.
+func (l *lead) recordRuns(ctx context.Context) {
+	workers := make(map[string]rostered)
+	if l.duty.Do(ctx, func() {
+		if l.planner.Adopting() {
+			return // What runs at some workers is not known here either.
+		}
+		for id, w := range l.roster {
+			w.Settled, w.Runs = true, l.planner.RunsAt(id)
+			workers[id] = w
 		}
-		pause(ctx, retryPause)
+	}) != nil || len(workers) == 0 {
+		return
+	}
+	if err := l.writeRoster(ctx, workers); err != nil {
+		l.node.Log.Info("runs not handed over", zap.Error(err))
 	}
-	return 0
 }
