A standby of the planner knows all runs, so that its takeover waits for no worker

Now the planner starts nothing that its standby, an entry of another domain named in the store, has not heard of. Ruled out: writing each start to the store (4 ms and a call each).

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -59,6 +59,7 @@
 	for key, r := range w.runs {
 		if !seen[key] {
 			p.endRun(r)
+			p.noteGone(w, key)
 			p.requeued(r)
 		}
 	}
@@ -132,6 +133,7 @@
 	}
 	p.counts.NotStarted++
 	p.endRun(r)
+	p.noteGone(w, r.key)
 	if r.task == nil {
 		return
 	}
@@ -154,6 +156,7 @@
 func (p *Planner) vanished(w *worker, key runKey) {
 	if r := w.runs[key]; r != nil {
 		p.endRun(r)
+		p.noteGone(w, key)
 		p.requeued(r)
 	}
 }
@@ -177,7 +180,7 @@
 		p.endRun(r)
 	}
 	t := p.task(e.Task)
-	mark := endMark{number: e.Number}
+	mark := endMark{number: e.Number, key: runKey{e.Task, e.Run}}
 	if t != nil {
 		if e.Checkpoint != "" {
 			t.checkpoint = e.Checkpoint
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -54,6 +54,7 @@
 	orders []proto.Order
 	asks   []Ask
 	dirty  []*job
+	gone   []Gone
 	counts Counts
 }
 
--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -271,3 +271,48 @@
 		is.Equal(len(c.planner.Held()), 1)
 	})
 }
+
+// A task ends well while the store is away, so the end is not recorded. The
+// planner is lost, and its standby takes over and has not heard of the worker
+// yet. If it took the task for one that does not run, it would start it again
+// though it is done: the caller is billed twice.
+func TestUnrecordedEndIsNotForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 2, usualQueue())
+		c.add("a", "mix", "choir", tasks(1, 1000))
+		start := c.step()[0]
+		c.end(start, winch.EndDone)
+		is.Equal(len(c.planner.Gone()), 0)
+		known := c.planner.RunsAt(start.Worker)
+		is.Equal(known, []winch.Running{{Task: start.Task, Run: start.Run}})
+
+		next := New(2)
+		next.SetConfig(&winch.RegionConfig{Queues: []winch.Queue{usualQueue()}})
+		next.SetRoster([]string{"w0", "w1"})
+		next.Barrier = time.Now().Add(8 * time.Second)
+		next.Fresh = 100
+		next.SetWorkers(c.planner.Held())
+		next.Add(c.planner.jobs["a"].rec, nil, 0)
+		for _, w := range []string{"w0", "w1"} {
+			next.Event(proto.KeepEvent{Kind: proto.EventKnown, Worker: w, Running: c.planner.RunsAt(w)})
+		}
+		for _, w := range []string{"w0", "w1"} {
+			if w != start.Worker {
+				next.Event(proto.KeepEvent{Kind: proto.EventListed, Worker: w})
+			}
+		}
+		next.Schedule()
+		is.Equal(len(next.Orders()), 0)
+		next.Event(proto.KeepEvent{Kind: proto.EventListed, Worker: start.Worker, Ended: []winch.Ended{
+			{Number: 1, Task: start.Task, Run: start.Run, Kind: winch.EndDone},
+		}})
+		next.Schedule()
+		is.Equal(len(next.Orders()), 0)
+		is.Equal(len(next.Records(10)), 1) // now it is recorded
+
+		c.record()
+		is.Equal(len(c.planner.Gone()), 1)
+		is.Equal(len(c.planner.RunsAt(start.Worker)), 0)
+	})
+}
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -46,7 +46,7 @@
 	// empty says that surely nothing runs there: the boot is new to the region, or
 	// all that ran has ended, and nothing was ordered since.
 	empty bool
-	runs map[runKey]*run
+	runs  map[runKey]*run
 	// ends holds the ends that are not recorded yet, in the order of their numbers.
 	ends     []endMark
 	lastEnd  uint64
@@ -62,10 +62,19 @@
 // reached changes.
 type endMark struct {
 	number  uint64
+	key     runKey
 	job     *job
 	changes uint64
 }
 
+// Gone is a run that another planner need not hear of any more: it does not
+// exist, and its end is recorded if it has to be.
+type Gone struct {
+	Worker string
+	Task   winch.RunID
+	Run    uint64
+}
+
 func (w *worker) free() winch.Room {
 	return w.vm.Room.Sub(w.used)
 }
@@ -143,17 +152,32 @@
 	return false
 }
 
-// RunsAt returns the runs that may exist at a worker.
+// RunsAt returns the runs that may exist at a worker, and those whose ends are
+// not recorded yet: until then only the worker can tell how they ended.
 func (p *Planner) RunsAt(id string) []winch.Running {
 	var out []winch.Running
 	if w := p.workers[id]; w != nil {
 		for key := range w.runs {
 			out = append(out, winch.Running{Task: key.task, Run: key.run})
 		}
+		for _, e := range w.ends {
+			out = append(out, winch.Running{Task: e.key.task, Run: e.key.run})
+		}
 	}
 	return out
 }
 
+// Gone returns the runs that are gone since the last call.
+func (p *Planner) Gone() []Gone {
+	out := p.gone
+	p.gone = nil
+	return out
+}
+
+func (p *Planner) noteGone(w *worker, key runKey) {
+	p.gone = append(p.gone, Gone{w.vm.ID, key.task, key.run})
+}
+
 // Held returns the workers that need to be held, with their VMs.
 func (p *Planner) Held() []winch.WorkerVM {
 	out := make([]winch.WorkerVM, 0, len(p.workers))
@@ -254,6 +278,7 @@
 			break
 		}
 		upTo = e.number
+		p.noteGone(w, e.key)
 		w.ends = w.ends[1:]
 	}
 	if upTo > w.forgot {
@@ -273,10 +298,14 @@
 	for _, r := range w.runs {
 		p.counts.Lost++
 		p.endRun(r)
+		p.noteGone(w, r.key)
 		if r.task != nil {
 			p.gangBroken(r)
 		}
 	}
+	for _, e := range w.ends {
+		p.noteGone(w, e.key)
+	}
 	w.ends = nil
 	w.empty = true
 	if w.gone {
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -83,6 +83,7 @@
 	mu     sync.Mutex
 	runs   map[runKey]*known
 	forget uint64
+	told   []winch.Ended // told holds the ends that the worker listed last.
 	// clock is the worker's clock at the moment clockAt of ours.
 	clock   time.Duration
 	clockAt time.Time
@@ -113,7 +114,7 @@
 }
 
 // known ends the sending of starts and returns the runs that may exist at the
-// worker, and whether that is all.
+// worker, or whose ends are not recorded yet, and whether that is all.
 func (h *holder) known() ([]winch.Running, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -122,6 +123,11 @@
 	for key := range h.runs {
 		out = append(out, winch.Running{Task: key.task, Run: key.run})
 	}
+	for _, e := range h.told {
+		if e.Number > h.forget {
+			out = append(out, winch.Running{Task: e.Task, Run: e.Run})
+		}
+	}
 	return out, h.listed || h.empty
 }
 
@@ -154,7 +160,7 @@
 }
 
 func (h *holder) emit(e proto.KeepEvent) {
-	e.Worker = h.vm.ID
+	e.Worker, e.Token = h.vm.ID, h.token
 	h.keeper.emit(h, e)
 }
 
@@ -284,6 +290,7 @@
 	defer h.mu.Unlock()
 	h.silent = false
 	var fresh []winch.Ended
+	h.told = answer.Ended
 	for _, e := range answer.Ended {
 		if e.Number > h.lastEnd {
 			h.lastEnd = e.Number
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -150,7 +150,9 @@
 	}
 	out := make([]*holder, len(msg.Orders))
 	for i, o := range msg.Orders {
-		out[i] = k.holders[o.Worker]
+		if h := k.holders[o.Worker]; h != nil && h.token == o.Token {
+			out[i] = h
+		}
 	}
 	return out
 }
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -206,7 +206,7 @@
 			r.worker.mu.Lock()
 			r.worker.loseStarts, r.worker.late = true, late
 			r.worker.mu.Unlock()
-			r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Task: oneTask, Run: 3}}})
+			r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 3}}})
 			time.Sleep(6 * time.Second)
 			is.Equal(r.count(proto.EventStarted), 0)
 			is.Equal(r.count(proto.EventEnded)+r.count(proto.EventNotStarted), 1)
@@ -234,3 +234,23 @@
 		r.end(cancel)
 	})
 }
+
+// A worker is given to another keeper and back while a start waits. The start
+// was decided under an earlier holding; if it went out, it could take effect
+// after the worker's new lists, and the task would be started twice.
+func TestStartOfAnEarlierHoldingIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		time.Sleep(time.Second)
+		r.keeper.Set(proto.KeepSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Kept{{VM: winch.WorkerVM{ID: "w"}, Token: 6}}})
+		r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 3}}})
+		time.Sleep(5 * time.Second)
+		r.worker.mu.Lock()
+		is.Equal(len(r.worker.running), 0)
+		r.worker.mu.Unlock()
+		is.Equal(r.count(proto.EventListed), 2)
+		r.end(cancel)
+	})
+}
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -17,6 +17,7 @@
 	KindState      winch.Kind = "State"
 	KindWaiting    winch.Kind = "Waiting"
 	KindSettings   winch.Kind = "Settings"
+	KindMirror     winch.Kind = "Mirror"
 )
 
 // Session names one uninterrupted relation of a planner with a keeper. A
@@ -68,6 +69,9 @@
 	Percent    int         `cbor:"7,keyasint,omitempty"`
 	Forget     uint64      `cbor:"8,keyasint,omitempty"`
 	Closely    bool        `cbor:"9,keyasint,omitempty"`
+	// Token is the one under which the worker was held when the order was decided.
+	// An order that waited while the worker was given to another keeper is dropped.
+	Token uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // KeepOrders carries orders. Commands holds the command of each job named.
@@ -130,6 +134,9 @@
 	Result  winch.StartResult `cbor:"5,keyasint,omitempty"`
 	Ended   []winch.Ended     `cbor:"6,keyasint,omitempty"`
 	Running []winch.Running   `cbor:"7,keyasint,omitempty"`
+	// Token is the one under which the keeper held the worker. An event of an
+	// earlier holding tells nothing of the present one.
+	Token uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // AdviseAsk asks an entry to call the advice service in its lane.
@@ -184,3 +191,27 @@
 	Version uint64 `cbor:"1,keyasint"`
 	Data    []byte `cbor:"2,keyasint"`
 }
+
+// Mirror tells the standby of the planner which runs may exist from now on,
+// before they are started, and which do not exist any more.
+type Mirror struct {
+	Term    uint64 `cbor:"1,keyasint"`
+	Session uint64 `cbor:"2,keyasint"`
+	// Full says that Add holds all runs, and that the message begins the session.
+	Full   bool        `cbor:"3,keyasint,omitempty"`
+	Add    []MirrorRun `cbor:"4,keyasint,omitempty"`
+	Remove []MirrorRun `cbor:"5,keyasint,omitempty"`
+}
+
+// MirrorRun is one run at a worker.
+type MirrorRun struct {
+	Worker string      `cbor:"1,keyasint"`
+	Task   winch.RunID `cbor:"2,keyasint"`
+	Run    uint64      `cbor:"3,keyasint"`
+}
+
+// MirrorAck says whether the standby has taken a Mirror. It takes none of a
+// planner that has been replaced.
+type MirrorAck struct {
+	OK bool `cbor:"1,keyasint,omitempty"`
+}
--- a/region/cell.go
+++ b/region/cell.go
@@ -24,7 +24,10 @@
 	officeAt uint64
 	term     office
 	termAt   uint64
-	read     bool
+	// standby is the recorded standby of the last planner.
+	standby   standbyRecord
+	standbyAt uint64
+	read      bool
 }
 
 // take applies one key.
@@ -52,6 +55,10 @@
 		if !e.Deleted && decode(e.Data, &c.term) == nil {
 			c.termAt = e.Version
 		}
+	case e.Key == keyStandby:
+		if !e.Deleted && decode(e.Data, &c.standby) == nil {
+			c.standbyAt = e.Version
+		}
 	}
 }
 
--- a/region/keys.go
+++ b/region/keys.go
@@ -16,7 +16,8 @@
 	prefixNode = "cell/node/"
 	keyOffice  = "cell/office"
 	keyTerm    = "cell/term"
-	keyRoster  = "cell/roster"
+	keyStandby = "cell/standby"
+	keyRoster  = "roster"
 	prefixJobs = "job/"
 	// suffixes of the keys that lie beside a job's own.
 	suffixProgress = "/p"
--- a/region/lead.go
+++ b/region/lead.go
@@ -65,16 +65,31 @@
 	kept     map[string]proto.Kept // kept holds the token of each worker.
 	workers  map[string]winch.WorkerVM
 	missing  map[string]time.Time
-	resting  map[string]bool // resting holds keepers that get no session for a moment.
+	resting  map[string]bool     // resting holds keepers that get no session for a moment.
 	wanted   map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
 	roster   map[string]rostered
 	before   map[string]rostered // before is the roster of the earlier planner.
 	rosterAt uint64              // rosterAt is the revision of the roster's record.
 	tokens   uint64
 	sessions uint64
-	armed    bool
-	closed   bool
-	loaded   bool
+	// queued holds the starts that the standby has not heard of yet, told those
+	// that it has, removed the runs that have ended since it was last told;
+	// mirroring says that an answer of its is awaited. named is the standby that
+	// the store names, or namingTo while naming is set.
+	standby   *standby
+	queued    []proto.Order
+	told      []proto.Order
+	removed   []proto.MirrorRun
+	mirroring bool
+	mirrors   uint64
+	tired     map[string]time.Time
+	named     string
+	naming    bool
+	namingTo  string
+	copied    map[string][]winch.Running // copied is what this entry knew as standby.
+	armed     bool
+	closed    bool
+	loaded    bool
 
 	// rosterMu guards rosterAt once the lead runs.
 	rosterMu sync.Mutex
@@ -82,6 +97,8 @@
 	pressing chan struct{}
 	unsaved  chan struct{}
 	rosterCh chan struct{}
+	// standbyCh wakes the duty that records the standby.
+	standbyCh chan struct{}
 }
 
 func newLead(n *Node, term, revision, lease uint64, until time.Time) *lead {
@@ -91,6 +108,7 @@
 		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
+		standbyCh: make(chan struct{}, 1), tired: make(map[string]time.Time),
 		group: conc.NewWaitGroup(),
 	}
 	v := newValidity(until)
@@ -119,7 +137,7 @@
 	l.group.Go(func() { l.renew(l.ctx) })
 	l.node.lead.Store(l)
 	if l.load(l.ctx) {
-		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep, l.runLoad} {
+		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep, l.runLoad, l.runStandby} {
 			l.group.Go(func() { f(l.ctx) })
 		}
 		l.duty.Every(l.ctx, l.timer.C, l.decide)
@@ -207,11 +225,14 @@
 	return nil
 }
 
-// settle takes over what an earlier planner recorded of its workers when it
-// handed the office over.
+// settle takes over what is known of the workers of an earlier planner: this
+// entry was its standby, or it recorded what ran when it handed the office over.
 func (l *lead) settle() {
 	l.planner.SetGone(l.earlier())
 	for id, w := range l.before {
+		if l.copied != nil {
+			w.Settled, w.Runs = true, l.copied[id]
+		}
 		if w.Settled {
 			l.planner.Event(proto.KeepEvent{Kind: proto.EventKnown, Worker: id, Running: w.Runs})
 		}
@@ -313,6 +334,9 @@
 	l.armed = false
 	l.timer.Reset(idleTime)
 	l.dropMissing()
+	if l.standby == nil && !l.closed {
+		l.chooseStandby(l.live())
+	}
 	if !l.closed && l.valid.Load().left() > 0 {
 		l.planner.Schedule()
 	}
--- /dev/null
+++ b/region/mirror.go
@@ -0,0 +1,271 @@
+package region
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// mirrorTime bounds the standby's answer. Starts wait for it, so a standby that
+	// is slow is given up early.
+	mirrorTime = 400 * time.Millisecond
+	// standbyRest is how long an entry that failed as standby is not tried again.
+	standbyRest = time.Second
+)
+
+// mirror is what an entry holds as standby of the planner: all runs that may
+// exist at the workers. The planner starts nothing before its standby has heard
+// of it, so a standby that takes the office over knows what may run at workers
+// that it cannot reach, and need not wait until their leases have ended.
+type mirror struct {
+	mu      sync.Mutex
+	term    uint64
+	session uint64
+	runs    map[proto.MirrorRun]bool
+}
+
+// take applies a message and reports whether it was taken.
+func (m *mirror) take(msg proto.Mirror) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if msg.Term < m.term || msg.Term == m.term && msg.Session < m.session {
+		return false
+	}
+	if msg.Full {
+		m.term, m.session = msg.Term, msg.Session
+		m.runs = make(map[proto.MirrorRun]bool, len(msg.Add))
+	}
+	if msg.Term != m.term || msg.Session != m.session || m.runs == nil {
+		return false
+	}
+	for _, r := range msg.Add {
+		m.runs[r] = true
+	}
+	for _, r := range msg.Remove {
+		delete(m.runs, r)
+	}
+	return true
+}
+
+// claim ends the copy, since this entry has taken the office for a term, and
+// returns the runs by worker if the copy is of the term before. No message of an
+// earlier planner is taken any more: it can start nothing unseen.
+func (m *mirror) claim(term uint64) (map[string][]winch.Running, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	whole := m.runs != nil && m.term+1 == term
+	out := make(map[string][]winch.Running)
+	if whole {
+		for r := range m.runs {
+			out[r.Worker] = append(out[r.Worker], winch.Running{Task: r.Task, Run: r.Run})
+		}
+	}
+	m.term, m.session, m.runs = term, 0, nil
+	return out, whole
+}
+
+// standby is the planner's side of its mirror.
+type standby struct {
+	name    string
+	session uint64
+	synced  bool // synced says that the standby has taken all runs.
+}
+
+// standbyRecord names the standby of a term's planner in the store. A standby
+// that is not named there may have missed starts.
+type standbyRecord struct {
+	Term uint64
+	Name string
+}
+
+// chooseStandby takes an entry of another failure domain as standby, so that
+// both are not cut off together. It has to wait until all runs of an earlier
+// planner are found: a copy without them would let the standby start them twice.
+func (l *lead) chooseStandby(live map[string]member) {
+	if l.planner.Adopting() {
+		return
+	}
+	if s := l.standby; s != nil {
+		if _, ok := live[s.name]; ok {
+			return
+		}
+		l.dropStandby()
+	}
+	best := ""
+	better := func(a, b string) bool {
+		if b == "" {
+			return true
+		}
+		farA, farB := live[a].Domain != l.node.Domain, live[b].Domain != l.node.Domain
+		if farA != farB {
+			return farA
+		}
+		return live[a].Share > live[b].Share || live[a].Share == live[b].Share && a < b
+	}
+	for name := range live {
+		if name != l.node.Name && time.Now().After(l.tired[name]) && better(name, best) {
+			best = name
+		}
+	}
+	if best == "" {
+		return
+	}
+	l.mirrors++
+	l.standby = &standby{name: best, session: l.mirrors}
+	l.pump()
+}
+
+// dropStandby gives a standby up. Starts wait until the store names it no more.
+func (l *lead) dropStandby() {
+	l.node.Log.Info("standby given up", zap.String("standby", l.standby.name))
+	l.tired[l.standby.name] = time.Now().Add(standbyRest)
+	l.standby = nil
+	l.removed = nil
+	l.queued = append(l.told, l.queued...)
+	l.told = nil
+	signal(l.standbyCh)
+}
+
+// released reports whether starts may go out that the standby has heard of: the
+// store names no other entry that could take over as standby without them.
+func (l *lead) released() bool {
+	mine := func(name string) bool {
+		return name == "" || l.standby != nil && l.standby.synced && name == l.standby.name
+	}
+	return mine(l.named) && (!l.naming || mine(l.namingTo))
+}
+
+// release sends the starts that the standby has heard of.
+func (l *lead) release() {
+	if len(l.told) == 0 || !l.released() {
+		return
+	}
+	starts := l.told
+	l.told = nil
+	l.send(starts)
+}
+
+// pump has queued starts sent: after the standby has heard of them, or directly
+// where the store surely names none.
+func (l *lead) pump() {
+	if l.mirroring {
+		return
+	}
+	if l.standby == nil {
+		l.planner.Gone()
+		l.told, l.queued = append(l.told, l.queued...), nil
+		l.release()
+		return
+	}
+	s := l.standby
+	for _, g := range l.planner.Gone() {
+		l.removed = append(l.removed, proto.MirrorRun{Worker: g.Worker, Task: g.Task, Run: g.Run})
+	}
+	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed}
+	if msg.Full {
+		msg.Add, msg.Remove = l.allRuns(), nil
+	} else {
+		for _, o := range l.queued {
+			msg.Add = append(msg.Add, proto.MirrorRun{Worker: o.Worker, Task: o.Task, Run: o.Run})
+		}
+	}
+	if !msg.Full && len(msg.Add) == 0 {
+		return // What ended is told with the next starts.
+	}
+	starts := l.queued
+	l.queued, l.removed, l.mirroring = nil, nil, true
+	l.group.Go(func() { l.tellMirror(s, msg, starts) })
+}
+
+func (l *lead) tellMirror(s *standby, msg proto.Mirror, starts []proto.Order) {
+	ctx, cancel := context.WithTimeout(l.ctx, mirrorTime)
+	defer cancel()
+	var ack proto.MirrorAck
+	err := l.node.Peers.Ask(ctx, s.name, proto.KindMirror, msg, &ack)
+	l.post(func() {
+		l.mirroring = false
+		if err != nil || !ack.OK || l.standby != s {
+			l.queued = append(starts, l.queued...)
+			if l.standby == s {
+				l.dropStandby()
+			}
+			l.pump()
+			return
+		}
+		if !s.synced {
+			s.synced = true
+			signal(l.standbyCh)
+		}
+		l.told = append(l.told, starts...)
+		l.release()
+		l.pump()
+	})
+}
+
+// allRuns returns all runs that may exist, those of queued starts included.
+func (l *lead) allRuns() []proto.MirrorRun {
+	var out []proto.MirrorRun
+	for _, vm := range l.planner.Held() {
+		for _, r := range l.planner.RunsAt(vm.ID) {
+			out = append(out, proto.MirrorRun{Worker: vm.ID, Task: r.Task, Run: r.Run})
+		}
+	}
+	return out
+}
+
+// runStandby keeps the store's record of the standby true.
+func (l *lead) runStandby(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.standbyCh:
+		}
+		for ctx.Err() == nil {
+			done, err := l.nameStandby(ctx)
+			if err != nil {
+				l.node.Log.Info("standby not recorded", zap.Error(err))
+				pause(ctx, retryPause/3)
+			}
+			if done {
+				break
+			}
+		}
+	}
+}
+
+// nameStandby writes the record if it differs, and reports whether it is true now.
+func (l *lead) nameStandby(ctx context.Context) (bool, error) {
+	want := ""
+	same := true
+	if err := l.duty.Do(ctx, func() {
+		if l.standby != nil && l.standby.synced {
+			want = l.standby.name
+		}
+		same = want == l.named && !l.naming
+		if !same {
+			l.naming, l.namingTo = true, want
+		}
+	}); err != nil || same {
+		return true, nil // The lead is over, or nothing is to be written.
+	}
+	_, err := l.node.Table.Commit(ctx, winch.Txn{
+		Expect: map[string]uint64{keyOffice: l.revision},
+		Writes: []winch.Write{{Key: keyStandby, Data: encode(standbyRecord{Term: l.term, Name: want})}},
+	})
+	if err != nil {
+		return false, err
+	}
+	l.node.Log.Info("standby recorded", zap.String("standby", want))
+	return false, l.duty.Do(ctx, func() {
+		l.named, l.naming = want, false
+		l.release()
+		l.pump()
+	})
+}
--- a/region/node.go
+++ b/region/node.go
@@ -72,6 +72,7 @@
 	settings settings
 	accept   acceptor
 	keeper   *keep.Keeper
+	mirror   mirror
 	lead     atomic.Pointer[lead]
 	waiting  atomic.Pointer[waitingView]
 	heard    atomic.Int64 // heard is when the store last answered, in nanoseconds of started.
--- a/region/office.go
+++ b/region/office.go
@@ -47,14 +47,22 @@
 	return n.cell.read && n.cell.officeAt == 0 && !n.stopping.Load() && n.settings.config.Load() != nil
 }
 
-// rank is this entry's place among those that may take the office.
+// rank is this entry's place among those that may take the office: the standby
+// of the last planner first, then those with most processor.
 func (n *Node) rank() int {
-	for i, m := range n.cell.list() {
+	n.cell.mu.Lock()
+	second := n.cell.standby.Name
+	n.cell.mu.Unlock()
+	if second == n.Name {
+		return 0
+	}
+	list := n.cell.list()
+	for i, m := range list {
 		if m.Name == n.Name {
-			return i
+			return i + 1
 		}
 	}
-	return len(n.cell.list())
+	return len(list) + 1
 }
 
 // tryOffice takes the office if the store still finds it free, and serves as
@@ -68,11 +76,16 @@
 	}
 	n.cell.mu.Lock()
 	last, termAt := n.cell.term, n.cell.termAt
+	second, secondAt := n.cell.standby, n.cell.standbyAt
 	n.cell.mu.Unlock()
 	mine := office{Holder: n.Name, Term: last.Term + 1}
 	revision, err := n.Table.Commit(ctx, winch.Txn{
-		Expect: map[string]uint64{keyOffice: 0, keyTerm: termAt},
-		Writes: []winch.Write{{Key: keyOffice, Data: encode(mine), Lease: lease}, {Key: keyTerm, Data: encode(mine)}},
+		Expect: map[string]uint64{keyOffice: 0, keyTerm: termAt, keyStandby: secondAt},
+		Writes: []winch.Write{
+			{Key: keyOffice, Data: encode(mine), Lease: lease},
+			{Key: keyTerm, Data: encode(mine)},
+			{Key: keyStandby, Data: encode(standbyRecord{Term: mine.Term})},
+		},
 	})
 	if err != nil {
 		n.lostElection(ctx, err, lease)
@@ -82,6 +95,11 @@
 	n.cell.take(winch.Event{Value: winch.Value{Key: keyOffice, Data: encode(mine), Version: revision}})
 	n.cell.take(winch.Event{Value: winch.Value{Key: keyTerm, Data: encode(mine), Version: revision}})
 	l := newLead(n, mine.Term, revision, lease, sent.Add(officeTTL))
+	runs, whole := n.mirror.claim(mine.Term)
+	if whole && second.Term == last.Term && second.Name == n.Name {
+		n.Log.Info("taking over as standby", zap.Uint64("term", mine.Term), zap.Int("workers", len(runs)))
+		l.copied = runs
+	}
 	l.run(ctx)
 	n.lead.CompareAndSwap(l, nil)
 	n.Log.Info("office given up", zap.Uint64("term", mine.Term))
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -71,6 +71,7 @@
 			l.dropKeeper(p)
 		}
 	}
+	l.chooseStandby(live)
 	held := l.planner.Held()
 	l.want(held, live)
 	l.activate(held, live)
@@ -286,8 +287,8 @@
 			l.known(p.name, e)
 			continue
 		}
-		if l.keepers[e.Worker] != p.name {
-			continue
+		if l.keepers[e.Worker] != p.name || l.kept[e.Worker].Token != e.Token {
+			continue // The worker has been given to another keeper since, and perhaps back.
 		}
 		l.logEvent(e)
 		l.planner.Event(e)
@@ -319,13 +320,33 @@
 	l.reassign()
 }
 
-// dispatch sends the planner's orders to the keepers.
+// dispatch passes the planner's orders on: starts once the standby has heard of
+// them, the others at once.
 func (l *lead) dispatch() {
-	byKeeper := make(map[string]*proto.KeepOrders)
+	var now []proto.Order
 	for _, o := range l.planner.Orders() {
+		o.Token = l.kept[o.Worker].Token
+		if o.Kind == proto.OrderStart {
+			l.queued = append(l.queued, o)
+		} else {
+			now = append(now, o)
+		}
+	}
+	l.send(now)
+	if len(l.queued) > 0 {
+		l.pump()
+	}
+}
+
+// send sends orders to the keepers of their workers.
+func (l *lead) send(orders []proto.Order) {
+	byKeeper := make(map[string]*proto.KeepOrders)
+	for _, o := range orders {
 		name := l.keepers[o.Worker]
 		p := l.proxies[name]
-		if p == nil {
+		if p == nil || o.Token != l.kept[o.Worker].Token {
+			// The worker's lists come anew. If the start went out all the same, it could
+			// take effect after them and be taken for one that never was.
 			if o.Kind == proto.OrderStart {
 				l.planner.Event(proto.KeepEvent{
 					Kind: proto.EventNotStarted, Worker: o.Worker, Task: o.Task, Run: o.Run, Result: winch.StartRefused,
