Random faults of a whole region in fake time; the faults they found, mended

Found and mended, each with a test of its own: the keeper's and a worker's lock taken in both orders (an entry stood still for good); a start sent to a worker that had stopped answering prolonged its lease past the moment at which it counted as lost (two runs of one task); a hand-over waited for a write that hung.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -286,6 +286,14 @@
 // answered takes the lists of a worker.
 func (h *holder) answered(sent time.Time, answer winch.Holding) {
 	h.setClock(answer.Clock)
+	for _, e := range h.compareAll(sent, answer) {
+		h.emit(e)
+	}
+}
+
+// compareAll returns what the lists tell. Events are not emitted here: the
+// keeper's lock is never taken while the holder's is held.
+func (h *holder) compareAll(sent time.Time, answer winch.Holding) []proto.KeepEvent {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.silent = false
@@ -299,29 +307,30 @@
 		delete(h.runs, runKey{e.Task, e.Run})
 	}
 	if !h.listed {
-		h.first(answer, fresh)
-		return
+		return []proto.KeepEvent{h.first(answer, fresh)}
 	}
+	var out []proto.KeepEvent
 	if len(fresh) > 0 {
-		h.emit(proto.KeepEvent{Kind: proto.EventEnded, Ended: fresh})
+		out = append(out, proto.KeepEvent{Kind: proto.EventEnded, Ended: fresh})
 	}
-	h.compare(sent, answer)
-	h.look(answer.Running)
+	out = append(out, h.compare(sent, answer)...)
+	return append(out, h.look(answer.Running)...)
 }
 
 // first tells the first lists whole.
-func (h *holder) first(answer winch.Holding, ends []winch.Ended) {
+func (h *holder) first(answer winch.Holding, ends []winch.Ended) proto.KeepEvent {
 	h.listed = true
 	for _, r := range answer.Running {
 		h.runs[runKey{r.Task, r.Run}] = &known{acked: h.began}
 	}
-	h.emit(proto.KeepEvent{Kind: proto.EventListed, Running: answer.Running, Ended: ends})
+	return proto.KeepEvent{Kind: proto.EventListed, Running: answer.Running, Ended: ends}
 }
 
 // compare finds runs that the worker does not have any more, or has against
 // what is known. Only orders that were confirmed before the hold was sent count:
 // answers on different connections overtake each other.
-func (h *holder) compare(sent time.Time, answer winch.Holding) {
+func (h *holder) compare(sent time.Time, answer winch.Holding) []proto.KeepEvent {
+	var out []proto.KeepEvent
 	running := make(map[runKey]bool, len(answer.Running))
 	var found []winch.Running
 	for _, r := range answer.Running {
@@ -333,10 +342,10 @@
 		}
 	}
 	if len(found) > 0 {
-		h.emit(proto.KeepEvent{Kind: proto.EventFound, Running: found})
+		out = append(out, proto.KeepEvent{Kind: proto.EventFound, Running: found})
 	}
 	if len(answer.Ended) >= mostListed {
-		return
+		return out
 	}
 	for key, r := range h.runs {
 		if running[key] || r.acked.IsZero() || !r.acked.Before(sent) {
@@ -344,22 +353,23 @@
 		}
 		delete(h.runs, key)
 		if r.doubt {
-			h.emit(proto.KeepEvent{Kind: proto.EventNotStarted, Task: key.task, Run: key.run, Result: winch.StartUncertain})
+			out = append(out, proto.KeepEvent{Kind: proto.EventNotStarted, Task: key.task, Run: key.run, Result: winch.StartUncertain})
 			continue
 		}
 		h.keeper.count("Keep.Vanished")
-		h.emit(proto.KeepEvent{Kind: proto.EventVanished, Task: key.task, Run: key.run})
+		out = append(out, proto.KeepEvent{Kind: proto.EventVanished, Task: key.task, Run: key.run})
 	}
+	return out
 }
 
 // look tells how the runs go, not too often.
-func (h *holder) look(running []winch.Running) {
+func (h *holder) look(running []winch.Running) []proto.KeepEvent {
 	now := time.Now()
 	if len(running) == 0 || now.Sub(h.statusAt) < statusEvery {
-		return
+		return nil
 	}
 	h.statusAt = now
-	h.emit(proto.KeepEvent{Kind: proto.EventStatus, Running: running})
+	return []proto.KeepEvent{{Kind: proto.EventStatus, Running: running}}
 }
 
 func signal(ch chan struct{}) {
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -254,3 +254,46 @@
 		r.end(cancel)
 	})
 }
+
+// A session of a later planner begins while workers answer. Both sides take the
+// keeper's and a worker's lock; taken in different orders, the entry would stand
+// still for good and its workers' leases lapse.
+func TestSessionsBeginWhileWorkersAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		for i := range uint64(200) {
+			r.worker.mu.Lock()
+			r.worker.ended = []winch.Ended{{Number: i + 1, Task: oneTask, Run: i}}
+			r.worker.mu.Unlock()
+			time.Sleep(20 * time.Millisecond)
+			r.keeper.Set(proto.KeepSet{Session: proto.Session{Term: i + 2}, Authority: time.Second, Workers: []proto.Kept{{VM: winch.WorkerVM{ID: "w"}, Token: i + 6}}})
+		}
+		is.Equal(r.keeper.session.Term, uint64(201))
+		r.end(cancel)
+	})
+}
+
+// A worker stops answering, so its lease is about to count as lapsed, while a
+// start for it still waits. Sent now, the start would prolong the lease there:
+// the task would run on while it is started elsewhere.
+func TestNoStartAtASilentWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		time.Sleep(2 * time.Second)
+		r.worker.mu.Lock()
+		r.worker.silent = true
+		r.worker.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 3}}})
+		time.Sleep(time.Second)
+		r.worker.mu.Lock()
+		is.Equal(len(r.worker.running), 0)
+		r.worker.mu.Unlock()
+		is.Equal(r.count(proto.EventNotStarted), 1)
+		r.end(cancel)
+	})
+}
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -44,14 +44,11 @@
 func (h *holder) start(ctx context.Context, c command) {
 	key := runKey{c.Task, c.Run}
 	now := time.Now()
-	h.mu.Lock()
-	if h.closed {
-		h.mu.Unlock()
+	until, ok := h.mayStart(key, now)
+	if !ok {
+		h.emit(proto.KeepEvent{Kind: proto.EventNotStarted, Task: c.Task, Run: c.Run, Result: winch.StartRefused})
 		return
 	}
-	h.runs[key] = &known{}
-	until := h.clockNow(now) + startTime
-	h.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	result, clock := h.keeper.Runner.Start(callCtx, h.vm, winch.StartCall{
@@ -79,19 +76,34 @@
 	}
 }
 
+// mayStart notes a start that is about to be sent and returns until when it is
+// good at the worker. A start prolongs the lease there, so none is sent to a
+// worker that does not answer holds: it would run on after it counts as lost.
+func (h *holder) mayStart(key runKey, now time.Time) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed || h.silent || !h.listed {
+		return 0, false
+	}
+	h.runs[key] = &known{}
+	h.lapse = later(h.lapse, now.Add(surely(startTime)))
+	return h.clockNow(now) + startTime, true
+}
+
 // confirm notes that the worker has answered an order about a run.
 func (h *holder) confirm(key runKey, doubt bool) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	r := h.runs[key]
+	if r != nil {
+		r.acked = time.Now()
+		r.doubt = doubt
+	}
+	h.mu.Unlock()
 	if r == nil {
 		// Its end was listed already, or it is of an earlier session and was not
 		// listed in this one.
 		h.emit(proto.KeepEvent{Kind: proto.EventVanished, Task: key.task, Run: key.run})
-		return
 	}
-	r.acked = time.Now()
-	r.doubt = doubt
 }
 
 // stopUntilHeard stops a run, again and again until the worker has answered.
--- a/region/cell.go
+++ b/region/cell.go
@@ -185,11 +185,20 @@
 	}
 }
 
+// unlisted reports whether the entry's record is seen to be gone though its
+// lease goes on. Others would not know of the entry for good.
+func (n *Node) unlisted() bool {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	_, listed := n.cell.members[n.Host]
+	return n.cell.read && !listed && n.healthy()
+}
+
 // keepRecord renews the record's lease or writes the record, and returns the lease.
 func (n *Node) keepRecord(ctx context.Context, lease uint64) uint64 {
 	if lease != 0 {
 		err := n.Table.Keep(ctx, lease)
-		if !errors.Is(err, winch.ErrMissing) {
+		if !errors.Is(err, winch.ErrMissing) && !n.unlisted() {
 			return lease
 		}
 	}
--- /dev/null
+++ b/region/fault_test.go
@@ -0,0 +1,274 @@
+package region
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/winch"
+)
+
+func simPhase(count int, after ...int) winch.Phase {
+	return winch.Phase{Count: count, Need: winch.Room{Milli: simMilli}, Estimate: simWork, After: after}
+}
+
+// settle gives the entries time to find each other and to choose a planner.
+func settle() { time.Sleep(3 * time.Second) }
+
+// jobs hands some jobs in and returns their IDs.
+func (w *world) jobs(from, to int) []string {
+	var out []string
+	for i := from; i < to; i++ {
+		id := fmt.Sprintf("%016x", i)
+		out = append(out, id)
+		w.submit(id, simPhase(4), simPhase(3, 0))
+	}
+	return out
+}
+
+func (w *world) awaitAll(ids []string, limit time.Duration) {
+	for _, id := range ids {
+		w.await(id, limit)
+	}
+}
+
+// A region without faults: jobs that are accepted at any entry run and are
+// shown as done at any other.
+func TestCalmRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1, 3, 9)
+		settle()
+		ids := w.jobs(0, 10)
+		w.awaitAll(ids, 20*time.Second)
+		is.True(w.planner() != nil)
+		w.end()
+	})
+}
+
+// The planner is killed while work runs. Another takes over within two seconds
+// or so; what runs goes on, and no job is lost or run twice.
+func TestPlannerKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2, 3, 9)
+		settle()
+		ids := w.jobs(0, 8)
+		p := w.planner()
+		p.kill()
+		lost := time.Now()
+		for w.planner() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(lost) < 2*time.Second)
+		w.awaitAll(ids, 20*time.Second)
+		w.end()
+	})
+}
+
+// The planner's failure domain is cut off from the store and the other domains.
+// The standby takes over and knows what runs there, so jobs that were accepted
+// before go on at once in the other domains, and no task runs on both sides.
+func TestPlannerCutOffWithItsDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 3, 3, 9)
+		settle()
+		ids := w.jobs(0, 30)
+		p := w.planner()
+		w.mu.Lock()
+		w.cut[p.domain] = true
+		w.mu.Unlock()
+		cut := time.Now()
+		time.Sleep(4 * time.Second)
+		next := w.planner()
+		is.True(next != nil)
+		is.True(next.domain != p.domain)
+		var started int64
+		w.mu.Lock()
+		l := next.node.lead.Load()
+		w.mu.Unlock()
+		is.NoErr(l.duty.Do(w.ctx, func() { started = l.planner.Counts().Started }))
+		is.True(started > 0) // within the cut, long before the barrier
+		time.Sleep(8*time.Second - time.Since(cut))
+		w.mu.Lock()
+		w.cut[p.domain] = false
+		w.mu.Unlock()
+		w.awaitAll(ids, 30*time.Second)
+		w.end()
+	})
+}
+
+// All entries lose power at once and start again. Nothing that was accepted is
+// lost, and what still runs at the workers is found and not started again.
+func TestAllEntriesKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, 3, 9)
+		settle()
+		ids := w.jobs(0, 12)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		time.Sleep(time.Second)
+		for _, n := range w.nodes {
+			n.start()
+		}
+		w.awaitAll(ids, 30*time.Second)
+		w.end()
+	})
+}
+
+// A planned stop of the planner: the office changes hands at once, nothing that
+// runs is stopped and nothing waits.
+func TestPlannerStopsAsPlanned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 5, 3, 9)
+		settle()
+		ids := w.jobs(0, 8)
+		p := w.planner()
+		begin := time.Now()
+		p.stop()
+		for w.planner() == nil || w.planner() == p {
+			time.Sleep(5 * time.Millisecond)
+		}
+		is.True(time.Since(begin) < 500*time.Millisecond)
+		w.awaitAll(ids, 20*time.Second)
+		w.end()
+	})
+}
+
+// The store is down for some seconds while the answers to some writes are lost
+// before and after. Submissions are refused or uncertain meanwhile, and those
+// that were accepted are done exactly once.
+func TestStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6, 3, 9)
+		settle()
+		w.store.mu.Lock()
+		w.store.lossy = true
+		w.store.mu.Unlock()
+		ids := w.jobs(0, 8)
+		w.setDown(true)
+		time.Sleep(5 * time.Second)
+		w.setDown(false)
+		ids = append(ids, w.jobs(8, 12)...)
+		w.awaitAll(ids, 40*time.Second)
+		w.end()
+	})
+}
+
+func (w *world) setDown(down bool) {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	w.store.down = down
+}
+
+// randomFaults plays faults of all kinds, several at a time, and mends them.
+func (w *world) randomFaults(steps int) {
+	for range steps {
+		time.Sleep(time.Duration(300+w.intn(2000)) * time.Millisecond)
+		length := time.Duration(500+w.intn(7000)) * time.Millisecond
+		kind := w.intn(8)
+		w.log.note("fault %d for %v", kind, length)
+		switch kind {
+		case 0:
+			if p := w.planner(); p != nil {
+				w.restart(p, length/4)
+			}
+		case 1:
+			w.restart(w.anyNode(), length/4)
+		case 2:
+			for _, n := range w.nodes {
+				if w.intn(2) == 0 {
+					w.restart(n, length/4)
+				}
+			}
+		case 3:
+			domain := w.anyNode().domain
+			w.during(length, func(on bool) { w.cut[domain] = on })
+		case 4:
+			w.during(length, func(on bool) { w.setDown(on) })
+		case 5:
+			w.during(length, func(on bool) {
+				w.store.mu.Lock()
+				w.store.lossy = on
+				w.store.mu.Unlock()
+			})
+		case 6:
+			x := w.workers[fmt.Sprintf("w%d", w.intn(len(w.workers)))]
+			w.during(length, func(on bool) {
+				x.mu.Lock()
+				x.mute = on
+				x.mu.Unlock()
+			})
+		case 7:
+			if p := w.planner(); p != nil {
+				p.stop()
+				w.restart(p, length/4)
+			}
+		}
+	}
+}
+
+func (w *world) anyNode() *simNode {
+	return w.nodes[fmt.Sprintf("d%d-%d", w.intn(len(w.nodes)/perDomain), w.intn(perDomain))]
+}
+
+func (w *world) restart(n *simNode, after time.Duration) {
+	w.mu.Lock()
+	up := n.node != nil
+	w.mu.Unlock()
+	if !up {
+		return
+	}
+	n.kill()
+	w.group.Go(func() {
+		time.Sleep(after)
+		if w.ctx.Err() == nil {
+			n.start()
+		}
+	})
+}
+
+func (w *world) during(length time.Duration, set func(on bool)) {
+	w.mu.Lock()
+	set(true)
+	w.mu.Unlock()
+	w.group.Go(func() {
+		time.Sleep(length)
+		w.mu.Lock()
+		set(false)
+		w.mu.Unlock()
+	})
+}
+
+// The seeds of the random runs: more can be asked for by hand.
+var (
+	firstSeed = flag.Uint64("first", 0, "first seed of the random runs")
+	seeds     = flag.Uint64("seeds", 12, "number of seeds of the random runs")
+)
+
+// Faults of all kinds overlap: entries killed, domains cut off, the store down
+// or losing answers, workers that carry orders out without an answer. Afterwards
+// every accepted job ends, and at no time did a task run twice or a worker hold
+// more than its room.
+func TestRandomFaults(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, seed, 3, 9)
+				settle()
+				w.group.Go(func() { w.randomFaults(12) })
+				ids := w.jobs(0, 40)
+				time.Sleep(30 * time.Second)
+				w.awaitAll(ids, 60*time.Second)
+				w.end()
+			})
+		})
+	}
+}
--- a/region/lead.go
+++ b/region/lead.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -91,8 +90,8 @@
 	closed    bool
 	loaded    bool
 
-	// rosterMu guards rosterAt once the lead runs.
-	rosterMu sync.Mutex
+	// rosterTurn is held by whoever writes the roster; it guards rosterAt.
+	rosterTurn chan struct{}
 
 	pressing chan struct{}
 	unsaved  chan struct{}
@@ -109,7 +108,7 @@
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
 		standbyCh: make(chan struct{}, 1), tired: make(map[string]time.Time),
-		group: conc.NewWaitGroup(),
+		rosterTurn: make(chan struct{}, 1), group: conc.NewWaitGroup(),
 	}
 	v := newValidity(until)
 	l.valid.Store(&v)
--- a/region/record.go
+++ b/region/record.go
@@ -139,8 +139,12 @@
 }
 
 func (l *lead) writeRoster(ctx context.Context, workers map[string]rostered) error {
-	l.rosterMu.Lock()
-	defer l.rosterMu.Unlock()
+	select {
+	case l.rosterTurn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-l.rosterTurn }()
 	revision, err := l.node.Table.Commit(ctx, winch.Txn{
 		Expect: map[string]uint64{keyOffice: l.revision, keyRoster: l.rosterAt},
 		Writes: []winch.Write{{Key: keyRoster, Data: encode(roster{Workers: slices.Collect(maps.Values(workers))})}},
