--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -199,7 +199,9 @@
 	s := t.step
 	j := s.job
 	if j.state.Final() {
-		return false
+		// Until the job's end is recorded, a later planner would take this task for
+		// one that still has to run.
+		return true
 	}
 	switch e.Kind {
 	case winch.EndDone:
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -37,9 +37,9 @@
 	// Fresh is the revision after which an accepted job cannot have been started
 	// by an earlier planner.
 	Fresh uint64
-	// FreshFrom is when jobs that are heard of count as fresh: before it, an
-	// earlier planner may still believe that it holds the office.
-	FreshFrom time.Time
+	// KnownBefore, if it is set, leaves out jobs that were heard of later: this
+	// planner's office may have lapsed then, and a later planner starts them.
+	KnownBefore time.Time
 
 	jobs    map[string]*job
 	workers map[string]*worker
--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -316,3 +316,25 @@
 		is.Equal(len(c.planner.RunsAt(start.Worker)), 0)
 	})
 }
+
+// A job fails by its last attempt, and before that is recorded another of its
+// tasks ends well. The worker is not told to forget that end before the failure
+// is recorded: a planner that takes over in between would start the task again.
+func TestEndsOfAFailedJobWaitForItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, winch.Queue{Name: "once", Service: "render", Attempts: 1})
+		c.add("a", "once", "choir", tasks(2, 1000))
+		starts := c.step()
+		c.end(starts[0], winch.EndFailed)
+		c.planner.Orders() // the other task's stop comes too late
+		c.end(starts[1], winch.EndDone)
+		is.Equal(len(c.planner.RunsAt("w0")), 2)
+		is.Equal(len(c.planner.Orders()), 0)
+		c.record()
+		orders := c.planner.Orders()
+		is.Equal(len(orders), 1)
+		is.Equal(orders[0].Forget, uint64(2))
+		is.Equal(c.state("a"), winch.JobFailed)
+	})
+}
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -19,8 +19,9 @@
 	shown     winch.JobState
 	cancelled bool
 	begun     bool
-	// adopted says that an earlier planner may have started tasks of the job.
+	// adopted says that runs of an earlier planner were found.
 	adopted bool
+	heard   time.Time
 	ended   time.Time
 
 	// changes counts what is to be recorded, saved how much of it is.
@@ -99,7 +100,7 @@
 	}
 	j := &job{
 		rec: rec, queue: p.queues[rec.Queue], team: p.team(rec.Team), state: winch.JobQueued, shown: winch.JobQueued,
-		revision: revision, failed: make(map[string][]uint64), adopted: rec.Revision <= p.Fresh || time.Now().Before(p.FreshFrom),
+		revision: revision, failed: make(map[string][]uint64), heard: time.Now(),
 	}
 	p.jobs[rec.ID] = j
 	for k := range max(1, rec.Times) {
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -71,7 +71,7 @@
 	}
 	var waiting []entry
 	for _, j := range p.jobs {
-		if j.state.Final() || adopting && j.adopted {
+		if j.state.Final() || adopting && j.rec.Revision <= p.Fresh || !p.KnownBefore.IsZero() && j.heard.After(p.KnownBefore) {
 			continue
 		}
 		for _, s := range j.steps {
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -142,8 +142,8 @@
 	if len(p.roster) == 0 {
 		return false
 	}
-	if time.Now().Before(p.Barrier) {
-		return true
+	if time.Now().Before(p.Barrier) || !p.KnownBefore.IsZero() {
+		return true // Without the office, another planner may hold the workers.
 	}
 	for id := range p.roster {
 		p.Lost(id)
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -248,7 +248,11 @@
 		return true
 	case errors.Is(err, winch.ErrOtherBoot), lapsed:
 		h.keeper.Log.Info("worker lost", zap.String("worker", h.vm.ID), zap.Bool("lapsed", lapsed), zap.Error(err))
-		h.emit(proto.KeepEvent{Kind: proto.EventLost})
+		result := winch.StartOtherBoot
+		if lapsed {
+			result = winch.StartUncertain
+		}
+		h.emit(proto.KeepEvent{Kind: proto.EventLost, Result: result})
 		h.keeper.Runner.Drop(h.vm)
 		return true
 	}
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -64,7 +64,7 @@
 		h.keeper.Log.Info("start not answered", zap.String("job", c.Task.Job), zap.Any("task", c.Task), zap.Uint64("run", c.Run), zap.String("worker", h.vm.ID))
 		h.stopUntilHeard(ctx, key, true)
 	case winch.StartOtherBoot:
-		h.emit(proto.KeepEvent{Kind: proto.EventLost})
+		h.emit(proto.KeepEvent{Kind: proto.EventLost, Result: winch.StartOtherBoot})
 		h.cancel()
 	default:
 		h.mu.Lock()
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -113,8 +113,9 @@
 	EventVanished
 	// EventStatus: how the runs of a worker go.
 	EventStatus
-	// EventLost: the lease on everything at the worker has surely lapsed, or
-	// another boot has taken its place.
+	// EventLost: the lease on everything at the worker has surely lapsed unless
+	// another planner's keeper renews it, or, if Result says so, another boot has
+	// taken its place.
 	EventLost
 	// EventFenced: the worker knows a higher token.
 	EventFenced
--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"plantainwinch/coord/fleet"
 	"plantainwinch/winch"
 )
 
@@ -168,6 +169,29 @@
 	w.store.down = down
 }
 
+// The store is down, and nothing else. Work that was accepted before goes on:
+// its next phases start, through the same planner, until the store is back.
+func TestWorkGoesOnWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 7, 3, 3)
+		settle()
+		ids := w.jobs(0, 12)
+		p := w.planner()
+		l := p.node.lead.Load()
+		w.setDown(true)
+		time.Sleep(2 * time.Second) // the lease on the office has run out
+		var before, after fleet.Counts
+		is.NoErr(l.duty.Do(w.ctx, func() { before = l.planner.Counts() }))
+		time.Sleep(2 * time.Second)
+		is.NoErr(l.duty.Do(w.ctx, func() { after = l.planner.Counts() }))
+		is.True(after.Started > before.Started)
+		w.setDown(false)
+		w.awaitAll(ids, 40*time.Second)
+		w.end()
+	})
+}
+
 // randomFaults plays faults of all kinds, several at a time, and mends them.
 func (w *world) randomFaults(steps int) {
 	for range steps {
--- a/region/lead.go
+++ b/region/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,9 @@
 	returnTime = 2200 * time.Millisecond
 	// sweepEvery is how often the records of old jobs are removed.
 	sweepEvery = 5 * time.Second
+	// staleTime is how long a planner goes on that cannot renew its office. What it
+	// starts last still has a second to run before its keepers let go.
+	staleTime = keepGrace - 1500*time.Millisecond
 	// loadEvery is how often the region's load is logged.
 	loadEvery = time.Second
 )
@@ -112,9 +116,8 @@
 	}
 	v := newValidity(until)
 	l.valid.Store(&v)
-	now := time.Now()
-	l.planner.Barrier = now.Add(barrier())
-	l.planner.FreshFrom = now.Add(officeTTL)
+	l.planner.Barrier = time.Now().Add(barrier())
+	l.planner.Fresh = math.MaxUint64
 	l.planner.SetConfig(n.Config())
 	return l
 }
@@ -134,13 +137,18 @@
 	defer l.cancel()
 	l.timer = time.NewTimer(idleTime)
 	l.group.Go(func() { l.renew(l.ctx) })
-	l.node.lead.Store(l)
 	if l.load(l.ctx) {
-		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep, l.runLoad, l.runStandby} {
+		// Others are answered from here on: a question that came during the reading
+		// would have to wait for it.
+		l.node.lead.Store(l)
+		if l.node.stopping.Load() {
+			l.group.Go(func() { l.handOver(l.ctx) })
+		}
+		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep, l.runLoad, l.runStandby, l.runFresh} {
 			l.group.Go(func() { f(l.ctx) })
 		}
-		l.duty.Every(l.ctx, l.timer.C, l.decide)
 	}
+	l.duty.Every(l.ctx, l.timer.C, l.decide) // It ends at once if nothing was read.
 	l.cancel()
 	l.node.lead.CompareAndSwap(l, nil)
 	l.group.Wait()
@@ -214,16 +222,33 @@
 		l.planner.SetRoster(ids)
 		l.rosterAt = v.Version
 	}
-	values, asOf, err := l.node.Table.Read(ctx, prefixJobs)
+	values, _, err = l.node.Table.Read(ctx, prefixJobs)
 	if err != nil {
 		return err
 	}
-	l.planner.Fresh = asOf
 	l.takeJobs(values)
 	l.settle()
 	return nil
 }
 
+// runFresh learns the revision after which no earlier planner can have started
+// an accepted job: one whose lease the store has ended may believe for a whole
+// lease more that it holds the office.
+func (l *lead) runFresh(ctx context.Context) {
+	pause(ctx, officeTTL)
+	for ctx.Err() == nil {
+		_, asOf, err := l.node.Table.Read(ctx, keyTerm)
+		if err == nil {
+			l.post(func() {
+				l.planner.Fresh = asOf
+				l.wake()
+			})
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
 // settle takes over what is known of the workers of an earlier planner: this
 // entry was its standby, or it recorded what ran when it handed the office over.
 func (l *lead) settle() {
@@ -313,7 +338,7 @@
 func (l *lead) state(ctx context.Context, id string) proto.StateGive {
 	var give proto.StateGive
 	_ = l.duty.Do(ctx, func() {
-		if l.valid.Load().left() > 0 {
+		if l.valid.Load().left() > -staleTime {
 			give.State, give.Known = l.planner.State(id)
 		}
 	}) // Without an answer the store is asked.
@@ -336,7 +361,7 @@
 	if l.standby == nil && !l.closed {
 		l.chooseStandby(l.live())
 	}
-	if !l.closed && l.valid.Load().left() > 0 {
+	if !l.closed && l.mayStart() {
 		l.planner.Schedule()
 	}
 	l.dispatch()
@@ -344,6 +369,21 @@
 	l.save()
 }
 
+// mayStart reports whether work may be started, and which. While the store does
+// not answer, nobody else can take the office there either, or takes it as
+// standby, and then this planner's starts get no answer of it. So it goes on for
+// a while, with the jobs that it knew while the office surely was its own; what
+// it starts has ended before another planner may start the same.
+func (l *lead) mayStart() bool {
+	left := l.valid.Load().left()
+	l.planner.KnownBefore = time.Time{}
+	if left > 0 {
+		return true
+	}
+	l.planner.KnownBefore = time.Now().Add(left)
+	return left > -staleTime && l.standby != nil && l.standby.synced
+}
+
 // save has changed records written.
 func (l *lead) save() {
 	switch {
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -291,6 +291,12 @@
 			continue // The worker has been given to another keeper since, and perhaps back.
 		}
 		l.logEvent(e)
+		if e.Kind == proto.EventLost && e.Result != winch.StartOtherBoot && l.valid.Load().left() <= 0 {
+			// Another planner may hold the worker by now, and its work may go on.
+			l.planner.Unready([]string{e.Worker})
+			l.lostWorker(e.Worker)
+			continue
+		}
 		l.planner.Event(e)
 		switch e.Kind {
 		case proto.EventFenced:
