--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -12,6 +12,12 @@
 	// not kept free any more. Urgent jobs run for seconds and come in waves of some
 	// ten seconds; room kept free for much longer than that would stand idle.
 	peakHalf = 6 * time.Second
+	// regionPart is the most of the region's room that is kept free for urgent work:
+	// one team that sends many times its usual would else keep all other work
+	// waiting beside idle machines. Of its own limit a team's urgent work may have
+	// all kept free: long work started there delays the next burst by seconds.
+	regionPart = 0.5
+	teamPart   = 1.0
 )
 
 // demand is how much urgent work a team, or the region, has lately wanted to
@@ -43,15 +49,19 @@
 	}
 }
 
-// reserve is what is to be left free.
-func (d *demand) reserve() winch.Room {
+// reserve is what is to be left free of a limit or of all room, at most a part.
+func (d *demand) reserve(whole winch.Room, part float64) winch.Room {
 	return winch.Room{
-		Milli:        max(0, d.peak.Milli-d.used.Milli),
-		Memory:       max(0, d.peak.Memory-d.used.Memory),
-		Accelerators: max(0, d.peak.Accelerators-d.used.Accelerators),
+		Milli:        max(0, min(d.peak.Milli, share(whole.Milli, part))-d.used.Milli),
+		Memory:       max(0, min(d.peak.Memory, share(whole.Memory, part))-d.used.Memory),
+		Accelerators: max(0, min(d.peak.Accelerators, share(whole.Accelerators, part))-d.used.Accelerators),
 	}
 }
 
+func share[T ~int | ~int64](whole T, part float64) T {
+	return T(part * float64(whole))
+}
+
 func (j *job) urgent() bool {
 	return j.queue != nil && j.queue.Priority == 0
 }
--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -167,7 +167,7 @@
 		}
 		time.Sleep(time.Second)
 		c.add("b", "mix", "choir", tasks(20, 1000))
-		is.Equal(len(c.step()), 6) // four processors are kept free, a little less as time passes
+		is.Equal(len(c.step()), 6) // what urgent work lately had is kept free
 		c.add("c", "preview", "choir", tasks(3, 1000))
 		is.Equal(len(c.step()), 3)
 		is.True(c.planner.teams["choir"].used.Milli <= 10000)
@@ -338,3 +338,20 @@
 		is.Equal(c.state("a"), winch.JobFailed)
 	})
 }
+
+// One team sends many times its usual in urgent work, and then stops. What it
+// wanted is far more than all machines have; if that much were kept free, the
+// other teams' work would wait beside idle machines for half a minute.
+func TestHotTeamDoesNotKeepTheRegionIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 4, urgentQueue(), usualQueue())
+		c.planner.teams["choir"].Cap = winch.Room{Milli: 8000}
+		c.add("a", "preview", "choir", tasks(300, 1000))
+		is.Equal(len(c.step()), 8)
+		c.planner.Cancel("a")
+		c.step()
+		c.add("b", "mix", "duct", tasks(60, 1000))
+		is.True(len(c.step()) >= 32) // of 64 processors
+	})
+}
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -160,16 +160,18 @@
 	if s.job.urgent() || s.spec.Lasting {
 		return true
 	}
-	if !s.job.team.allows(s.spec.Need.Add(s.job.team.urgent.reserve())) {
+	t := s.job.team
+	if !t.allows(s.spec.Need.Add(t.urgent.reserve(t.Cap, teamPart))) {
 		return false
 	}
-	var free winch.Room
+	var free, all winch.Room
 	for _, w := range p.workers {
 		if w.usable() {
 			free = free.Add(w.free())
+			all = all.Add(w.vm.Room)
 		}
 	}
-	return s.spec.Fills || s.spec.Need.Add(p.urgent.reserve()).Fits(free)
+	return s.spec.Fills || s.spec.Need.Add(p.urgent.reserve(all, regionPart)).Fits(free)
 }
 
 // candidates returns the workers that may run the step now, whatever their room.
