--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -140,7 +141,7 @@
 		caughtUp := h.forget >= h.lastEnd
 		h.mu.Unlock()
 		if caughtUp {
-			signal(h.recorded)
+			duty.Signal(h.recorded)
 		}
 		return
 	case proto.OrderLook:
@@ -175,7 +176,7 @@
 	for ctx.Err() == nil {
 		if h.keeper.authority() <= 0 {
 			// Nothing may be kept without the planner; a new one sets new holders.
-			pause(ctx, retryPause)
+			duty.Pause(ctx, retryPause)
 			continue
 		}
 		sent := time.Now()
@@ -191,13 +192,13 @@
 		if h.over(err) {
 			return
 		}
-		pause(ctx, retryPause)
+		duty.Pause(ctx, retryPause)
 	}
 }
 
 // waitRecorded waits until the ends that were told are recorded, not for long.
 func (h *holder) waitRecorded(ctx context.Context) {
-	pause(ctx, holdPause)
+	duty.Pause(ctx, holdPause)
 	h.mu.Lock()
 	behind := h.forget < h.lastEnd
 	h.mu.Unlock()
@@ -375,19 +376,3 @@
 	h.statusAt = now
 	return []proto.KeepEvent{{Kind: proto.EventStatus, Running: running}}
 }
-
-func signal(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -202,7 +203,7 @@
 		return
 	}
 	k.events = append(k.events, events...)
-	signal(k.wake)
+	duty.Signal(k.wake)
 }
 
 // authority returns how long the keeper may still keep what runs.
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -122,6 +123,6 @@
 			return // The next hold learns the same and tells it.
 		}
 		h.keeper.count("Keep.StopFailed")
-		pause(ctx, retryPause)
+		duty.Pause(ctx, retryPause)
 	}
 }
--- a/region/cell.go
+++ b/region/cell.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/winch"
 )
 
@@ -141,7 +142,7 @@
 		if after == 0 {
 			values, asOf, err := n.Table.Read(ctx, prefix)
 			if err != nil {
-				pause(ctx, retryPause)
+				duty.Pause(ctx, retryPause)
 				continue
 			}
 			all(values)
@@ -153,14 +154,14 @@
 			n.Log.Info("history is gone, reading anew", zap.String("prefix", prefix), zap.Uint64("after", after))
 			after = 0
 		case err != nil:
-			pause(ctx, retryPause)
+			duty.Pause(ctx, retryPause)
 		default:
 			after = max(after, next)
 			if len(events) > 0 {
 				changes(events)
 			}
 			if pace.gap > 0 {
-				pause(ctx, pace.gap)
+				duty.Pause(ctx, pace.gap)
 			}
 		}
 	}
@@ -181,7 +182,7 @@
 			was = now
 			n.Log.Info("store", zap.Bool("answers", now))
 		}
-		pause(ctx, nodeRenew)
+		duty.Pause(ctx, nodeRenew)
 	}
 }
 
--- a/region/lead.go
+++ b/region/lead.go
@@ -170,7 +170,7 @@
 			l.node.Log.Info("office lost", zap.Uint64("term", l.term))
 			return
 		}
-		pause(ctx, officeRenew)
+		duty.Pause(ctx, officeRenew)
 	}
 }
 
@@ -197,7 +197,7 @@
 			return true
 		}
 		l.node.Log.Info("records cannot be read yet", zap.Error(err))
-		pause(ctx, retryPause)
+		duty.Pause(ctx, retryPause)
 	}
 	return false
 }
@@ -235,7 +235,7 @@
 // an accepted job: one whose lease the store has ended may believe for a whole
 // lease more that it holds the office.
 func (l *lead) runFresh(ctx context.Context) {
-	pause(ctx, officeTTL)
+	duty.Pause(ctx, officeTTL)
 	for ctx.Err() == nil {
 		_, asOf, err := l.node.Table.Read(ctx, keyTerm)
 		if err == nil {
@@ -245,7 +245,7 @@
 			})
 			return
 		}
-		pause(ctx, retryPause)
+		duty.Pause(ctx, retryPause)
 	}
 }
 
@@ -388,16 +388,9 @@
 func (l *lead) save() {
 	switch {
 	case l.planner.Pressing():
-		signal(l.pressing)
+		duty.Signal(l.pressing)
 	case l.planner.Unsaved():
-		signal(l.unsaved)
-	}
-}
-
-func signal(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
+		duty.Signal(l.unsaved)
 	}
 }
 
@@ -411,7 +404,7 @@
 				_ = l.node.Peers.Tell(name, proto.KindWaiting, msg) // A peer that hears nothing says that it does not know.
 			}
 		}
-		pause(ctx, waitingEvery)
+		duty.Pause(ctx, waitingEvery)
 	}
 }
 
@@ -427,7 +420,7 @@
 			zap.Int64("memory", int64(load.Room.Memory>>20)), zap.Int64("memoryUsed", int64(load.Used.Memory>>20)),
 			zap.Int("workers", load.Workers), zap.Int("usable", load.Usable), zap.Int("running", load.Running),
 			zap.Any("waiting", load.Waiting), zap.Int("capped", load.Capped), zap.Int64("filling", load.Filling), zap.Int("asks", asks))
-		pause(ctx, loadEvery)
+		duty.Pause(ctx, loadEvery)
 	}
 }
 
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -129,7 +130,7 @@
 	l.removed = nil
 	l.queued = append(l.told, l.queued...)
 	l.told = nil
-	signal(l.standbyCh)
+	duty.Signal(l.standbyCh)
 }
 
 // released reports whether starts may go out that the standby has heard of: the
@@ -200,7 +201,7 @@
 		}
 		if !s.synced {
 			s.synced = true
-			signal(l.standbyCh)
+			duty.Signal(l.standbyCh)
 		}
 		l.told = append(l.told, starts...)
 		l.release()
@@ -231,7 +232,7 @@
 			done, err := l.nameStandby(ctx)
 			if err != nil {
 				l.node.Log.Info("standby not recorded", zap.Error(err))
-				pause(ctx, retryPause/3)
+				duty.Pause(ctx, retryPause/3)
 			}
 			if done {
 				break
--- a/region/node.go
+++ b/region/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/keep"
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -107,10 +108,10 @@
 // Run serves until ctx ends. Stop should have been called before.
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
-	for _, duty := range []func(context.Context){
+	for _, run := range []func(context.Context){
 		n.keeper.Run, n.runNode, n.runCell, n.settings.run, n.accept.run, n.runOffice,
 	} {
-		group.Go(func() { duty(ctx) })
+		group.Go(func() { run(ctx) })
 	}
 	group.Wait()
 }
@@ -127,10 +128,7 @@
 }
 
 func (n *Node) wakeOffice() {
-	select {
-	case n.changed <- struct{}{}:
-	default:
-	}
+	duty.Signal(n.changed)
 }
 
 // Ready implements winch.Region.
@@ -153,15 +151,6 @@
 	return proto.KindSettings, n.settings.message()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // LinkChanged takes note that a link to a peer stands or has broken.
 func (n *Node) LinkChanged() {
 	if l := n.lead.Load(); l != nil {
--- a/region/office.go
+++ b/region/office.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/winch"
 )
 
@@ -25,7 +26,7 @@
 func (n *Node) runOffice(ctx context.Context) {
 	for ctx.Err() == nil {
 		if n.mayTake() {
-			pause(ctx, time.Duration(n.rank())*rankDelay)
+			duty.Pause(ctx, time.Duration(n.rank())*rankDelay)
 			if n.mayTake() {
 				n.tryOffice(ctx)
 			}
@@ -71,7 +72,7 @@
 	sent := time.Now()
 	lease, err := n.Table.Lease(ctx, officeTTL)
 	if err != nil {
-		pause(ctx, retryPause)
+		duty.Pause(ctx, retryPause)
 		return
 	}
 	n.cell.mu.Lock()
@@ -119,7 +120,7 @@
 		}
 	}
 	if err := n.Table.End(ctx, lease); err != nil {
-		pause(ctx, retryPause)
+		duty.Pause(ctx, retryPause)
 	}
 }
 
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -10,6 +10,7 @@
 
 	"plantainwinch/coord/fleet"
 	"plantainwinch/coord/lanes"
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -102,7 +103,7 @@
 	}
 	l.wanted = wanted
 	if !maps.EqualFunc(wanted, l.roster, func(a, b rostered) bool { return a.Keeper == b.Keeper && a.VM.Born == b.VM.Born }) {
-		signal(l.rosterCh)
+		duty.Signal(l.rosterCh)
 	}
 }
 
@@ -244,7 +245,7 @@
 func (l *lead) rest(name string) {
 	l.resting[name] = true
 	l.group.Go(func() {
-		pause(l.ctx, keeperRest)
+		duty.Pause(l.ctx, keeperRest)
 		l.post(func() {
 			delete(l.resting, name)
 			l.reassign()
--- a/region/record.go
+++ b/region/record.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/fleet"
+	"plantainwinch/duty"
 	"plantainwinch/winch"
 )
 
@@ -81,7 +82,7 @@
 	})
 	if err != nil {
 		l.node.Log.Info("records not written", zap.Int("count", len(batch)), zap.Error(err))
-		pause(ctx, retryPause/3)
+		duty.Pause(ctx, retryPause/3)
 	}
 	return err == nil
 }
@@ -89,7 +90,7 @@
 // runSweep removes the records of jobs that ended long ago.
 func (l *lead) runSweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, sweepEvery)
+		duty.Pause(ctx, sweepEvery)
 		var ids []string
 		if l.duty.Do(ctx, func() { ids = l.planner.Expired(time.Now().Add(-l.node.Timing.Keep)) }) != nil || len(ids) == 0 {
 			continue
@@ -127,8 +128,8 @@
 		}
 		if err := l.writeRoster(ctx, wanted); err != nil {
 			l.node.Log.Info("roster not written", zap.Error(err))
-			pause(ctx, retryPause)
-			signal(l.rosterCh)
+			duty.Pause(ctx, retryPause)
+			duty.Signal(l.rosterCh)
 			continue
 		}
 		l.post(func() {
