Fields that were only written are gone

Found by reading the whole change: lead.loaded, advice.asked, task.since. No behaviour changes; vet, lint and the tests of region, fleet and keep pass.

--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -31,7 +31,6 @@
 	allowed map[string]permit
 	denied  map[string]bool
 	asking  bool
-	asked   time.Time
 	retry   time.Time
 }
 
@@ -70,7 +69,6 @@
 		return
 	}
 	s.known.asking = true
-	s.known.asked = now
 	p.counts.Asked++
 	p.asks = append(p.asks, Ask{
 		Phase: s.id(), Workers: ids, Urgent: s.job.queue.Priority == 0, Rank: float64(r.class)*1e6 + r.key,
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -66,8 +66,6 @@
 	checkpoint string
 	// avoid names the worker at which the task failed last.
 	avoid string
-	// since is when the task last began to wait.
-	since time.Time
 }
 
 func (t *task) id() winch.RunID {
@@ -124,7 +122,7 @@
 			s.after = append(s.after, j.steps[first+a])
 		}
 		for index := range s.spec.Count {
-			s.tasks = append(s.tasks, &task{step: s, index: index, since: time.Now()})
+			s.tasks = append(s.tasks, &task{step: s, index: index})
 		}
 		s.waiting = len(s.tasks)
 		j.steps = append(j.steps, s)
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -250,9 +250,6 @@
 	p.watch(w)
 	r.team.used = r.team.used.Sub(r.need)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(x *run) bool { return x == r })
-	if r.task.wanted() == nil {
-		r.task.since = time.Now()
-	}
 	r.task.recount()
 }
 
--- a/region/lead.go
+++ b/region/lead.go
@@ -92,7 +92,6 @@
 	copied    map[string][]winch.Running // copied is what this entry knew as standby.
 	armed     bool
 	closed    bool
-	loaded    bool
 
 	// rosterTurn is held by whoever writes the roster; it guards rosterAt.
 	rosterTurn chan struct{}
@@ -193,7 +192,6 @@
 	for ctx.Err() == nil {
 		err := l.readAll(ctx)
 		if err == nil {
-			l.loaded = true
 			return true
 		}
 		l.node.Log.Info("records cannot be read yet", zap.Error(err))
