A start refused after its job's end is not tried again; ends of an earlier placer free no unit

Cause of TestChaos failing and not ending, two faults of the cell's planner: - A worker lists an end that the earlier placer had taken note of and whose unit it had used again. Adopting that end charged and returned a unit, so that the row counted one unit more than was free: a team ran 1 to 3 over its limit. - A start refused after its job had ended or was cancelled put the task back into the queue. Ruled out: the split of units itself (quota's random runs), a worker that answers an older epoch's poll (it checks the epoch at each wake). Both have a test in coord/place that fails without the change.

--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -25,10 +25,15 @@
 			have.doubt = false
 			continue
 		}
-		if t.State == winch.TaskRunning && !p.adopt(n, t, now) {
-			p.holdForeign(n, t)
-			out = append(out, Decision{Action: Stop, Task: t, VM: n.vm})
+		if t.State != winch.TaskRunning {
+			continue
+		}
+		if p.adopt(n, t, now) != nil {
+			p.Limits.Charge(t.Team, 1)
+			continue
 		}
+		p.holdForeign(n, t)
+		out = append(out, Decision{Action: Stop, Task: t, VM: n.vm})
 	}
 	return out
 }
@@ -88,23 +93,23 @@
 	return p.Ended(vmID, winch.Task{ID: a.Task, Attempt: a.Number, State: winch.TaskStopped}, now)
 }
 
-// adopt takes a task over that an earlier placer started.
-func (p *Planner) adopt(n *node, t winch.Task, now time.Time) bool {
+// adopt takes a task over that an earlier placer started, or returns nil. The
+// caller takes a unit for it, or marks it as unpaid.
+func (p *Planner) adopt(n *node, t winch.Task, now time.Time) *placed {
 	j := p.jobs[t.ID.Job]
 	if j == nil || j.running[t.ID.Index] != nil || !t.Need.Fits(n.free) {
-		return false
+		return nil
 	}
 	at := slices.Index(j.pending, t.ID.Index)
 	if at < 0 {
-		return false
+		return nil
 	}
 	p.queue.remove(j)
 	j.pending = slices.Delete(j.pending, at, at+1)
-	p.Limits.Charge(j.rec.Team, 1)
 	adopted := p.commit(j, t.ID.Index, n, now)
 	adopted.attempt, adopted.confirmed = t.Attempt, true
 	p.push(j)
-	return true
+	return adopted
 }
 
 // OpenBarrier tells that every worker has answered under the current epoch, or
--- a/coord/place/ended.go
+++ b/coord/place/ended.go
@@ -26,6 +26,13 @@
 	j, n := t.job, t.node
 	p.free(t)
 	p.failedOn(n, j, now)
+	if j.rec.State.Final() {
+		return nil // Queued again, it would be started although its job is over.
+	}
+	if j.rec.Cancel {
+		p.cancelled(j)
+		return nil
+	}
 	p.delay(j, now)
 	p.requeue(j, id.Index)
 	if !j.gang() {
@@ -89,15 +96,19 @@
 }
 
 // endedBefore takes in a task that an earlier placer started and that ended
-// before this one knew of it.
+// before this one knew of it. The earlier placer may have given its unit back and
+// used it for another task already: giving it back again would let the team run
+// more than its limit.
 func (p *Planner) endedBefore(vmID string, task winch.Task, now time.Time) []Decision {
 	n, j := p.nodes[vmID], p.jobs[task.ID.Job]
 	if n == nil || j == nil || task.State == winch.TaskStopped || !j.need.Fits(n.free) {
 		return nil
 	}
-	if !p.adopt(n, task, now) {
+	t := p.adopt(n, task, now)
+	if t == nil {
 		return nil
 	}
+	t.unpaid = true
 	return p.Ended(vmID, task, now)
 }
 
@@ -185,9 +196,7 @@
 // worker, or stopped by request. Only a repeatable one may run again.
 func (p *Planner) stopped(j *job, t *placed, now time.Time) []Decision {
 	if j.rec.Cancel {
-		if len(j.running) == 0 {
-			p.finish(j, winch.JobCancelled, winch.Cancelled, "")
-		}
+		p.cancelled(j)
 		return nil
 	}
 	if !j.class.Repeatable {
@@ -205,6 +214,13 @@
 	return nil
 }
 
+// cancelled ends a job whose cancel was asked for, once nothing of it runs.
+func (p *Planner) cancelled(j *job) {
+	if len(j.running) == 0 {
+		p.finish(j, winch.JobCancelled, winch.Cancelled, "")
+	}
+}
+
 // finish ends a job. Tasks of it that still run were told to stop; they keep
 // their room until they have.
 func (p *Planner) finish(j *job, state winch.JobState, reason winch.Reason, detail string) {
--- a/coord/place/index.go
+++ b/coord/place/index.go
@@ -43,6 +43,8 @@
 	doubt bool
 	// stopping says that it was told to stop for another task's sake or by its caller.
 	stopping bool
+	// unpaid says that no unit of the team's limit was taken for it.
+	unpaid bool
 }
 
 // index finds workers by free processors. Workers with accelerators are kept
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -37,6 +37,8 @@
 type purse struct {
 	limit map[string]int
 	used  map[string]int
+	// returned counts the units that were given back.
+	returned int
 }
 
 func (p *purse) TryTake(team string, n int) bool {
@@ -49,7 +51,10 @@
 
 func (p *purse) Charge(team string, n int) { p.used[team] += n }
 
-func (p *purse) Return(team string, n int) { p.used[team] -= n }
+func (p *purse) Return(team string, n int) {
+	p.used[team] -= n
+	p.returned += n
+}
 
 // rig drives a planner with workers that do what they are told.
 type rig struct {
@@ -233,6 +238,63 @@
 	is.Equal(r.count("j"), 1)
 }
 
+// The earlier placer took note of a task's end, gave its unit back and started
+// another task with it. Then it died, before the first task's end was recorded,
+// so the worker lists that end to its successor. If that gave the unit back once
+// more, the team would run one task more than its limit.
+func TestEndOfEarlierPlacerFreesNoUnit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(0, eight)
+	r.SetVM(winch.VM{ID: "w0", Size: eight})
+	r.Submit(winch.Job{
+		ID: "j", Team: "choir", State: winch.JobQueued, Submitted: r.now,
+		Spec: winch.JobSpec{Kind: winch.Batch, Tasks: 3, Need: winch.Resources{Processors: 1, Memory: 1}},
+	}, mix, true, r.now)
+	task := func(index int, state winch.TaskState) winch.Task {
+		return winch.Task{ID: winch.TaskID{Job: "j", Index: index}, Team: "choir", Attempt: 1, Need: winch.Resources{Processors: 1, Memory: 1}, State: state}
+	}
+	r.purse.limit["choir"] = 1
+	r.Ended("w0", task(0, winch.TaskDone), r.now)
+	is.Equal(r.purse.returned, 0)
+	r.Known("w0", []winch.Task{task(1, winch.TaskRunning)}, r.now)
+	is.Equal(r.purse.used["choir"], 1)
+	r.OpenBarrier()
+	r.plan()
+	is.Equal(r.count("j"), 0) // The limit is reached by the task that runs.
+	r.Ended("w0", task(1, winch.TaskDone), r.now)
+	is.Equal(r.purse.returned, 1)
+	r.plan()
+	is.Equal(r.count("j"), 1)
+}
+
+// A job ends, or is cancelled, while a start of it is still under way, and the
+// worker then refuses that start. Nothing of the job may be started again; its
+// caller has been told that it is over.
+func TestStartRefusedAfterTheEnd(t *testing.T) {
+	for _, end := range []string{"cancelled", "failed"} {
+		t.Run(end, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(2, eight)
+			r.submit("gang", "choir", billed, winch.Gang, 2, 8, time.Minute)
+			out := r.Plan(r.now, 10)
+			is.Equal(len(out), 2)
+			if end == "cancelled" {
+				r.Cancel("gang")
+			} else {
+				r.Ended(out[1].VM.ID, winch.Task{ID: out[1].Task.ID, State: winch.TaskFailed}, r.now)
+			}
+			r.Refused(out[0].Task.ID, r.now)
+			if end == "cancelled" {
+				r.Refused(out[1].Task.ID, r.now)
+			}
+			r.now = r.now.Add(time.Minute)
+			is.Equal(len(r.Plan(r.now, 10)), 0)
+			r.collect()
+			is.True(r.finals["gang"].State.Final())
+		})
+	}
+}
+
 // Some of a gang's tasks have ended when a worker with others is lost. What is
 // left starts again together; it must not be forgotten.
 func TestGangPartEnded(t *testing.T) {
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -260,7 +260,9 @@
 	delete(t.node.tasks, t.id)
 	p.index.charge(t.node, winch.Resources{}.Sub(j.need))
 	p.used[j.rec.Team] = p.used[j.rec.Team].Sub(j.need)
-	p.Limits.Return(j.rec.Team, 1)
+	if !t.unpaid {
+		p.Limits.Return(j.rec.Team, 1)
+	}
 }
 
 func (p *Planner) find(id winch.TaskID) *placed {
@@ -291,9 +293,7 @@
 	p.queue.remove(j)
 	j.pending = nil
 	out := p.takeBack(j)
-	if len(j.running) == 0 {
-		p.finish(j, winch.JobCancelled, winch.Cancelled, "")
-	}
+	p.cancelled(j)
 	return out, true
 }
 
