--- a/coord/office/attend.go
+++ b/coord/office/attend.go
@@ -183,7 +183,7 @@
 			t.State = winch.TaskStopped
 			s.carryOut(s.Planner.Ended(v.vm.ID, t, time.Now()))
 		default:
-			s.carryOut(s.Planner.Refused(t.ID, time.Now()))
+			s.carryOut(s.Planner.Refused(t.Ref(), time.Now()))
 		}
 		s.Wake()
 	})
--- a/coord/office/session.go
+++ b/coord/office/session.go
@@ -316,8 +316,10 @@
 	if err == nil && !s.mayAct() {
 		err = winch.ErrRefused
 	}
+	if err == nil && !s.stands(ctx, d) {
+		return
+	}
 	if err == nil {
-		_ = s.Duty.Do(ctx, func() { s.touch(d.VM.ID) })
 		err = s.Worker.Start(ctx, d.VM, s.term.epoch, d.Task, s.TaskLease)
 	}
 	s.heard(err)
@@ -327,6 +329,18 @@
 	})
 }
 
+// stands reports whether a start is still wanted, and notes that its worker is
+// called. Writing the intent can take as long as the store is away; a worker that
+// was silent as well may have been given up by then. Started there all the same,
+// the task would run beside its next attempt, and beyond its team's limit.
+func (s *session) stands(ctx context.Context, d place.Decision) (ok bool) {
+	_ = s.Duty.Do(ctx, func() {
+		ok = s.Planner.Stands(d.Task.Ref())
+		s.touch(d.VM.ID)
+	})
+	return ok
+}
+
 func (s *session) intent(ctx context.Context, d place.Decision) error {
 	if d.Repeatable {
 		return nil
@@ -353,13 +367,13 @@
 func (s *session) started(d place.Decision, err error) {
 	switch {
 	case err == nil:
-		s.Planner.Confirmed(d.Task.ID)
+		s.Planner.Confirmed(d.Task.Ref())
 		metrics.GetOrRegisterCounter("Office.Starts", s.Metrics).Inc(1)
 	case errors.Is(err, winch.ErrRefused) || errors.Is(err, winch.ErrFenced):
-		s.carryOut(s.Planner.Refused(d.Task.ID, time.Now()))
+		s.carryOut(s.Planner.Refused(d.Task.Ref(), time.Now()))
 		s.Wake()
 	default:
-		s.Planner.Doubt(d.Task.ID)
+		s.Planner.Doubt(d.Task.Ref())
 		if v := s.vms[d.VM.ID]; v != nil {
 			v.doubt = true
 		}
--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -145,15 +145,15 @@
 }
 
 // Confirmed tells that a worker acknowledged a start.
-func (p *Planner) Confirmed(id winch.TaskID) {
-	if t := p.find(id); t != nil {
+func (p *Planner) Confirmed(a winch.Attempt) {
+	if t := p.attempt(a); t != nil {
 		t.confirmed = true
 	}
 }
 
 // Doubt tells that the reply to a start was lost: the task may run.
-func (p *Planner) Doubt(id winch.TaskID) {
-	if t := p.find(id); t != nil && !t.confirmed {
+func (p *Planner) Doubt(a winch.Attempt) {
+	if t := p.attempt(a); t != nil && !t.confirmed {
 		t.doubt = true
 	}
 }
--- a/coord/place/ended.go
+++ b/coord/place/ended.go
@@ -18,8 +18,8 @@
 
 // Refused tells that a start surely did not happen. The rest of a gang is taken
 // back whole.
-func (p *Planner) Refused(id winch.TaskID, now time.Time) []Decision {
-	t := p.find(id)
+func (p *Planner) Refused(a winch.Attempt, now time.Time) []Decision {
+	t := p.attempt(a)
 	if t == nil {
 		return nil
 	}
@@ -34,7 +34,7 @@
 		return nil
 	}
 	p.delay(j, now)
-	p.requeue(j, id.Index)
+	p.requeue(j, a.Task.Index)
 	if !j.gang() {
 		return nil
 	}
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -119,7 +119,7 @@
 	if d.Action == Start {
 		r.running[d.Task.ID] = d.VM.ID
 		r.starts[d.Task.ID]++
-		r.Confirmed(d.Task.ID)
+		r.Confirmed(d.Task.Ref())
 		return
 	}
 	r.end(d.Task.ID, winch.TaskStopped)
@@ -213,7 +213,7 @@
 	r.submit("gang", "choir", billed, winch.Gang, 2, 8, time.Minute)
 	out := r.Plan(r.now, 10)
 	is.Equal(len(out), 2)
-	r.Refused(out[0].Task.ID, r.now)
+	r.Refused(out[0].Task.Ref(), r.now)
 	r.Ended(out[1].VM.ID, winch.Task{ID: out[1].Task.ID, State: winch.TaskStopped}, r.now)
 	r.collect()
 	is.Equal(r.finals["gang"].State, winch.JobUnknown)
@@ -267,6 +267,27 @@
 	is.Equal(r.count("j"), 1)
 }
 
+// A start is held up for so long that its worker is taken for lost, and the task
+// is placed elsewhere. The held-up start must not go out any more, and what is
+// heard of it must not touch the task's new run: it would run twice.
+func TestHeldUpStartOfALostWorker(t *testing.T) {
+	is := is.New(t)
+	r := newRig(2, eight)
+	r.submit("j", "choir", mix, winch.Batch, 1, 1, time.Minute)
+	first := r.Plan(r.now, 10)
+	is.Equal(len(first), 1)
+	is.True(r.Stands(first[0].Task.Ref()))
+	r.Gone(first[0].VM.ID, r.now)
+	second := r.Plan(r.now, 10)
+	is.Equal(len(second), 1)
+	is.Equal(r.Stands(first[0].Task.Ref()), false)
+	is.Equal(len(r.Refused(first[0].Task.Ref(), r.now)), 0)
+	is.True(r.Stands(second[0].Task.Ref()))
+	is.Equal(r.purse.used["choir"], 1)
+	r.now = r.now.Add(time.Minute)
+	is.Equal(len(r.Plan(r.now, 10)), 0)
+}
+
 // A job ends, or is cancelled, while a start of it is still under way, and the
 // worker then refuses that start. Nothing of the job may be started again; its
 // caller has been told that it is over.
@@ -283,9 +304,9 @@
 			} else {
 				r.Ended(out[1].VM.ID, winch.Task{ID: out[1].Task.ID, State: winch.TaskFailed}, r.now)
 			}
-			r.Refused(out[0].Task.ID, r.now)
+			r.Refused(out[0].Task.Ref(), r.now)
 			if end == "cancelled" {
-				r.Refused(out[1].Task.ID, r.now)
+				r.Refused(out[1].Task.Ref(), r.now)
 			}
 			r.now = r.now.Add(time.Minute)
 			is.Equal(len(r.Plan(r.now, 10)), 0)
@@ -323,7 +344,7 @@
 	for _, d := range out[1:] {
 		r.do(d)
 	}
-	for _, d := range r.Refused(out[0].Task.ID, r.now) {
+	for _, d := range r.Refused(out[0].Task.Ref(), r.now) {
 		is.Equal(d.Action, Stop)
 		r.do(d)
 	}
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -273,6 +273,21 @@
 	return j.running[id.Index]
 }
 
+// attempt returns the placement that one start belongs to, or nil if the task
+// has been given up or placed again since.
+func (p *Planner) attempt(a winch.Attempt) *placed {
+	if t := p.find(a.Task); t != nil && t.attempt == a.Number {
+		return t
+	}
+	return nil
+}
+
+// Stands reports whether a decided start is still wanted: its worker may have
+// been taken for lost in the meantime, and its room and unit given to others.
+func (p *Planner) Stands(a winch.Attempt) bool {
+	return p.attempt(a) != nil
+}
+
 // Forget drops an ended job once its end is recorded and its tasks are gone.
 func (p *Planner) Forget(id string) bool {
 	j := p.jobs[id]
--- a/coord/place/random_test.go
+++ b/coord/place/random_test.go
@@ -113,7 +113,7 @@
 			m.do(d)
 			continue
 		}
-		for _, back := range m.Refused(d.Task.ID, m.now) {
+		for _, back := range m.Refused(d.Task.Ref(), m.now) {
 			m.do(back)
 		}
 	}
--- a/coord/quota/balance.go
+++ b/coord/quota/balance.go
@@ -162,7 +162,7 @@
 		}
 		return nil
 	})
-	return h.settle(p, v.Body, err)
+	return h.settle(p, epoch, v.Body, err)
 }
 
 func abs(n int) int {
@@ -173,8 +173,14 @@
 // went back to the pool, they stay set aside: using them could run the team
 // over its limit. The next exchange is then made to write: a write based on the
 // value as it was before can no longer take effect after that.
-func (h *Holder) settle(p plan, u Units, err error) error {
-	_ = h.Duty.Do(context.Background(), func() { h.settleHere(p, u, err) })
+func (h *Holder) settle(p plan, epoch uint64, u Units, err error) error {
+	_ = h.Duty.Do(context.Background(), func() {
+		// An office that was taken anew meanwhile has read its row since. Undoing
+		// what was set aside before that would make units that do not exist.
+		if h.epoch == epoch {
+			h.settleHere(p, u, err)
+		}
+	})
 	if errors.Is(err, swap.ErrUnchanged) {
 		return nil
 	}
--- a/coord/quota/quota_test.go
+++ b/coord/quota/quota_test.go
@@ -239,6 +239,52 @@
 	})
 }
 
+// hookStore runs a function before its first write.
+type hookStore struct {
+	*stand.Platform
+	hook func()
+}
+
+// Put implements winch.Store.
+func (s *hookStore) Put(ctx context.Context, key string, data []byte, version uint64, lease string) (uint64, error) {
+	if hook := s.hook; hook != nil {
+		s.hook = nil
+		hook()
+	}
+	return s.Platform.Put(ctx, key, data, version, lease)
+}
+
+// An entry loses its office and takes it again while its write that gives idle
+// units back is still under way. The write fails, since it is of the earlier term.
+// If the units were taken back into the row then, they would be there twice, and
+// the team would run more than its limit.
+func TestOfficeTakenAgainDuringBalance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &hookStore{Platform: &stand.Platform{}}
+		f := &fleet{}
+		f.setLimit(24)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		h := &Holder{Name: "Office/d1", Office: true, Store: store, Document: f.document}
+		h.Prepare()
+		group.Go(func() { h.Duty.Run(ctx) })
+		is.NoErr(h.Assume(ctx, 1))
+		is.NoErr(h.Balance(ctx))
+		is.NoErr(h.Duty.Do(ctx, func() {
+			is.True(h.account("choir").free() > 0)
+			h.others["choir"] = 9
+		}))
+		store.hook = func() { is.NoErr(h.Assume(ctx, 2)) }
+		is.True(errors.Is(h.Balance(ctx), ErrFenced))
+		is.NoErr(h.Duty.Do(ctx, func() {
+			is.Equal(h.account("choir").free(), 0) // What the first term started may still run.
+		}))
+		cancel()
+		group.Wait()
+	})
+}
+
 // Holders take, release and die at random while the store is slow, down or
 // loses replies. At no instant do they use more than the limit together.
 func TestNeverOverLimit(t *testing.T) {
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -228,7 +228,7 @@
 	d.seq++
 	d.live[x.Task.ID] = d.seq
 	heap.Push(&d.ends, ending{at: d.now + a.truth[x.Task.ID.Index], vm: x.VM.ID, task: x.Task, seq: d.seq})
-	d.planner.Confirmed(x.Task.ID)
+	d.planner.Confirmed(x.Task.Ref())
 	if d.waited[x.Task.ID] {
 		return
 	}
