A restarted VM ends the office that its own earlier process held; boots that are over are not held again

The planner held the old boot again at once, since the platform's list still named it: 1,955 times within two seconds. - After a kill of the planner's process nobody starts work until its lease of 1.5 s has lapsed, though the process is back after 50 ms. Ruled out: the list's reading gap, which is within its bound.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -32,6 +32,7 @@
 		p.found(w, e.Running)
 	case proto.EventLost:
 		p.Lost(e.Worker)
+		w.over = e.Result == winch.StartOtherBoot && w.vm.Born != 0
 	case proto.EventKnown:
 		p.knew(w, e)
 	}
--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -272,6 +272,24 @@
 	})
 }
 
+// A worker crashes and starts again. Until the platform's list names the new
+// boot, every call meant for the old one is refused. The old boot is not held
+// again: hundreds of calls a second would only be told the same.
+func TestBootThatIsOverIsNotHeldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, usualQueue())
+		list := c.planner.Held()
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventLost, Worker: "w0", Result: winch.StartOtherBoot})
+		is.Equal(len(c.planner.Held()), 0)
+		c.planner.SetWorkers(list)
+		is.Equal(len(c.planner.Held()), 0) // The list is still the old one.
+		list[0].Born++
+		c.planner.SetWorkers(list)
+		is.Equal(len(c.planner.Held()), 1)
+	})
+}
+
 // A task ends well while the store is away, so the end is not recorded. The
 // planner is lost, and its standby takes over and has not heard of the worker
 // yet. If it took the task for one that does not run, it would start it again
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -43,6 +43,9 @@
 	ready bool
 	// gone says that the worker is not in the platform's list any more.
 	gone bool
+	// over says that another boot answers at the worker's address. The list names
+	// it later: until then each call would only be told the same.
+	over bool
 	// empty says that surely nothing runs there: the boot is new to the region, or
 	// all that ran has ended, and nothing was ordered since.
 	empty bool
@@ -100,6 +103,7 @@
 			w = &worker{runs: make(map[runKey]*run), empty: !p.roster[vm.ID]}
 			p.workers[vm.ID] = w
 		}
+		w.over = w.over && w.vm.Born == vm.Born
 		w.vm = vm
 		w.gone = false
 	}
@@ -182,7 +186,9 @@
 func (p *Planner) Held() []winch.WorkerVM {
 	out := make([]winch.WorkerVM, 0, len(p.workers))
 	for _, w := range p.workers {
-		out = append(out, w.vm)
+		if !w.over {
+			out = append(out, w.vm)
+		}
 	}
 	return out
 }
--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -71,6 +71,30 @@
 	})
 }
 
+// The planner's process is killed and started again at once. Its next process
+// knows that the office's holder has ended and frees the office, so the standby
+// takes over long before the lease lapses: callers notice next to nothing.
+func TestPlannerKilledAndStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2, 3, 9)
+		settle()
+		ids := w.jobs(0, 8)
+		p := w.planner()
+		p.kill()
+		time.Sleep(50 * time.Millisecond)
+		p.start()
+		again := time.Now()
+		for w.planner() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(again) < officeTTL/2)
+		is.True(w.planner() != p) // The standby, which knows what runs.
+		w.awaitAll(ids, 20*time.Second)
+		w.end()
+	})
+}
+
 // The planner's failure domain is cut off from the store and the other domains.
 // The standby takes over and knows what runs there, so jobs that were accepted
 // before go on at once in the other domains, and no task runs on both sides.
--- a/region/keys.go
+++ b/region/keys.go
@@ -50,6 +50,9 @@
 type office struct {
 	Holder string
 	Term   uint64
+	// Address is where peers reach the holder. An entry that listens there is the
+	// next process of the same VM, so it knows that the holder has ended.
+	Address string
 }
 
 // roster lists the workers that a planner may have given work to, and through
--- a/region/office.go
+++ b/region/office.go
@@ -25,6 +25,7 @@
 // runOffice takes the region's office whenever it is free, until ctx ends.
 func (n *Node) runOffice(ctx context.Context) {
 	for ctx.Err() == nil {
+		n.endOffice(ctx)
 		if n.mayTake() {
 			duty.Pause(ctx, time.Duration(n.rank())*rankDelay)
 			if n.mayTake() {
@@ -48,6 +49,23 @@
 	return n.cell.read && n.cell.officeAt == 0 && !n.stopping.Load() && n.settings.config.Load() != nil
 }
 
+// endOffice frees the office if an earlier process of this VM holds it, so that
+// nobody waits for its lease to lapse. That process has ended: it listened where
+// this one listens. Its standby takes over at once.
+func (n *Node) endOffice(ctx context.Context) {
+	n.cell.mu.Lock()
+	held, at := n.cell.office, n.cell.officeAt
+	n.cell.mu.Unlock()
+	if at == 0 || held.Holder == n.Name || held.Address != n.Address {
+		return
+	}
+	_, err := n.Table.Commit(ctx, winch.Txn{Expect: map[string]uint64{keyOffice: at}, Remove: []string{keyOffice}})
+	n.Log.Info("office of an earlier process ended", zap.String("holder", held.Holder), zap.Uint64("term", held.Term), zap.Error(err))
+	if err == nil {
+		n.forgetOffice(at)
+	}
+}
+
 // rank is this entry's place among those that may take the office: the standby
 // of the last planner first, then those with most processor.
 func (n *Node) rank() int {
@@ -79,7 +97,7 @@
 	last, termAt := n.cell.term, n.cell.termAt
 	second, secondAt := n.cell.standby, n.cell.standbyAt
 	n.cell.mu.Unlock()
-	mine := office{Holder: n.Name, Term: last.Term + 1}
+	mine := office{Holder: n.Name, Term: last.Term + 1, Address: n.Address}
 	revision, err := n.Table.Commit(ctx, winch.Txn{
 		Expect: map[string]uint64{keyOffice: 0, keyTerm: termAt, keyStandby: secondAt},
 		Writes: []winch.Write{
