In an overload what can be on time goes first; a team's share is counted

What cannot be on time any more now comes after lasting work, what a team hands in beyond its share after all that keeps to it; both still run. Ruled out as enough: a cut at the exact estimate (the work at the edge is then late by the error of the estimates).

--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -62,10 +62,18 @@
 	return T(part * float64(whole))
 }
 
-func (j *job) urgent() bool {
+// quick reports whether the job is of a queue whose work is urgent. It runs for
+// seconds at most, so it need not leave room free for others of its kind.
+func (j *job) quick() bool {
 	return j.queue != nil && j.queue.Priority == 0
 }
 
+// urgent reports whether the job comes before others. What a team hands in beyond
+// its share does not: the others would wait behind it.
+func (j *job) urgent() bool {
+	return j.quick() && !j.excess
+}
+
 // measure counts the urgent work of all teams.
 func (p *Planner) measure(now time.Time) {
 	p.urgent.begin()
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -84,6 +84,7 @@
 	// used is what all runs of the team hold that may exist, stopping ones included.
 	used   winch.Room
 	urgent demand
+	share  shareUse
 }
 
 // SetConfig puts a configuration in force.
--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -373,3 +373,87 @@
 		is.True(len(c.step()) >= 32) // of 64 processors
 	})
 }
+
+// More urgent work comes than the workers can do, for longer than its objective.
+// Were the oldest always served first, each would be started just too late and
+// nobody would be answered in time. The pattern is a burst of a queue to twice
+// what fits; half of what comes can be on time, and most of that is.
+func TestOverloadKeepsManyOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 2, urgentQueue())
+		work := time.Second
+		type running struct {
+			start proto.Order
+			ends  time.Time
+		}
+		var runs []running
+		begun := make(map[string]time.Time)
+		onTime := 0
+		const steps = 200 // of 100 ms: 20 s
+		for i := range steps {
+			id := fmt.Sprintf("j%03d", i)
+			begun[id] = time.Now()
+			c.add(id, "preview", "choir", tasks(6, 1000)) // 60 a second, 32 fit.
+			for len(runs) > 0 && !runs[0].ends.After(time.Now()) {
+				c.end(runs[0].start, winch.EndDone)
+				runs = runs[1:]
+			}
+			for id, at := range begun {
+				if s, _ := c.planner.State(id); c.planner.jobs[id].state == winch.JobDone || s == winch.JobDone {
+					if time.Since(at) <= 250*time.Millisecond+1500*time.Millisecond {
+						onTime++
+					}
+					delete(begun, id)
+				}
+			}
+			for _, s := range c.step() {
+				runs = append(runs, running{s, time.Now().Add(work)})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(onTime > steps*2/5) // 32 of 60 fit; the latest first would leave under a tenth.
+	})
+}
+
+// A team hands in many times its share while the region is full. Another team's
+// work, which keeps to its share, goes before what is beyond.
+func TestBeyondTheShareComesLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, urgentQueue(), usualQueue())
+		c.planner.SetConfig(&winch.RegionConfig{Version: 2, Queues: []winch.Queue{urgentQueue(), usualQueue()}, Teams: []winch.RegionTeam{{Name: "choir", Weight: 2}, {Name: "duct", Weight: 2}}})
+		for i := range 20 {
+			c.add(fmt.Sprintf("hot%02d", i), "preview", "choir", tasks(1, 8000))
+		}
+		time.Sleep(10 * time.Millisecond)
+		c.add("other", "mix", "duct", tasks(1, 8000))
+		first := c.step()
+		is.Equal(len(first), 2)
+		for _, s := range first {
+			c.end(s, winch.EndDone)
+		}
+		names := []string{}
+		for _, s := range c.step() {
+			names = append(names, s.Task.Job)
+		}
+		is.True(slices.Contains(names, "other")) // Right after the two within the share.
+		is.Equal(len(names), 2)                  // What is beyond still runs where there is room.
+	})
+}
+
+// A planner that takes over reads all jobs at once, in any order. It counts the
+// shares as the jobs were accepted.
+func TestSharesAreCountedInOrderOfAcceptance(t *testing.T) {
+	is := is.New(t)
+	p := New(1)
+	p.SetConfig(&winch.RegionConfig{Queues: []winch.Queue{usualQueue()}, Teams: []winch.RegionTeam{{Name: "choir", Weight: 1}}})
+	at := time.Date(2026, 3, 1, 20, 0, 0, 0, time.UTC)
+	job := func(id string, after time.Duration) Stored {
+		return Stored{Job: &winch.PhasedJob{ID: id, Queue: "mix", Team: "choir", Phases: []winch.Phase{tasks(1, 1000)}, Accepted: at.Add(after)}}
+	}
+	p.AddAll([]Stored{job("c", 2*time.Second), job("b", 100*time.Millisecond), job("a", 0)})
+	is.Equal(p.jobs["a"].excess, false)
+	is.Equal(p.jobs["b"].excess, true)
+	is.Equal(p.jobs["c"].excess, false)
+}
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -19,6 +19,8 @@
 	shown     winch.JobState
 	cancelled bool
 	begun     bool
+	// excess says that the team handed the job in beyond its share.
+	excess bool
 	// adopted says that runs of an earlier planner were found.
 	adopted bool
 	heard   time.Time
@@ -100,6 +102,7 @@
 		rec: rec, queue: p.queues[rec.Queue], team: p.team(rec.Team), state: winch.JobQueued, shown: winch.JobQueued,
 		revision: revision, failed: make(map[string][]uint64), heard: time.Now(),
 	}
+	j.excess = !j.team.share.take(j.team.Weight, rec.Accepted)
 	p.jobs[rec.ID] = j
 	for k := range max(1, rec.Times) {
 		j.addRun(k)
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -35,8 +35,20 @@
 const (
 	rankUrgent = iota
 	rankLasting
+	rankUrgentLate // rankUrgentLate: urgent, but it will not be on time.
 	rankUsual
-	rankLate
+	rankExcess // rankExcess: beyond its team's share.
+	rankLate   // rankLate: so late that nobody waits for it any more; it still runs.
+)
+
+// The parts of a step's remaining chain of estimates that must still fit before
+// the objective, for the step to count as one that can be on time. Estimates and
+// workers are a fifth too slow or too fast. In an overload the work at the edge is
+// what is served, so what has not begun needs that much to spare; what has begun
+// is given up only when it can hardly be on time.
+const (
+	chanceFresh = 1.2
+	chanceBegun = 0.8
 )
 
 func (s *step) rank(now time.Time) rank {
@@ -50,7 +62,12 @@
 		return rank{rankLasting, j.rec.Accepted.Sub(now).Seconds()}
 	case now.After(j.rec.Accepted.Add(lateFactor*total)) && s.due.IsZero():
 		return rank{rankLate, slack}
-	case j.queue.Priority == 0:
+	case j.excess:
+		return rank{rankExcess, slack}
+	case j.urgent() && left < s.chance()*s.tail.Seconds():
+		// When more comes than fits, serving the latest first makes all late.
+		return rank{rankUrgentLate, slack}
+	case j.urgent():
 		return rank{rankUrgent, slack}
 	case left < s.tail.Seconds()/2:
 		// What cannot be on time any more goes behind what can.
@@ -59,6 +76,14 @@
 	return rank{rankUsual, slack}
 }
 
+// chance returns the part of the remaining chain that must fit.
+func (s *step) chance() float64 {
+	if s.job.begun {
+		return chanceBegun
+	}
+	return chanceFresh
+}
+
 // Schedule starts what can start. It is called after events, at most every few
 // milliseconds.
 func (p *Planner) Schedule() {
@@ -157,7 +182,7 @@
 // may always, the rest leaves the reserve for urgent work free, of its team's
 // limit and of the region's room.
 func (p *Planner) spare(s *step) bool {
-	if s.job.urgent() || s.spec.Lasting {
+	if s.job.quick() || s.spec.Lasting {
 		return true
 	}
 	t := s.job.team
--- a/region/lead.go
+++ b/region/lead.go
@@ -287,10 +287,14 @@
 			l.node.Log.Error("record cannot be read", zap.String("key", v.Key), zap.Error(err))
 		}
 	}
-	for id, s := range all {
+	var jobs []fleet.Stored
+	for _, s := range all {
 		if s.job != nil {
-			l.planner.Add(s.job, s.progress, s.revision)
+			jobs = append(jobs, fleet.Stored{Job: s.job, Progress: s.progress, Revision: s.revision})
 		}
+	}
+	l.planner.AddAll(jobs)
+	for id, s := range all {
 		if s.cancelled {
 			l.planner.Cancel(id)
 		}
