--- a/region/cell.go
+++ b/region/cell.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"plantainwinch/duty"
@@ -158,7 +159,7 @@
 			after = asOf
 			pace.noted(true)
 		}
-		events, next, err := n.Table.Follow(ctx, prefix, after, pace.wait)
+		events, next, err := n.followOnce(ctx, prefix, after, pace.wait)
 		switch {
 		case errors.Is(err, winch.ErrCompacted):
 			n.Log.Info("history is gone, reading anew", zap.String("prefix", prefix), zap.Uint64("after", after))
@@ -179,6 +180,26 @@
 	}
 }
 
+// followOnce makes one call that waits for changes. If the store was away and is
+// back, the call is given up: it went into the outage and may never be answered,
+// and what it waits for would be seen seconds late.
+func (n *Node) followOnce(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]winch.Event, uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	back := n.back.wait()
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-back:
+			cancel()
+		}
+	})
+	return n.Table.Follow(ctx, prefix, after, wait)
+}
+
 // runNode keeps the entry's own record, and with it the knowledge whether the
 // store answers.
 func (n *Node) runNode(ctx context.Context) {
@@ -186,7 +207,7 @@
 	was := false
 	for ctx.Err() == nil {
 		if !n.leaving.Load() {
-			lease = n.keepRecord(ctx, lease)
+			lease = n.probe(ctx, lease)
 		} else if lease != 0 && n.Table.End(ctx, lease) == nil {
 			lease = 0
 		}
@@ -194,8 +215,22 @@
 			was = now
 			n.Log.Info("store", zap.Bool("answers", now))
 		}
-		duty.Pause(ctx, nodeRenew)
+		if was {
+			duty.Pause(ctx, nodeRenew)
+		} else {
+			duty.Pause(ctx, probeGap)
+		}
+	}
+}
+
+// probe renews the entry's record, for a shorter time while the store is away.
+func (n *Node) probe(ctx context.Context, lease uint64) uint64 {
+	if !n.healthy() {
+		short, cancel := context.WithTimeout(ctx, probeTime)
+		defer cancel()
+		ctx = short
 	}
+	return n.keepRecord(ctx, lease)
 }
 
 // unlisted reports whether the entry's record is seen to be gone though its
--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -95,6 +95,42 @@
 	})
 }
 
+// The store is silent for some seconds, the planner's failure domain is cut off,
+// and then the store is back for the other domains. Calls that were sent into the
+// outage are never answered. The others see within a second that the store is
+// back and the office free; waiting for their old calls to time out would add four.
+func TestStoreBackIsSeenSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 6, 3, 9)
+		settle()
+		p := w.planner()
+		w.store.mu.Lock()
+		w.store.down, w.store.swallow = true, true
+		w.store.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		w.cut[p.domain] = true
+		w.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		w.store.mu.Lock()
+		w.store.down = false
+		w.store.mu.Unlock()
+		back := time.Now()
+		for next := w.planner(); next == nil || next == p; next = w.planner() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(back) < time.Second)
+		w.mu.Lock()
+		w.cut[p.domain] = false
+		w.mu.Unlock()
+		w.store.mu.Lock()
+		w.store.swallow = false
+		w.store.mu.Unlock()
+		w.end()
+	})
+}
+
 // The store turns one entry away and serves the others, while the operator
 // withdraws a key. The entry hears of it from its peers, and the key stops working
 // there within the two seconds that the operator was promised. What is passed on
--- a/region/node.go
+++ b/region/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,11 @@
 	// silence is how long the store may give no answer until the entry says so:
 	// two renewals.
 	silence = 1100 * time.Millisecond
+	// probeTime and probeGap bound the renewals while the store does not answer: a
+	// call that was sent into an outage gets no answer after it either, so the
+	// return is seen by the next one. A slow store takes some 300 ms.
+	probeTime = 500 * time.Millisecond
+	probeGap  = 200 * time.Millisecond
 	// followWait is how long a watch waits. Its connection may go silent for
 	// good; the next watch then opens another.
 	followWait = 3 * time.Second
@@ -75,6 +81,7 @@
 	lead     atomic.Pointer[lead]
 	waiting  atomic.Pointer[waitingView]
 	heard    atomic.Int64 // heard is when the store last answered, in nanoseconds of started.
+	back     broadcast    // back tells that the store answers again.
 	started  time.Time
 	stopping atomic.Bool
 	leaving  atomic.Bool
@@ -97,7 +104,35 @@
 
 // Heard notes an answer of the store.
 func (n *Node) Heard() {
+	was := n.healthy()
 	n.heard.Store(int64(time.Since(n.started)))
+	if !was {
+		n.back.send()
+	}
+}
+
+// broadcast tells all that wait for it at the moment.
+type broadcast struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ch == nil {
+		b.ch = make(chan struct{})
+	}
+	return b.ch
+}
+
+func (b *broadcast) send() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ch != nil {
+		close(b.ch)
+		b.ch = nil
+	}
 }
 
 // healthy reports whether the store has answered lately.
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -22,7 +22,9 @@
 	down     bool // down makes all calls go unanswered.
 	lossy    bool // lossy loses the answers of half of the transactions.
 	calls    int
-	refused  map[string]bool // refused holds the entries that are turned away.
+	// swallow leaves calls without an answer for as long as a real client waits.
+	swallow bool
+	refused map[string]bool // refused holds the entries that are turned away.
 }
 
 type simLease struct {
@@ -99,8 +101,12 @@
 		time.Sleep(2 * time.Millisecond)
 		return nil
 	}
+	most := time.Second
+	if t.store.swallow {
+		most = followWait + 1500*time.Millisecond
+	}
 	t.store.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	<-ctx.Done()
 	return winch.ErrUncertain
