--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -95,6 +95,31 @@
 	})
 }
 
+// The planner is stopped as planned while the store takes 300 ms for each call. It
+// gives the office up with one call, since its standby knows all runs. Writing
+// everything down before would take longer than its lease, and nothing would start
+// for seconds.
+func TestPlannerStopsWhileTheStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 7, 3, 9)
+		settle()
+		w.store.mu.Lock()
+		w.store.slow = 300 * time.Millisecond
+		w.store.mu.Unlock()
+		ids := w.jobs(0, 8)
+		p := w.planner()
+		begin := time.Now()
+		p.stop()
+		for w.planner() == nil || w.planner() == p {
+			time.Sleep(5 * time.Millisecond)
+		}
+		is.True(time.Since(begin) < 2*time.Second) // five calls to the store, one after the other
+		w.awaitAll(ids, 30*time.Second)
+		w.end()
+	})
+}
+
 // The store is silent for some seconds, the planner's failure domain is cut off,
 // and then the store is back for the other domains. Calls that were sent into the
 // outage are never answered. The others see within a second that the store is
--- a/region/lead.go
+++ b/region/lead.go
@@ -42,6 +42,9 @@
 	// staleTime is how long a planner goes on that cannot renew its office. What it
 	// starts last still has a second to run before its keepers let go.
 	staleTime = keepGrace - 1500*time.Millisecond
+	// handOverTime bounds the giving up of the office at a planned stop. A slow
+	// store takes 0.3 s for each call; the process may go on for several seconds.
+	handOverTime = 2500 * time.Millisecond
 	// loadEvery is how often the region's load is logged.
 	loadEvery = time.Second
 )
@@ -428,23 +431,53 @@
 	}
 }
 
-// handOver gives the office up: nothing more is started, what ended is
-// recorded, and the end of the lease tells the others.
+// handOver gives the office up: nothing more is started, and the end of the
+// lease tells the others. A standby that knows all runs needs nothing else, and
+// workers list again what is not recorded yet; each further call to a slow store
+// would only put off the next start. Without one, what ended and what runs is
+// recorded before.
 func (l *lead) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, officeTTL/2)
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
 	defer cancel()
 	_ = l.duty.Do(ctx, func() {
 		l.closed = true
 		l.dispatch()
 	})
-	for range 3 {
-		if !l.commit(ctx) {
-			break
+	if !l.mirrored(ctx) {
+		for range 3 {
+			if !l.commit(ctx) {
+				break
+			}
 		}
+		l.recordRuns(ctx)
 	}
-	l.recordRuns(ctx)
-	if err := l.node.Table.End(ctx, l.lease); err != nil {
-		l.node.Log.Info("office lapses by itself", zap.Error(err))
+	for ctx.Err() == nil {
+		err := l.node.Table.End(ctx, l.lease)
+		if err == nil || errors.Is(err, winch.ErrMissing) {
+			break
+		}
+		l.node.Log.Info("office not ended yet", zap.Error(err))
+		duty.Pause(ctx, retryPause/3)
 	}
 	l.cancel()
 }
+
+// mirrored reports whether the standby knows all runs and the store names it,
+// once what is on its way to it is answered.
+func (l *lead) mirrored(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		var waits, ok bool
+		if l.duty.Do(ctx, func() {
+			s := l.standby
+			waits = l.mirroring
+			ok = s != nil && s.synced && l.named == s.name && !l.naming
+		}) != nil {
+			return false
+		}
+		if !waits {
+			return ok
+		}
+		duty.Pause(ctx, gatherTime)
+	}
+	return false
+}
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -22,6 +22,8 @@
 	down     bool // down makes all calls go unanswered.
 	lossy    bool // lossy loses the answers of half of the transactions.
 	calls    int
+	// slow is how much longer an answer takes.
+	slow time.Duration
 	// swallow leaves calls without an answer for as long as a real client waits.
 	swallow bool
 	refused map[string]bool // refused holds the entries that are turned away.
@@ -83,8 +85,14 @@
 
 // call makes a call if the store is reached, and waits in vain if not.
 func (t *simTable) call(ctx context.Context, f func()) error {
-	time.Sleep(2 * time.Millisecond)
 	w := t.store.world
+	t.store.mu.Lock()
+	way := 2*time.Millisecond + t.store.slow/2
+	t.store.mu.Unlock()
+	time.Sleep(way)
+	if ctx.Err() != nil {
+		return winch.ErrUncertain // As a client that does not wait for the answer.
+	}
 	w.mu.Lock()
 	reached := w.reaches(t.node.Domain, "") && w.live()[t.node.Name] != nil
 	w.mu.Unlock()
@@ -97,8 +105,11 @@
 		t.store.calls++
 		f()
 		t.store.mu.Unlock()
+		time.Sleep(way)
+		if ctx.Err() != nil {
+			return winch.ErrUncertain
+		}
 		t.node.Heard()
-		time.Sleep(2 * time.Millisecond)
 		return nil
 	}
 	most := time.Second
