A placer forgets no job that it was slow to hear of

A job that was read by a process that then stood still was dropped, since the time for taking it over had passed; jobs found before the configuration was read were dropped; the watch of an entry that took office while the store was slow did not cover the jobs.

--- a/coord/office/ask.go
+++ b/coord/office/ask.go
@@ -20,14 +20,25 @@
 		s.reload()
 		return
 	}
-	_ = o.Duty.Do(ctx, func() {
+	err = o.Duty.Do(ctx, func() {
 		for _, j := range jobs {
 			s.take(j)
 		}
 	})
+	if err != nil {
+		s.reload() // The process stood still for so long that the time for this was over.
+	}
 	o.Wake()
 }
 
+// Reload has the placer read the whole ledger again.
+func (o *Office) Reload() {
+	if s := o.current.Load(); s != nil {
+		s.reload()
+		o.Wake()
+	}
+}
+
 // reload makes the session read the whole ledger again, since a change of it
 // could not be read.
 func (s *session) reload() {
--- a/coord/office/office.go
+++ b/coord/office/office.go
@@ -66,6 +66,8 @@
 	Workers func() (list []winch.VM, ok bool)
 	// Rivals returns the domain's other live entries.
 	Rivals func() []string
+	// Taken, if it is set, is called when this entry has taken the office.
+	Taken func()
 
 	holds    holding
 	current  atomic.Pointer[session]
@@ -129,6 +131,9 @@
 	s := &session{Office: o, term: term, cancel: cancel, vms: make(map[string]*vmState), closed: make(map[string]bool)}
 	o.current.Store(s)
 	defer o.current.Store(nil)
+	if o.Taken != nil {
+		o.Taken()
+	}
 	var group conc.WaitGroup
 	group.Go(func() {
 		defer cancel()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,6 +57,7 @@
 	// have become known.
 	alive, reached alive
 	rehome         chan struct{}
+	rewatch        chan struct{}
 	fetch          chan string
 	background     background
 
@@ -86,6 +87,7 @@
 	e.rnd = mrand.New(mrand.NewPCG(e.Seed, 1))
 	e.incarnation = rand.Text()[:8]
 	e.rehome = make(chan struct{}, 1)
+	e.rewatch = make(chan struct{}, 1)
 	e.fetch = make(chan string, 1)
 	e.drained, e.expire = context.WithCancel(context.Background())
 	e.background.ring = make(chan func(context.Context), backgroundRing)
@@ -149,7 +151,7 @@
 		Planner: e.planner, Quota: officeUnits, Duty: own, Log: e.Log, Metrics: e.Metrics,
 		Lease: e.Settings.Timing.Office, TaskLease: e.Settings.Timing.Tasks,
 		FenceAtVM: e.Settings.Cell.FenceAtVM, Document: e.held.Get,
-		Workers: e.workers, Rivals: e.rivals,
+		Workers: e.workers, Rivals: e.rivals, Taken: func() { poke(e.rewatch) },
 	}
 	officeUnits.Refill = func(string) { e.office.Wake() }
 	e.office.Prepare()
--- a/entry/job_test.go
+++ b/entry/job_test.go
@@ -464,3 +464,36 @@
 		is.Equal(len(w.startMap()), 16)
 	})
 }
+
+// An entry accepts a job for another failure domain and dies before it can tell
+// the placer there. That placer took office while the store was slow. It finds
+// the job by its watch of the store: the caller, who was told that the job is
+// accepted, would else wait until something else changes.
+func TestJobIsFoundWithoutAHint(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(w.t)
+		w.worker("w1", "d1")
+		a := w.entry("d1-0", "d1")
+		b := w.entry("d2-0", "d2")
+		w.settle()
+		w.configure(a, 4, "choir")
+		w.settle()
+		c := w.entry("d1-1", "d1")
+		w.settle()
+		w.platform.Set(stand.Faults{Latency: 400 * time.Millisecond})
+		a.kill()
+		for w.placer("d1") != c {
+			time.Sleep(50 * time.Millisecond)
+		}
+		w.platform.Set(stand.Faults{})
+		w.settle()
+		w.link("d1-1", "d2-0")
+		w.settle()
+		w.cut(true, []string{"d1-1"}, []string{"d2-0"})
+		job, r := w.submit(b, "choir", "mix", "j", winch.Batch, 1, time.Second)
+		is.True(r.OK())
+		is.Equal(job.Domain, "d1")
+		b.kill()
+		is.Equal(w.await(c, "choir", job.ID, 10*time.Second).State, winch.JobDone)
+	})
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/office"
@@ -24,16 +27,23 @@
 
 // runWatch keeps one watch on the store open and hands changes on.
 func (e *Entry) runWatch(ctx context.Context) {
-	after, fresh := uint64(0), true
+	after, fresh, jobs := uint64(0), true, false
 	for ctx.Err() == nil {
 		if fresh {
 			fresh = !e.readConfig(ctx)
 		}
 		prefixes := []string{config.Key, office.RecordPrefix + e.Domain(), office.LeasePrefix + e.Domain()}
-		if holder, _ := e.office.Holder(); holder == e.Name() {
+		began := e.office.Holds() && !jobs
+		if jobs = e.office.Holds(); jobs {
 			prefixes = append(prefixes, ledger.JobsPrefix)
 		}
-		changes, next, err := e.Store.Watch(ctx, prefixes, after)
+		if began {
+			e.office.Reload() // Changes of jobs up to here were not watched.
+		}
+		changes, next, err := e.watchOnce(ctx, prefixes, after)
+		if errors.Is(err, errWatchAnew) {
+			continue
+		}
 		if err != nil {
 			fresh = true
 			wait(ctx, watchRetry)
@@ -49,6 +59,34 @@
 	}
 }
 
+// errWatchAnew says that the watch was ended since the office was taken or lost.
+var errWatchAnew = errors.New("the office has changed")
+
+// watchOnce waits for changes. It ends early when this entry takes the office:
+// the watch does not cover the jobs then, and what is accepted by an entry that
+// dies before it can tell would not be taken up.
+func (e *Entry) watchOnce(ctx context.Context, prefixes []string, after uint64) ([]winch.Change, uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var anew atomic.Bool
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-e.rewatch:
+			anew.Store(true)
+			cancel()
+		}
+	})
+	changes, next, err := e.Store.Watch(ctx, prefixes, after)
+	if err != nil && anew.Load() {
+		return nil, after, errWatchAnew
+	}
+	return changes, next, err
+}
+
 func (e *Entry) dispatch(ctx context.Context, changes []winch.Change) {
 	for _, c := range changes {
 		switch {
