A strong entry is standby and planner; a weak one hands the office on

Ruled out: the workers (all 350 usable) and the lanes. Now strong entries go first as standby, a weak one is exchanged, and a weak planner gives the office to a strong standby.

--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,6 +96,34 @@
 	})
 }
 
+// The large VMs are killed, and a small one takes the office over. Once a large
+// one is back the office goes there, and the small one plans no longer: it was
+// seen to fall behind for as long as it did, and all work was late.
+func TestOfficeGoesBackToAStrongEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 8, 3, 9)
+		w.mu.Lock()
+		w.share = map[string]int{"d0-0": 1000, "d1-0": 1000}
+		w.mu.Unlock()
+		large := []*simNode{w.nodes["d0-0"], w.nodes["d1-0"]}
+		for _, n := range large {
+			n.kill()
+		}
+		settle()
+		small := w.planner()
+		is.True(small != nil)
+		ids := w.jobs(0, 8)
+		for _, n := range large {
+			n.start()
+		}
+		time.Sleep(5 * time.Second)
+		is.True(slices.Contains(large, w.planner()))
+		w.awaitAll(ids, 20*time.Second)
+		w.end()
+	})
+}
+
 // The planner is stopped as planned while the store takes 300 ms for each call. It
 // gives the office up with one call, since its standby knows all runs. Writing
 // everything down before would take longer than its lease, and nothing would start
--- a/region/lead.go
+++ b/region/lead.go
@@ -93,6 +93,8 @@
 	naming    bool
 	namingTo  string
 	copied    map[string][]winch.Running // copied is what this entry knew as standby.
+	began     time.Time
+	looked    time.Time // looked is when the standby was last compared with others.
 	armed     bool
 	closed    bool
 
@@ -114,7 +116,7 @@
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
 		standbyCh: make(chan struct{}, 1), tired: make(map[string]time.Time),
-		rosterTurn: make(chan struct{}, 1), group: conc.NewWaitGroup(),
+		rosterTurn: make(chan struct{}, 1), group: conc.NewWaitGroup(), began: time.Now(),
 	}
 	v := newValidity(until)
 	l.valid.Store(&v)
@@ -363,8 +365,11 @@
 	l.armed = false
 	l.timer.Reset(idleTime)
 	l.dropMissing()
-	if l.standby == nil && !l.closed {
-		l.chooseStandby(l.live())
+	if !l.closed && (l.standby == nil || time.Since(l.looked) > standbyLook) {
+		l.looked = time.Now()
+		live := l.live()
+		l.chooseStandby(live)
+		l.yield(live)
 	}
 	if !l.closed && l.mayStart() {
 		l.planner.Schedule()
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -18,6 +18,10 @@
 	mirrorTime = 400 * time.Millisecond
 	// standbyRest is how long an entry that failed as standby is not tried again.
 	standbyRest = time.Second
+	// standbyLook is how often the standby is compared with other entries.
+	standbyLook = 500 * time.Millisecond
+	// yieldAfter is how long a planner on a weak VM serves before it hands over.
+	yieldAfter = 1500 * time.Millisecond
 )
 
 // mirror is what an entry holds as standby of the planner: all runs that may
@@ -85,26 +89,62 @@
 	Name string
 }
 
-// chooseStandby takes an entry of another failure domain as standby, so that
-// both are not cut off together. It has to wait until all runs of an earlier
-// planner are found: a copy without them would let the standby start them twice.
+// strongPart is the part of the largest processor share from which on an entry
+// counts as able to plan for the region. A planner on a VM with a quarter of the
+// processor was seen to decide too late for everything for as long as it held the
+// office.
+const strongPart = 0.5
+
+// strong reports whether an entry has about as much processor as any.
+func strong(m member, most int) bool {
+	return float64(m.Share) >= strongPart*float64(most)
+}
+
+// mostShare returns the largest processor share of some entries.
+func mostShare(live map[string]member) int {
+	most := 0
+	for _, m := range live {
+		most = max(most, m.Share)
+	}
+	return most
+}
+
+// chooseStandby takes an entry as standby: a strong one, since it is the next
+// planner, and one of another failure domain, so that both are not cut off
+// together. It has to wait until all runs of an earlier planner are found: a copy
+// without them would let the standby start them twice.
 func (l *lead) chooseStandby(live map[string]member) {
 	if l.planner.Adopting() {
 		return
 	}
+	best := l.bestStandby(live)
 	if s := l.standby; s != nil {
-		if _, ok := live[s.name]; ok {
+		now, ok := live[s.name]
+		most := mostShare(live)
+		if ok && (strong(now, most) || best == "" || !strong(live[best], most)) {
 			return
 		}
 		l.dropStandby()
 	}
+	if best == "" {
+		return
+	}
+	l.mirrors++
+	l.standby = &standby{name: best, session: l.mirrors}
+	l.pump()
+}
+
+func (l *lead) bestStandby(live map[string]member) string {
+	most := mostShare(live)
 	best := ""
 	better := func(a, b string) bool {
 		if b == "" {
 			return true
 		}
-		farA, farB := live[a].Domain != l.node.Domain, live[b].Domain != l.node.Domain
-		if farA != farB {
+		if strongA, strongB := strong(live[a], most), strong(live[b], most); strongA != strongB {
+			return strongA
+		}
+		if farA, farB := live[a].Domain != l.node.Domain, live[b].Domain != l.node.Domain; farA != farB {
 			return farA
 		}
 		return live[a].Share > live[b].Share || live[a].Share == live[b].Share && a < b
@@ -114,12 +154,23 @@
 			best = name
 		}
 	}
-	if best == "" {
+	return best
+}
+
+// yield gives the office to the standby if that is strong and this entry is not.
+// It is not done in the first moments, in which the keepers' sessions begin.
+func (l *lead) yield(live map[string]member) {
+	s := l.standby
+	if s == nil || !s.synced || l.named != s.name || l.naming || time.Since(l.began) < yieldAfter {
 		return
 	}
-	l.mirrors++
-	l.standby = &standby{name: best, session: l.mirrors}
-	l.pump()
+	most := mostShare(live)
+	if strong(live[l.node.Name], most) || !strong(live[s.name], most) {
+		return
+	}
+	l.node.Log.Info("office goes to a stronger entry", zap.String("standby", s.name))
+	l.closed = true
+	l.group.Go(func() { l.handOver(l.ctx) })
 }
 
 // dropStandby gives a standby up. Starts wait until the store names it no more.
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -35,6 +35,8 @@
 	store   *simStore
 	// cut holds the failure domains that reach only themselves.
 	cut map[string]bool
+	// share holds the processor shares of entries; others have 400.
+	share map[string]int
 	// running counts, by task, the runs at workers that are up.
 	running map[winch.RunID]int
 	noted   map[winch.RunID]bool
@@ -121,6 +123,9 @@
 		Timing: Timing{Lease: 6 * time.Second, Keep: time.Minute},
 		Codec:  simCodec{}, Log: n.world.log.logger(n.host), Metrics: metrics.NewRegistry(),
 	}
+	if share, ok := n.world.share[n.host]; ok {
+		node.Share = share
+	}
 	node.Table = &simTable{store: n.world.store, node: node}
 	node.Runner = &simRunner{world: n.world, node: node}
 	node.Peers = &simPeers{world: n.world, node: node}
