What may run at a silent worker is recorded, so that nothing waits for it

A worker that does not answer gets no starts anyway, so what may run there does not change: it is written into the roster, and the worker gets work again only once the store surely holds no such entry. Also mended on the way: a planner that took over after a planned stop could leave the earlier planner's settled entries in the store while it started work there; they are now rewritten before the worker gets any. Ruled out: a shorter lease (work in a cut domain would end).

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -35,6 +35,10 @@
 		w.over = e.Result == winch.StartOtherBoot && w.vm.Born != 0
 	case proto.EventKnown:
 		p.knew(w, e)
+	case proto.EventSilent:
+		w.quiet, w.answers = true, false
+	case proto.EventBack:
+		w.answers = true
 	}
 }
 
@@ -72,7 +76,7 @@
 	}
 	p.found(w, e.Running)
 	p.status(w, e.Running)
-	w.ready = true
+	w.ready, w.answers = true, true
 	delete(p.roster, w.vm.ID)
 	// Ends that were recorded before are forgotten again, in case the order was lost.
 	w.forgot = 0
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -46,6 +46,9 @@
 	// over says that another boot answers at the worker's address. The list names
 	// it later: until then each call would only be told the same.
 	over bool
+	// quiet says that the worker may be recorded as one that gets no work since it
+	// does not answer, answers that it does again.
+	quiet, answers bool
 	// empty says that surely nothing runs there: the boot is new to the region, or
 	// all that ran has ended, and nothing was ordered since.
 	empty bool
@@ -84,7 +87,7 @@
 
 // usable reports whether the worker may be given work.
 func (w *worker) usable() bool {
-	return w.ready && !w.gone && !w.vm.Draining
+	return w.ready && !w.quiet && !w.gone && !w.vm.Draining
 }
 
 // SetWorkers takes the platform's list. Workers that are missing get no new
@@ -171,6 +174,29 @@
 	return out
 }
 
+// Quiet reports whether a worker gets no work since it does not answer, and
+// whether it answers again.
+func (p *Planner) Quiet(id string) (quiet, answers bool) {
+	if w := p.workers[id]; w != nil {
+		return w.quiet, w.answers
+	}
+	return false, false
+}
+
+// SetQuiet marks a worker that gets no work until Awake.
+func (p *Planner) SetQuiet(id string) {
+	if w := p.workers[id]; w != nil {
+		w.quiet = true
+	}
+}
+
+// Awake lets a worker get work that answers again.
+func (p *Planner) Awake(id string) {
+	if w := p.workers[id]; w != nil {
+		w.quiet = false
+	}
+}
+
 // Gone returns the runs that are gone since the last call.
 func (p *Planner) Gone() []Gone {
 	out := p.gone
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -239,9 +239,13 @@
 // over reports whether an error ends the holding of the worker.
 func (h *holder) over(err error) bool {
 	h.mu.Lock()
+	first := !h.silent
 	h.silent = true
 	lapsed := time.Now().After(h.lapse)
 	h.mu.Unlock()
+	if first {
+		h.emit(proto.KeepEvent{Kind: proto.EventSilent})
+	}
 	switch {
 	case errors.Is(err, winch.ErrFenced):
 		h.keeper.Log.Info("worker is held by a newer keeper", zap.String("worker", h.vm.ID), zap.Uint64("token", h.token))
@@ -301,6 +305,7 @@
 func (h *holder) compareAll(sent time.Time, answer winch.Holding) []proto.KeepEvent {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	back := h.silent
 	h.silent = false
 	var fresh []winch.Ended
 	h.told = answer.Ended
@@ -315,6 +320,9 @@
 		return []proto.KeepEvent{h.first(answer, fresh)}
 	}
 	var out []proto.KeepEvent
+	if back {
+		out = append(out, proto.KeepEvent{Kind: proto.EventBack})
+	}
 	if len(fresh) > 0 {
 		out = append(out, proto.KeepEvent{Kind: proto.EventEnded, Ended: fresh})
 	}
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -125,6 +125,10 @@
 	// EventKnown: what a keeper knew of a worker when a later planner's session
 	// began. It lets that planner go on if the worker does not answer.
 	EventKnown
+	// EventSilent: the worker does not answer; no start is sent to it. EventBack: it
+	// answers again.
+	EventSilent
+	EventBack
 )
 
 // KeepEvent is one event at a worker.
--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -96,6 +96,45 @@
 	})
 }
 
+// A worker goes silent, and a moment later all entries lose power: nobody is left
+// who knows what ran there. The store tells it, so the jobs that ran elsewhere go on
+// as soon as the other workers have answered. Waiting until everything at the
+// silent worker had surely ended would take them eight seconds.
+func TestSilentWorkerHoldsNothingUpAfterAPowerLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 9, 3, 9)
+		settle()
+		w.mu.Lock()
+		w.workers["w0"].mu.Lock()
+		w.workers["w0"].down = true
+		w.workers["w0"].mu.Unlock()
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		ids := w.jobs(0, 12)
+		time.Sleep(100 * time.Millisecond)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		time.Sleep(time.Second)
+		for _, n := range w.nodes {
+			n.start()
+		}
+		w.awaitAll(ids, 6*time.Second)
+		w.mu.Lock()
+		w.workers["w0"].mu.Lock()
+		w.workers["w0"].down = false
+		w.workers["w0"].mu.Unlock()
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		var usable int
+		l := w.planner().node.lead.Load()
+		is.NoErr(l.duty.Do(w.ctx, func() { usable = l.planner.Load().Usable }))
+		is.Equal(usable, 9) // It gets work again.
+		w.end()
+	})
+}
+
 // The large VMs are killed, and a small one takes the office over. Once a large
 // one is back the office goes there, and the small one plans no longer: it was
 // seen to fall behind for as long as it did, and all work was late.
--- a/region/keys.go
+++ b/region/keys.go
@@ -66,8 +66,8 @@
 	// Keeper is the entry through which all orders to the worker go. What it knows
 	// of the worker's runs is therefore all that may run there.
 	Keeper string
-	// Settled is set when the planner handed the office over: Runs is then all that
-	// may run at the worker.
+	// Settled is set when the planner handed the office over, and for a worker that
+	// does not answer and gets no work: Runs is then all that may run there.
 	Settled bool            `cbor:",omitempty"`
 	Runs    []winch.Running `cbor:",omitempty"`
 }
--- a/region/lead.go
+++ b/region/lead.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math"
 	"sync/atomic"
 	"time"
@@ -75,6 +74,7 @@
 	wanted   map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
 	roster   map[string]rostered
 	before   map[string]rostered // before is the roster of the earlier planner.
+	settled  map[string]bool     // settled names the workers that the store may hold as settled.
 	rosterAt uint64              // rosterAt is the revision of the roster's record.
 	tokens   uint64
 	sessions uint64
@@ -114,6 +114,7 @@
 		duty: duty.New("Planner", leadRing, nil), planner: fleet.New(term),
 		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
+		wanted: make(map[string]rostered), settled: make(map[string]bool),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
 		standbyCh: make(chan struct{}, 1), tired: make(map[string]time.Time),
 		rosterTurn: make(chan struct{}, 1), group: conc.NewWaitGroup(), began: time.Now(),
@@ -218,10 +219,13 @@
 		var ids []string
 		for _, w := range r.Workers {
 			l.before[w.VM.ID] = w
-			l.roster[w.VM.ID] = rostered{VM: w.VM, Keeper: w.Keeper}
+			l.roster[w.VM.ID] = w
+			l.wanted[w.VM.ID] = rostered{VM: w.VM, Keeper: w.Keeper}
+			if w.Settled {
+				l.settled[w.VM.ID] = true
+			}
 			ids = append(ids, w.VM.ID)
 		}
-		l.wanted = maps.Clone(l.roster)
 		l.planner.SetRoster(ids)
 		l.rosterAt = v.Version
 	}
@@ -257,6 +261,9 @@
 func (l *lead) settle() {
 	l.planner.SetGone(l.earlier())
 	for id, w := range l.before {
+		if w.Settled {
+			l.planner.SetQuiet(id) // Until the record is changed, nothing may start there.
+		}
 		if l.copied != nil {
 			w.Settled, w.Runs = true, l.copied[id]
 		}
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -76,6 +76,7 @@
 	held := l.planner.Held()
 	l.want(held, live)
 	l.activate(held, live)
+	l.awake()
 	l.wake()
 }
 
@@ -98,15 +99,41 @@
 			now = best
 		}
 		if now != "" {
-			wanted[vm.ID] = rostered{VM: vm, Keeper: now}
+			wanted[vm.ID] = l.entryOf(vm, now)
 		}
 	}
 	l.wanted = wanted
-	if !maps.EqualFunc(wanted, l.roster, func(a, b rostered) bool { return a.Keeper == b.Keeper && a.VM.Born == b.VM.Born }) {
+	if !maps.EqualFunc(wanted, l.roster, sameEntry) {
 		duty.Signal(l.rosterCh)
 	}
 }
 
+func sameEntry(a, b rostered) bool {
+	return a.Keeper == b.Keeper && a.VM.Born == b.VM.Born && a.Settled == b.Settled
+}
+
+// entryOf is what is to be recorded of a worker. For one that does not answer
+// that is all that may run there, since nothing is started there until the record
+// is changed again. Were the planner and its standby lost then, with all other
+// work the next planner would wait until everything there had surely ended.
+func (l *lead) entryOf(vm winch.WorkerVM, keeper string) rostered {
+	out := rostered{VM: vm, Keeper: keeper}
+	if quiet, answers := l.planner.Quiet(vm.ID); quiet && !answers {
+		out.Settled, out.Runs = true, l.planner.RunsAt(vm.ID)
+	}
+	return out
+}
+
+// awake lets workers get work that answer again and that the store surely does
+// not hold as settled.
+func (l *lead) awake() {
+	for id := range l.roster {
+		if quiet, answers := l.planner.Quiet(id); quiet && answers && !l.settled[id] {
+			l.planner.Awake(id)
+		}
+	}
+}
+
 // activate has the recorded keepers hold their workers.
 func (l *lead) activate(held []winch.WorkerVM, live map[string]member) {
 	changed := make(map[string]bool)
@@ -286,6 +313,7 @@
 	if l.proxies[p.name] != p {
 		return
 	}
+	changed := false
 	for _, e := range events {
 		if e.Kind == proto.EventKnown {
 			l.known(p.name, e)
@@ -309,8 +337,14 @@
 			return
 		case proto.EventLost:
 			l.lostWorker(e.Worker)
+		case proto.EventSilent, proto.EventBack, proto.EventListed:
+			quiet, _ := l.planner.Quiet(e.Worker)
+			changed = changed || quiet
 		}
 	}
+	if changed {
+		l.reassign()
+	}
 	l.wake()
 }
 
--- a/region/record.go
+++ b/region/record.go
@@ -123,7 +123,14 @@
 		case <-l.rosterCh:
 		}
 		var wanted map[string]rostered
-		if l.duty.Do(ctx, func() { wanted = maps.Clone(l.wanted) }) != nil {
+		if l.duty.Do(ctx, func() {
+			wanted = maps.Clone(l.wanted)
+			for id, w := range wanted {
+				if w.Settled {
+					l.settled[id] = true // From here on it may be in the store.
+				}
+			}
+		}) != nil {
 			return
 		}
 		if err := l.writeRoster(ctx, wanted); err != nil {
@@ -134,6 +141,11 @@
 		}
 		l.post(func() {
 			l.roster = wanted
+			for id := range l.settled {
+				if !wanted[id].Settled {
+					delete(l.settled, id)
+				}
+			}
 			l.reassign()
 		})
 	}
