Keepers are chosen per failure domain; totals and active jobs are kept; a compact roster

Each entry that came or went had all workers compared with all entries (900,000 steps); each placed task summed the room of all workers; each record looked at all workers. Now changes are gathered for 20 ms, a choice looks at one domain, and only for a worker that needs another keeper; sums are taken once a decision; the roster's value holds per worker what it takes to reach it. Also: a worker with a new keeper is told again which ends are recorded.

--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -80,15 +80,23 @@
 	for _, t := range p.teams {
 		t.urgent.begin()
 	}
+	p.room, p.free = winch.Room{}, winch.Room{}
 	for _, w := range p.workers {
+		if w.usable() {
+			p.room, p.free = p.room.Add(w.vm.Room), p.free.Add(w.free())
+		}
 		for _, r := range w.runs {
 			if r.task != nil && !r.stopping && r.task.step.job.urgent() {
 				p.countUrgent(r.team, r.need, true)
 			}
 		}
 	}
-	for _, j := range p.jobs {
-		if j.state.Final() || !j.urgent() {
+	for id, j := range p.active {
+		if j.state.Final() {
+			delete(p.active, id)
+			continue
+		}
+		if !j.urgent() {
 			continue
 		}
 		for _, s := range j.steps {
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -79,7 +79,9 @@
 	w.ready, w.answers = true, true
 	delete(p.roster, w.vm.ID)
 	// Ends that were recorded before are forgotten again, in case the order was lost.
-	w.forgot = 0
+	if w.forgot > 0 {
+		p.orders = append(p.orders, proto.Order{Kind: proto.OrderForget, Worker: w.vm.ID, Forget: w.forgot})
+	}
 	p.forget(w)
 }
 
@@ -197,6 +199,7 @@
 		j.update()
 	}
 	w.ends = append(w.ends, mark)
+	p.ending[w] = true
 }
 
 // settle applies an end to the task and reports whether it has to be recorded.
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -41,7 +41,9 @@
 	// planner's office may have lapsed then, and a later planner starts them.
 	KnownBefore time.Time
 
-	jobs    map[string]*job
+	jobs map[string]*job
+	// active holds the jobs that have not ended; most that are known have.
+	active  map[string]*job
 	workers map[string]*worker
 	queues  map[string]*queue
 	teams   map[string]*team
@@ -50,6 +52,11 @@
 	roster map[string]bool
 	runs   uint64
 	urgent demand
+	// room is that of all usable workers, free what of it was free at the last
+	// Schedule, less what has been started since.
+	room, free winch.Room
+	// ending holds the workers with ends that are not forgotten yet.
+	ending map[*worker]bool
 
 	orders []proto.Order
 	asks   []Ask
@@ -67,8 +74,9 @@
 // New returns an empty planner.
 func New(term uint64) *Planner {
 	return &Planner{
-		Term: term, jobs: make(map[string]*job), workers: make(map[string]*worker),
+		Term: term, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
+		ending: make(map[*worker]bool),
 	}
 }
 
@@ -163,7 +171,7 @@
 // Waiting returns, by queue, how many jobs have not begun.
 func (p *Planner) Waiting() map[string]int {
 	out := make(map[string]int)
-	for _, j := range p.jobs {
+	for _, j := range p.active {
 		if !j.begun && !j.cancelled && !j.state.Final() {
 			out[j.rec.Queue]++
 		}
--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -457,3 +457,24 @@
 	is.Equal(p.jobs["b"].excess, true)
 	is.Equal(p.jobs["c"].excess, false)
 }
+
+// A worker gets another keeper, which knows nothing of the ends that were recorded
+// before. It is told again up to where they are: the worker would else list them,
+// and be asked about them again and again, until its next task ends.
+func TestNextKeeperIsToldWhatIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, usualQueue())
+		c.add("a", "mix", "choir", tasks(1, 1000))
+		start := c.step()[0]
+		c.end(start, winch.EndDone)
+		c.record()
+		c.planner.Orders()
+		c.planner.Unready([]string{"w0"})
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventListed, Worker: "w0"})
+		orders := c.planner.Orders()
+		is.Equal(len(orders), 1)
+		is.Equal(orders[0].Kind, proto.OrderForget)
+		is.Equal(orders[0].Forget, uint64(1))
+	})
+}
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -103,7 +103,7 @@
 		revision: revision, failed: make(map[string][]uint64), heard: time.Now(),
 	}
 	j.excess = !j.team.share.take(j.team.Weight, rec.Accepted)
-	p.jobs[rec.ID] = j
+	p.jobs[rec.ID], p.active[rec.ID] = j, j
 	for k := range max(1, rec.Times) {
 		j.addRun(k)
 	}
@@ -315,6 +315,7 @@
 // Forget drops a job.
 func (p *Planner) Forget(id string) {
 	delete(p.jobs, id)
+	delete(p.active, id)
 }
 
 func (j *job) hasRuns() bool {
--- a/coord/fleet/load.go
+++ b/coord/fleet/load.go
@@ -31,7 +31,7 @@
 			out.Room = out.Room.Add(w.vm.Room)
 		}
 	}
-	for _, j := range p.jobs {
+	for _, j := range p.active {
 		for _, s := range j.steps {
 			if !s.ready() {
 				continue
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -95,7 +95,7 @@
 		rank rank
 	}
 	var waiting []entry
-	for _, j := range p.jobs {
+	for _, j := range p.active {
 		if j.state.Final() || adopting && j.rec.Revision <= p.Fresh || !p.KnownBefore.IsZero() && j.heard.After(p.KnownBefore) {
 			continue
 		}
@@ -170,7 +170,8 @@
 
 // order starts a task at a worker.
 func (p *Planner) order(t *task, w *worker, number uint64, checkpoint string) {
-	p.addRun(w, t, t.id(), number)
+	r := p.addRun(w, t, t.id(), number)
+	p.free = p.free.Sub(r.charge)
 	t.step.job.begun = true
 	p.orders = append(p.orders, proto.Order{
 		Kind: proto.OrderStart, Worker: w.vm.ID, Task: t.id(), Run: number,
@@ -189,14 +190,7 @@
 	if !t.allows(s.spec.Need.Add(t.urgent.reserve(t.Cap, teamPart))) {
 		return false
 	}
-	var free, all winch.Room
-	for _, w := range p.workers {
-		if w.usable() {
-			free = free.Add(w.free())
-			all = all.Add(w.vm.Room)
-		}
-	}
-	return s.spec.Fills || s.spec.Need.Add(p.urgent.reserve(all, regionPart)).Fits(free)
+	return s.spec.Fills || s.spec.Need.Add(p.urgent.reserve(p.room, regionPart)).Fits(p.free)
 }
 
 // candidates returns the workers that may run the step now, whatever their room.
--- a/coord/fleet/record.go
+++ b/coord/fleet/record.go
@@ -98,7 +98,7 @@
 		j.shown = r.Progress.State
 		j.pressing = false
 	}
-	for _, w := range p.workers {
+	for w := range p.ending {
 		p.forget(w)
 	}
 }
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -310,6 +310,9 @@
 		p.noteGone(w, e.key)
 		w.ends = w.ends[1:]
 	}
+	if len(w.ends) == 0 {
+		delete(p.ending, w)
+	}
 	if upTo > w.forgot {
 		w.forgot = upTo
 		p.orders = append(p.orders, proto.Order{Kind: proto.OrderForget, Worker: w.vm.ID, Forget: upTo})
@@ -336,6 +339,7 @@
 		p.noteGone(w, e.key)
 	}
 	w.ends = nil
+	delete(p.ending, w)
 	w.empty = true
 	if w.gone {
 		delete(p.workers, id)
--- a/region/cell.go
+++ b/region/cell.go
@@ -124,7 +124,7 @@
 func (n *Node) cellChanged() {
 	n.wakeOffice()
 	if l := n.lead.Load(); l != nil {
-		l.post(l.reassign)
+		l.post(l.reassignSoon)
 	}
 }
 
--- a/region/keys.go
+++ b/region/keys.go
@@ -55,12 +55,7 @@
 	Address string
 }
 
-// roster lists the workers that a planner may have given work to, and through
-// which keeper.
-type roster struct {
-	Workers []rostered
-}
-
+// rostered is a worker that a planner may have given work to.
 type rostered struct {
 	VM winch.WorkerVM
 	// Keeper is the entry through which all orders to the worker go. What it knows
@@ -68,8 +63,56 @@
 	Keeper string
 	// Settled is set when the planner handed the office over, and for a worker that
 	// does not answer and gets no work: Runs is then all that may run there.
-	Settled bool            `cbor:",omitempty"`
-	Runs    []winch.Running `cbor:",omitempty"`
+	Settled bool
+	Runs    []winch.Running
+}
+
+// roster is the stored form of the workers: thousands have to fit into one value,
+// and each change writes them all. Of a VM it holds what it takes to reach it.
+type roster struct {
+	Keepers []string
+	Workers []rosterRow
+}
+
+type rosterRow struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Address string
+	Domain  string
+	Born    int64
+	Keeper  int // Keeper is an index into the roster's Keepers.
+	Settled bool
+	Runs    []winch.Running
+}
+
+func newRoster(workers map[string]rostered) roster {
+	var out roster
+	index := make(map[string]int)
+	for _, w := range workers {
+		at, known := index[w.Keeper]
+		if !known {
+			at = len(out.Keepers)
+			index[w.Keeper] = at
+			out.Keepers = append(out.Keepers, w.Keeper)
+		}
+		out.Workers = append(out.Workers, rosterRow{
+			ID: w.VM.ID, Address: w.VM.Address, Domain: w.VM.Domain, Born: w.VM.Born, Keeper: at, Settled: w.Settled, Runs: w.Runs,
+		})
+	}
+	return out
+}
+
+// list returns the workers; a row that names no keeper of the roster has none.
+func (r *roster) list() []rostered {
+	out := make([]rostered, 0, len(r.Workers))
+	for _, w := range r.Workers {
+		x := rostered{VM: winch.WorkerVM{ID: w.ID, Address: w.Address, Domain: w.Domain, Born: w.Born}, Settled: w.Settled, Runs: w.Runs}
+		if w.Keeper >= 0 && w.Keeper < len(r.Keepers) {
+			x.Keeper = r.Keepers[w.Keeper]
+		}
+		out = append(out, x)
+	}
+	return out
 }
 
 // encode returns the stored form of a record.
--- a/region/lead.go
+++ b/region/lead.go
@@ -30,6 +30,9 @@
 	// jobsGap is how often the store's changes of jobs are read. Entries tell the
 	// planner of them at once; this finds what was not told.
 	jobsGap = time.Second
+	// assignGap is the pause between two times that the workers' keepers are worked
+	// out: some milliseconds for thousands of workers.
+	assignGap = 20 * time.Millisecond
 	// workersGap is how often changes of the workers' list are read. A worker must
 	// get no work two seconds after it began to drain.
 	workersGap = 400 * time.Millisecond
@@ -97,6 +100,10 @@
 	looked    time.Time // looked is when the standby was last compared with others.
 	armed     bool
 	closed    bool
+	// assign says that the workers' keepers are to be worked out again, assigned
+	// when they last were.
+	assign   bool
+	assigned time.Time
 
 	// rosterTurn is held by whoever writes the roster; it guards rosterAt.
 	rosterTurn chan struct{}
@@ -217,7 +224,7 @@
 			return err
 		}
 		var ids []string
-		for _, w := range r.Workers {
+		for _, w := range r.list() {
 			l.before[w.VM.ID] = w
 			l.roster[w.VM.ID] = w
 			l.wanted[w.VM.ID] = rostered{VM: w.VM, Keeper: w.Keeper}
@@ -372,6 +379,11 @@
 	l.armed = false
 	l.timer.Reset(idleTime)
 	l.dropMissing()
+	if l.assign && time.Since(l.assigned) >= assignGap {
+		l.reassign()
+	} else if l.assign {
+		l.timer.Reset(assignGap)
+	}
 	if !l.closed && (l.standby == nil || time.Since(l.looked) > standbyLook) {
 		l.looked = time.Now()
 		live := l.live()
--- a/region/list.go
+++ b/region/list.go
@@ -79,5 +79,5 @@
 	}
 	l.planner.SetWorkers(list)
 	l.planner.SetGone(l.earlier())
-	l.reassign()
+	l.reassignSoon()
 }
--- a/region/node.go
+++ b/region/node.go
@@ -189,6 +189,6 @@
 // LinkChanged takes note that a link to a peer stands or has broken.
 func (n *Node) LinkChanged() {
 	if l := n.lead.Load(); l != nil {
-		l.post(l.reassign)
+		l.post(l.reassignSoon)
 	}
 }
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -55,6 +55,13 @@
 	return out
 }
 
+// reassignSoon has the workers' keepers worked out with the next decision. Hundreds
+// of entries come and go at once, and each call goes over all workers.
+func (l *lead) reassignSoon() {
+	l.assign = true
+	l.wake()
+}
+
 // reassign gives each worker a keeper: one of its own failure domain if there
 // is one, so that a domain which is cut off keeps its work. A keeper is used once
 // it is recorded in the roster.
@@ -62,6 +69,7 @@
 	if l.closed {
 		return
 	}
+	l.assign, l.assigned = false, time.Now()
 	live := l.live()
 	l.lanes.SetLanes(slices.Collect(maps.Keys(live)))
 	for name := range l.resting {
@@ -82,23 +90,13 @@
 
 // want chooses the keepers, and has them recorded where they differ from the roster.
 func (l *lead) want(held []winch.WorkerVM, live map[string]member) {
+	byDomain := newPools(live)
 	wanted := make(map[string]rostered, len(held))
-	count := make(map[string]int)
 	for _, vm := range held {
-		if now := l.wanted[vm.ID].Keeper; now != "" {
-			count[now]++
-		}
+		byDomain.add(l.wanted[vm.ID].Keeper)
 	}
 	for _, vm := range held {
-		now := l.wanted[vm.ID].Keeper
-		_, there := live[now]
-		best := l.bestKeeper(vm, live, count)
-		if best != "" && (!there || live[now].Domain != vm.Domain && live[best].Domain == vm.Domain || count[now]-count[best] > uneven && live[now].Domain == live[best].Domain) {
-			count[now]--
-			count[best]++
-			now = best
-		}
-		if now != "" {
+		if now := byDomain.choose(vm.Domain, l.wanted[vm.ID].Keeper); now != "" {
 			wanted[vm.ID] = l.entryOf(vm, now)
 		}
 	}
@@ -158,30 +156,6 @@
 	}
 }
 
-// bestKeeper returns the entry with the fewest workers for its processor share,
-// in the worker's failure domain if there is one.
-func (l *lead) bestKeeper(vm winch.WorkerVM, live map[string]member, count map[string]int) string {
-	best := ""
-	better := func(a, b string) bool {
-		if b == "" {
-			return true
-		}
-		nearA, nearB := live[a].Domain == vm.Domain, live[b].Domain == vm.Domain
-		if nearA != nearB {
-			return nearA
-		}
-		loadA := float64(count[a]) / float64(max(1, live[a].Share))
-		loadB := float64(count[b]) / float64(max(1, live[b].Share))
-		return loadA < loadB || loadA == loadB && a < b
-	}
-	for name := range live {
-		if better(name, best) {
-			best = name
-		}
-	}
-	return best
-}
-
 // dropKept takes workers from their keepers that the planner does not hold any more.
 func (l *lead) dropKept(list []winch.WorkerVM, changed map[string]bool) {
 	held := make(map[string]bool)
@@ -262,7 +236,7 @@
 		if l.proxies[p.name] == p {
 			l.dropKeeper(p)
 			l.rest(p.name)
-			l.reassign()
+			l.reassignSoon()
 		}
 	})
 }
@@ -275,7 +249,7 @@
 		duty.Pause(l.ctx, keeperRest)
 		l.post(func() {
 			delete(l.resting, name)
-			l.reassign()
+			l.reassignSoon()
 		})
 	})
 }
@@ -343,7 +317,7 @@
 		}
 	}
 	if changed {
-		l.reassign()
+		l.reassignSoon()
 	}
 	l.wake()
 }
@@ -361,7 +335,7 @@
 func (l *lead) lostWorker(id string) {
 	delete(l.keepers, id)
 	delete(l.kept, id)
-	l.reassign()
+	l.reassignSoon()
 }
 
 // dispatch passes the planner's orders on: starts once the standby has heard of
--- a/region/record.go
+++ b/region/record.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -160,7 +159,7 @@
 	defer func() { <-l.rosterTurn }()
 	revision, err := l.node.Table.Commit(ctx, winch.Txn{
 		Expect: map[string]uint64{keyOffice: l.revision, keyRoster: l.rosterAt},
-		Writes: []winch.Write{{Key: keyRoster, Data: encode(roster{Workers: slices.Collect(maps.Values(workers))})}},
+		Writes: []winch.Write{{Key: keyRoster, Data: encode(newRoster(workers))}},
 	})
 	var conflict *winch.ConflictError
 	if errors.As(err, &conflict) {
