--- /dev/null
+++ b/cmds/soak.go
@@ -0,0 +1,83 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/cobra"
+
+	"plantainwinch/soak"
+)
+
+func newSoak() *cobra.Command {
+	var o soak.Options
+	seeds := 1
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Try a region of real processes under faults",
+		Long: "Start entries as processes of their own against a stand-in platform on loopback, bring faults\n" +
+			"about by a seed and check what callers and workers see. A seed that shows a broken promise is\n" +
+			"printed with the line that runs it again; its settings, logs and list of faults are kept.",
+		Example: "  plantainwinch soak --seed 7 --time 20s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			program, err := os.Executable()
+			if err != nil {
+				return merry.Wrap(err)
+			}
+			o.Program = program
+			failed := 0
+			first := o.Seed
+			for i := range seeds {
+				o.Seed = first + uint64(i)
+				ok, err := soakOnce(cmd, o)
+				if err != nil {
+					return err
+				}
+				if !ok {
+					failed++
+				}
+			}
+			cmd.Printf("%d passed, %d failed\n", seeds-failed, failed)
+			if failed > 0 {
+				return merry.New("a promise was broken")
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "first seed")
+	cmd.Flags().IntVar(&seeds, "seeds", 1, "how many seeds to run, one after the other")
+	cmd.Flags().DurationVar(&o.Time, "time", 20*time.Second, "how long faults are brought about for each seed")
+	cmd.Flags().IntVar(&o.Domains, "domains", 3, "failure domains")
+	cmd.Flags().IntVar(&o.Entries, "entries", 2, "entries in each failure domain")
+	cmd.Flags().IntVar(&o.Workers, "workers", 4, "workers in each failure domain")
+	cmd.Flags().IntVar(&o.Callers, "callers", 4, "callers")
+	return cmd
+}
+
+// soakOnce runs one seed and reports whether all promises were kept.
+func soakOnce(cmd *cobra.Command, o soak.Options) (bool, error) {
+	dir, err := os.MkdirTemp("", "winch-soak")
+	if err != nil {
+		return false, merry.Wrap(err)
+	}
+	o.Dir = dir
+	s := soak.Soak{Options: o}
+	report, err := s.Run(cmd.Context())
+	if err != nil {
+		return false, err
+	}
+	cmd.Printf("seed %d: %d accepted, %d done, %d cancelled, %d refused, %d starts, %d faults, %d problems\n",
+		o.Seed, report.Accepted, report.Done, report.Cancelled, report.Refused, report.Starts, report.Faults, len(report.Problems))
+	if len(report.Problems) == 0 {
+		return true, os.RemoveAll(dir)
+	}
+	for _, p := range report.Problems {
+		cmd.Println("  " + p)
+	}
+	cmd.Println(fmt.Sprintf("  logs in %s; again: plantainwinch soak --seed %d --time %v --domains %d --entries %d --workers %d --callers %d",
+		dir, o.Seed, o.Time, o.Domains, o.Entries, o.Workers, o.Callers))
+	return false, nil
+}
--- /dev/null
+++ b/soak/fault.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"plantainwinch/platform/mimic"
+)
+
+// fault brings one fault about and has it undone later. Faults overlap.
+func (s *Soak) fault(ctx context.Context) {
+	p := s.procs[s.rnd.IntN(len(s.procs))]
+	worker := s.rnd.IntN(s.site.Size())
+	long := time.Duration(300+s.rnd.IntN(4000)) * time.Millisecond
+	short := time.Duration(20+s.rnd.IntN(1500)) * time.Millisecond
+	kinds := []struct {
+		name string
+		do   func()
+		undo func()
+		time time.Duration
+	}{
+		{"kill", func() { p.end(syscall.SIGKILL) }, func() { s.restart(p) }, short},
+		{"stop", func() { p.end(syscall.SIGTERM) }, func() { s.restart(p) }, short},
+		{"freeze", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, long},
+		{"silent", func() { p.relay.setSilent(true) }, func() { p.relay.setSilent(false) }, long},
+		{"reset", p.relay.reset, func() {}, 0},
+		{"delay", func() { p.relay.setDelay(150 * time.Millisecond) }, func() { p.relay.setDelay(0) }, long},
+		{"store silent", func() { s.site.Store.Set(mimic.StoreFaults{Silent: true}) }, s.calm, long},
+		{"store busy", func() { s.site.Store.Set(mimic.StoreFaults{Busy: true}) }, s.calm, long},
+		{"store slow", func() { s.site.Store.Set(mimic.StoreFaults{Slow: 250 * time.Millisecond}) }, s.calm, long},
+		{"store loses", func() { s.site.Store.Set(mimic.StoreFaults{LoseEvery: 3}) }, s.calm, long},
+		{"history gone", s.site.Store.Forget, func() {}, 0},
+		{"worker boots", func() { s.site.Reboot(worker) }, func() {}, 0},
+		{"worker mute", func() { s.site.Mute(worker, true) }, func() { s.site.Mute(worker, false) }, long},
+		{"configuration", s.site.Configure, func() {}, 0},
+		{"kill all", s.killAll, s.restartAll, short},
+	}
+	k := kinds[s.rnd.IntN(len(kinds))]
+	_, _ = fmt.Fprintf(s.faults, "%8.3f %s %s w%d for %v\n", time.Since(s.started).Seconds(), k.name, p.name, worker, k.time)
+	s.count(func(r *Report) { r.Faults++ })
+	s.group.Go(func() {
+		k.do()
+		pause(ctx, k.time)
+		k.undo()
+	})
+}
+
+// calm ends the store's faults.
+func (s *Soak) calm() { s.site.Store.Set(mimic.StoreFaults{}) }
+
+func (s *Soak) restart(p *proc) {
+	if err := p.start(); err != nil {
+		s.problem("%s cannot be started again: %v", p.name, err)
+	}
+}
+
+func (s *Soak) killAll() {
+	for _, p := range s.procs {
+		p.end(syscall.SIGKILL)
+	}
+}
+
+func (s *Soak) restartAll() {
+	for _, p := range s.procs {
+		s.restart(p)
+	}
+}
--- /dev/null
+++ b/soak/proc.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// proc is one entry as a process of its own, which may be ended and started again.
+type proc struct {
+	name, domain string
+	program      string
+	dir          string
+	callers      string
+	relay        *relay
+	file         string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", merry.Wrap(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
+
+// settings writes the entry's settings file.
+func (p *proc) settings(advice string) error {
+	var at [3]string
+	for i := range at {
+		a, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		at[i] = a
+	}
+	p.callers = at[0]
+	p.file = filepath.Join(p.dir, p.name+".ini")
+	text := fmt.Sprintf(`[Entry]
+Name = %s
+Domain = %s
+[Listen]
+Callers = %s
+Ready = %s
+Peers = %s
+[Platform]
+Adapter = Region
+Address = %s
+Advice = %s
+[Peers]
+Token = soak
+[Limits]
+Memory = 256MB
+Processors = 0.4
+[Timing]
+Lease = 6s
+Keep = 5m
+Grace = 5s
+`, p.name, p.domain, at[0], at[1], at[2], p.relay.address(), advice)
+	return merry.Wrap(os.WriteFile(p.file, []byte(text), 0o600))
+}
+
+// start starts the process; its log is appended to what earlier ones wrote.
+func (p *proc) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil // Another fault has started it again.
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(p.program, "serve", "-c", p.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return merry.Wrap(err)
+	}
+	p.cmd = cmd
+	return nil
+}
+
+// signal sends a signal to the process, by its id.
+func (p *proc) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s) // It may have ended.
+	}
+}
+
+// end ends the process with a signal and waits until it is gone.
+func (p *proc) end(s syscall.Signal) {
+	p.signal(s)
+	p.signal(syscall.SIGCONT) // A frozen process takes no other signal.
+	p.mu.Lock()
+	cmd := p.cmd
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd != nil {
+		_ = cmd.Wait()
+	}
+}
