--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -42,6 +42,10 @@
 	// lapseMargin is added when a lease counts as lapsed: a message may be that
 	// long on its way, and the worker ends runs a moment after the time.
 	lapseMargin = 300 * time.Millisecond
+	// overtaken is by how much a clock in one answer may be behind that in another
+	// which was given later: answers on different connections overtake each other,
+	// and none is waited for longer.
+	overtaken = 3 * time.Second
 	// statusEvery bounds how often the state of runs is told to the planner.
 	statusEvery = 400 * time.Millisecond
 	// mostListed is how many ends a worker lists at a time; with so many, runs may
@@ -184,6 +188,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && h.setClock(answer.Clock) {
+			err = winch.ErrOtherBoot
+		}
 		if err == nil {
 			h.answered(sent, answer)
 			h.waitRecorded(ctx)
@@ -230,6 +237,12 @@
 		}
 		call.Until = h.until
 	}
+	if h.silent {
+		// Another boot may answer under the same ID, whose ends are numbered anew:
+		// told the numbers of the last one it would drop ends that nobody has seen.
+		// It is asked at once who it is, and told nothing.
+		call.Forget, call.Wait = 0, 0
+	}
 	h.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, call.Wait+answerTime)
 	defer cancel()
@@ -283,18 +296,24 @@
 	return h.clock + now.Sub(h.clockAt)
 }
 
-func (h *holder) setClock(clock time.Duration) {
+// setClock takes the worker's clock from an answer, and reports whether the
+// answer is another boot's: a boot's clock starts anew and never goes back. Some
+// answers do not say which boot they are from.
+func (h *holder) setClock(clock time.Duration) (reborn bool) {
 	if clock <= 0 {
-		return
+		return false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if clock < h.clock-overtaken {
+		return true
+	}
 	h.clock, h.clockAt = clock, time.Now()
+	return false
 }
 
 // answered takes the lists of a worker.
 func (h *holder) answered(sent time.Time, answer winch.Holding) {
-	h.setClock(answer.Clock)
 	for _, e := range h.compareAll(sent, answer) {
 		h.emit(e)
 	}
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -29,6 +29,9 @@
 	// loseStarts makes starts go unanswered; late says that they take effect.
 	loseStarts bool
 	late       bool
+	// told is the largest number of an end that a hold named since told was reset.
+	told  uint64
+	stops int
 }
 
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.begin) }
@@ -52,6 +55,7 @@
 	w.holds++
 	w.until = max(w.until, c.Until)
 	w.forget = max(w.forget, c.Forget)
+	w.told = max(w.told, c.Forget)
 	var kept []winch.Ended
 	for _, e := range w.ended {
 		if e.Number > w.forget {
@@ -84,6 +88,7 @@
 func (w *fakeWorker) Stop(_ context.Context, _ winch.WorkerVM, _ uint64, task winch.RunID, run uint64) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.stops++
 	for i, r := range w.running {
 		if r.Task == task && r.Run == run {
 			w.running = append(w.running[:i:i], w.running[i+1:]...)
@@ -297,3 +302,59 @@
 		r.end(cancel)
 	})
 }
+
+// reboot makes the worker another boot under the same ID: it knows nothing, and
+// its clock and the numbers of its ends start anew.
+func (w *fakeWorker) reboot() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begin, w.until, w.forget, w.token, w.told = time.Now(), 0, 0, 0, 0
+	w.running, w.ended, w.silent = nil, nil, false
+}
+
+// A worker crashes and comes back under the same ID. The next hold must not tell
+// the new boot which ends of the old one are recorded: it would drop ends that
+// nobody has seen, and tasks that are done would run again.
+func TestNextBootIsToldNoNumbersOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderForget, Worker: "w", Token: 5, Forget: 40}}})
+		time.Sleep(5 * time.Second)
+		r.worker.mu.Lock()
+		r.worker.silent = true
+		r.worker.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		r.worker.reboot()
+		time.Sleep(3 * time.Second)
+		r.worker.mu.Lock()
+		is.Equal(r.worker.told, uint64(0))
+		r.worker.mu.Unlock()
+		is.Equal(r.count(proto.EventLost), 1) // its clock tells it from the last boot
+		r.end(cancel)
+	})
+}
+
+// A worker comes back under the same ID so soon that a start reaches the new boot
+// before any hold has noticed. Its answer shows a clock that has gone back: the run
+// is stopped there before the task may be started elsewhere.
+func TestStartAtTheNextBootIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		time.Sleep(5 * time.Second)
+		r.worker.reboot()
+		time.Sleep(time.Millisecond)
+		r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 3}}})
+		time.Sleep(time.Second)
+		r.worker.mu.Lock()
+		is.Equal(len(r.worker.running), 0)
+		is.Equal(r.worker.stops, 1)
+		r.worker.mu.Unlock()
+		is.Equal(r.count(proto.EventStarted), 0)
+		is.Equal(r.count(proto.EventLost), 1)
+		r.end(cancel)
+	})
+}
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -56,7 +56,10 @@
 		Token: h.token, Task: c.Task, Run: c.Run, Command: c.text,
 		Checkpoint: c.Checkpoint, Ticket: c.Ticket, Until: until,
 	})
-	h.setClock(clock)
+	if reborn := h.setClock(clock); reborn {
+		h.startedElsewhere(ctx, key)
+		return
+	}
 	switch result {
 	case winch.StartOK:
 		h.confirm(key, false)
@@ -77,6 +80,15 @@
 	}
 }
 
+// startedElsewhere ends a run that another boot of the worker began, which
+// answered under the same ID. Nothing of that boot is known: started again
+// elsewhere, as all that ran on the boot that was meant, it would run twice.
+func (h *holder) startedElsewhere(ctx context.Context, key runKey) {
+	h.stopUntilHeard(ctx, key, true)
+	h.emit(proto.KeepEvent{Kind: proto.EventLost, Result: winch.StartOtherBoot})
+	h.cancel()
+}
+
 // mayStart notes a start that is about to be sent and returns until when it is
 // good at the worker. A start prolongs the lease there, so none is sent to a
 // worker that does not answer holds: it would run on after it counts as lost.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,9 +30,9 @@
 	// start: a start that was on its way, and a planner that is being replaced.
 	cancelTime = 5 * time.Second
 	// limitMilli bounds the second team, so that its limit is always in use.
-	limitMilli = 6000
+	limitMilli = 9000
 	// jobPause is the mean pause of one caller between two jobs.
-	jobPause = 150 * time.Millisecond
+	jobPause = 400 * time.Millisecond
 )
 
 // Options says what a run is to be.
@@ -168,7 +168,7 @@
 	for n := 0; calls.Err() == nil; n++ {
 		j := mimic.Job{
 			ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, i, n), Team: []string{"choir", "duct"}[rnd.IntN(2)],
-			Take: time.Duration(50+rnd.IntN(1500)) * time.Millisecond, Tasks: []int{1 + rnd.IntN(4), 1 + rnd.IntN(3)},
+			Take: time.Duration(50+rnd.IntN(900)) * time.Millisecond, Tasks: []int{1 + rnd.IntN(4), 1 + rnd.IntN(3)},
 		}
 		cancels := rnd.IntN(8) == 0
 		pick := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
