Strong entries take the office after a power loss

Now a weak entry leaves a free office to strong ones for 0.6 s, and a weak planner that does not get to know what runs gives the office up without a standby.

--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -163,6 +163,49 @@
 	})
 }
 
+// All entries lose power, and the weak VMs are back a moment before the strong
+// ones, while a worker does not answer. The office still goes to a strong entry
+// soon: a weak one was seen to need five seconds until it knew what runs, and all
+// that time nothing was started.
+func TestStrongEntriesTakeTheOfficeAfterAPowerLoss(t *testing.T) {
+	for name, later := range map[string]time.Duration{"at once": 300 * time.Millisecond, "later": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, 10, 3, 9)
+				w.mu.Lock()
+				w.share = map[string]int{"d0-0": 1000, "d1-0": 1000}
+				w.mu.Unlock()
+				large := []*simNode{w.nodes["d0-0"], w.nodes["d1-0"]}
+				for _, n := range large {
+					n.kill()
+					n.start()
+				}
+				settle()
+				for _, n := range w.nodes {
+					n.kill()
+				}
+				w.workers["w0"].mu.Lock()
+				w.workers["w0"].down = true
+				w.workers["w0"].mu.Unlock()
+				time.Sleep(time.Second)
+				for _, n := range w.nodes {
+					if !slices.Contains(large, n) {
+						n.start()
+					}
+				}
+				time.Sleep(later)
+				for _, n := range large {
+					n.start()
+				}
+				time.Sleep(4 * time.Second)
+				is.True(slices.Contains(large, w.planner()))
+				w.end()
+			})
+		})
+	}
+}
+
 // The planner is stopped as planned while the store takes 300 ms for each call. It
 // gives the office up with one call, since its standby knows all runs. Writing
 // everything down before would take longer than its lease, and nothing would start
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -22,6 +22,9 @@
 	standbyLook = 500 * time.Millisecond
 	// yieldAfter is how long a planner on a weak VM serves before it hands over.
 	yieldAfter = 1500 * time.Millisecond
+	// stuckAfter is when it hands over without a standby. A strong planner hears
+	// of all workers within a second.
+	stuckAfter = 2500 * time.Millisecond
 )
 
 // mirror is what an entry holds as standby of the planner: all runs that may
@@ -157,18 +160,24 @@
 	return best
 }
 
-// yield gives the office to the standby if that is strong and this entry is not.
-// It is not done in the first moments, in which the keepers' sessions begin.
+// yield gives the office up if this entry is weak and a strong one lives: to the
+// standby if that is strong and knows all runs, and else to whoever takes it, if
+// this entry does not even get to know what runs. It is not done in the first
+// moments, in which the keepers' sessions begin.
 func (l *lead) yield(live map[string]member) {
-	s := l.standby
-	if s == nil || !s.synced || l.named != s.name || l.naming || time.Since(l.began) < yieldAfter {
+	most := mostShare(live)
+	if time.Since(l.began) < yieldAfter || strong(live[l.node.Name], most) {
 		return
 	}
-	most := mostShare(live)
-	if strong(live[l.node.Name], most) || !strong(live[s.name], most) {
+	s := l.standby
+	ready := s != nil && s.synced && l.named == s.name && !l.naming && strong(live[s.name], most)
+	stuck := l.planner.Adopting() && time.Since(l.began) > stuckAfter
+	if !ready && !stuck {
 		return
 	}
-	l.node.Log.Info("office goes to a stronger entry", zap.String("standby", s.name))
+	l.node.Log.Info("office goes to a stronger entry", zap.Bool("standby", ready))
+	now := time.Now()
+	l.node.yielded.Store(&now)
 	l.closed = true
 	l.group.Go(func() { l.handOver(l.ctx) })
 }
--- a/region/node.go
+++ b/region/node.go
@@ -83,6 +83,7 @@
 	heard    atomic.Int64 // heard is when the store last answered, in nanoseconds of started.
 	back     broadcast    // back tells that the store answers again.
 	started  time.Time
+	yielded  atomic.Pointer[time.Time] // yielded is when this entry last gave the office to a stronger one.
 	stopping atomic.Bool
 	leaving  atomic.Bool
 	// changed wakes the office after a change of the cell's records.
--- a/region/office.go
+++ b/region/office.go
@@ -15,6 +15,12 @@
 	// rankDelay is how much later each entry tries to take a free office than the
 	// one before it: two calls to the store.
 	rankDelay = 25 * time.Millisecond
+	// weakDelay is how much longer an entry on a weak VM waits. When all start at
+	// once the strong ones are known from their last records, and may be slower.
+	weakDelay = 600 * time.Millisecond
+	// yieldRest is how long an entry stays behind that has given the office to a
+	// stronger one, so that it does not take it back before that one has noticed.
+	yieldRest = 2 * time.Second
 	// officeLook is how often the office is looked at where no change was told.
 	officeLook = time.Second
 	// validMargin is taken off the office's lease: work that is decided just
@@ -27,7 +33,7 @@
 	for ctx.Err() == nil {
 		n.endOffice(ctx)
 		if n.mayTake() {
-			duty.Pause(ctx, time.Duration(n.rank())*rankDelay)
+			duty.Pause(ctx, n.turn())
 			if n.mayTake() {
 				n.tryOffice(ctx)
 			}
@@ -66,6 +72,27 @@
 	}
 }
 
+// turn is how long this entry leaves a free office to others: those that come
+// before it, and longer to those that can plan better.
+func (n *Node) turn() time.Duration {
+	rank := n.rank()
+	wait := time.Duration(rank) * rankDelay
+	if rank == 0 {
+		return wait
+	}
+	most := 0
+	for _, m := range n.cell.list() {
+		most = max(most, m.Share)
+	}
+	if !strong(member{Share: n.Share}, most) {
+		wait += weakDelay
+	}
+	if yielded := n.yielded.Load(); yielded != nil && time.Since(*yielded) < yieldRest {
+		wait += yieldRest
+	}
+	return wait
+}
+
 // rank is this entry's place among those that may take the office: the standby
 // of the last planner first, then those with most processor.
 func (n *Node) rank() int {
