--- a/entry/job_test.go
+++ b/entry/job_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"plantainwinch/conf"
 	"plantainwinch/stand"
@@ -497,3 +498,27 @@
 		is.Equal(w.await(c, "choir", job.ID, 10*time.Second).State, winch.JobDone)
 	})
 }
+
+// The answer to an operator's change is lost, and the entry does not reach the
+// store any more. The operator is told that the change may have been written, and
+// does not wait for ever.
+func TestChangeWithoutAnAnswerEnds(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(w.t)
+		a := w.entry("d1-0", "d1")
+		w.settle()
+		w.configure(a, 4, "choir")
+		w.platform.Set(stand.Faults{Latency: 100 * time.Millisecond})
+		a.loseReplies(100)
+		var group conc.WaitGroup
+		var r winch.Result
+		group.Go(func() {
+			d := config.Declared{Teams: map[string]winch.Team{"choir": {Name: "choir", Share: 1, Limit: 6}}}
+			_, r = a.Change(context.Background(), operator, 0, d.Change())
+		})
+		time.Sleep(250 * time.Millisecond) // The write is under way.
+		a.cutStore(true)
+		group.Wait()
+		is.Equal(r.Outcome, winch.Unknown)
+	})
+}
--- a/entry/oper.go
+++ b/entry/oper.go
@@ -12,6 +12,11 @@
 	"plantainwinch/winch"
 )
 
+// changeTime bounds a change of the configuration. Where the answer to its write
+// was lost, the store is asked whether it took effect; if the store stays away the
+// operator is told that it may have, and does not wait for ever.
+const changeTime = 20 * time.Second
+
 // Applied is the answer to a change of the configuration.
 type Applied struct {
 	Version   uint64
@@ -64,6 +69,8 @@
 // Change writes a change of the configuration and waits until it is in force in
 // all live entries, or reports which have not confirmed it.
 func (e *Entry) Change(ctx context.Context, actor Actor, base uint64, change config.Change) (Applied, winch.Result) {
+	ctx, cancel := context.WithTimeout(ctx, changeTime)
+	defer cancel()
 	doc, err := e.editor.Edit(ctx, actor.Name, base, change)
 	var lost *config.Lost
 	switch {
