--- a/cmds/stand.go
+++ b/cmds/stand.go
@@ -16,13 +16,14 @@
 	"github.com/spf13/cobra"
 
 	"plantainwinch/conf"
+	"plantainwinch/platform/mimic"
 	"plantainwinch/stand"
 	"plantainwinch/winch"
 )
 
 func newStand() *cobra.Command {
 	cmd := &cobra.Command{Use: "stand", Short: "Run a small stand-in for a system around the cell", Example: "  plantainwinch stand platform"}
-	cmd.AddCommand(newStandPlatform(), newStandExecutor(), newStandWorker())
+	cmd.AddCommand(newStandPlatform(), newStandExecutor(), newStandWorker(), newStandSite())
 	return cmd
 }
 
@@ -97,6 +98,40 @@
 	return cmd
 }
 
+func newStandSite() *cobra.Command {
+	s := mimic.Site{Teams: []mimic.Team{{Name: "choir"}, {Name: "duct"}}}
+	domains := 1
+	cmd := &cobra.Command{
+		Use:   "site",
+		Short: "Run a platform with a transactional store, workers and an advice service",
+		Long: "Run what entries of a region need: a store with the operator's configuration, worker VMs whose\n" +
+			"tasks only take time, and an advice service that allows all. A command is a team's name and how\n" +
+			"long a task takes, such as \"choir 2s\". The teams choir and duct have the keys key-of-choir and\n" +
+			"key-of-duct; the queue is called jobs.",
+		Example: "  plantainwinch stand site --store 127.0.0.1:7000 --advice 127.0.0.1:7005",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for i := range domains {
+				s.Domains = append(s.Domains, fmt.Sprintf("d%d", i+1))
+			}
+			if err := s.Start(); err != nil {
+				return merry.Errorf("%v: choose free ports", err)
+			}
+			defer s.Stop()
+			fmt.Fprintln(cmd.OutOrStdout(), "site serves its store on", s.StoreAddress, "and advice on", s.AdviceAddress)
+			<-cmd.Context().Done()
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&s.StoreAddress, "store", "127.0.0.1:7000", "address of the store")
+	f.StringVar(&s.AdviceAddress, "advice", "127.0.0.1:7005", "address of the advice service")
+	f.IntVar(&domains, "domains", 1, "failure domains")
+	f.IntVar(&s.Workers, "workers", 2, "worker VMs in each failure domain")
+	f.Int64Var(&s.Milli, "milli", 16000, "processors of each worker VM, in thousandths")
+	return cmd
+}
+
 // serveStand serves until the command's context ends.
 func serveStand(cmd *cobra.Command, listen string, h http.Handler, ready func() error) error {
 	ln, err := net.Listen("tcp", listen)
--- a/conf/region.go
+++ b/conf/region.go
@@ -27,6 +27,8 @@
 	Ready   string `conf:"required"`
 	Peers   string `conf:"required"`
 	Metrics string
+	// Jobs is where the program's own interface for jobs made of phases is served.
+	Jobs string
 }
 
 // RegionPlatform says where the platform's services are.
@@ -126,6 +128,9 @@
 	if s.Listen.Metrics != "" {
 		addresses = append(addresses, address{"Listen", "Metrics", s.Listen.Metrics})
 	}
+	if s.Listen.Jobs != "" {
+		addresses = append(addresses, address{"Listen", "Jobs", s.Listen.Jobs})
+	}
 	if s.Platform.Advice != "" {
 		addresses = append(addresses, address{"Platform", "Advice", s.Platform.Advice})
 	}
--- a/coord/office/session.go
+++ b/coord/office/session.go
@@ -98,10 +98,6 @@
 	if !need {
 		return
 	}
-	if s.Document() == nil {
-		s.reload() // Jobs need the classes of the configuration, which is not read yet.
-		return
-	}
 	jobs, err := s.Ledger.Jobs(ctx)
 	if err != nil {
 		metrics.GetOrRegisterCounter("Office.LoadFailed", s.Metrics).Inc(1)
@@ -128,7 +124,7 @@
 	}
 	doc := s.Document()
 	if doc == nil {
-		s.stale = true
+		s.stale = true // The job's class is not known yet; the ledger is read again.
 		return
 	}
 	class, ok := doc.Classes[j.Class]
--- a/server/region.go
+++ b/server/region.go
@@ -17,6 +17,7 @@
 	"plantainwinch/platform"
 	"plantainwinch/proto"
 	"plantainwinch/region"
+	"plantainwinch/trans/front"
 	"plantainwinch/trans/peer"
 )
 
@@ -119,7 +120,7 @@
 	s.listeners = make(map[string]net.Listener)
 	l := s.Settings.Listen
 	for _, x := range []struct{ key, address string }{
-		{"Callers", l.Callers}, {"Ready", l.Ready}, {"Peers", l.Peers}, {"Metrics", l.Metrics},
+		{"Callers", l.Callers}, {"Ready", l.Ready}, {"Peers", l.Peers}, {"Metrics", l.Metrics}, {"Jobs", l.Jobs},
 	} {
 		if x.address == "" {
 			continue
@@ -174,11 +175,12 @@
 }
 
 func (s *Region) servers() map[string]*http.Server {
-	front := &platform.Front{Region: s.Node, Log: s.Log, Metrics: s.Metrics}
+	callers := &platform.Front{Region: s.Node, Log: s.Log, Metrics: s.Metrics}
 	peers := http.NewServeMux()
 	peers.Handle(peer.Path, s.Mesh)
 	handlers := map[string]http.Handler{
-		"Callers": front, "Ready": front.Ready(), "Peers": peers, "Metrics": metricsHandler(s.Metrics),
+		"Callers": callers, "Ready": callers.Ready(), "Peers": peers, "Metrics": metricsHandler(s.Metrics),
+		"Jobs": front.Phases(s.Node),
 	}
 	out := make(map[string]*http.Server)
 	for name := range s.listeners {
--- /dev/null
+++ b/trans/front/phases.go
@@ -0,0 +1,193 @@
+package front
+
+import (
+	"errors"
+	"net/http"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"plantainwinch/conf"
+	"plantainwinch/winch"
+)
+
+// PhasedBody is what a caller posts to hand a job made of phases in.
+type PhasedBody struct {
+	Command string
+	Phases  []PhaseBody
+	// Times is how often the phases run, the first time at First and then Every
+	// apart; zero stands for once, at once.
+	Times int       `json:",omitempty"`
+	First time.Time `json:",omitzero"`
+	Every string    `json:",omitempty"`
+}
+
+// PhaseBody is one phase. Durations are written as 90s, amounts of memory as 2GB.
+type PhaseBody struct {
+	Count       int
+	Need        PhaseNeed
+	Estimate    string `json:",omitempty"`
+	After       []int  `json:",omitempty"`
+	Checkpoints bool   `json:",omitempty"`
+	Gang        bool   `json:",omitempty"`
+	SameRack    bool   `json:",omitempty"`
+	Label       string `json:",omitempty"`
+	Rack        string `json:",omitempty"`
+	MostPerVM   int    `json:",omitempty"`
+	Copies      bool   `json:",omitempty"`
+	Lasting     bool   `json:",omitempty"`
+	MayMiss     int    `json:",omitempty"`
+	Image       string `json:",omitempty"`
+	Target      string `json:",omitempty"`
+	Fills       bool   `json:",omitempty"`
+}
+
+// PhaseNeed is what each task of a phase needs.
+type PhaseNeed struct {
+	Processors   float64
+	Memory       string
+	Accelerators int `json:",omitempty"`
+}
+
+// PhasedState is what a caller is told of a job.
+type PhasedState struct {
+	ID    string
+	State winch.JobState
+}
+
+// QueueState is what a caller is told of a queue.
+type QueueState struct {
+	Queue   string
+	Waiting int // Waiting counts the accepted jobs that have not begun.
+}
+
+// phasedID is what a caller may name a job: it makes handing it in idempotent.
+var phasedID = regexp.MustCompile(`^[0-9a-f]{16}$`)
+
+// milli is how many thousandths a processor has.
+const milli = 1000
+
+// job checks the body's own forms and returns what it asks for.
+func (b *PhasedBody) job() (*winch.PhasedJob, error) {
+	j := &winch.PhasedJob{Command: b.Command, Times: b.Times, First: b.First}
+	var err error
+	if j.Every, err = duration("Every", b.Every); err != nil {
+		return nil, err
+	}
+	for i := range b.Phases {
+		p, err := b.Phases[i].phase()
+		if err != nil {
+			return nil, err
+		}
+		j.Phases = append(j.Phases, p)
+	}
+	return j, j.Check()
+}
+
+func (b *PhaseBody) phase() (winch.Phase, error) {
+	p := winch.Phase{
+		Count: b.Count, After: b.After, Checkpoints: b.Checkpoints, Gang: b.Gang, SameRack: b.SameRack, Label: b.Label, Rack: b.Rack,
+		MostPerVM: b.MostPerVM, Copies: b.Copies, Lasting: b.Lasting, MayMiss: b.MayMiss, Image: b.Image, Fills: b.Fills,
+	}
+	memory, err := conf.ParseBytes(b.Need.Memory)
+	if err != nil {
+		return p, errors.New("Need.Memory is " + err.Error())
+	}
+	p.Need = winch.Room{Milli: int64(milli * b.Need.Processors), Memory: memory, Accelerators: b.Need.Accelerators}
+	if p.Estimate, err = duration("Estimate", b.Estimate); err != nil {
+		return p, err
+	}
+	p.Target, err = duration("Target", b.Target)
+	return p, err
+}
+
+// duration reads a duration that may be left out.
+func duration(field, text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, errors.New(field + " is no duration: write it as 90s or 2h")
+	}
+	return d, nil
+}
+
+// Phases returns the callers' interface of a region: jobs made of phases, handed
+// in to queues.
+func Phases(region winch.Region) http.Handler {
+	p := phases{region}
+	r := httprouter.New()
+	r.GET("/Queues/:Queue", p.with(p.queue))
+	r.POST("/Queues/:Queue/Jobs/:ID", p.with(p.submit))
+	r.GET("/Queues/:Queue/Jobs/:ID", p.with(p.state))
+	r.DELETE("/Queues/:Queue/Jobs/:ID", p.with(p.cancel))
+	return r
+}
+
+type phases struct{ region winch.Region }
+
+// phasedCall is a call whose queue, team and id were found.
+type phasedCall struct {
+	w               http.ResponseWriter
+	r               *http.Request
+	queue, team, id string
+}
+
+// with finds queue and team in the configuration in force.
+func (p phases) with(f func(c phasedCall)) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+		config := p.region.Config()
+		if config == nil {
+			writeResult(w, winch.RefuseFor(winch.StoreUnavailable, "no configuration has been read yet", time.Second))
+			return
+		}
+		c := phasedCall{w: w, r: r, queue: ps.ByName("Queue"), id: ps.ByName("ID")}
+		i := slices.IndexFunc(config.Queues, func(q winch.Queue) bool { return q.Name == c.queue })
+		if i < 0 {
+			writeResult(w, winch.Refuse(winch.UnknownService, "no queue "+c.queue))
+			return
+		}
+		team, known := config.TeamOf(bearer(r))
+		if !known && !config.Queues[i].Public {
+			writeResult(w, winch.Refuse(winch.UnknownKey, "the key is not known"))
+			return
+		}
+		if c.id != "" && !phasedID.MatchString(c.id) {
+			writeResult(w, winch.Refuse(winch.BadRequest, "a job's name has 16 hexadecimal digits"))
+			return
+		}
+		c.team = team
+		f(c)
+	}
+}
+
+func (p phases) queue(c phasedCall) {
+	n, r := p.region.Waiting(c.r.Context(), c.queue)
+	writeOr(c.w, r, QueueState{Queue: c.queue, Waiting: n})
+}
+
+func (p phases) submit(c phasedCall) {
+	var body PhasedBody
+	if !readJSON(c.w, c.r, &body) {
+		return
+	}
+	job, err := body.job()
+	if err != nil {
+		writeResult(c.w, winch.Refuse(winch.BadRequest, err.Error()))
+		return
+	}
+	job.ID, job.Queue, job.Team, job.Accepted = c.id, c.queue, c.team, time.Now()
+	writeOr(c.w, p.region.Submit(c.r.Context(), job), PhasedState{ID: c.id, State: winch.JobQueued})
+}
+
+func (p phases) state(c phasedCall) {
+	state, r := p.region.State(c.r.Context(), c.id)
+	writeOr(c.w, r, PhasedState{ID: c.id, State: state})
+}
+
+func (p phases) cancel(c phasedCall) {
+	writeOr(c.w, p.region.Cancel(c.r.Context(), c.id), PhasedState{ID: c.id, State: winch.JobCancelled})
+}
--- /dev/null
+++ b/winch/check.go
@@ -0,0 +1,68 @@
+package winch
+
+import "github.com/ansel1/merry/v2"
+
+const (
+	// mostTasks bounds the tasks of one job, over all its runs; more would let one
+	// caller fill an entry's memory.
+	mostTasks = 100_000
+	// mostPhases bounds the phases of one job.
+	mostPhases = 1000
+	// mostCommand bounds a command in bytes: a record holds it beside its phases.
+	mostCommand = 64 << 10
+)
+
+// Check reports the first thing that is wrong with a job that a caller hands in.
+func (j *PhasedJob) Check() error {
+	if len(j.Phases) == 0 || len(j.Phases) > mostPhases {
+		return merry.Errorf("give 1 to %d phases", mostPhases)
+	}
+	if len(j.Command) > mostCommand {
+		return merry.Errorf("the command has %d bytes, at most %d are allowed", len(j.Command), mostCommand)
+	}
+	if j.Times < 0 || j.Times > mostTasks || j.Every < 0 {
+		return merry.Errorf("a job is repeated 0 to %d times, with a pause that is not negative", mostTasks)
+	}
+	total := 0
+	for i := range j.Phases {
+		if err := j.Phases[i].check(i); err != nil {
+			return err
+		}
+		total += j.Phases[i].Count * max(1, j.Times)
+		if total > mostTasks {
+			return merry.Errorf("more than %d tasks in all", mostTasks)
+		}
+	}
+	return nil
+}
+
+func (p *Phase) check(i int) error {
+	if p.Count < 1 || p.Count > mostTasks {
+		return merry.Errorf("phase %d: the count must be from 1 to %d", i, mostTasks)
+	}
+	need := p.Need
+	if need.Milli < 0 || need.Memory < 0 || need.Accelerators < 0 || p.Estimate < 0 || p.MostPerVM < 0 || p.MayMiss < 0 || p.Target < 0 {
+		return merry.Errorf("phase %d: figures must not be negative", i)
+	}
+	for _, a := range p.After {
+		if a < 0 || a >= i {
+			return merry.Errorf("phase %d comes after phase %d, which is no earlier one", i, a)
+		}
+	}
+	return nil
+}
+
+// TeamOf returns the team that a key belongs to.
+func (c *RegionConfig) TeamOf(key string) (string, bool) {
+	if key == "" {
+		return "", false
+	}
+	for _, t := range c.Teams {
+		for _, k := range t.Keys {
+			if k == key {
+				return t.Name, true
+			}
+		}
+	}
+	return "", false
+}
