A caller that goes away does not read a result that is still being written

Cause of a data race that TestChaos showed once with the race detector: a change given up by its caller (Begin, Accept) is still applied by the ledger's duty, which writes the variables that the caller returned. The test shows the race without the change.

--- a/state/ledger/calls.go
+++ b/state/ledger/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"plantainwinch/winch"
@@ -10,8 +11,10 @@
 // Begin records that a non-repeatable call is about to be sent by the attempt
 // named in the record. If it returns mine, this attempt, and no other, may send
 // it. Otherwise the record returned says what became of the earlier one.
-func (l *Ledger) Begin(ctx context.Context, call winch.CallRecord) (rec winch.CallRecord, mine bool, err error) {
-	err = l.Commit(ctx, call.ID, func(p *Partition) error {
+func (l *Ledger) Begin(ctx context.Context, call winch.CallRecord) (winch.CallRecord, bool, error) {
+	var rec winch.CallRecord
+	var mine bool
+	err := l.Commit(ctx, call.ID, func(p *Partition) error {
 		old, ok := p.Calls[call.ID]
 		again := ok && old.Result.Outcome == winch.NotRun
 		if ok && !again {
@@ -28,6 +31,10 @@
 		rec, mine = call, true
 		return nil
 	})
+	if errors.Is(err, winch.ErrUncertain) {
+		// The change may still be under way and write what is read here.
+		return winch.CallRecord{}, false, err
+	}
 	if err == ErrFinal { //nolint:errorlint // It comes from the change above, unwrapped.
 		err = nil
 	}
--- a/state/ledger/jobs.go
+++ b/state/ledger/jobs.go
@@ -36,6 +36,9 @@
 		}
 		return swap.ErrUnchanged
 	})
+	if errors.Is(err, winch.ErrUncertain) {
+		return job, err // The change may still be under way and write what is read here.
+	}
 	if errors.Is(err, swap.ErrUnchanged) {
 		err = nil
 	}
--- a/state/ledger/ledger_test.go
+++ b/state/ledger/ledger_test.go
@@ -229,3 +229,28 @@
 		is.True(mine)
 	})
 }
+
+// A caller goes away at the very moment at which its change is applied. Its result
+// must not be read while the change writes it; the race detector shows it.
+func TestGivenUpWhileTheChangeIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const latency = 100 * time.Millisecond
+		p := &stand.Platform{}
+		p.Set(stand.Faults{Latency: latency})
+		l, stop := start(p, 1)
+		defer stop()
+		for i := range 30 {
+			ctx, cancel := context.WithTimeout(t.Context(), latency)
+			if i%2 == 0 {
+				_, mine, err := l.Begin(ctx, winch.CallRecord{ID: fmt.Sprint("C", i), Owner: "o", Digest: "d"})
+				is.Equal(mine, err == nil)
+			} else {
+				_, err := l.Accept(ctx, job(i))
+				is.True(err == nil || errors.Is(err, winch.ErrUncertain))
+			}
+			cancel()
+			time.Sleep(time.Second)
+		}
+	})
+}
