--- a/duty/duty.go
+++ b/duty/duty.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
 )
 
 // ErrFull is returned when the ring has no room.
@@ -102,3 +103,22 @@
 		return ErrStopped
 	}
 }
+
+// Until runs f with a context that also ends when stop is closed or sends, and
+// reports whether it did. f must return soon after its context has ended.
+func Until(ctx context.Context, stop <-chan struct{}, f func(ctx context.Context)) (stopped bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	group.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-stop:
+			stopped = true
+			cancel()
+		}
+	})
+	f(ctx)
+	cancel()
+	group.Wait()
+	return stopped
+}
--- /dev/null
+++ b/duty/until_test.go
@@ -0,0 +1,26 @@
+package duty_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/duty"
+)
+
+// A call that waits is ended by a signal before its own time, and one that ends by
+// itself is not reported as stopped.
+func TestUntil(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		stop := make(chan struct{})
+		begin := time.Now()
+		time.AfterFunc(time.Second, func() { close(stop) })
+		is.True(duty.Until(t.Context(), stop, func(ctx context.Context) { duty.Pause(ctx, time.Hour) }))
+		is.Equal(time.Since(begin), time.Second)
+		is.Equal(duty.Until(t.Context(), make(chan struct{}), func(context.Context) {}), false)
+	})
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -4,13 +4,12 @@
 	"context"
 	"errors"
 	"strings"
-	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/office"
+	"plantainwinch/duty"
 	"plantainwinch/state/config"
 	"plantainwinch/state/ledger"
 	"plantainwinch/state/swap"
@@ -65,23 +64,11 @@
 // watchOnce waits for changes. It ends early when this entry takes the office:
 // the watch does not cover the jobs then, and what is accepted by an entry that
 // dies before it can tell would not be taken up.
-func (e *Entry) watchOnce(ctx context.Context, prefixes []string, after uint64) ([]winch.Change, uint64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var anew atomic.Bool
-	var group conc.WaitGroup
-	defer group.Wait()
-	defer cancel()
-	group.Go(func() {
-		select {
-		case <-ctx.Done():
-		case <-e.rewatch:
-			anew.Store(true)
-			cancel()
-		}
+func (e *Entry) watchOnce(ctx context.Context, prefixes []string, after uint64) (changes []winch.Change, next uint64, err error) {
+	anew := duty.Until(ctx, e.rewatch, func(ctx context.Context) {
+		changes, next, err = e.Store.Watch(ctx, prefixes, after)
 	})
-	changes, next, err := e.Store.Watch(ctx, prefixes, after)
-	if err != nil && anew.Load() {
+	if err != nil && anew {
 		return nil, after, errWatchAnew
 	}
 	return changes, next, err
--- /dev/null
+++ b/region/assign.go
@@ -0,0 +1,142 @@
+package region
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"plantainwinch/duty"
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// live returns the entries that can be keepers and lanes now.
+func (l *lead) live() map[string]member {
+	linked := make(map[string]bool)
+	for _, name := range l.node.Peers.Names() {
+		linked[name] = true
+	}
+	out := make(map[string]member)
+	for _, m := range l.node.cell.list() {
+		if linked[m.Name] || m.Name == l.node.Name && !l.node.leaving.Load() {
+			out[m.Name] = m
+		}
+	}
+	return out
+}
+
+// reassignSoon has the workers' keepers worked out with the next decision. Hundreds
+// of entries come and go at once, and each call goes over all workers.
+func (l *lead) reassignSoon() {
+	l.assign = true
+	l.wake()
+}
+
+// reassign gives each worker a keeper: one of its own failure domain if there
+// is one, so that a domain which is cut off keeps its work. A keeper is used once
+// it is recorded in the roster.
+func (l *lead) reassign() {
+	if l.closed {
+		return
+	}
+	l.assign, l.assigned = false, time.Now()
+	live := l.live()
+	l.lanes.SetLanes(slices.Collect(maps.Keys(live)))
+	for name := range l.resting {
+		delete(live, name)
+	}
+	for name, p := range l.proxies {
+		if _, ok := live[name]; !ok {
+			l.dropKeeper(p)
+		}
+	}
+	l.chooseStandby(live)
+	held := l.planner.Held()
+	l.want(held, live)
+	l.activate(held, live)
+	l.awake()
+	l.wake()
+}
+
+// want chooses the keepers, and has them recorded where they differ from the roster.
+func (l *lead) want(held []winch.WorkerVM, live map[string]member) {
+	byDomain := newPools(live)
+	wanted := make(map[string]rostered, len(held))
+	for _, vm := range held {
+		byDomain.add(l.wanted[vm.ID].Keeper)
+	}
+	for _, vm := range held {
+		if now := byDomain.choose(vm.Domain, l.wanted[vm.ID].Keeper); now != "" {
+			wanted[vm.ID] = l.entryOf(vm, now)
+		}
+	}
+	l.wanted = wanted
+	if !maps.EqualFunc(wanted, l.roster, sameEntry) {
+		duty.Signal(l.rosterCh)
+	}
+}
+
+func sameEntry(a, b rostered) bool {
+	return a.Keeper == b.Keeper && a.VM.Born == b.VM.Born && a.Settled == b.Settled
+}
+
+// entryOf is what is to be recorded of a worker. For one that does not answer
+// that is all that may run there, since nothing is started there until the record
+// is changed again. Were the planner and its standby lost then, with all other
+// work the next planner would wait until everything there had surely ended.
+func (l *lead) entryOf(vm winch.WorkerVM, keeper string) rostered {
+	out := rostered{VM: vm, Keeper: keeper}
+	if quiet, answers := l.planner.Quiet(vm.ID); quiet && !answers {
+		out.Settled, out.Runs = true, l.planner.RunsAt(vm.ID)
+	}
+	return out
+}
+
+// awake lets workers get work that answer again and that the store surely does
+// not hold as settled.
+func (l *lead) awake() {
+	for id := range l.roster {
+		if quiet, answers := l.planner.Quiet(id); quiet && answers && !l.settled[id] {
+			l.planner.Awake(id)
+		}
+	}
+}
+
+// activate has the recorded keepers hold their workers.
+func (l *lead) activate(held []winch.WorkerVM, live map[string]member) {
+	changed := make(map[string]bool)
+	for _, vm := range held {
+		name := l.wanted[vm.ID].Keeper
+		recorded := l.roster[vm.ID]
+		if _, ok := live[name]; !ok || recorded.Keeper != name || recorded.VM.Born != vm.Born || l.keepers[vm.ID] == name {
+			continue
+		}
+		if old := l.keepers[vm.ID]; old != "" {
+			changed[old] = true
+			l.planner.Unready([]string{vm.ID})
+		}
+		changed[name] = true
+		l.keepers[vm.ID] = name
+		l.tokens++
+		l.kept[vm.ID] = proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens, Empty: l.planner.Empty(vm.ID)}
+	}
+	l.dropKept(held, changed)
+	for name := range changed {
+		l.sendSet(name)
+	}
+}
+
+// dropKept takes workers from their keepers that the planner does not hold any more.
+func (l *lead) dropKept(list []winch.WorkerVM, changed map[string]bool) {
+	held := make(map[string]bool)
+	for _, vm := range list {
+		held[vm.ID] = true
+	}
+	for id, name := range l.keepers {
+		if !held[id] {
+			delete(l.keepers, id)
+			delete(l.kept, id)
+			changed[name] = true
+		}
+	}
+}
--- a/region/cell.go
+++ b/region/cell.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"plantainwinch/duty"
@@ -183,21 +182,11 @@
 // followOnce makes one call that waits for changes. If the store was away and is
 // back, the call is given up: it went into the outage and may never be answered,
 // and what it waits for would be seen seconds late.
-func (n *Node) followOnce(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]winch.Event, uint64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	back := n.back.wait()
-	var group conc.WaitGroup
-	defer group.Wait()
-	defer cancel()
-	group.Go(func() {
-		select {
-		case <-ctx.Done():
-		case <-back:
-			cancel()
-		}
+func (n *Node) followOnce(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []winch.Event, next uint64, err error) {
+	duty.Until(ctx, n.back.wait(), func(ctx context.Context) {
+		events, next, err = n.Table.Follow(ctx, prefix, after, wait)
 	})
-	return n.Table.Follow(ctx, prefix, after, wait)
+	return events, next, err
 }
 
 // runNode keeps the entry's own record, and with it the knowledge whether the
--- a/region/lead.go
+++ b/region/lead.go
@@ -44,9 +44,6 @@
 	// staleTime is how long a planner goes on that cannot renew its office. What it
 	// starts last still has a second to run before its keepers let go.
 	staleTime = keepGrace - 1500*time.Millisecond
-	// handOverTime bounds the giving up of the office at a planned stop. A slow
-	// store takes 0.3 s for each call; the process may go on for several seconds.
-	handOverTime = 2500 * time.Millisecond
 	// loadEvery is how often the region's load is logged.
 	loadEvery = time.Second
 )
@@ -289,83 +286,6 @@
 	return out
 }
 
-// takeJobs adds the jobs that the planner does not know yet.
-func (l *lead) takeJobs(values []winch.Value) {
-	all := make(map[string]*stored)
-	for _, v := range values {
-		id, suffix := jobKey(v.Key)
-		if l.planner.Known(id) && suffix == "" {
-			continue
-		}
-		s := all[id]
-		if s == nil {
-			s = &stored{}
-			all[id] = s
-		}
-		if err := s.take(suffix, v); err != nil {
-			l.node.Log.Error("record cannot be read", zap.String("key", v.Key), zap.Error(err))
-		}
-	}
-	var jobs []fleet.Stored
-	for _, s := range all {
-		if s.job != nil {
-			jobs = append(jobs, fleet.Stored{Job: s.job, Progress: s.progress, Revision: s.revision})
-		}
-	}
-	l.planner.AddAll(jobs)
-	for id, s := range all {
-		if s.cancelled {
-			l.planner.Cancel(id)
-		}
-	}
-}
-
-func (l *lead) followJobs(ctx context.Context) {
-	take := func(values []winch.Value) {
-		l.post(func() {
-			l.takeJobs(values)
-			l.wake()
-		})
-	}
-	l.node.follow(ctx, prefixJobs, pacing{gap: jobsGap}, take, func(events []winch.Event) {
-		var values []winch.Value
-		for _, e := range events {
-			if !e.Deleted {
-				values = append(values, e.Value)
-			}
-		}
-		take(values)
-	})
-}
-
-// take takes what an entry tells: jobs that were accepted, or a cancel.
-func (l *lead) take(_ winch.Kind, body any) {
-	l.post(func() {
-		switch m := body.(type) {
-		case proto.Accepted:
-			for _, a := range m.Jobs {
-				job := a.Job
-				job.Revision = a.Revision
-				l.planner.Add(&job, nil, 0)
-			}
-		case proto.CancelJob:
-			l.planner.Cancel(m.ID)
-		}
-		l.wake()
-	})
-}
-
-// state answers what is known of a job.
-func (l *lead) state(ctx context.Context, id string) proto.StateGive {
-	var give proto.StateGive
-	_ = l.duty.Do(ctx, func() {
-		if l.valid.Load().left() > -staleTime {
-			give.State, give.Known = l.planner.State(id)
-		}
-	}) // Without an answer the store is asked.
-	return give
-}
-
 // wake has the planner decide soon.
 func (l *lead) wake() {
 	if !l.armed {
@@ -454,54 +374,3 @@
 		duty.Pause(ctx, loadEvery)
 	}
 }
-
-// handOver gives the office up: nothing more is started, and the end of the
-// lease tells the others. A standby that knows all runs needs nothing else, and
-// workers list again what is not recorded yet; each further call to a slow store
-// would only put off the next start. Without one, what ended and what runs is
-// recorded before.
-func (l *lead) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handOverTime)
-	defer cancel()
-	_ = l.duty.Do(ctx, func() {
-		l.closed = true
-		l.dispatch()
-	})
-	if !l.mirrored(ctx) {
-		for range 3 {
-			if !l.commit(ctx) {
-				break
-			}
-		}
-		l.recordRuns(ctx)
-	}
-	for ctx.Err() == nil {
-		err := l.node.Table.End(ctx, l.lease)
-		if err == nil || errors.Is(err, winch.ErrMissing) {
-			break
-		}
-		l.node.Log.Info("office not ended yet", zap.Error(err))
-		duty.Pause(ctx, retryPause/3)
-	}
-	l.cancel()
-}
-
-// mirrored reports whether the standby knows all runs and the store names it,
-// once what is on its way to it is answered.
-func (l *lead) mirrored(ctx context.Context) bool {
-	for ctx.Err() == nil {
-		var waits, ok bool
-		if l.duty.Do(ctx, func() {
-			s := l.standby
-			waits = l.mirroring
-			ok = s != nil && s.synced && l.named == s.name && !l.naming
-		}) != nil {
-			return false
-		}
-		if !waits {
-			return ok
-		}
-		duty.Pause(ctx, gatherTime)
-	}
-	return false
-}
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -20,11 +20,6 @@
 	standbyRest = time.Second
 	// standbyLook is how often the standby is compared with other entries.
 	standbyLook = 500 * time.Millisecond
-	// yieldAfter is how long a planner on a weak VM serves before it hands over.
-	yieldAfter = 1500 * time.Millisecond
-	// stuckAfter is when it hands over without a standby. A strong planner hears
-	// of all workers within a second.
-	stuckAfter = 2500 * time.Millisecond
 )
 
 // mirror is what an entry holds as standby of the planner: all runs that may
@@ -92,26 +87,6 @@
 	Name string
 }
 
-// strongPart is the part of the largest processor share from which on an entry
-// counts as able to plan for the region. A planner on a VM with a quarter of the
-// processor was seen to decide too late for everything for as long as it held the
-// office.
-const strongPart = 0.5
-
-// strong reports whether an entry has about as much processor as any.
-func strong(m member, most int) bool {
-	return float64(m.Share) >= strongPart*float64(most)
-}
-
-// mostShare returns the largest processor share of some entries.
-func mostShare(live map[string]member) int {
-	most := 0
-	for _, m := range live {
-		most = max(most, m.Share)
-	}
-	return most
-}
-
 // chooseStandby takes an entry as standby: a strong one, since it is the next
 // planner, and one of another failure domain, so that both are not cut off
 // together. It has to wait until all runs of an earlier planner are found: a copy
@@ -160,28 +135,6 @@
 	return best
 }
 
-// yield gives the office up if this entry is weak and a strong one lives: to the
-// standby if that is strong and knows all runs, and else to whoever takes it, if
-// this entry does not even get to know what runs. It is not done in the first
-// moments, in which the keepers' sessions begin.
-func (l *lead) yield(live map[string]member) {
-	most := mostShare(live)
-	if time.Since(l.began) < yieldAfter || strong(live[l.node.Name], most) {
-		return
-	}
-	s := l.standby
-	ready := s != nil && s.synced && l.named == s.name && !l.naming && strong(live[s.name], most)
-	stuck := l.planner.Adopting() && time.Since(l.began) > stuckAfter
-	if !ready && !stuck {
-		return
-	}
-	l.node.Log.Info("office goes to a stronger entry", zap.Bool("standby", ready))
-	now := time.Now()
-	l.node.yielded.Store(&now)
-	l.closed = true
-	l.group.Go(func() { l.handOver(l.ctx) })
-}
-
 // dropStandby gives a standby up. Starts wait until the store names it no more.
 func (l *lead) dropStandby() {
 	l.node.Log.Info("standby given up", zap.String("standby", l.standby.name))
--- a/region/serve.go
+++ b/region/serve.go
@@ -118,7 +118,7 @@
 // does no harm: the planner reads the store's changes too.
 func (n *Node) tellPlanner(kind winch.Kind, body any) {
 	if l := n.lead.Load(); l != nil {
-		l.take(kind, body)
+		l.take(body)
 		return
 	}
 	_ = n.Peers.Tell(n.cell.holder(), kind, body)
@@ -148,9 +148,9 @@
 			return nil
 		})
 	case proto.KindAccepted:
-		return got(read, func(m proto.Accepted) any { n.forLead(kind, m); return nil })
+		return got(read, func(m proto.Accepted) any { n.forLead(m); return nil })
 	case proto.KindCancel:
-		return got(read, func(m proto.CancelJob) any { n.forLead(kind, m); return nil })
+		return got(read, func(m proto.CancelJob) any { n.forLead(m); return nil })
 	case proto.KindState:
 		return got(read, func(m proto.StateAsk) any {
 			if l := n.lead.Load(); l != nil {
@@ -172,9 +172,9 @@
 	return f(m)
 }
 
-func (n *Node) forLead(kind winch.Kind, body any) {
+func (n *Node) forLead(body any) {
 	if l := n.lead.Load(); l != nil {
-		l.take(kind, body)
+		l.take(body)
 	}
 }
 
