--- a/region/yield.go
+++ b/region/yield.go
@@ -64,9 +64,7 @@
 	for ctx.Err() == nil {
 		var waits, ok bool
 		if l.duty.Do(ctx, func() {
-			s := l.standby
-			waits = l.mirroring
-			ok = s != nil && s.synced && l.named == s.name && !l.naming
+			waits, ok = l.mirroring, l.covered()
 		}) != nil {
 			return false
 		}
@@ -78,6 +76,13 @@
 	return false
 }
 
+// covered reports whether the standby knows all runs that were started, and the
+// store names it.
+func (l *lead) covered() bool {
+	s := l.standby
+	return s != nil && s.synced && l.named == s.name && !l.naming
+}
+
 // strong reports whether an entry has about as much processor as any.
 func strong(m member, most int) bool {
 	return float64(m.Share) >= strongPart*float64(most)
@@ -98,11 +103,10 @@
 // moments, in which the keepers' sessions begin.
 func (l *lead) yield(live map[string]member) {
 	most := mostShare(live)
-	if time.Since(l.began) < yieldAfter || strong(live[l.node.Name], most) {
+	if time.Since(l.began) < yieldAfter || strong(member{Share: l.node.Share}, most) {
 		return
 	}
-	s := l.standby
-	ready := s != nil && s.synced && l.named == s.name && !l.naming && strong(live[s.name], most)
+	ready := l.covered() && strong(live[l.standby.name], most)
 	stuck := l.planner.Adopting() && time.Since(l.began) > stuckAfter
 	if !ready && !stuck {
 		return
