--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -105,11 +105,7 @@
 		is := is.New(t)
 		w := newWorld(t, 9, 3, 9)
 		settle()
-		w.mu.Lock()
-		w.workers["w0"].mu.Lock()
-		w.workers["w0"].down = true
-		w.workers["w0"].mu.Unlock()
-		w.mu.Unlock()
+		w.silence("w0", true)
 		time.Sleep(3 * time.Second)
 		ids := w.jobs(0, 12)
 		time.Sleep(100 * time.Millisecond)
@@ -121,11 +117,7 @@
 			n.start()
 		}
 		w.awaitAll(ids, 6*time.Second)
-		w.mu.Lock()
-		w.workers["w0"].mu.Lock()
-		w.workers["w0"].down = false
-		w.workers["w0"].mu.Unlock()
-		w.mu.Unlock()
+		w.silence("w0", false)
 		time.Sleep(3 * time.Second)
 		var usable int
 		l := w.planner().node.lead.Load()
@@ -185,9 +177,7 @@
 				for _, n := range w.nodes {
 					n.kill()
 				}
-				w.workers["w0"].mu.Lock()
-				w.workers["w0"].down = true
-				w.workers["w0"].mu.Unlock()
+				w.silence("w0", true)
 				time.Sleep(time.Second)
 				for _, n := range w.nodes {
 					if !slices.Contains(large, n) {
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -57,6 +57,16 @@
 	w.group.Go(func() { x.work(w) })
 }
 
+// silence has a worker answer nothing any more, or answer again.
+func (w *world) silence(id string, down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x := w.workers[id]
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.down = down
+}
+
 // work lets runs end when their time has come, and all when the lease has lapsed.
 func (x *simWorker) work(w *world) {
 	for w.ctx.Err() == nil {
