--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.Problems = append(s.report.Problems, s.site.Judge.Problems()...)
-	s.report.Starts = s.site.Judge.Starts
+	s.report.Starts = s.site.Judge.Starts()
 	return s.report, nil
 }
 
