--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # The project's checks: format, lint, vet, build, all tests with the race
-# detector, and the demo. Prints what failed and exits non-zero. The tests named
-# in KNOWN-RED.txt run last; their result is printed and does not decide.
+# detector, the demo, and one short seed of the soak. Prints what failed and
+# exits non-zero. The tests named in KNOWN-RED.txt run last; their result is
+# printed and does not decide.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -33,6 +34,8 @@
 fi
 echo "== demo"
 go run . dev --demo
+echo "== soak, one short seed"
+go run . soak --seed 1 --time 5s
 if [ -n "$red" ]; then
 	echo "== known red, passed over"
 	cat KNOWN-RED.txt
