--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -71,7 +71,7 @@
 	s.known.asking = true
 	p.counts.Asked++
 	p.asks = append(p.asks, Ask{
-		Phase: s.id(), Workers: ids, Urgent: s.job.queue.Priority == 0, Rank: float64(r.class)*1e6 + r.key,
+		Phase: s.id(), Workers: ids, Urgent: s.job.quick(), Rank: float64(r.class)*1e6 + r.key,
 		Cost: cost.Call + time.Duration(len(ids))*cost.Worker, Asked: now,
 	})
 }
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -95,11 +96,11 @@
 	if l.planner.Adopting() {
 		return
 	}
-	best := l.bestStandby(live)
+	most := mostShare(maps.Values(live))
+	best := l.bestStandby(live, most)
 	if s := l.standby; s != nil {
 		now, ok := live[s.name]
-		most := mostShare(live)
-		if ok && (strong(now, most) || best == "" || !strong(live[best], most)) {
+		if ok && (strong(now.Share, most) || best == "" || !strong(live[best].Share, most)) {
 			return
 		}
 		l.dropStandby()
@@ -112,14 +113,13 @@
 	l.pump()
 }
 
-func (l *lead) bestStandby(live map[string]member) string {
-	most := mostShare(live)
+func (l *lead) bestStandby(live map[string]member, most int) string {
 	best := ""
 	better := func(a, b string) bool {
 		if b == "" {
 			return true
 		}
-		if strongA, strongB := strong(live[a], most), strong(live[b], most); strongA != strongB {
+		if strongA, strongB := strong(live[a].Share, most), strong(live[b].Share, most); strongA != strongB {
 			return strongA
 		}
 		if farA, farB := live[a].Domain != l.node.Domain, live[b].Domain != l.node.Domain; farA != farB {
--- a/region/office.go
+++ b/region/office.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,11 +81,7 @@
 	if rank == 0 {
 		return wait
 	}
-	most := 0
-	for _, m := range n.cell.list() {
-		most = max(most, m.Share)
-	}
-	if !strong(member{Share: n.Share}, most) {
+	if !strong(n.Share, mostShare(slices.Values(n.cell.list()))) {
 		wait += weakDelay
 	}
 	if yielded := n.yielded.Load(); yielded != nil && time.Since(*yielded) < yieldRest {
--- a/region/serve.go
+++ b/region/serve.go
@@ -117,11 +117,9 @@
 // tellPlanner passes something on that is in the store. A message that is lost
 // does no harm: the planner reads the store's changes too.
 func (n *Node) tellPlanner(kind winch.Kind, body any) {
-	if l := n.lead.Load(); l != nil {
-		l.take(body)
-		return
+	if !n.forLead(body) {
+		_ = n.Peers.Tell(n.cell.holder(), kind, body)
 	}
-	_ = n.Peers.Tell(n.cell.holder(), kind, body)
 }
 
 // Handle answers messages from other entries.
@@ -172,10 +170,14 @@
 	return f(m)
 }
 
-func (n *Node) forLead(body any) {
-	if l := n.lead.Load(); l != nil {
+// forLead gives something to this entry's time as planner, and reports whether
+// it is the planner.
+func (n *Node) forLead(body any) bool {
+	l := n.lead.Load()
+	if l != nil {
 		l.take(body)
 	}
+	return l != nil
 }
 
 func (n *Node) takeWaiting(m proto.Waiting) {
--- a/region/yield.go
+++ b/region/yield.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"iter"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -83,15 +85,15 @@
 	return s != nil && s.synced && l.named == s.name && !l.naming
 }
 
-// strong reports whether an entry has about as much processor as any.
-func strong(m member, most int) bool {
-	return float64(m.Share) >= strongPart*float64(most)
+// strong reports whether an entry with a processor share has about as much as any.
+func strong(share, most int) bool {
+	return float64(share) >= strongPart*float64(most)
 }
 
 // mostShare returns the largest processor share of some entries.
-func mostShare(live map[string]member) int {
+func mostShare(entries iter.Seq[member]) int {
 	most := 0
-	for _, m := range live {
+	for m := range entries {
 		most = max(most, m.Share)
 	}
 	return most
@@ -102,11 +104,11 @@
 // this entry does not even get to know what runs. It is not done in the first
 // moments, in which the keepers' sessions begin.
 func (l *lead) yield(live map[string]member) {
-	most := mostShare(live)
-	if time.Since(l.began) < yieldAfter || strong(member{Share: l.node.Share}, most) {
+	most := mostShare(maps.Values(live))
+	if time.Since(l.began) < yieldAfter || strong(l.node.Share, most) {
 		return
 	}
-	ready := l.covered() && strong(live[l.standby.name], most)
+	ready := l.covered() && strong(live[l.standby.name].Share, most)
 	stuck := l.planner.Adopting() && time.Since(l.began) > stuckAfter
 	if !ready && !stuck {
 		return
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"plantainwinch/duty"
 	"plantainwinch/platform/mimic"
 )
 
@@ -42,7 +43,7 @@
 	s.count(func(r *Report) { r.Faults++ })
 	s.group.Go(func() {
 		k.do()
-		pause(ctx, k.time)
+		duty.Pause(ctx, k.time)
 		k.undo()
 	})
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -17,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 
+	"plantainwinch/duty"
 	"plantainwinch/platform/mimic"
 )
 
@@ -76,7 +77,7 @@
 	}
 	defer s.end()
 	s.started = time.Now()
-	pause(ctx, settleTime)
+	duty.Pause(ctx, settleTime)
 	calls, stop := context.WithTimeout(ctx, s.Time)
 	defer stop()
 	var callers conc.WaitGroup
@@ -85,7 +86,7 @@
 	}
 	for calls.Err() == nil {
 		s.fault(calls)
-		pause(calls, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
+		duty.Pause(calls, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
 	}
 	s.group.Wait() // All faults undo themselves.
 	callers.Wait()
@@ -96,15 +97,6 @@
 	return s.report, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (s *Soak) prepare() error {
 	faults, err := os.Create(filepath.Join(s.Dir, "faults.log"))
 	if err != nil {
@@ -173,7 +165,7 @@
 		cancels := rnd.IntN(8) == 0
 		pick := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
 		group.Go(func() { s.job(ctx, c, j, pick, cancels) })
-		pause(calls, time.Duration(rnd.Int64N(int64(2*jobPause))))
+		duty.Pause(calls, time.Duration(rnd.Int64N(int64(2*jobPause))))
 	}
 }
 
@@ -210,14 +202,14 @@
 		default:
 			unsure = true
 		}
-		pause(ctx, 300*time.Millisecond)
+		duty.Pause(ctx, 300*time.Millisecond)
 	}
 	return false, unsure
 }
 
 // refused checks that a job whose every try was refused never runs.
 func (s *Soak) refused(ctx context.Context, j mimic.Job) {
-	pause(ctx, cancelTime)
+	duty.Pause(ctx, cancelTime)
 	if starts, _, _ := s.site.Judge.Seen(j.ID); starts > 0 {
 		s.problem("%s was refused, and ran", j.ID)
 	}
@@ -229,13 +221,13 @@
 		if status := c.Cancel(ctx, at(), j); status == http.StatusOK || status == http.StatusNoContent {
 			s.count(func(r *Report) { r.Cancelled++ })
 			acked := time.Now()
-			pause(ctx, 2*cancelTime)
+			duty.Pause(ctx, 2*cancelTime)
 			if _, last, _ := s.site.Judge.Seen(j.ID); last.After(acked.Add(cancelTime)) {
 				s.problem("%s was started %v after its cancel was acknowledged", j.ID, last.Sub(acked))
 			}
 			return
 		}
-		pause(ctx, 300*time.Millisecond)
+		duty.Pause(ctx, 300*time.Millisecond)
 	}
 	s.problem("%s could not be cancelled", j.ID)
 }
@@ -263,7 +255,7 @@
 			s.problem("%s is shown as %s without cause", j.ID, state)
 			return
 		}
-		pause(ctx, 200*time.Millisecond)
+		duty.Pause(ctx, 200*time.Millisecond)
 	}
 	s.problem("%s never ended: last answer %d %q", j.ID, status, state)
 }
