A keeper tells how long a worker that does not answer may yet be lost

Operators of a region with a lasting task that stayed down could not tell from the logs which keeper held the worker, since when, when it had last answered and until when work there counted as running: only the loss itself had a line, with the class of the last error and not its cause. Each of these is on one line now, when the worker falls silent, is lost or is held by another; and one when it answers again.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -99,6 +100,7 @@
 	until    time.Duration
 	lapse    time.Time
 	silent   bool
+	heard    time.Time // heard is when the worker last answered; zero if it never did.
 	listed   bool
 	closed   bool // closed says that no start may be sent any more.
 	closely  bool // closely says that the planner paces runs by what is reported.
@@ -255,17 +257,18 @@
 	first := !h.silent
 	h.silent = true
 	lapsed := time.Now().After(h.lapse)
+	state := h.describe(err)
 	h.mu.Unlock()
 	if first {
 		h.emit(proto.KeepEvent{Kind: proto.EventSilent})
 	}
 	switch {
 	case errors.Is(err, winch.ErrFenced):
-		h.keeper.Log.Info("worker is held by a newer keeper", zap.String("worker", h.vm.ID), zap.Uint64("token", h.token))
+		h.keeper.Log.Info("worker is held by a newer keeper", state...)
 		h.emit(proto.KeepEvent{Kind: proto.EventFenced})
 		return true
 	case errors.Is(err, winch.ErrOtherBoot), lapsed:
-		h.keeper.Log.Info("worker lost", zap.String("worker", h.vm.ID), zap.Bool("lapsed", lapsed), zap.Error(err))
+		h.keeper.Log.Info("worker lost", append(state, zap.Bool("lapsed", lapsed))...)
 		result := winch.StartOtherBoot
 		if lapsed {
 			result = winch.StartUncertain
@@ -274,10 +277,32 @@
 		h.keeper.Runner.Drop(h.vm)
 		return true
 	}
+	if first {
+		h.keeper.Log.Info("worker silent", state...)
+	}
 	h.keeper.count("Keep.HoldFailed")
 	return false
 }
 
+// describe returns what decides when a worker that does not answer is lost: how
+// long it has been held, when it last answered, how long its lease may yet run, and
+// what became of the last call. The mutex is held.
+func (h *holder) describe(err error) []zap.Field {
+	now := time.Now()
+	fields := []zap.Field{
+		zap.String("worker", h.vm.ID), zap.Uint64("token", h.token), zap.Int("runs", len(h.runs)),
+		zap.Duration("held", now.Sub(h.began)), zap.Duration("lapsesIn", h.lapse.Sub(now)),
+		zap.String("error", err.Error()),
+	}
+	if cause := merry.Cause(err); cause != nil {
+		fields = append(fields, zap.String("cause", cause.Error()))
+	}
+	if !h.heard.IsZero() {
+		fields = append(fields, zap.Duration("heardAgo", now.Sub(h.heard)))
+	}
+	return fields
+}
+
 // surely returns the time of ours after which a time on a worker's clock has
 // passed there too.
 func surely(d time.Duration) time.Duration {
@@ -326,6 +351,10 @@
 	defer h.mu.Unlock()
 	back := h.silent
 	h.silent = false
+	h.heard = time.Now()
+	if back {
+		h.keeper.Log.Info("worker answers again", zap.String("worker", h.vm.ID), zap.Uint64("token", h.token))
+	}
 	var fresh []winch.Ended
 	h.told = answer.Ended
 	for _, e := range answer.Ended {
