Lasting tasks that wait: the planner tells why, and the log shows it

A lasting task stayed down for ten seconds with room for it, and no line told what held it: a run at a worker that had left, a ticket, a team's limit or an earlier planner. All that could be seen was that it did not run.

The planner now tells for each lasting task that waits the first thing that holds it back, with what that rests on: worker, run and since when nobody has heard of it; the team's use and what of it stands at such workers; the workers of its kind by what stands against each. A run at a worker that is not heard counts as waiting, since its users get nothing from a run that nobody can see. No decision depends on it: stamps of time were added beside what changes, and two conditions became functions of their own so that both places use one.

The planner's entry writes a line when such a wait is new or its cause changes, and every five seconds, twenty lines a second at most; also for workers that are not heard and have runs charged to them.

The simulated workers took a run off the count of what runs only if the worker answered when it ended, so a run that lapsed at a silent worker counted for ever and its rightful next one was taken for a double. It now counts until it ends: as strict while it runs.

--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -31,6 +31,7 @@
 	allowed map[string]permit
 	denied  map[string]bool
 	asking  bool
+	asked   time.Time // asked is when the service was last asked.
 	retry   time.Time
 }
 
@@ -68,7 +69,7 @@
 	if len(ids) == 0 {
 		return
 	}
-	s.known.asking = true
+	s.known.asking, s.known.asked = true, now
 	p.counts.Asked++
 	p.asks = append(p.asks, Ask{
 		Phase: s.id(), Workers: ids, Urgent: s.job.quick(), Rank: float64(r.class)*1e6 + r.key,
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -15,6 +15,7 @@
 		delete(p.roster, e.Worker)
 		return
 	}
+	defer w.noteSilence()
 	switch e.Kind {
 	case proto.EventListed:
 		p.listed(w, e)
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -48,6 +48,8 @@
 	waiting int
 	done    int
 	live    int
+	// finished is when a task last ended well.
+	finished time.Time
 	// tail is the longest chain of estimates from this phase to the job's end.
 	tail  time.Duration
 	known advice
@@ -68,6 +70,8 @@
 	checkpoint string
 	// avoid names the worker at which the task failed last.
 	avoid string
+	// seen is when a run that has ended was last known to do the task's work.
+	seen time.Time
 }
 
 func (t *task) id() winch.RunID {
@@ -84,6 +88,11 @@
 	if s.waiting == 0 || j.cancelled || j.state.Final() || j.queue == nil {
 		return false
 	}
+	return s.turn()
+}
+
+// turn reports whether the phases before the step are done and it is due.
+func (s *step) turn() bool {
 	for _, a := range s.after {
 		if a.done < len(a.tasks) {
 			return false
@@ -214,6 +223,7 @@
 	}
 	t.done = true
 	t.step.done++
+	t.step.finished = time.Now()
 	t.recount()
 }
 
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -214,15 +214,15 @@
 	return out
 }
 
-// suits reports whether a worker is of the kind that the step needs.
+// suits reports whether a worker may be given work and is of the kind that the
+// step needs.
 func (p *Planner) suits(s *step, w *worker, now time.Time) bool {
-	if !w.usable() || w.health.resting(now) || w.vm.Service != s.job.queue.Service {
-		return false
-	}
-	if s.spec.Label != "" && !slices.Contains(w.vm.Labels, s.spec.Label) {
-		return false
-	}
-	return true
+	return w.usable() && !w.health.resting(now) && s.ofKind(w)
+}
+
+// ofKind reports whether a worker has the service and the label that the step needs.
+func (s *step) ofKind(w *worker) bool {
+	return w.vm.Service == s.job.queue.Service && (s.spec.Label == "" || slices.Contains(w.vm.Labels, s.spec.Label))
 }
 
 // onWorker counts the runs of a step at a worker, stopping ones included.
--- /dev/null
+++ b/coord/fleet/waits_test.go
@@ -0,0 +1,300 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// service is a phase of tasks that are to last.
+func service(count int, milli int64) winch.Phase {
+	out := tasks(count, milli)
+	out.Lasting = true
+	return out
+}
+
+// onlyWait returns the one task that waits.
+func onlyWait(is *is.I, p *Planner) Wait {
+	is.Helper()
+	waits := p.Waits(time.Second)
+	is.Equal(len(waits), 1)
+	return waits[0]
+}
+
+// A worker goes silent, and nobody can say whether the lasting task there still
+// runs. Its users get no answers from that moment on, so it has waited since
+// then, and the run that keeps it from being started elsewhere is named, until
+// that has surely ended.
+func TestTaskAtASilentWorkerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 2, usualQueue())
+		c.add("a", "mix", "choir", service(1, 1000))
+		start := c.step()[0]
+		time.Sleep(10 * time.Second)
+		is.Equal(len(c.planner.Waits(time.Second)), 0)
+		silent := time.Now()
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventSilent, Worker: start.Worker})
+		time.Sleep(2 * time.Second)
+		w := onlyWait(is, c.planner)
+		is.Equal(w.Task, start.Task)
+		is.Equal(w.Reason, WaitRun)
+		is.Equal(w.Run, start.Run)
+		is.Equal(w.Stopping, false)
+		is.Equal(w.Since, silent)
+		is.Equal(w.Sign, Sign{Worker: start.Worker, Listed: true, Ready: true, Quiet: true, Silent: silent})
+		is.Equal(c.planner.Unheard(time.Second), []Charged{{w.Sign, 1}})
+
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventLost, Worker: start.Worker})
+		w = onlyWait(is, c.planner)
+		is.Equal(w.Reason, WaitDecision)
+		is.Equal(w.Since, silent)
+		is.Equal(len(c.planner.Unheard(time.Second)), 0)
+		is.Equal(len(c.step()), 1)
+		is.Equal(len(c.planner.Waits(time.Second)), 0)
+	})
+}
+
+// The same worker answers again, and the task has run there all the while. It
+// waits no longer, and its next wait does not count the last one.
+func TestTaskAtAWorkerThatAnswersAgainDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, usualQueue())
+		c.add("a", "mix", "choir", service(1, 1000))
+		start := c.step()[0]
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventSilent, Worker: start.Worker})
+		time.Sleep(2 * time.Second)
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventBack, Worker: start.Worker})
+		is.Equal(len(c.planner.Waits(time.Second)), 0)
+		is.Equal(len(c.planner.Unheard(0)), 0)
+		time.Sleep(10 * time.Second)
+		vanished := time.Now()
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventVanished, Worker: start.Worker, Task: start.Task, Run: start.Run})
+		time.Sleep(2 * time.Second)
+		is.Equal(onlyWait(is, c.planner).Since, vanished)
+	})
+}
+
+// A worker leaves the platform's list with a lasting task on it, and another
+// loses its keeper. Both are told apart from one that does not answer.
+func TestWorkersThatAreNotHeardAreToldApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 2, usualQueue())
+		phase := service(2, 1000)
+		phase.MostPerVM = 1
+		c.add("a", "mix", "choir", phase)
+		is.Equal(len(c.step()), 2)
+		left := time.Now()
+		c.planner.SetWorkers(c.planner.Held()[:0])
+		time.Sleep(time.Second)
+		c.planner.Unready([]string{"w1"})
+		time.Sleep(time.Second)
+		got := c.planner.Unheard(time.Second)
+		is.Equal(len(got), 2)
+		is.Equal(got[0].Sign, Sign{Worker: "w0", Ready: true, Silent: left})
+		is.Equal(got[1].Sign, Sign{Worker: "w1", Silent: left})
+		for _, w := range c.planner.Waits(time.Second) {
+			is.Equal(w.Reason, WaitRun)
+			is.Equal(w.Since, left)
+		}
+	})
+}
+
+// A planner takes over and is told what ran by the one before. What runs at a
+// worker that has not answered it counts as waiting: nobody has seen it run.
+func TestWhatAnEarlierPlannerKnewIsNotSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 0, usualQueue())
+		c.planner.SetRoster([]string{"w0"})
+		c.planner.SetWorkers([]winch.WorkerVM{{ID: "w0", Service: "render", Born: 1, Room: winch.Room{Milli: 1000, Memory: gigabyte}}})
+		c.add("a", "mix", "choir", service(1, 1000))
+		took := time.Now()
+		task := winch.RunID{Job: "a"}
+		run := []winch.Running{{Task: task, Run: 5}}
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventKnown, Worker: "w0", Running: run})
+		time.Sleep(2 * time.Second)
+		w := onlyWait(is, c.planner)
+		is.Equal(w.Reason, WaitRun)
+		is.Equal(w.Run, uint64(5))
+		is.Equal(w.Since, took)
+		is.Equal(w.Sign.Ready, false)
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventListed, Worker: "w0", Running: run})
+		is.Equal(len(c.planner.Waits(time.Second)), 0)
+	})
+}
+
+// A start is ordered and no answer comes. The task waits, and it is said that
+// this is not a run of before.
+func TestOrderedStartWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, usualQueue())
+		c.add("a", "mix", "choir", service(1, 1000))
+		c.planner.Schedule()
+		ordered := time.Now()
+		time.Sleep(2 * time.Second)
+		w := onlyWait(is, c.planner)
+		is.Equal(w.Reason, WaitStart)
+		is.Equal(w.Ordered, ordered)
+	})
+}
+
+// A lasting task is not started, for each of the causes that there are: the line
+// about it has to name the one that holds it, and looking must change nothing.
+func TestReasonsWhyNothingIsStarted(t *testing.T) {
+	advised := usualQueue()
+	advised.Advice = &winch.AdviceCost{Call: time.Millisecond, Valid: time.Second}
+	for _, x := range []struct {
+		reason Reason
+		queue  winch.Queue
+		bring  func(c *cell)
+		check  func(is *is.I, w Wait)
+	}{
+		{WaitQueue, urgentQueue(), func(*cell) {}, nil},
+		{WaitAdopting, usualQueue(), func(c *cell) {
+			c.planner.SetRoster([]string{"x", "b"})
+			c.planner.Barrier, c.planner.Fresh = time.Now().Add(8*time.Second), 9
+		}, func(is *is.I, w Wait) {
+			is.Equal(w.Unheard, 2)
+			is.Equal(w.Sign.Worker, "b")
+			is.Equal(w.Revision, uint64(7))
+			is.Equal(w.Fresh, uint64(9))
+		}},
+		{WaitOffice, usualQueue(), func(c *cell) { c.planner.KnownBefore = time.Now().Add(-time.Second) }, nil},
+		{WaitLimit, usualQueue(), func(c *cell) {
+			c.planner.team("choir").Cap = winch.Room{Milli: 1500}
+			c.add("first", "mix", "choir", tasks(1, 1000))
+			o := c.step()[0]
+			c.planner.Event(proto.KeepEvent{Kind: proto.EventSilent, Worker: o.Worker})
+		}, func(is *is.I, w Wait) {
+			is.Equal(w.Used.Milli, int64(1000))
+			is.Equal(w.Limit.Milli, int64(1500))
+			is.Equal(w.Doubtful.Milli, int64(1000)) // The limit is held by what may have ended.
+		}},
+		{WaitWorker, usualQueue(), func(c *cell) {
+			c.planner.Unready([]string{"w0", "w1"})
+		}, func(is *is.I, w Wait) { is.Equal(w.Offer, Offer{Workers: 2}) }},
+		{WaitRest, usualQueue(), func(c *cell) {
+			for _, w := range c.planner.workers {
+				w.health.rest(10 * time.Second)
+			}
+		}, func(is *is.I, w Wait) { is.Equal(w.Offer, Offer{Workers: 2, Usable: 2, Resting: 2}) }},
+		{WaitRoom, usualQueue(), func(c *cell) {
+			c.add("first", "mix", "duct", tasks(2, 16000))
+			c.step()
+		}, func(is *is.I, w Wait) { is.Equal(w.Offer, Offer{Workers: 2, Usable: 2, Ticketed: 2}) }},
+		{WaitAsked, advised, func(*cell) {}, func(is *is.I, w Wait) {
+			is.Equal(w.Offer, Offer{Workers: 2, Usable: 2, Unasked: 2})
+			is.True(!w.Asked.IsZero())
+		}},
+	} {
+		t.Run(x.reason.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(t, 2, x.queue)
+				x.bring(c)
+				c.add("a", "mix", "choir", service(1, 1000))
+				begun := time.Now()
+				c.step()
+				time.Sleep(2 * time.Second)
+				w := onlyWait(is, c.planner)
+				is.Equal(w.Reason, x.reason)
+				is.Equal(w.Since, begun)
+				if x.check != nil {
+					x.check(is, w)
+				}
+				is.Equal(len(c.planner.Orders()), 0)
+			})
+		})
+	}
+}
+
+// The advice service fails, gives a ticket that runs out, or allows no worker.
+func TestReasonsOfTheAdvice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue := usualQueue()
+		queue.Advice = &winch.AdviceCost{Call: time.Millisecond, Valid: time.Second}
+		c := newCell(t, 1, queue)
+		c.add("a", "mix", "choir", service(1, 1000))
+		time.Sleep(2 * time.Second)
+		is.Equal(onlyWait(is, c.planner).Reason, WaitTicket)
+		ask := func() Ask {
+			c.planner.Schedule()
+			asks := c.planner.Asks()
+			is.Equal(len(asks), 1)
+			return asks[0]
+		}
+		c.planner.AdviceFailed(ask())
+		is.Equal(onlyWait(is, c.planner).Reason, WaitRetry)
+		time.Sleep(askAgain)
+		c.planner.Advice(ask(), []winch.Ticket{{Worker: "w0", Value: "t"}}, time.Second, time.Now())
+		is.Equal(onlyWait(is, c.planner).Reason, WaitDecision)
+		time.Sleep(time.Second)
+		is.Equal(onlyWait(is, c.planner).Reason, WaitTicket)
+
+		c = newCell(t, 1, queue)
+		c.add("a", "mix", "choir", service(1, 1000))
+		c.planner.Advice(ask(), nil, time.Second, time.Now())
+		time.Sleep(2 * time.Second)
+		is.Equal(onlyWait(is, c.planner).Reason, WaitDenied)
+	})
+}
+
+// A gang's members start together. While one member of the last run may still
+// run, the others wait for that run and not for room.
+func TestGangWaitsForItsLastRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 2, usualQueue())
+		phase := service(2, 1000)
+		phase.Gang, phase.MostPerVM = true, 1
+		c.add("a", "mix", "choir", phase)
+		starts := c.step()
+		is.Equal(len(starts), 2)
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventSilent, Worker: starts[0].Worker})
+		c.end(starts[1], winch.EndFailed)
+		time.Sleep(2 * time.Second)
+		c.planner.Schedule() // The gang cannot be completed, so its run is given up.
+		waits := c.planner.Waits(time.Second)
+		is.Equal(len(waits), 2)
+		for _, w := range waits {
+			is.Equal(w.Reason, WaitRun)
+			is.Equal(w.Sign.Worker, starts[0].Worker)
+			is.Equal(w.Stopping, true)
+		}
+	})
+}
+
+// Tasks whose turn has not come, jobs that are cancelled and tasks that are not
+// to last are no matter of this.
+func TestOnlyLastingTasksWhoseTurnHasComeWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, usualQueue())
+		behind := service(1, 1000)
+		behind.After = []int{0}
+		c.add("a", "mix", "choir", tasks(1, 1000), behind)
+		c.add("b", "mix", "choir", service(1, 1000))
+		c.planner.Cancel("b")
+		c.add("c", "mix", "choir", tasks(1, 32000))
+		first := c.step()
+		is.Equal(len(first), 1)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(c.planner.Waits(time.Second)), 0)
+		c.end(first[0], winch.EndDone)
+		done := time.Now()
+		time.Sleep(2 * time.Second)
+		w := onlyWait(is, c.planner)
+		is.Equal(w.Task, winch.RunID{Job: "a", Phase: 1})
+		is.Equal(w.Since, done)
+	})
+}
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -27,6 +27,8 @@
 	started  bool
 	stopping bool
 	since    time.Time
+	// until is when the run was last known to do its task's work, once it is to stop.
+	until time.Time
 	// percent is the progress last reported, moved when it last changed.
 	percent float64
 	moved   time.Time
@@ -49,6 +51,8 @@
 	// quiet says that the worker may be recorded as one that gets no work since it
 	// does not answer, answers that it does again.
 	quiet, answers bool
+	// silent is since when nobody hears of the worker; zero while it is heard.
+	silent time.Time
 	// empty says that surely nothing runs there: the boot is new to the region, or
 	// all that ran has ended, and nothing was ordered since.
 	empty bool
@@ -109,12 +113,14 @@
 		w.over = w.over && w.vm.Born == vm.Born
 		w.vm = vm
 		w.gone = false
+		w.noteSilence()
 	}
 	for id, w := range p.workers {
 		if listed[id] {
 			continue
 		}
 		w.gone = true
+		w.noteSilence()
 		if len(w.runs) == 0 && (w.ready || w.empty) {
 			delete(p.workers, id)
 		}
@@ -132,7 +138,7 @@
 func (p *Planner) SetGone(vms []winch.WorkerVM) {
 	for _, vm := range vms {
 		if p.workers[vm.ID] == nil && p.roster[vm.ID] {
-			p.workers[vm.ID] = &worker{vm: vm, gone: true, runs: make(map[runKey]*run)}
+			p.workers[vm.ID] = &worker{vm: vm, gone: true, runs: make(map[runKey]*run), silent: time.Now()}
 		}
 	}
 }
@@ -146,11 +152,8 @@
 
 // Adopting reports whether work of an earlier planner may still run unseen.
 func (p *Planner) Adopting() bool {
-	if len(p.roster) == 0 {
-		return false
-	}
-	if time.Now().Before(p.Barrier) || !p.KnownBefore.IsZero() {
-		return true // Without the office, another planner may hold the workers.
+	if p.awaitsEarlier(time.Now()) {
+		return true
 	}
 	for id := range p.roster {
 		p.Lost(id)
@@ -159,6 +162,13 @@
 	return false
 }
 
+// awaitsEarlier reports whether workers that an earlier planner used have not been
+// heard and their work has not surely ended. Without the office, another planner
+// may hold them.
+func (p *Planner) awaitsEarlier(now time.Time) bool {
+	return len(p.roster) > 0 && (now.Before(p.Barrier) || !p.KnownBefore.IsZero())
+}
+
 // RunsAt returns the runs that may exist at a worker, and those whose ends are
 // not recorded yet: until then only the worker can tell how they ended.
 func (p *Planner) RunsAt(id string) []winch.Running {
@@ -187,6 +197,7 @@
 func (p *Planner) SetQuiet(id string) {
 	if w := p.workers[id]; w != nil {
 		w.quiet = true
+		w.noteSilence()
 	}
 }
 
@@ -194,6 +205,7 @@
 func (p *Planner) Awake(id string) {
 	if w := p.workers[id]; w != nil {
 		w.quiet = false
+		w.noteSilence()
 	}
 }
 
@@ -225,6 +237,7 @@
 	for _, id := range ids {
 		if w := p.workers[id]; w != nil {
 			w.ready = false
+			w.noteSilence()
 		}
 	}
 }
@@ -281,6 +294,7 @@
 	w.count(r.task.step.spec, -1)
 	p.watch(w)
 	r.team.used = r.team.used.Sub(r.need)
+	r.task.seen = later(r.task.seen, r.seen(time.Now()))
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(x *run) bool { return x == r })
 	r.task.recount()
 }
@@ -290,6 +304,7 @@
 	if r.stopping {
 		return
 	}
+	r.until = r.seen(time.Now())
 	r.stopping = true
 	if r.task != nil {
 		r.task.recount()
@@ -327,6 +342,7 @@
 		return
 	}
 	w.ready = false
+	defer w.noteSilence()
 	for _, r := range w.runs {
 		p.counts.Lost++
 		p.endRun(r)
--- a/region/lead.go
+++ b/region/lead.go
@@ -97,6 +97,7 @@
 	looked    time.Time // looked is when the standby was last compared with others.
 	armed     bool
 	closed    bool
+	decided   time.Time // decided is when the planner last looked at all that waits.
 	// assign says that the workers' keepers are to be worked out again, assigned
 	// when they last were.
 	assign   bool
@@ -153,7 +154,7 @@
 		if l.node.stopping.Load() {
 			l.group.Go(func() { l.handOver(l.ctx) })
 		}
-		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep, l.runLoad, l.runStandby, l.runFresh} {
+		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep, l.runLoad, l.runSight, l.runStandby, l.runFresh} {
 			l.group.Go(func() { f(l.ctx) })
 		}
 	}
@@ -312,6 +313,7 @@
 	}
 	if !l.closed && l.mayStart() {
 		l.planner.Schedule()
+		l.decided = time.Now()
 	}
 	l.dispatch()
 	l.ask()
--- /dev/null
+++ b/region/sight_test.go
@@ -0,0 +1,114 @@
+package region
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/coord/fleet"
+	"plantainwinch/winch"
+)
+
+// find returns the lines that hold all of the parts.
+func (l *simLog) find(parts ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+next:
+	for _, line := range l.lines {
+		for _, part := range parts {
+			if !strings.Contains(line, part) {
+				continue next
+			}
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+// endless lets nothing that runs end by itself.
+func (w *world) endless() {
+	for w.ctx.Err() == nil {
+		for _, x := range w.workers {
+			x.mu.Lock()
+			for _, r := range x.runs {
+				r.end = time.Now().Add(time.Hour)
+			}
+			x.mu.Unlock()
+		}
+		time.Sleep(simWork / 4)
+	}
+}
+
+// A worker stops answering with a lasting task on it. The task's users wait until
+// everything there has surely ended. Meanwhile the log tells, by the job's ID,
+// which run at which worker and keeper holds the task back, and then that it
+// waits no longer.
+func TestLogTellsWhyALastingTaskWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1, 3, 3)
+		settle()
+		w.group.Go(w.endless)
+		phase := simPhase(1)
+		phase.Lasting = true
+		w.submit("service", phase)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(w.log.find("lasting task waits")), 0)
+
+		at := ""
+		for id, x := range w.workers {
+			x.mu.Lock()
+			if len(x.runs) > 0 {
+				at = id
+			}
+			x.mu.Unlock()
+		}
+		is.True(at != "")
+		w.silence(at, true)
+		time.Sleep(6 * time.Second)
+		lines := w.log.find("lasting task waits", `"job": "service"`, fleet.WaitRun.String(), `"worker": "`+at+`"`, `"quiet": true`, `"run"`, `"term"`, `"keeper": "d`)
+		is.True(len(lines) > 0)
+		is.True(len(lines) <= 2) // Once, and again after five seconds.
+		is.True(len(w.log.find("worker not heard", `"worker": "`+at+`"`, `"runs": 1`)) > 0)
+
+		time.Sleep(6 * time.Second)
+		is.Equal(len(w.log.find("waits no longer", `"job": "service"`)), 1)
+		is.Equal(len(w.log.find("waits no longer", `"worker": "`+at+`"`)), 1)
+		w.end()
+	})
+}
+
+// Hundreds of tasks wait at once, as they do when a failure domain is lost. The
+// log stays bounded, says what was left out, and comes to each of them in turn.
+func TestLogOfManyWaitsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &simLog{begin: time.Now()}
+		s := sighter{log: log.logger("e"), told: make(map[string]tale)}
+		var look sight
+		for i := range 50 {
+			look.waits = append(look.waits, fleet.Wait{Task: winch.RunID{Job: fmt.Sprintf("j%02d", i)}, Reason: fleet.WaitRoom})
+		}
+		for i := range 3 {
+			s.take(look, 0)
+			is.Equal(len(log.find("lasting task waits")), min(50, (i+1)*sightLines))
+			time.Sleep(sightEvery)
+		}
+		is.Equal(len(log.find("waits left out", `"lines": 30`)), 1)
+		for i := range look.waits {
+			is.Equal(len(log.find("lasting task waits", look.waits[i].Task.Job)), 1)
+		}
+		look.waits[7].Reason = fleet.WaitLimit
+		s.take(look, 0) // Nothing else is due yet.
+		is.Equal(len(log.find("lasting task waits")), 51)
+		is.Equal(len(log.find("lasting task waits", "j07", fleet.WaitLimit.String())), 1)
+		time.Sleep(sightEvery)
+		s.take(sight{}, 0)
+		is.Equal(len(log.find("waits no longer")), sightLines)
+	})
+}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -37,7 +37,7 @@
 	cut map[string]bool
 	// share holds the processor shares of entries; others have 400.
 	share map[string]int
-	// running counts, by task, the runs at workers that are up.
+	// running counts, by task, the runs at workers, also at those that do not answer.
 	running map[winch.RunID]int
 	noted   map[winch.RunID]bool
 	copies  int // copies counts the configurations that entries gave each other.
