--- a/region/sight.go
+++ b/region/sight.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/fleet"
@@ -27,26 +28,38 @@
 type sight struct {
 	waits   []fleet.Wait
 	charged []fleet.Charged
-	keepers map[string]string // keepers names the keepers of the workers in it.
+	workers map[string]place // workers holds those that are named in it.
 	decided time.Time
 	closed  bool
 }
 
+// place is where a worker stands with this planner.
+type place struct {
+	keeper string
+	// missing says that its entry has gone and may still come back.
+	missing bool
+}
+
 // look returns what lasting tasks wait for and which workers with runs are not heard.
 func (l *lead) look() sight {
 	s := sight{
 		waits: l.planner.Waits(sightAge), charged: l.planner.Unheard(sightAge),
-		keepers: make(map[string]string), decided: l.decided, closed: l.closed,
+		workers: make(map[string]place), decided: l.decided, closed: l.closed,
 	}
 	for _, w := range s.waits {
-		s.keepers[w.Sign.Worker] = l.keepers[w.Sign.Worker]
+		s.workers[w.Sign.Worker] = l.placeOf(w.Sign.Worker)
 	}
 	for _, c := range s.charged {
-		s.keepers[c.Sign.Worker] = l.keepers[c.Sign.Worker]
+		s.workers[c.Sign.Worker] = l.placeOf(c.Sign.Worker)
 	}
 	return s
 }
 
+func (l *lead) placeOf(worker string) place {
+	_, missing := l.missing[worker]
+	return place{keeper: l.keepers[worker], missing: missing}
+}
+
 // sighter logs what waits: a line when it is new or its cause has changed, and
 // again now and then.
 type sighter struct {
@@ -66,8 +79,23 @@
 	end   []zap.Field // end names it in the line that tells its end.
 }
 
+// gauge shows the worst of a look to whoever watches the counters: zero while
+// nothing waits longer than sightAge, or while this entry is not planner.
+func (n *Node) gauge(look sight) {
+	oldest, runs := time.Duration(0), 0
+	if len(look.waits) > 0 {
+		oldest = time.Since(look.waits[0].Since)
+	}
+	for _, c := range look.charged {
+		runs += c.Runs
+	}
+	metrics.GetOrRegisterGauge("Planner.LastingWait.Milliseconds", n.Metrics).Update(oldest.Milliseconds())
+	metrics.GetOrRegisterGauge("Planner.RunsNotHeard", n.Metrics).Update(int64(runs))
+}
+
 // runSight looks once a second while this entry is planner.
 func (l *lead) runSight(ctx context.Context) {
+	defer l.node.gauge(sight{})
 	s := sighter{log: l.node.Log, term: l.term, told: make(map[string]tale)}
 	for ctx.Err() == nil {
 		var now sight
@@ -75,6 +103,7 @@
 			return
 		}
 		s.take(now, l.valid.Load().left())
+		l.node.gauge(now)
 		duty.Pause(ctx, sightEvery)
 	}
 }
@@ -86,7 +115,7 @@
 		s.wait(w, look, office)
 	}
 	for _, c := range look.charged {
-		fields := append(signFields(c.Sign, look.keepers[c.Sign.Worker], s.now), zap.Int("runs", c.Runs), zap.Uint64("term", s.term))
+		fields := append(signFields(c.Sign, look.workers[c.Sign.Worker], s.now), zap.Int("runs", c.Runs), zap.Uint64("term", s.term))
 		s.tell("worker "+c.Sign.Worker, "worker not heard", signCause(c.Sign), fields, []zap.Field{zap.String("worker", c.Sign.Worker)})
 	}
 	s.settle()
@@ -105,7 +134,7 @@
 	fields := append(task[:len(task):len(task)], zap.Stringer("reason", w.Reason), zap.Duration("waited", s.now.Sub(w.Since)), zap.Uint64("term", s.term),
 		zap.Duration("decided", age(look.decided, s.now)), zap.Duration("office", office), zap.Bool("closed", look.closed))
 	if w.Sign.Worker != "" {
-		fields = append(fields, signFields(w.Sign, look.keepers[w.Sign.Worker], s.now)...)
+		fields = append(fields, signFields(w.Sign, look.workers[w.Sign.Worker], s.now)...)
 	}
 	key := id.Job + "." + strconv.Itoa(id.K) + "." + strconv.Itoa(id.Phase) + "." + strconv.Itoa(id.Index)
 	cause := w.Reason.String() + strconv.FormatUint(w.Run, 10) + signCause(w.Sign)
@@ -131,10 +160,10 @@
 }
 
 // signFields tell what the planner hears of a worker.
-func signFields(x fleet.Sign, keeper string, now time.Time) []zap.Field {
+func signFields(x fleet.Sign, at place, now time.Time) []zap.Field {
 	return []zap.Field{
-		zap.String("worker", x.Worker), zap.String("keeper", keeper), zap.Bool("listed", x.Listed), zap.Bool("ready", x.Ready),
-		zap.Bool("quiet", x.Quiet), zap.Duration("silent", age(x.Silent, now)),
+		zap.String("worker", x.Worker), zap.String("keeper", at.keeper), zap.Bool("listed", x.Listed), zap.Bool("missing", at.missing),
+		zap.Bool("ready", x.Ready), zap.Bool("quiet", x.Quiet), zap.Duration("silent", age(x.Silent, now)),
 	}
 }
 
--- a/region/sight_test.go
+++ b/region/sight_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"plantainwinch/coord/fleet"
 	"plantainwinch/winch"
@@ -44,6 +45,13 @@
 	}
 }
 
+// gauges returns what the planner's entry shows of what waits.
+func (w *world) gauges() (oldest, runs int64) {
+	n := w.planner().node
+	return metrics.GetOrRegisterGauge("Planner.LastingWait.Milliseconds", n.Metrics).Value(),
+		metrics.GetOrRegisterGauge("Planner.RunsNotHeard", n.Metrics).Value()
+}
+
 // A worker stops answering with a lasting task on it. The task's users wait until
 // everything there has surely ended. Meanwhile the log tells, by the job's ID,
 // which run at which worker and keeper holds the task back, and then that it
@@ -75,10 +83,32 @@
 		is.True(len(lines) > 0)
 		is.True(len(lines) <= 2) // Once, and again after five seconds.
 		is.True(len(w.log.find("worker not heard", `"worker": "`+at+`"`, `"runs": 1`)) > 0)
+		oldest, runs := w.gauges()
+		is.True(oldest > 3000) // It has waited for most of the six seconds.
+		is.Equal(runs, int64(1))
 
 		time.Sleep(6 * time.Second)
 		is.Equal(len(w.log.find("waits no longer", `"job": "service"`)), 1)
 		is.Equal(len(w.log.find("waits no longer", `"worker": "`+at+`"`)), 1)
+		oldest, runs = w.gauges()
+		is.Equal(oldest, int64(0))
+		is.Equal(runs, int64(0))
+		w.end()
+	})
+}
+
+// An entry that gives the office up leaves no gauge behind of what waited then:
+// the next planner shows what waits now.
+func TestGaugesEndWithTheOffice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1, 3, 3)
+		settle()
+		n := w.planner().node
+		n.gauge(sight{charged: []fleet.Charged{{Runs: 3}}})
+		n.Stop(w.ctx)
+		time.Sleep(time.Second)
+		is.Equal(metrics.GetOrRegisterGauge("Planner.RunsNotHeard", n.Metrics).Value(), int64(0))
 		w.end()
 	})
 }
