A keeper that has ended holds no workers for a later planner

Only later sessions of the same term were refused. Users would have noticed little, since the process ends a moment later; what it holds then delays the next keeper. All are refused once Run has ended.

--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -41,6 +41,7 @@
 	wake    chan struct{}
 	group   *conc.WaitGroup
 	ctx     context.Context
+	over    bool // over says that Run has ended: nothing is held any more.
 }
 
 // Prepare makes the keeper ready; Run must follow.
@@ -59,7 +60,7 @@
 		h.cancel()
 		delete(k.holders, id)
 	}
-	k.session.Number = ^uint64(0) // No later session of this term is taken.
+	k.over = true
 	k.mu.Unlock()
 	k.group.Wait()
 }
@@ -74,7 +75,7 @@
 func (k *Keeper) Set(set proto.KeepSet) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if newer(k.session, set.Session) {
+	if k.over || newer(k.session, set.Session) {
 		return
 	}
 	if newer(set.Session, k.session) {
