A worker's lease leaves room to start its lasting tasks again in time

What runs at a worker that is gone counts as running until its lease has surely lapsed. A detection that is surer or quicker than the lease was looked for and not found: a refused connection or a missing entry in the list says nothing of what runs at a worker that is cut off.

--- a/region/lasting_test.go
+++ b/region/lasting_test.go
@@ -169,3 +169,25 @@
 		})
 	}
 }
+
+// A worker is gone while nothing else happens. What ran there may go on as far as
+// anybody knows until its lease has lapsed, on a slow clock too; a lease as long as
+// workers grant would leave nothing of the six seconds for finding another place.
+func TestLastingTaskIsBackAfterItsWorkerIsGone(t *testing.T) {
+	for _, millis := range []int{0, 400, 800, 1200, 1600} {
+		after := time.Duration(millis) * time.Millisecond
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 22, 3, 9)
+				settle()
+				w.last("00000000000000a1", 12)
+				time.Sleep(2*time.Second + after)
+				w.leave(w.busiest())
+				time.Sleep(10 * time.Second)
+				w.endLasting()
+				t.Log("longest time down:", w.lasting.longest)
+				w.end()
+			})
+		})
+	}
+}
--- a/region/node.go
+++ b/region/node.go
@@ -38,6 +38,10 @@
 	// failure domain that is cut off keeps its work that long; work that may run
 	// there is not started elsewhere before.
 	keepGrace = 6 * time.Second
+	// leaseMost bounds the lease that workers are given. What ran at one that is gone
+	// counts as running until its lease has surely lapsed, on a slow clock too, and a
+	// task that lasts has to run again within six seconds.
+	leaseMost = 5 * time.Second
 	// nodeTTL and nodeRenew are the lease on an entry's own record. The renewals
 	// also tell whether the store answers.
 	nodeTTL   = 4 * time.Second
@@ -96,7 +100,7 @@
 func (n *Node) Prepare() {
 	n.started = time.Now()
 	n.changed = make(chan struct{}, 1)
-	n.keeper = &keep.Keeper{Runner: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: n.Timing.Lease}
+	n.keeper = &keep.Keeper{Runner: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, leaseMost)}
 	n.keeper.Prepare()
 	n.accept.prepare(n)
 	n.settings.prepare(n)
