The end of a silent worker's lease outlives its keepers and planners

Cause: what runs at a worker that does not answer counts as running until the last lease that anybody gave it has surely lapsed. Who gave it when was known to the keeper that held the worker at the time, and to nobody else. Each next holding (a planner that takes over, another keeper, the levelling of keepers) counted the longest possible lease from its own beginning, 7.4 to 8 s, so that in a series of them the wait never ended. Ruled out: no ticket, no room or a team's limit (the run itself was still charged), and a planner that still adopts (the losses come a fixed time after a holding's beginning).

Mend: that time is a fact of the worker that is passed on. - A keeper tells the planner of each holding that ends until when its leases run, in each answer until the planner is known to have it; the next keeper waits for that. - A keeper renews a lease only once the planner knows that the worker answers, in each spell anew. So a keeper that is killed adds nothing for a worker that it never reached, and what it said as the worker fell silent stays true. - The planner's standby is told too, before a lease is renewed again. After a kill of the planner nothing is counted anew. - A keeper that is to stop keeps its workers until others have been recorded for them; before, it was dropped at once and could tell nothing. - The wait for the last answer before the loss ends with the lease.

Why it holds: each of these beliefs has an end in time that only the holder of the lease can move, and it moves it only after those have heard who would count on it.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -30,6 +30,10 @@
 	recordTime = 140 * time.Millisecond
 	// answerTime is how long an answer may take beyond what the worker may wait.
 	answerTime = 600 * time.Millisecond
+	// shutWait is how long a worker may wait for an end while its lease may not be
+	// renewed yet, and openTime how long the next hold waits for that.
+	shutWait = 300 * time.Millisecond
+	openTime = 150 * time.Millisecond
 	// retryPause is the pause after a call that was not answered.
 	retryPause = 100 * time.Millisecond
 	// startTime is how long a start is good for at the worker. It is short, so
@@ -43,6 +47,9 @@
 	// lapseMargin is added when a lease counts as lapsed: a message may be that
 	// long on its way, and the worker ends runs a moment after the time.
 	lapseMargin = 300 * time.Millisecond
+	// lapseLook is the shortest that an answer is waited for when a worker is about to
+	// count as lost.
+	lapseLook = 150 * time.Millisecond
 	// overtaken is by how much a clock in one answer may be behind that in another
 	// which was given later: answers on different connections overtake each other,
 	// and none is waited for longer.
@@ -93,14 +100,22 @@
 	// clock is the worker's clock at the moment clockAt of ours.
 	clock   time.Duration
 	clockAt time.Time
-	// until is the end of the lease last asked for, on the worker's clock, and
-	// lapse when that has surely passed there. Neither moves while the worker does
-	// not answer: a call that gets no answer may be carried out all the same, and a
+	// until is the end of the lease last asked for, on the worker's clock, and own
+	// when that has surely passed there. Neither moves while the worker does not
+	// answer: a call that gets no answer may be carried out all the same, and a
 	// worker that is gone has to count as lost some time.
-	until    time.Duration
-	lapse    time.Time
-	silent   bool
-	heard    time.Time // heard is when the worker last answered; zero if it never did.
+	until time.Duration
+	own   time.Time
+	// prior is when the leases that earlier holdings gave have surely passed.
+	prior  time.Time
+	silent bool
+	// open says that the lease may be renewed: the planner knows that the worker
+	// answers in this spell. Otherwise, were this keeper lost, the planner would have
+	// to count the longest lease from then on, for a worker that never answered too.
+	open     bool
+	spell    uint64        // spell counts the times of silence.
+	opened   chan struct{} // opened wakes the next hold once the lease may be renewed.
+	heard    time.Time     // heard is when the worker last answered; zero if it never did.
 	listed   bool
 	closed   bool // closed says that no start may be sent any more.
 	closely  bool // closely says that the planner paces runs by what is reported.
@@ -120,12 +135,35 @@
 	group.Wait()
 }
 
-// known ends the sending of starts and returns the runs that may exist at the
-// worker, or whose ends are not recorded yet, and whether that is all.
-func (h *holder) known() ([]winch.Running, bool) {
+// close ends the sending of starts and the renewing of the lease, and returns when
+// all leases at the worker have surely lapsed.
+func (h *holder) close() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.closed = true
+	return h.lapse()
+}
+
+// lapse returns when all leases at the worker have surely lapsed if they are not
+// renewed. The mutex is held.
+func (h *holder) lapse() time.Time {
+	return later(h.prior, h.own)
+}
+
+// learn takes an earlier end of the leases that earlier holdings gave.
+func (h *holder) learn(left time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until := time.Now().Add(left); !h.empty && until.Before(h.prior) {
+		h.prior = until
+	}
+}
+
+// known returns the runs that may exist at the worker, or whose ends are not
+// recorded yet, and whether that is all. The holding has been closed.
+func (h *holder) known() ([]winch.Running, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	var out []winch.Running
 	for key := range h.runs {
 		out = append(out, winch.Running{Task: key.task, Run: key.run})
@@ -155,6 +193,12 @@
 		h.closely = o.Closely
 		h.mu.Unlock()
 		return
+	case proto.OrderRenew:
+		h.mu.Lock()
+		h.open = h.open || o.Spell == h.spell && !h.silent
+		h.mu.Unlock()
+		duty.Signal(h.opened)
+		return
 	}
 	select {
 	case h.ring <- command{o, text}:
@@ -173,12 +217,6 @@
 
 // renew holds the worker until it is surely gone, fenced off or given up.
 func (h *holder) renew(ctx context.Context) {
-	authority := h.keeper.authority()
-	h.mu.Lock()
-	// An earlier keeper's lease ends with the authority that it had at the latest,
-	// and none was given a longer one than this keeper has now.
-	h.lapse = h.began.Add(surely(max(h.keeper.Lease, authority)))
-	h.mu.Unlock()
 	for ctx.Err() == nil {
 		if h.keeper.authority() <= 0 {
 			// Nothing may be kept without the planner; a new one sets new holders.
@@ -195,6 +233,7 @@
 		}
 		if err == nil {
 			h.answered(sent, answer)
+			h.waitOpen(ctx)
 			h.waitRecorded(ctx)
 			continue
 		}
@@ -205,6 +244,23 @@
 	}
 }
 
+// waitOpen waits until the lease may be renewed, not for long.
+func (h *holder) waitOpen(ctx context.Context) {
+	h.mu.Lock()
+	open := h.open
+	h.mu.Unlock()
+	if open {
+		return
+	}
+	timer := time.NewTimer(openTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-h.opened:
+	}
+}
+
 // waitRecorded waits until the ends that were told are recorded, not for long.
 func (h *holder) waitRecorded(ctx context.Context) {
 	duty.Pause(ctx, holdPause)
@@ -233,9 +289,11 @@
 		if h.closely {
 			call.Wait = closeWait
 		}
-		if !h.silent {
+		if h.open && !h.closed {
 			h.until = h.clockNow(sent) + lease
-			h.lapse = later(h.lapse, sent.Add(surely(lease)))
+			h.own = later(h.own, sent.Add(Surely(lease)))
+		} else {
+			call.Wait = min(call.Wait, shutWait)
 		}
 		call.Until = h.until
 	}
@@ -245,8 +303,13 @@
 		// It is asked at once who it is, and told nothing.
 		call.Forget, call.Wait = 0, 0
 	}
+	limit := call.Wait + answerTime
+	if !h.open {
+		// No answer is waited for long beyond the loss: work waits for it.
+		limit = min(limit, max(time.Until(h.lapse()), lapseLook))
+	}
 	h.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, call.Wait+answerTime)
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return h.keeper.Runner.Hold(callCtx, h.vm, call)
 }
@@ -255,12 +318,16 @@
 func (h *holder) over(err error) bool {
 	h.mu.Lock()
 	first := !h.silent
-	h.silent = true
-	lapsed := time.Now().After(h.lapse)
+	if first {
+		h.spell++
+	}
+	h.silent, h.open = true, false
+	left := time.Until(h.lapse())
+	lapsed := left <= 0
 	state := h.describe(err)
 	h.mu.Unlock()
 	if first {
-		h.emit(proto.KeepEvent{Kind: proto.EventSilent})
+		h.emit(proto.KeepEvent{Kind: proto.EventSilent, Left: max(0, left)})
 	}
 	switch {
 	case errors.Is(err, winch.ErrFenced):
@@ -291,7 +358,7 @@
 	now := time.Now()
 	fields := []zap.Field{
 		zap.String("worker", h.vm.ID), zap.Uint64("token", h.token), zap.Int("runs", len(h.runs)),
-		zap.Duration("held", now.Sub(h.began)), zap.Duration("lapsesIn", h.lapse.Sub(now)),
+		zap.Duration("held", now.Sub(h.began)), zap.Duration("lapsesIn", h.lapse().Sub(now)),
 		zap.String("error", err.Error()),
 	}
 	if cause := merry.Cause(err); cause != nil {
@@ -303,9 +370,9 @@
 	return fields
 }
 
-// surely returns the time of ours after which a time on a worker's clock has
-// passed there too.
-func surely(d time.Duration) time.Duration {
+// Surely returns after how long of ours a time on a worker's clock has passed there
+// too, with the way of the call and the end of the runs.
+func Surely(d time.Duration) time.Duration {
 	return d + time.Duration(float64(d)*clockDrift/(1-clockDrift)) + lapseMargin
 }
 
@@ -369,7 +436,7 @@
 	}
 	var out []proto.KeepEvent
 	if back {
-		out = append(out, proto.KeepEvent{Kind: proto.EventBack})
+		out = append(out, proto.KeepEvent{Kind: proto.EventBack, Spell: h.spell})
 	}
 	if len(fresh) > 0 {
 		out = append(out, proto.KeepEvent{Kind: proto.EventEnded, Ended: fresh})
@@ -381,10 +448,15 @@
 // first tells the first lists whole.
 func (h *holder) first(answer winch.Holding, ends []winch.Ended) proto.KeepEvent {
 	h.listed = true
+	// Earlier holdings are fenced off from here on; what they renewed last ends after
+	// a whole lease.
+	if until := time.Now().Add(Surely(h.keeper.Lease)); until.Before(h.prior) {
+		h.prior = until
+	}
 	for _, r := range answer.Running {
 		h.runs[runKey{r.Task, r.Run}] = &known{acked: h.began}
 	}
-	return proto.KeepEvent{Kind: proto.EventListed, Running: answer.Running, Ended: ends}
+	return proto.KeepEvent{Kind: proto.EventListed, Running: answer.Running, Ended: ends, Spell: h.spell}
 }
 
 // compare finds runs that the worker does not have any more, or has against
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -38,10 +38,23 @@
 	until   time.Time // until is when the planner's authority ends.
 	holders map[string]*holder
 	events  []proto.KeepEvent
-	wake    chan struct{}
-	group   *conc.WaitGroup
-	ctx     context.Context
-	over    bool // over says that Run has ended: nothing is held any more.
+	// ended holds the holdings that have ended and of which the planner may not know
+	// yet until when what they kept may run; handed is how many of them the last
+	// answer told.
+	ended  []endedHolding
+	handed int
+	wake   chan struct{}
+	group  *conc.WaitGroup
+	ctx    context.Context
+	over   bool // over says that Run has ended: nothing is held any more.
+}
+
+// endedHolding is a worker that is held no more under a token; the leases given
+// under it and before have surely lapsed at a time.
+type endedHolding struct {
+	worker string
+	token  uint64
+	lapse  time.Time
 }
 
 // Prepare makes the keeper ready; Run must follow.
@@ -87,27 +100,40 @@
 		wanted[w.VM.ID] = true
 		h := k.holders[w.VM.ID]
 		if h != nil && h.token == w.Token {
+			h.learn(w.Left)
 			continue
 		}
 		if h != nil {
-			h.cancel()
+			k.letGo(h)
 		}
 		k.hold(w)
 	}
 	for id, h := range k.holders {
 		if !wanted[id] {
-			h.cancel()
+			k.letGo(h)
 			delete(k.holders, id)
 		}
 	}
 }
 
+// letGo ends a holding and notes until when what it kept may run: whoever holds the
+// worker next would have to assume the longest lease that could have been given.
+func (k *Keeper) letGo(h *holder) {
+	h.cancel()
+	k.ended = append(k.ended, endedHolding{h.vm.ID, h.token, h.close()})
+	duty.Signal(k.wake)
+}
+
 // begin ends all holders. If the session is a later planner's, that planner is
 // told what they knew.
 func (k *Keeper) begin(s proto.Session) {
 	k.events = nil
+	k.handed = 0
+	if s.Term > k.session.Term {
+		k.ended = nil // A later planner asks for the last holding of each worker only.
+	}
 	for id, h := range k.holders {
-		h.cancel()
+		k.letGo(h)
 		delete(k.holders, id)
 		if running, whole := h.known(); whole && s.Term > k.session.Term {
 			k.events = append(k.events, proto.KeepEvent{Kind: proto.EventKnown, Worker: id, Running: running})
@@ -119,9 +145,16 @@
 
 func (k *Keeper) hold(w proto.Kept) {
 	ctx, cancel := context.WithCancel(k.ctx)
+	now := time.Now()
+	left := w.Left
+	if w.Empty {
+		// Nothing is held up by it, and it may take a while until it first answers.
+		left = Surely(max(k.Lease, k.until.Sub(now)))
+	}
 	h := &holder{
-		keeper: k, vm: w.VM, token: w.Token, empty: w.Empty, cancel: cancel, began: time.Now(),
+		keeper: k, vm: w.VM, token: w.Token, empty: w.Empty, cancel: cancel, began: now, prior: now.Add(left),
 		ring: make(chan command, ringSize), runs: make(map[runKey]*known), recorded: make(chan struct{}, 1),
+		opened: make(chan struct{}, 1),
 	}
 	k.holders[w.VM.ID] = h
 	k.group.Go(func() {
@@ -188,14 +221,26 @@
 	if until := time.Now().Add(ask.Authority); until.After(k.until) {
 		k.until = until
 	}
-	if len(k.events) == 0 {
+	k.ended, k.handed = k.ended[k.handed:], 0 // Who asks again has had the last answer.
+	if len(k.events) == 0 && len(k.ended) == 0 {
 		return proto.KeepNews{}, false
 	}
-	news := proto.KeepNews{Session: k.session, Events: k.events}
-	k.events = nil
+	news := proto.KeepNews{Session: k.session, Events: append(k.released(), k.events...)}
+	k.events, k.handed = nil, len(k.ended)
 	return news, true
 }
 
+// released returns what is to be told of holdings that have ended.
+func (k *Keeper) released() []proto.KeepEvent {
+	out := make([]proto.KeepEvent, 0, len(k.ended))
+	for _, e := range k.ended {
+		out = append(out, proto.KeepEvent{
+			Kind: proto.EventReleased, Worker: e.worker, Token: e.token, Left: max(0, time.Until(e.lapse)),
+		})
+	}
+	return out
+}
+
 // emit queues events for the planner; those of a holder that was replaced are dropped.
 func (k *Keeper) emit(h *holder, events ...proto.KeepEvent) {
 	k.mu.Lock()
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -111,6 +111,8 @@
 	session proto.Session
 	mu      sync.Mutex
 	events  []proto.KeepEvent
+	// deaf has the planner's side not answer that a worker answers.
+	deaf bool
 }
 
 func newRig(ctx context.Context) *rig {
@@ -130,8 +132,41 @@
 		}
 		r.mu.Lock()
 		r.events = append(r.events, news.Events...)
+		deaf := r.deaf
 		r.mu.Unlock()
+		if !deaf {
+			r.allowRenewals(news)
+		}
+	}
+}
+
+// allowRenewals does what a planner does that hears that a worker answers.
+func (r *rig) allowRenewals(news proto.KeepNews) {
+	for _, e := range news.Events {
+		if e.Kind == proto.EventListed || e.Kind == proto.EventBack {
+			o := proto.Order{Kind: proto.OrderRenew, Worker: e.Worker, Token: e.Token, Spell: e.Spell}
+			r.keeper.Orders(proto.KeepOrders{Session: news.Session, Orders: []proto.Order{o}})
+		}
+	}
+}
+
+// setSilent has the worker answer nothing, or answer again.
+func (r *rig) setSilent(silent bool) {
+	r.worker.mu.Lock()
+	defer r.worker.mu.Unlock()
+	r.worker.silent = silent
+}
+
+// last returns the last event of a kind.
+func (r *rig) last(kind proto.EventKind) (out proto.KeepEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.events {
+		if e.Kind == kind {
+			out = e
+		}
 	}
+	return out
 }
 
 func (r *rig) count(kind proto.EventKind) int {
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -95,11 +95,11 @@
 func (h *holder) mayStart(key runKey, now time.Time) (time.Duration, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.closed || h.silent || !h.listed {
+	if h.closed || !h.open {
 		return 0, false
 	}
 	h.runs[key] = &known{}
-	h.lapse = later(h.lapse, now.Add(surely(startTime)))
+	h.own = later(h.own, now.Add(Surely(startTime)))
 	return h.clockNow(now) + startTime, true
 }
 
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -35,6 +35,9 @@
 	Token uint64         `cbor:"2,keyasint"`
 	// Empty says that nothing runs there but what is ordered in this session.
 	Empty bool `cbor:"3,keyasint,omitempty"`
+	// Left is how long leases that earlier holdings of the worker gave may yet run,
+	// from the arrival of the message on at most.
+	Left time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // KeepSet tells a keeper which workers it holds from now on.
@@ -57,6 +60,9 @@
 	OrderForget
 	// OrderLook says whether the worker's runs are to be reported more often.
 	OrderLook
+	// OrderRenew lets the keeper renew the lease at a worker that has listed what it
+	// runs, or answers again: the planner knows now that it does. Spell is the event's.
+	OrderRenew
 )
 
 // Order is one order to a worker.
@@ -73,6 +79,7 @@
 	// Token is the one under which the worker was held when the order was decided.
 	// An order that waited while the worker was given to another keeper is dropped.
 	Token uint64 `cbor:"10,keyasint,omitempty"`
+	Spell uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // KeepOrders carries orders. Commands holds the command of each job named.
@@ -125,10 +132,13 @@
 	// EventKnown: what a keeper knew of a worker when a later planner's session
 	// began. It lets that planner go on if the worker does not answer.
 	EventKnown
-	// EventSilent: the worker does not answer; no start is sent to it. EventBack: it
-	// answers again.
+	// EventSilent: the worker does not answer; no start is sent to it, and its lease
+	// is not renewed before an OrderRenew. EventBack: it answers again.
 	EventSilent
 	EventBack
+	// EventReleased: the keeper holds the worker under the event's token no more. It
+	// is told again until the planner is known to have it.
+	EventReleased
 )
 
 // KeepEvent is one event at a worker.
@@ -143,6 +153,12 @@
 	// Token is the one under which the keeper held the worker. An event of an
 	// earlier holding tells nothing of the present one.
 	Token uint64 `cbor:"8,keyasint,omitempty"`
+	// Left is, with EventSilent and EventReleased, after how long all leases at the
+	// worker have surely lapsed if nobody renews them.
+	Left time.Duration `cbor:"9,keyasint,omitempty"`
+	// Spell counts, with EventListed and EventBack, the worker's times of silence in
+	// this holding.
+	Spell uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // AdviseAsk asks an entry to call the advice service in its lane.
@@ -215,6 +231,15 @@
 	Full   bool        `cbor:"3,keyasint,omitempty"`
 	Add    []MirrorRun `cbor:"4,keyasint,omitempty"`
 	Remove []MirrorRun `cbor:"5,keyasint,omitempty"`
+	// Lapses are those of all workers that do not answer and on which work may run.
+	// None of their leases is renewed before a message without the worker is taken.
+	Lapses []MirrorLapse `cbor:"6,keyasint,omitempty"`
+}
+
+// MirrorLapse tells after how long all leases at a worker have surely lapsed.
+type MirrorLapse struct {
+	Worker string        `cbor:"1,keyasint"`
+	Left   time.Duration `cbor:"2,keyasint"`
 }
 
 // MirrorRun is one run at a worker.
--- a/region/assign.go
+++ b/region/assign.go
@@ -46,7 +46,7 @@
 		delete(live, name)
 	}
 	for name, p := range l.proxies {
-		if _, ok := live[name]; !ok {
+		if _, ok := live[name]; !ok && !l.reached(name) {
 			l.dropKeeper(p)
 		}
 	}
@@ -58,6 +58,13 @@
 	l.wake()
 }
 
+// reached reports whether an entry can be told something, also one that is to stop.
+// Such a keeper keeps its workers until others have been recorded for them, and then
+// tells until when its leases run: it answers for two seconds yet.
+func (l *lead) reached(name string) bool {
+	return !l.resting[name] && slices.Contains(l.node.Peers.Names(), name)
+}
+
 // want chooses the keepers, and has them recorded where they differ from the roster.
 func (l *lead) want(held []winch.WorkerVM, live map[string]member) {
 	byDomain := newPools(live)
@@ -113,6 +120,7 @@
 		}
 		if old := l.keepers[vm.ID]; old != "" {
 			changed[old] = true
+			l.lapses.moved(vm.ID, old, l.kept[vm.ID].Token, l.authority())
 			l.planner.Unready([]string{vm.ID})
 		}
 		changed[name] = true
@@ -134,6 +142,7 @@
 	}
 	for id, name := range l.keepers {
 		if !held[id] {
+			l.lapses.moved(id, name, l.kept[id].Token, l.authority())
 			delete(l.keepers, id)
 			delete(l.kept, id)
 			changed[name] = true
--- /dev/null
+++ b/region/lapse.go
@@ -0,0 +1,189 @@
+package region
+
+import (
+	"time"
+
+	"plantainwinch/coord/keep"
+	"plantainwinch/proto"
+)
+
+// lapses holds until when work may run at workers that do not answer. A worker
+// that is gone says nothing, so what ran there counts as running until the last
+// lease that anybody gave has surely ended. That time has to outlive keepers and
+// planners: counted anew by each that gets the worker, it never passes while entries
+// are stopped or levelled one after the other, and tasks that last stay down.
+type lapses struct {
+	// past lists, by worker, the holdings before the present one.
+	past map[string][]holding
+	// open names the workers whose present keeper may renew the lease.
+	open map[string]bool
+	// shut holds the lapse of workers that answered their present keeper and do so
+	// no more; it renews nothing before it is told to.
+	shut map[string]time.Time
+	// mute names the workers that do not answer their keeper.
+	mute map[string]bool
+}
+
+// holding is an earlier holding of a worker.
+type holding struct {
+	token  uint64 // token is zero for a holding of an earlier planner.
+	keeper string
+	lapse  time.Time // lapse is when its leases have surely ended.
+}
+
+func newLapses() lapses {
+	return lapses{past: make(map[string][]holding), open: make(map[string]bool), shut: make(map[string]time.Time), mute: make(map[string]bool)}
+}
+
+// inherit notes a holding of an earlier planner.
+func (s *lapses) inherit(worker, keeper string, lapse time.Time) {
+	s.past[worker] = append(s.past[worker], holding{keeper: keeper, lapse: lapse})
+}
+
+// listed notes that a worker has answered its present keeper: all earlier ones are
+// fenced off, and the keeper is about to be allowed to renew the lease.
+func (s *lapses) listed(worker string) {
+	delete(s.past, worker)
+	s.back(worker)
+}
+
+// back notes that a worker answers its present keeper again.
+func (s *lapses) back(worker string) {
+	delete(s.shut, worker)
+	delete(s.mute, worker)
+	s.open[worker] = true
+}
+
+// silent notes that a worker does not answer its present keeper.
+func (s *lapses) silent(worker string, left time.Duration) {
+	s.mute[worker] = true
+	if s.open[worker] {
+		delete(s.open, worker)
+		s.shut[worker] = time.Now().Add(left)
+	}
+}
+
+// moved notes that the present holding of a worker ends. A keeper that could renew
+// the lease may go on for as long as it has authority; it may tell better.
+func (s *lapses) moved(worker, keeper string, token uint64, authority time.Duration) {
+	lapse, shut := s.shut[worker]
+	if s.open[worker] {
+		lapse, shut = time.Now().Add(keep.Surely(authority)), true
+	}
+	if shut {
+		s.past[worker] = append(s.past[worker], holding{token, keeper, lapse})
+	}
+	delete(s.open, worker)
+	delete(s.shut, worker)
+}
+
+// released takes what a keeper tells of a holding that has ended, and reports
+// whether it ends earlier than was known.
+func (s *lapses) released(keeper string, e proto.KeepEvent) bool {
+	lapse := time.Now().Add(e.Left)
+	better := false
+	for i, h := range s.past[e.Worker] {
+		if (h.token == e.Token || h.token == 0 && h.keeper == keeper) && lapse.Before(h.lapse) {
+			s.past[e.Worker][i].lapse = lapse
+			better = true
+		}
+	}
+	return better
+}
+
+// forget drops a worker whose work has surely ended.
+func (s *lapses) forget(worker string) {
+	delete(s.past, worker)
+	delete(s.mute, worker)
+	delete(s.open, worker)
+	delete(s.shut, worker)
+}
+
+// left returns how long earlier holdings' leases at a worker may yet run.
+func (s *lapses) left(worker string) time.Duration {
+	left := time.Duration(0)
+	for _, h := range s.past[worker] {
+		left = max(left, time.Until(h.lapse))
+	}
+	return left
+}
+
+// told returns until when work may run at the workers that do not answer and whose
+// leases nobody may renew at present.
+func (s *lapses) told() []proto.MirrorLapse {
+	var out []proto.MirrorLapse
+	for worker := range s.mute {
+		out = append(out, proto.MirrorLapse{Worker: worker, Left: max(s.left(worker), time.Until(s.shut[worker]))})
+	}
+	return out
+}
+
+// inheritLapses takes over what the workers of the earlier planner may still run: as
+// long as its authority may reach, or as this entry was told as its standby.
+func (l *lead) inheritLapses() {
+	longest := l.began.Add(barrier())
+	for id, w := range l.before {
+		lapse := longest
+		if known, ok := l.copiedLapses[id]; ok {
+			lapse = known
+		}
+		l.lapses.inherit(id, w.Keeper, lapse)
+	}
+}
+
+// letGo takes the end of a holding. Its keeper's word is better than what was
+// assumed, so the worker's present keeper is told if the worker is silent.
+func (l *lead) letGo(keeper string, e proto.KeepEvent) {
+	if l.lapses.released(keeper, e) && l.lapses.mute[e.Worker] {
+		l.lapsed = append(l.lapsed, e.Worker)
+	}
+}
+
+// lapseEvent keeps the lapses up with an event of a worker's present holding, and
+// returns the order by which its keeper may renew the lease, if it may.
+func (l *lead) lapseEvent(e proto.KeepEvent) {
+	mute := l.lapses.mute[e.Worker]
+	switch e.Kind {
+	case proto.EventListed:
+		l.lapses.listed(e.Worker)
+		l.allowRenewal(e, mute)
+	case proto.EventBack:
+		l.lapses.back(e.Worker)
+		l.allowRenewal(e, mute)
+	case proto.EventSilent:
+		l.lapses.silent(e.Worker, e.Left)
+		l.lapsed = append(l.lapsed, e.Worker)
+	}
+}
+
+// allowRenewal lets a worker's keeper renew the lease. If the standby may have been
+// told when the work there ends, it hears first that it does not: taking over, it
+// would start the work a second time.
+func (l *lead) allowRenewal(e proto.KeepEvent, mute bool) {
+	o := proto.Order{Kind: proto.OrderRenew, Worker: e.Worker, Token: e.Token, Spell: e.Spell}
+	if mute {
+		l.queued = append(l.queued, o)
+		return
+	}
+	l.send([]proto.Order{o})
+}
+
+// tellLapses passes on until when silent workers' work may run: to their keepers
+// what earlier holdings gave, and all to the standby.
+func (l *lead) tellLapses() {
+	if len(l.lapsed) == 0 {
+		return
+	}
+	keepers := make(map[string]bool)
+	for _, id := range l.lapsed {
+		if len(l.lapses.past[id]) > 0 && l.proxies[l.keepers[id]] != nil {
+			keepers[l.keepers[id]] = true
+		}
+	}
+	l.lapsed = nil
+	for name := range keepers {
+		l.sendSet(name)
+	}
+	l.lapseNews = true
+	l.pump()
+}
--- a/region/lasting_test.go
+++ b/region/lasting_test.go
@@ -146,7 +146,10 @@
 // more entries are stopped after it, one every two seconds. No planner that follows
 // has ever had an answer of the worker. The listener of a room that should stay
 // open all week finds it closed until long after the last of the stops, though
-// other workers have room for it.
+// other workers have room for it. What ran there could go on until the last lease had
+// lapsed; each keeper that got the worker knew nothing of that lease and counted the
+// longest one from its own beginning. The keepers' logs prove it: the worker was lost
+// 7.7 s after the last holding of it had begun, however long it had been gone.
 func TestLastingTaskIsBackWhileEntriesStopInSeries(t *testing.T) {
 	for _, millis := range []int{0, 30, 300, 700, 1100, 1400} {
 		after := time.Duration(millis) * time.Millisecond
--- a/region/lead.go
+++ b/region/lead.go
@@ -93,11 +93,16 @@
 	naming    bool
 	namingTo  string
 	copied    map[string][]winch.Running // copied is what this entry knew as standby.
-	began     time.Time
-	looked    time.Time // looked is when the standby was last compared with others.
-	armed     bool
-	closed    bool
-	decided   time.Time // decided is when the planner last looked at all that waits.
+	// copiedLapses is until when, as it was told, work may run at silent workers.
+	copiedLapses map[string]time.Time
+	lapses       lapses
+	lapsed       []string // lapsed names the workers of whose lapse there is news,
+	lapseNews    bool     // and lapseNews says that the standby has not heard of it.
+	began        time.Time
+	looked       time.Time // looked is when the standby was last compared with others.
+	armed        bool
+	closed       bool
+	decided      time.Time // decided is when the planner last looked at all that waits.
 	// assign says that the workers' keepers are to be worked out again, assigned
 	// when they last were.
 	assign   bool
@@ -121,7 +126,7 @@
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
 		wanted: make(map[string]rostered), settled: make(map[string]bool),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
-		standbyCh: make(chan struct{}, 1), tired: make(map[string]time.Time),
+		standbyCh: make(chan struct{}, 1), tired: make(map[string]time.Time), lapses: newLapses(),
 		rosterTurn: make(chan struct{}, 1), group: conc.NewWaitGroup(), began: time.Now(),
 	}
 	v := newValidity(until)
@@ -264,6 +269,7 @@
 // settle takes over what is known of the workers of an earlier planner: this
 // entry was its standby, or it recorded what ran when it handed the office over.
 func (l *lead) settle() {
+	l.inheritLapses()
 	l.planner.SetGone(l.earlier())
 	for id, w := range l.before {
 		if w.Settled {
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -32,6 +32,14 @@
 	term    uint64
 	session uint64
 	runs    map[proto.MirrorRun]bool
+	lapses  map[string]time.Time // lapses tells when the leases of silent workers have surely ended.
+}
+
+// mirrored is what a standby knows as it takes the office over: the runs of each
+// worker, and until when those at silent workers may go on.
+type mirrored struct {
+	runs   map[string][]winch.Running
+	lapses map[string]time.Time
 }
 
 // take applies a message and reports whether it was taken.
@@ -54,23 +62,27 @@
 	for _, r := range msg.Remove {
 		delete(m.runs, r)
 	}
+	m.lapses = make(map[string]time.Time, len(msg.Lapses))
+	for _, x := range msg.Lapses {
+		m.lapses[x.Worker] = time.Now().Add(x.Left)
+	}
 	return true
 }
 
 // claim ends the copy, since this entry has taken the office for a term, and
 // returns the runs by worker if the copy is of the term before. No message of an
 // earlier planner is taken any more: it can start nothing unseen.
-func (m *mirror) claim(term uint64) (map[string][]winch.Running, bool) {
+func (m *mirror) claim(term uint64) (mirrored, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	whole := m.runs != nil && m.term+1 == term
-	out := make(map[string][]winch.Running)
+	out := mirrored{runs: make(map[string][]winch.Running), lapses: m.lapses}
 	if whole {
 		for r := range m.runs {
-			out[r.Worker] = append(out[r.Worker], winch.Running{Task: r.Task, Run: r.Run})
+			out.runs[r.Worker] = append(out.runs[r.Worker], winch.Running{Task: r.Task, Run: r.Run})
 		}
 	}
-	m.term, m.session, m.runs = term, 0, nil
+	m.term, m.session, m.runs, m.lapses = term, 0, nil, nil
 	return out, whole
 }
 
@@ -181,19 +193,21 @@
 	for _, g := range l.planner.Gone() {
 		l.removed = append(l.removed, proto.MirrorRun{Worker: g.Worker, Task: g.Task, Run: g.Run})
 	}
-	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed}
+	if s.synced && len(l.queued) == 0 && !l.lapseNews {
+		return // What ended is told with the next starts.
+	}
+	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed, Lapses: l.lapses.told()}
 	if msg.Full {
 		msg.Add, msg.Remove = l.allRuns(), nil
 	} else {
 		for _, o := range l.queued {
-			msg.Add = append(msg.Add, proto.MirrorRun{Worker: o.Worker, Task: o.Task, Run: o.Run})
+			if o.Kind == proto.OrderStart {
+				msg.Add = append(msg.Add, proto.MirrorRun{Worker: o.Worker, Task: o.Task, Run: o.Run})
+			}
 		}
 	}
-	if !msg.Full && len(msg.Add) == 0 {
-		return // What ended is told with the next starts.
-	}
 	starts := l.queued
-	l.queued, l.removed, l.mirroring = nil, nil, true
+	l.queued, l.removed, l.mirroring, l.lapseNews = nil, nil, true, false
 	l.group.Go(func() { l.tellMirror(s, msg, starts) })
 }
 
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -51,7 +51,9 @@
 	set := proto.KeepSet{Session: p.session, Authority: l.authority()}
 	for id, keeper := range l.keepers {
 		if keeper == name {
-			set.Workers = append(set.Workers, l.kept[id])
+			kept := l.kept[id]
+			kept.Left = l.lapses.left(id)
+			set.Workers = append(set.Workers, kept)
 		}
 	}
 	p.tell(proto.KindKeepSet, set)
@@ -142,6 +144,7 @@
 	for id, name := range l.keepers {
 		if name == p.name {
 			ids = append(ids, id)
+			l.lapses.moved(id, name, l.kept[id].Token, l.authority())
 			delete(l.keepers, id)
 			delete(l.kept, id)
 		}
@@ -156,9 +159,13 @@
 	}
 	changed := false
 	for _, e := range events {
-		if e.Kind == proto.EventKnown {
+		switch e.Kind {
+		case proto.EventKnown:
 			l.known(p.name, e)
 			continue
+		case proto.EventReleased:
+			l.letGo(p.name, e)
+			continue
 		}
 		if l.keepers[e.Worker] != p.name || l.kept[e.Worker].Token != e.Token {
 			continue // The worker has been given to another keeper since, and perhaps back.
@@ -168,8 +175,10 @@
 			// Another planner may hold the worker by now, and its work may go on.
 			l.planner.Unready([]string{e.Worker})
 			l.lostWorker(e.Worker)
+			l.lapses.inherit(e.Worker, "", time.Now().Add(barrier()))
 			continue
 		}
+		l.lapseEvent(e)
 		l.planner.Event(e)
 		switch e.Kind {
 		case proto.EventFenced:
@@ -183,6 +192,7 @@
 			changed = changed || quiet
 		}
 	}
+	l.tellLapses()
 	if changed {
 		l.reassignSoon()
 	}
@@ -200,6 +210,7 @@
 // lostWorker forgets a worker's keeper, so that the worker is held again if it
 // is still listed.
 func (l *lead) lostWorker(id string) {
+	l.lapses.forget(id)
 	delete(l.keepers, id)
 	delete(l.kept, id)
 	l.reassignSoon()
