A keeper that was fenced off tells a later planner nothing of its worker

A holding that was fenced off says nothing now. A test with a worker that knows a higher token fails without it.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -118,6 +118,7 @@
 	heard    time.Time     // heard is when the worker last answered; zero if it never did.
 	listed   bool
 	closed   bool // closed says that no start may be sent any more.
+	fenced   bool // fenced says that another holding has begun since.
 	closely  bool // closely says that the planner paces runs by what is reported.
 	lastEnd  uint64
 	statusAt time.Time
@@ -135,13 +136,14 @@
 	group.Wait()
 }
 
-// close ends the sending of starts and the renewing of the lease, and returns when
-// all leases at the worker have surely lapsed.
-func (h *holder) close() time.Time {
+// close ends the sending of starts and the renewing of the lease. It returns when all
+// leases at the worker have surely lapsed, and whether this was its last holding as
+// far as is known: a later one may have renewed the lease.
+func (h *holder) close() (lapse time.Time, last bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.closed = true
-	return h.lapse()
+	return h.lapse(), !h.fenced
 }
 
 // lapse returns when all leases at the worker have surely lapsed if they are not
@@ -173,7 +175,7 @@
 			out = append(out, winch.Running{Task: e.Task, Run: e.Run})
 		}
 	}
-	return out, h.listed || h.empty
+	return out, (h.listed || h.empty) && !h.fenced
 }
 
 // take queues an order; what goes with the next hold needs no message of its own.
@@ -332,6 +334,9 @@
 	switch {
 	case errors.Is(err, winch.ErrFenced):
 		h.keeper.Log.Info("worker is held by a newer keeper", state...)
+		h.mu.Lock()
+		h.fenced = true
+		h.mu.Unlock()
 		h.emit(proto.KeepEvent{Kind: proto.EventFenced})
 		return true
 	case errors.Is(err, winch.ErrOtherBoot), lapsed:
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -120,8 +120,10 @@
 // worker next would have to assume the longest lease that could have been given.
 func (k *Keeper) letGo(h *holder) {
 	h.cancel()
-	k.ended = append(k.ended, endedHolding{h.vm.ID, h.token, h.close()})
-	duty.Signal(k.wake)
+	if lapse, last := h.close(); last {
+		k.ended = append(k.ended, endedHolding{h.vm.ID, h.token, lapse})
+		duty.Signal(k.wake)
+	}
 }
 
 // begin ends all holders. If the session is a later planner's, that planner is
--- a/coord/keep/lapse_test.go
+++ b/coord/keep/lapse_test.go
@@ -131,3 +131,26 @@
 		r.end(cancel)
 	})
 }
+
+// A worker was given to another keeper, which renews its lease, and this one has heard
+// only from the worker itself. A later planner that took its word for the last one
+// would start the work a second time.
+func TestFencedHoldingTellsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		time.Sleep(3 * time.Second)
+		r.worker.mu.Lock()
+		r.worker.token = 8
+		r.worker.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		is.Equal(r.count(proto.EventFenced), 1)
+		cancel()
+		later := proto.Session{Term: 2, Number: 1}
+		r.keeper.Set(proto.KeepSet{Session: later, Authority: 8 * time.Second})
+		news := r.keeper.Poll(t.Context(), proto.KeepPoll{Session: later, Wait: time.Second})
+		is.Equal(len(news.Events), 0)
+		r.end(cancel)
+	})
+}
