Tests that fail: beliefs about silent workers that are wrong too early or too long

Each test loses one event or answer, and opens with its story. The world of the region's tests can lose and delay questions between entries for them.

--- /dev/null
+++ b/coord/fleet/pace_test.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// A planner stops a task that fills, since one that serves beside it nears its target,
+// and is killed. The next planner takes the task over as one that works at full speed,
+// sees no reason to change that, and never tells the worker: the task stands still for
+// as long as it is there.
+func TestFillingTaskThatAnEarlierPlannerSlowedGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fill := tasks(1, 1000)
+		fill.Fills = true
+		c := newCell(t, 1, usualQueue())
+		c.add("a", "mix", "choir", fill)
+		start := c.step()
+		is.Equal(len(start), 1)
+
+		next := newCell(t, 1, usualQueue())
+		next.add("a", "mix", "choir", fill)
+		run := winch.Running{Task: start[0].Task, Run: start[0].Run}
+		next.planner.Event(proto.KeepEvent{Kind: proto.EventListed, Worker: "w0", Running: []winch.Running{run}})
+		speed := 0 // As the earlier planner left it.
+		for range 10 {
+			time.Sleep(time.Second)
+			next.planner.Event(proto.KeepEvent{Kind: proto.EventStatus, Worker: "w0", Running: []winch.Running{run}})
+			for _, o := range next.planner.Orders() {
+				if o.Kind == proto.OrderPace {
+					speed = o.Percent
+				}
+			}
+		}
+		is.Equal(speed, 100)
+	})
+}
--- a/coord/keep/lapse_test.go
+++ b/coord/keep/lapse_test.go
@@ -131,3 +131,37 @@
 		r.end(cancel)
 	})
 }
+
+// A worker whose lease another keeper has just renewed answers its next keeper once.
+// The planner hears of it, and counts on the leases of earlier holdings no more; its
+// permission to renew still waits for the standby. Before that comes the planner tells
+// the keeper its workers once more, for the sake of another one, with nothing left of
+// earlier leases for this one. The worker is cut off then. It must not be lost while
+// the lease of the other keeper runs on: its work would run twice.
+func TestSetAfterTheListsDoesNotEndAnEarlierLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		r.mu.Lock()
+		r.deaf = true
+		r.mu.Unlock()
+		set := proto.KeepSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Kept{{VM: winch.WorkerVM{ID: "w"}, Token: 6, Left: 6 * time.Second}}}
+		r.worker.mu.Lock()
+		r.worker.until = r.worker.clock() + 5*time.Second
+		r.worker.mu.Unlock()
+		r.keeper.Set(set)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(r.last(proto.EventListed).Token, uint64(6))
+		set.Workers[0].Left = 0 // The planner has heard of the lists.
+		r.keeper.Set(set)
+		r.setSilent(true)
+		for r.count(proto.EventLost) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		r.worker.mu.Lock()
+		is.True(r.worker.clock() > r.worker.until) // What runs there has ended.
+		r.worker.mu.Unlock()
+		r.end(cancel)
+	})
+}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -41,12 +41,17 @@
 	running map[winch.RunID]int
 	noted   map[winch.RunID]bool
 	lasting lastingView
-	copies  int // copies counts the configurations that entries gave each other.
-	broken  []string
-	log     *simLog
-	group   conc.WaitGroup
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// lost says which questions between entries get lost.
+	lost func(from, to string, kind winch.Kind) bool
+	// late says how long a question waits at the entry that is asked before that takes
+	// it up, as in the buffers of a process that is frozen. It need not be reached then.
+	late   func(from, to string, kind winch.Kind) time.Duration
+	copies int // copies counts the configurations that entries gave each other.
+	broken []string
+	log    *simLog
+	group  conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // simNode is one entry, which may be killed and started again.
@@ -263,6 +268,30 @@
 	return n
 }
 
+// loses reports whether a question gets lost on its way.
+func (p *simPeers) loses(to string, kind winch.Kind) bool {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	return p.world.lost != nil && p.world.lost(p.node.Name, to, kind)
+}
+
+// delayed returns how long a question waits before it is taken up.
+func (p *simPeers) delayed(to string, kind winch.Kind) time.Duration {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	if p.world.late == nil {
+		return 0
+	}
+	return p.world.late(p.node.Name, to, kind)
+}
+
+// lose has questions between entries get lost; nil ends it.
+func (w *world) lose(lost func(from, to string, kind winch.Kind) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost = lost
+}
+
 func (p *simPeers) Ask(ctx context.Context, to string, kind winch.Kind, body, reply any) error {
 	data, err := cbor.Marshal(body)
 	if err != nil {
@@ -270,10 +299,15 @@
 	}
 	time.Sleep(simDelay)
 	n := p.target(to)
-	if n == nil {
+	if n == nil || p.loses(to, kind) {
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
+	if late := p.delayed(to, kind); late > 0 {
+		time.Sleep(late)
+		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+		return winch.ErrPeerLost
+	}
 	answer := n.Handle(ctx, p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
 	time.Sleep(simDelay)
 	if p.target(to) == nil {
