The pace of a run that an earlier planner started counts as unknown

A filling task that a planner had slowed, even to nothing, kept that pace for as long as it ran if another planner took over: the new one took it for a run at full speed, saw nothing to change, and told the worker nothing. Users of such work see it stand still. Found by a review of what dies with its holder. The pace of a run that was found is unknown now: the first decision is told to the worker, and beside tasks that serve it is given back in steps.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -100,7 +100,7 @@
 			t.step.job.adopted = true
 		}
 		r := p.addRun(w, t, x.Task, x.Run)
-		r.started = true
+		r.started, r.pace = true, paceUnknown
 		if !adopt {
 			p.stop(r)
 			continue
--- a/coord/fleet/pace.go
+++ b/coord/fleet/pace.go
@@ -16,6 +16,12 @@
 	// paceWait is the pause between two changes up, several times the delay with
 	// which a worker reports.
 	paceWait = 1200 * time.Millisecond
+	// paceUnknown is the pace of a run that an earlier planner started, and may have
+	// slowed: whatever is decided first is told to the worker.
+	paceUnknown = -1
+	// paceAssumed is what is given back from then: a jump from little to all could
+	// push the tasks that serve beside it over their target.
+	paceAssumed = 40
 )
 
 // pace slows the tasks that fill a worker when a task that serves beside them
@@ -43,7 +49,11 @@
 		p.paceAll(w, max(0, w.paceNow()-40), now)
 		w.heldBack = now.Add(paceWait)
 	case worst < paceBack && now.After(w.heldBack):
-		if level := w.paceNow(); level < 100 {
+		level := w.paceNow()
+		if w.paceUnsure() {
+			level = min(level, paceAssumed)
+		}
+		if level < 100 {
 			p.paceAll(w, min(100, level+paceStep), now)
 			w.heldBack = now.Add(paceWait)
 		}
@@ -54,13 +64,23 @@
 func (w *worker) paceNow() int {
 	level := 100
 	for _, r := range w.runs {
-		if r.fills() {
+		if r.fills() && r.pace != paceUnknown {
 			level = min(level, r.pace)
 		}
 	}
 	return level
 }
 
+// paceUnsure reports whether the pace of a filling run is not known.
+func (w *worker) paceUnsure() bool {
+	for _, r := range w.runs {
+		if r.fills() && r.pace == paceUnknown {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *run) fills() bool {
 	return r.task != nil && r.task.step.spec.Fills && r.started && !r.stopping
 }
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -33,7 +33,7 @@
 	percent float64
 	moved   time.Time
 	load    float64
-	pace    int // pace is the percentage in force, 100 at the start.
+	pace    int // pace is the percentage in force, 100 at the start, or paceUnknown.
 	pacedAt time.Time
 }
 
