Once a worker has answered, its keeper alone knows how long earlier leases run

Was the worker cut off in the few milliseconds before its lease might be renewed, it counted as lost while its work ran on, and the work was started a second time. Found by a review. What the planner says of earlier leases is ignored once the worker has answered.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -152,11 +152,12 @@
 	return later(h.prior, h.own)
 }
 
-// learn takes an earlier end of the leases that earlier holdings gave.
+// learn takes an earlier end of the leases that earlier holdings gave. Once the worker
+// has answered, the planner counts on this keeper for them and tells nothing of them.
 func (h *holder) learn(left time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if until := time.Now().Add(left); !h.empty && until.Before(h.prior) {
+	if until := time.Now().Add(left); !h.empty && !h.listed && until.Before(h.prior) {
 		h.prior = until
 	}
 }
