A renewal waits for the standby as long as that may hold an old word

A worker was silent for a moment, so the standby had been told when its work ends, and answered again; its renewal waited for the standby, as it should. If the worker's keeper was lost meanwhile, the next one listed the worker, which counted as silent no more, and the renewal went out at once. Were the planner lost then, the standby started the work a second time while it ran on. Found by a review, in a test of a slow standby. The planner now keeps which workers a standby was told of, from when a message with the worker is built until the standby that the store names has taken one without it.

--- a/region/lapse.go
+++ b/region/lapse.go
@@ -139,29 +139,27 @@
 	}
 }
 
-// lapseEvent keeps the lapses up with an event of a worker's present holding, and
-// returns the order by which its keeper may renew the lease, if it may.
+// lapseEvent keeps the lapses up with an event of a worker's present holding.
 func (l *lead) lapseEvent(e proto.KeepEvent) {
-	mute := l.lapses.mute[e.Worker]
 	switch e.Kind {
 	case proto.EventListed:
 		l.lapses.listed(e.Worker)
-		l.allowRenewal(e, mute)
+		l.allowRenewal(e)
 	case proto.EventBack:
 		l.lapses.back(e.Worker)
-		l.allowRenewal(e, mute)
+		l.allowRenewal(e)
 	case proto.EventSilent:
 		l.lapses.silent(e.Worker, e.Left)
 		l.lapsed = append(l.lapsed, e.Worker)
 	}
 }
 
-// allowRenewal lets a worker's keeper renew the lease. If the standby may have been
-// told when the work there ends, it hears first that it does not: taking over, it
-// would start the work a second time.
-func (l *lead) allowRenewal(e proto.KeepEvent, mute bool) {
+// allowRenewal lets a worker's keeper renew the lease. If a standby may hold when the
+// work there ends, it hears first that it does not: taking over, it would start the
+// work a second time.
+func (l *lead) allowRenewal(e proto.KeepEvent) {
 	o := proto.Order{Kind: proto.OrderRenew, Worker: e.Worker, Token: e.Token, Spell: e.Spell}
-	if mute {
+	if l.words[e.Worker] {
 		l.queued = append(l.queued, o)
 		return
 	}
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -167,9 +167,17 @@
 	return mine(l.named) && (!l.naming || mine(l.namingTo))
 }
 
-// release sends the starts that the standby has heard of.
+// release sends the orders that the standby has heard of. What other standbys were
+// told of silent workers counts no more.
 func (l *lead) release() {
-	if len(l.told) == 0 || !l.released() {
+	if !l.released() {
+		return
+	}
+	if !l.mirroring {
+		l.words = make(map[string]bool, len(l.acked))
+		maps.Copy(l.words, l.acked)
+	}
+	if len(l.told) == 0 {
 		return
 	}
 	starts := l.told
@@ -184,6 +192,7 @@
 		return
 	}
 	if l.standby == nil {
+		l.acked = nil // Whoever is named later hears of all anew.
 		l.planner.Gone()
 		l.told, l.queued = append(l.told, l.queued...), nil
 		l.release()
@@ -206,6 +215,9 @@
 			}
 		}
 	}
+	for _, x := range msg.Lapses {
+		l.words[x.Worker] = true
+	}
 	starts := l.queued
 	l.queued, l.removed, l.mirroring, l.lapseNews = nil, nil, true, false
 	l.group.Go(func() { l.tellMirror(s, msg, starts) })
@@ -230,6 +242,10 @@
 			s.synced = true
 			duty.Signal(l.standbyCh)
 		}
+		l.acked = make(map[string]bool, len(msg.Lapses))
+		for _, x := range msg.Lapses {
+			l.acked[x.Worker] = true
+		}
 		l.told = append(l.told, starts...)
 		l.release()
 		l.pump()
