A worker that was never heard is not recorded as one on which nothing runs

Planner, standby and a worker's keeper were lost together, and the worker was cut off. The next planner had never heard what ran there; as its keeper said that the worker was silent, it recorded the worker as one that gets no work, with all that may run there: nothing, as far as it knew. Were it lost too, the planner after it took the record at its word and started at once what still ran. The record is made only once it is known what earlier planners left at the worker.

--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -184,6 +184,11 @@
 	return out
 }
 
+// Heard reports whether all is known that may run at a worker.
+func (p *Planner) Heard(id string) bool {
+	return !p.roster[id]
+}
+
 // Quiet reports whether a worker gets no work since it does not answer, and
 // whether it answers again.
 func (p *Planner) Quiet(id string) (quiet, answers bool) {
--- a/region/assign.go
+++ b/region/assign.go
@@ -90,10 +90,11 @@
 // entryOf is what is to be recorded of a worker. For one that does not answer
 // that is all that may run there, since nothing is started there until the record
 // is changed again. Were the planner and its standby lost then, with all other
-// work the next planner would wait until everything there had surely ended.
+// work the next planner would wait until everything there had surely ended. Before
+// it is heard what an earlier planner started there, that is not all.
 func (l *lead) entryOf(vm winch.WorkerVM, keeper string) rostered {
 	out := rostered{VM: vm, Keeper: keeper}
-	if quiet, answers := l.planner.Quiet(vm.ID); quiet && !answers {
+	if quiet, answers := l.planner.Quiet(vm.ID); quiet && !answers && l.planner.Heard(vm.ID) {
 		out.Settled, out.Runs = true, l.planner.RunsAt(vm.ID)
 	}
 	return out
--- a/region/lead.go
+++ b/region/lead.go
@@ -100,13 +100,13 @@
 	lapseNews    bool     // and lapseNews says that the standby has not heard of it.
 	// words names the workers whose lapse a standby may hold, that the store names or
 	// may name; acked are those of the last message that was taken.
-	words map[string]bool
-	acked map[string]bool
-	began        time.Time
-	looked       time.Time // looked is when the standby was last compared with others.
-	armed        bool
-	closed       bool
-	decided      time.Time // decided is when the planner last looked at all that waits.
+	words   map[string]bool
+	acked   map[string]bool
+	began   time.Time
+	looked  time.Time // looked is when the standby was last compared with others.
+	armed   bool
+	closed  bool
+	decided time.Time // decided is when the planner last looked at all that waits.
 	// assign says that the workers' keepers are to be worked out again, assigned
 	// when they last were.
 	assign   bool
