The loss of a worker's last boot says nothing of the boot that is listed

A worker crashed and came back under its ID, and the list named the new boot before its keeper reached it. Then the keeper of the old boot heard that another answered. The planner took that for news of the new boot, noted that it was over, and never used it: the worker stood idle until the next planner. The loss now counts only for the boot that the keeper held.

--- a/region/proxy.go
+++ b/region/proxy.go
@@ -179,6 +179,11 @@
 			continue
 		}
 		l.lapseEvent(e)
+		if vm, listed := l.workers[e.Worker]; listed && e.Kind == proto.EventLost && l.kept[e.Worker].VM.Born != vm.Born {
+			// The boot that is gone is not the one that is listed, which may well live.
+			l.lostWorker(e.Worker)
+			continue
+		}
 		l.planner.Event(e)
 		switch e.Kind {
 		case proto.EventFenced:
