What a keeper tells of a worker counts for the turn in which it had it

One answer of a keeper was lost, so its workers went to another, and nobody told the first that its holdings were over. Much later the store named the first one again, and the planner was lost before it could say so. The next planner took what the first keeper knew, of runs and of the end of leases, for all there was, though the other had started and renewed since: work ran twice. That a fenced holding says nothing answers both tests; it does not where the worker is out of the first keeper's reach too. So the roster numbers the turns in which workers have keepers, and a keeper's word counts only for the recorded turn.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -86,6 +86,7 @@
 	keeper *Keeper
 	vm     winch.WorkerVM
 	token  uint64
+	turn   uint64
 	empty  bool // empty says that nothing ran there when the holder began.
 	cancel context.CancelFunc
 	ring   chan command
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -54,6 +54,7 @@
 type endedHolding struct {
 	worker string
 	token  uint64
+	turn   uint64
 	lapse  time.Time
 }
 
@@ -121,7 +122,7 @@
 func (k *Keeper) letGo(h *holder) {
 	h.cancel()
 	if lapse, last := h.close(); last {
-		k.ended = append(k.ended, endedHolding{h.vm.ID, h.token, lapse})
+		k.ended = append(k.ended, endedHolding{h.vm.ID, h.token, h.turn, lapse})
 		duty.Signal(k.wake)
 	}
 }
@@ -138,7 +139,7 @@
 		k.letGo(h)
 		delete(k.holders, id)
 		if running, whole := h.known(); whole && s.Term > k.session.Term {
-			k.events = append(k.events, proto.KeepEvent{Kind: proto.EventKnown, Worker: id, Running: running})
+			k.events = append(k.events, proto.KeepEvent{Kind: proto.EventKnown, Worker: id, Running: running, Turn: h.turn})
 		}
 	}
 	k.session = s
@@ -154,7 +155,7 @@
 		left = Surely(max(k.Lease, k.until.Sub(now)))
 	}
 	h := &holder{
-		keeper: k, vm: w.VM, token: w.Token, empty: w.Empty, cancel: cancel, began: now, prior: now.Add(left),
+		keeper: k, vm: w.VM, token: w.Token, turn: w.Turn, empty: w.Empty, cancel: cancel, began: now, prior: now.Add(left),
 		ring: make(chan command, ringSize), runs: make(map[runKey]*known), recorded: make(chan struct{}, 1),
 		opened: make(chan struct{}, 1),
 	}
@@ -237,7 +238,7 @@
 	out := make([]proto.KeepEvent, 0, len(k.ended))
 	for _, e := range k.ended {
 		out = append(out, proto.KeepEvent{
-			Kind: proto.EventReleased, Worker: e.worker, Token: e.token, Left: max(0, time.Until(e.lapse)),
+			Kind: proto.EventReleased, Worker: e.worker, Token: e.token, Turn: e.turn, Left: max(0, time.Until(e.lapse)),
 		})
 	}
 	return out
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -38,6 +38,8 @@
 	// Left is how long leases that earlier holdings of the worker gave may yet run,
 	// from the arrival of the message on at most.
 	Left time.Duration `cbor:"4,keyasint,omitempty"`
+	// Turn is that of the roster's record by which the keeper has the worker.
+	Turn uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // KeepSet tells a keeper which workers it holds from now on.
@@ -159,6 +161,8 @@
 	// Spell counts, with EventListed and EventBack, the worker's times of silence in
 	// this holding.
 	Spell uint64 `cbor:"10,keyasint,omitempty"`
+	// Turn is, with EventKnown and EventReleased, that of the holding.
+	Turn uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // AdviseAsk asks an entry to call the advice service in its lane.
--- a/region/assign.go
+++ b/region/assign.go
@@ -87,7 +87,7 @@
 	}
 	for _, vm := range held {
 		if now := byDomain.choose(vm.Domain, l.wanted[vm.ID].Keeper); now != "" {
-			wanted[vm.ID] = l.entryOf(vm, now)
+			wanted[vm.ID] = l.entryOf(vm, now, l.turnOf(vm.ID, now))
 		}
 	}
 	l.wanted = wanted
@@ -97,7 +97,17 @@
 }
 
 func sameEntry(a, b rostered) bool {
-	return a.Keeper == b.Keeper && a.VM.Born == b.VM.Born && a.Settled == b.Settled
+	return a.Keeper == b.Keeper && a.Turn == b.Turn && a.VM.Born == b.VM.Born && a.Settled == b.Settled
+}
+
+// turnOf returns the turn by which a keeper has a worker: a new one if it is another
+// keeper than before.
+func (l *lead) turnOf(worker, keeper string) uint64 {
+	if last := l.wanted[worker]; last.Keeper == keeper && last.Turn != 0 {
+		return last.Turn
+	}
+	l.turns++
+	return l.term*turnsPerTerm + l.turns
 }
 
 // entryOf is what is to be recorded of a worker. For one that does not answer
@@ -105,8 +115,8 @@
 // is changed again. Were the planner and its standby lost then, with all other
 // work the next planner would wait until everything there had surely ended. Before
 // it is heard what an earlier planner started there, that is not all.
-func (l *lead) entryOf(vm winch.WorkerVM, keeper string) rostered {
-	out := rostered{VM: vm, Keeper: keeper}
+func (l *lead) entryOf(vm winch.WorkerVM, keeper string, turn uint64) rostered {
+	out := rostered{VM: vm, Keeper: keeper, Turn: turn}
 	if quiet, answers := l.planner.Quiet(vm.ID); quiet && !answers && l.planner.Heard(vm.ID) {
 		out.Settled, out.Runs = true, l.planner.RunsAt(vm.ID)
 	}
@@ -127,9 +137,12 @@
 func (l *lead) activate(held []winch.WorkerVM, live map[string]member) {
 	changed := make(map[string]bool)
 	for _, vm := range held {
-		name := l.wanted[vm.ID].Keeper
+		name, turn := l.wanted[vm.ID].Keeper, l.wanted[vm.ID].Turn
 		recorded := l.roster[vm.ID]
-		if _, ok := live[name]; !ok || recorded.Keeper != name || recorded.VM.Born != vm.Born || l.keepers[vm.ID] == name {
+		if _, ok := live[name]; !ok || recorded.Keeper != name || recorded.Turn != turn || recorded.VM.Born != vm.Born {
+			continue
+		}
+		if l.keepers[vm.ID] == name && l.kept[vm.ID].Turn == turn {
 			continue
 		}
 		if old := l.keepers[vm.ID]; old != "" {
@@ -140,7 +153,7 @@
 		changed[name] = true
 		l.keepers[vm.ID] = name
 		l.tokens++
-		l.kept[vm.ID] = proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens, Empty: l.planner.Empty(vm.ID)}
+		l.kept[vm.ID] = proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens, Turn: turn, Empty: l.planner.Empty(vm.ID)}
 	}
 	l.dropKept(held, changed)
 	for name := range changed {
--- a/region/keys.go
+++ b/region/keys.go
@@ -65,6 +65,9 @@
 	// does not answer and gets no work: Runs is then all that may run there.
 	Settled bool
 	Runs    []winch.Running
+	// Turn is new whenever the worker gets another keeper. What a keeper tells of an
+	// earlier turn is not all: others may have had the worker in between.
+	Turn uint64
 }
 
 // roster is the stored form of the workers: thousands have to fit into one value,
@@ -72,6 +75,7 @@
 type roster struct {
 	Keepers []string
 	Workers []rosterRow
+	Turns   []uint64 // Turns holds the turn of each of Workers.
 }
 
 type rosterRow struct {
@@ -98,6 +102,7 @@
 		out.Workers = append(out.Workers, rosterRow{
 			ID: w.VM.ID, Address: w.VM.Address, Domain: w.VM.Domain, Born: w.VM.Born, Keeper: at, Settled: w.Settled, Runs: w.Runs,
 		})
+		out.Turns = append(out.Turns, w.Turn)
 	}
 	return out
 }
@@ -105,11 +110,14 @@
 // list returns the workers; a row that names no keeper of the roster has none.
 func (r *roster) list() []rostered {
 	out := make([]rostered, 0, len(r.Workers))
-	for _, w := range r.Workers {
+	for i, w := range r.Workers {
 		x := rostered{VM: winch.WorkerVM{ID: w.ID, Address: w.Address, Domain: w.Domain, Born: w.Born}, Settled: w.Settled, Runs: w.Runs}
 		if w.Keeper >= 0 && w.Keeper < len(r.Keepers) {
 			x.Keeper = r.Keepers[w.Keeper]
 		}
+		if i < len(r.Turns) {
+			x.Turn = r.Turns[i]
+		}
 		out = append(out, x)
 	}
 	return out
--- a/region/lapse.go
+++ b/region/lapse.go
@@ -26,7 +26,8 @@
 
 // holding is an earlier holding of a worker.
 type holding struct {
-	token  uint64 // token is zero for a holding of an earlier planner.
+	token  uint64 // token is zero for a holding of an earlier planner; then turn counts.
+	turn   uint64
 	keeper string
 	lapse  time.Time // lapse is when its leases have surely ended.
 }
@@ -36,8 +37,8 @@
 }
 
 // inherit notes a holding of an earlier planner.
-func (s *lapses) inherit(worker, keeper string, lapse time.Time) {
-	s.past[worker] = append(s.past[worker], holding{keeper: keeper, lapse: lapse})
+func (s *lapses) inherit(worker, keeper string, turn uint64, lapse time.Time) {
+	s.past[worker] = append(s.past[worker], holding{turn: turn, keeper: keeper, lapse: lapse})
 }
 
 // listed notes that a worker has answered its present keeper: all earlier ones are
@@ -71,7 +72,7 @@
 		lapse, shut = time.Now().Add(keep.Surely(authority)), true
 	}
 	if shut {
-		s.past[worker] = append(s.past[worker], holding{token, keeper, lapse})
+		s.past[worker] = append(s.past[worker], holding{token: token, keeper: keeper, lapse: lapse})
 	}
 	delete(s.open, worker)
 	delete(s.shut, worker)
@@ -83,7 +84,7 @@
 	lapse := time.Now().Add(e.Left)
 	better := false
 	for i, h := range s.past[e.Worker] {
-		if (h.token == e.Token || h.token == 0 && h.keeper == keeper) && lapse.Before(h.lapse) {
+		if (h.token == e.Token || h.token == 0 && h.keeper == keeper && h.turn == e.Turn) && lapse.Before(h.lapse) {
 			s.past[e.Worker][i].lapse = lapse
 			better = true
 		}
@@ -127,7 +128,7 @@
 		if known, ok := l.copiedLapses[id]; ok {
 			lapse = known
 		}
-		l.lapses.inherit(id, w.Keeper, lapse)
+		l.lapses.inherit(id, w.Keeper, w.Turn, lapse)
 	}
 }
 
--- a/region/lapse_test.go
+++ b/region/lapse_test.go
@@ -117,12 +117,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newLapses()
-		s.inherit("w", "a", time.Now().Add(8*time.Second))
+		s.inherit("w", "a", 2, time.Now().Add(8*time.Second))
 		is.Equal(s.left("w"), 8*time.Second)
 		s.moved("w", "b", 5, 7*time.Second) // It never listed what it runs.
 		is.Equal(s.left("w"), 8*time.Second)
 		is.True(!s.released("b", proto.KeepEvent{Worker: "w", Token: 5, Left: time.Second}))
-		is.True(s.released("a", proto.KeepEvent{Worker: "w", Token: 3, Left: 4 * time.Second}))
+		is.True(!s.released("a", proto.KeepEvent{Worker: "w", Token: 3, Turn: 1, Left: time.Second})) // Others had it since.
+		is.True(s.released("a", proto.KeepEvent{Worker: "w", Token: 3, Turn: 2, Left: 4 * time.Second}))
 		is.Equal(s.left("w"), 4*time.Second)
 		time.Sleep(time.Second)
 		is.Equal(s.left("w"), 3*time.Second)
--- a/region/lead.go
+++ b/region/lead.go
@@ -27,6 +27,8 @@
 	idleTime = 100 * time.Millisecond
 	// tokensPerOffice is the room for fencing tokens below one revision of the office.
 	tokensPerOffice = 1 << 20
+	// turnsPerTerm is the room for turns of workers in one term.
+	turnsPerTerm = 1 << 32
 	// jobsGap is how often the store's changes of jobs are read. Entries tell the
 	// planner of them at once; this finds what was not told.
 	jobsGap = time.Second
@@ -77,6 +79,7 @@
 	settled  map[string]bool     // settled names the workers that the store may hold as settled.
 	rosterAt uint64              // rosterAt is the revision of the roster's record.
 	tokens   uint64
+	turns    uint64
 	sessions uint64
 	// queued holds the starts that the standby has not heard of yet, told those
 	// that it has, removed the runs that have ended since it was last told;
@@ -235,7 +238,7 @@
 		for _, w := range r.list() {
 			l.before[w.VM.ID] = w
 			l.roster[w.VM.ID] = w
-			l.wanted[w.VM.ID] = rostered{VM: w.VM, Keeper: w.Keeper}
+			l.wanted[w.VM.ID] = rostered{VM: w.VM, Keeper: w.Keeper, Turn: w.Turn}
 			if w.Settled {
 				l.settled[w.VM.ID] = true
 			}
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -175,7 +175,7 @@
 			// Another planner may hold the worker by now, and its work may go on.
 			l.planner.Unready([]string{e.Worker})
 			l.lostWorker(e.Worker)
-			l.lapses.inherit(e.Worker, "", time.Now().Add(barrier()))
+			l.lapses.inherit(e.Worker, "", 0, time.Now().Add(barrier()))
 			continue
 		}
 		l.lapseEvent(e)
@@ -205,9 +205,9 @@
 }
 
 // known takes what a keeper knew of a worker when this planner's session began.
-// If the roster names the keeper, that is all that may run there.
+// If the roster names the keeper by the same turn, that is all that may run there.
 func (l *lead) known(keeper string, e proto.KeepEvent) {
-	if l.before[e.Worker].Keeper == keeper {
+	if w := l.before[e.Worker]; w.Keeper == keeper && w.Turn == e.Turn {
 		l.planner.Event(e)
 	}
 }
