A keeper's authority counts from its own last answer, not from when it reads

A question of the planner waited for 3.5 s at a keeper that was frozen, and its failure domain was cut off then. The keeper took the authority in the question for one that began as it read it, and renewed leases for longer than the planner counted on: work was started elsewhere while it ran. The keeper stamps its answers with its own clock, the planner returns the stamp, and authority counts from it. The sets of a session but the first give none: each could wait in the same way. The rig of the keeper's tests returns the stamp like a planner does.

--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -35,6 +35,7 @@
 
 	mu      sync.Mutex
 	session proto.Session
+	started time.Time
 	until   time.Time // until is when the planner's authority ends.
 	holders map[string]*holder
 	events  []proto.KeepEvent
@@ -60,6 +61,7 @@
 
 // Prepare makes the keeper ready; Run must follow.
 func (k *Keeper) Prepare() {
+	k.started = time.Now()
 	k.holders = make(map[string]*holder)
 	k.wake = make(chan struct{}, 1)
 	k.group = conc.NewWaitGroup()
@@ -94,8 +96,8 @@
 	}
 	if newer(set.Session, k.session) {
 		k.begin(set.Session)
+		k.until = time.Now().Add(set.Authority)
 	}
-	k.until = time.Now().Add(set.Authority)
 	wanted := make(map[string]bool, len(set.Workers))
 	for _, w := range set.Workers {
 		wanted[w.VM.ID] = true
@@ -197,6 +199,12 @@
 // something to happen. A zero session in the answer says that the session of
 // the question is not this keeper's.
 func (k *Keeper) Poll(ctx context.Context, ask proto.KeepPoll) proto.KeepNews {
+	news := k.await(ctx, ask)
+	news.Stamp = time.Since(k.started)
+	return news
+}
+
+func (k *Keeper) await(ctx context.Context, ask proto.KeepPoll) proto.KeepNews {
 	timer := time.NewTimer(ask.Wait)
 	defer timer.Stop()
 	for {
@@ -221,7 +229,7 @@
 	if ask.Session != k.session {
 		return proto.KeepNews{Term: k.session.Term}, true
 	}
-	if until := time.Now().Add(ask.Authority); until.After(k.until) {
+	if until := k.started.Add(ask.Stamp + ask.Authority); ask.Stamp > 0 && until.After(k.until) {
 		k.until = until
 	}
 	k.ended, k.handed = k.ended[k.handed:], 0 // Who asks again has had the last answer.
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -125,8 +125,10 @@
 }
 
 func (r *rig) poll(ctx context.Context) {
+	stamp := time.Duration(0)
 	for ctx.Err() == nil {
-		news := r.keeper.Poll(ctx, proto.KeepPoll{Session: r.session, Authority: 8 * time.Second, Wait: time.Second})
+		news := r.keeper.Poll(ctx, proto.KeepPoll{Session: r.session, Authority: 8 * time.Second, Wait: time.Second, Stamp: stamp})
+		stamp = news.Stamp
 		if news.Session != r.session {
 			time.Sleep(10 * time.Millisecond)
 		}
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -47,7 +47,8 @@
 	Session Session `cbor:"1,keyasint"`
 	Workers []Kept  `cbor:"2,keyasint,omitempty"`
 	// Authority is how long the keeper may keep what runs without hearing of the
-	// planner again. A duration crosses machines whose clocks differ.
+	// planner again, from the session's first set on. A duration crosses machines whose
+	// clocks differ.
 	Authority time.Duration `cbor:"3,keyasint"`
 }
 
@@ -97,6 +98,10 @@
 	Session   Session       `cbor:"1,keyasint"`
 	Authority time.Duration `cbor:"2,keyasint"`
 	Wait      time.Duration `cbor:"3,keyasint"`
+	// Stamp is that of the keeper's last answer in the session. Authority counts from
+	// then, by the keeper's own clock: a question may wait for seconds before it is
+	// read, and the planner counts from when it was sent.
+	Stamp time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // KeepNews is what happened at a keeper's workers since its last answer.
@@ -105,6 +110,8 @@
 	Events  []KeepEvent `cbor:"2,keyasint,omitempty"`
 	// Term is that of the keeper's own session, if it is another.
 	Term uint64 `cbor:"3,keyasint,omitempty"`
+	// Stamp is the keeper's clock as it answered.
+	Stamp time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // EventKind says what a KeepEvent tells.
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -33,6 +33,7 @@
 	lead    *lead
 	name    string
 	session proto.Session
+	stamp   time.Duration // stamp is that of the keeper's last answer.
 	local   bool
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -97,6 +98,7 @@
 			l.node.Log.Info("keeper lost", zap.String("keeper", p.name), zap.Uint64("session", p.session.Number), zap.Error(err))
 			break
 		}
+		p.stamp = news.Stamp
 		if len(news.Events) > 0 {
 			l.post(func() { l.events(p, news.Events) })
 		}
@@ -124,7 +126,7 @@
 }
 
 func (p *proxy) ask(ctx context.Context) (proto.KeepNews, error) {
-	ask := proto.KeepPoll{Session: p.session, Authority: p.lead.authority(), Wait: pollWait}
+	ask := proto.KeepPoll{Session: p.session, Authority: p.lead.authority(), Wait: pollWait, Stamp: p.stamp}
 	if p.local {
 		return p.lead.node.keeper.Poll(ctx, ask), nil
 	}
