A standby's word on silent workers runs out, so that renewals need not wait for it

With the last changes a worker that had been silent for a moment was not renewed before the standby had heard that it answered again. If the standby could not be told and the store could not name another, that had no end: the work at the worker ended though its keeper, the planner and the worker all heard each other. The standby goes by what it was told for 2.1 s, counted by its own clock from an answer of its own, the planner tells it again every 0.3 s while a worker is silent, and renews without it once its word has surely run out. That is longer than it takes to replace a planner that is killed; after a slower takeover the longest lease counts, as without a standby.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -245,6 +245,9 @@
 	// Lapses are those of all workers that do not answer and on which work may run.
 	// None of their leases is renewed before a message without the worker is taken.
 	Lapses []MirrorLapse `cbor:"6,keyasint,omitempty"`
+	// Stamp is that of the standby's last answer. Lapses are good for a short time from
+	// then: the planner may renew the leases after it without being heard.
+	Stamp time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // MirrorLapse tells after how long all leases at a worker have surely lapsed.
@@ -264,4 +267,6 @@
 // planner that has been replaced.
 type MirrorAck struct {
 	OK bool `cbor:"1,keyasint,omitempty"`
+	// Stamp is the standby's clock as it answered.
+	Stamp time.Duration `cbor:"2,keyasint,omitempty"`
 }
--- a/region/lapse.go
+++ b/region/lapse.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"slices"
 	"time"
 
 	"plantainwinch/coord/keep"
@@ -167,6 +168,31 @@
 	l.send([]proto.Order{o})
 }
 
+// keepWords tells the standby again of silent workers before its word runs out. Where
+// no standby can be told, all words have run out after a while, and leases that wait
+// for one to hear of it are renewed: were the store away too, they would end.
+func (l *lead) keepWords() {
+	if len(l.lapses.mute) > 0 && time.Since(l.wordsAt) > wordAgain {
+		l.lapseNews = true
+		l.pump()
+	}
+	if len(l.words) == 0 || time.Since(l.wordsHeard) < wordTime+wordMargin {
+		return
+	}
+	l.words, l.acked = make(map[string]bool), nil
+	var renewals []proto.Order
+	for _, list := range []*[]proto.Order{&l.queued, &l.told} {
+		*list = slices.DeleteFunc(*list, func(o proto.Order) bool {
+			if o.Kind != proto.OrderRenew {
+				return false
+			}
+			renewals = append(renewals, o)
+			return true
+		})
+	}
+	l.send(renewals)
+}
+
 // tellLapses passes on until when silent workers' work may run: to their keepers
 // what earlier holdings gave, and all to the standby.
 func (l *lead) tellLapses() {
--- a/region/lapse_test.go
+++ b/region/lapse_test.go
@@ -145,3 +145,29 @@
 		is.Equal(len(s.told()), 0)
 	})
 }
+
+// A planner that does not reach its standby renews leases after a while that the
+// standby was told the end of. So the standby goes by what it was told for a short time
+// only, and that counts from an answer of its own: a message may wait for seconds
+// before it is read.
+func TestStandbyGoesByNoOldWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		lapses := []proto.MirrorLapse{{Worker: "w", Left: 5 * time.Second}}
+		claimed := func(wait time.Duration, again bool) int {
+			var m mirror
+			ack := m.answer(proto.Mirror{Term: 1, Session: 1, Full: true, Lapses: lapses})
+			is.True(ack.OK)
+			time.Sleep(wait)
+			if again {
+				is.True(m.answer(proto.Mirror{Term: 1, Session: 1, Lapses: lapses, Stamp: ack.Stamp}).OK)
+			}
+			out, whole := m.claim(2)
+			is.True(whole)
+			return len(out.lapses)
+		}
+		is.Equal(claimed(0, false), 0) // Nobody can tell how old it is.
+		is.Equal(claimed(time.Second, true), 1)
+		is.Equal(claimed(wordTime+time.Millisecond, true), 0)
+	})
+}
--- a/region/lead.go
+++ b/region/lead.go
@@ -104,13 +104,17 @@
 	asked        map[string]bool // asked names the earlier planner's keepers that have a session.
 	// words names the workers whose lapse a standby may hold, that the store names or
 	// may name; acked are those of the last message that was taken.
-	words   map[string]bool
-	acked   map[string]bool
-	began   time.Time
-	looked  time.Time // looked is when the standby was last compared with others.
-	armed   bool
-	closed  bool
-	decided time.Time // decided is when the planner last looked at all that waits.
+	words map[string]bool
+	acked map[string]bool
+	// wordsAt is when a standby was last told of silent workers, wordsHeard when one
+	// last answered.
+	wordsAt    time.Time
+	wordsHeard time.Time
+	began      time.Time
+	looked     time.Time // looked is when the standby was last compared with others.
+	armed      bool
+	closed     bool
+	decided    time.Time // decided is when the planner last looked at all that waits.
 	// assign says that the workers' keepers are to be worked out again, assigned
 	// when they last were.
 	assign   bool
@@ -329,6 +333,7 @@
 		l.planner.Schedule()
 		l.decided = time.Now()
 	}
+	l.keepWords()
 	l.dispatch()
 	l.ask()
 	l.save()
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -21,6 +21,12 @@
 	standbyRest = time.Second
 	// standbyLook is how often the standby is compared with other entries.
 	standbyLook = 500 * time.Millisecond
+	// wordTime is how long a standby goes by what it was told of silent workers: longer
+	// than it takes to replace a planner that is lost. wordAgain is how often it is told
+	// again, and wordMargin what the planner adds before it counts on nothing of it.
+	wordTime   = 2100 * time.Millisecond
+	wordAgain  = 300 * time.Millisecond
+	wordMargin = 100 * time.Millisecond
 )
 
 // mirror is what an entry holds as standby of the planner: all runs that may
@@ -33,6 +39,9 @@
 	session uint64
 	runs    map[proto.MirrorRun]bool
 	lapses  map[string]time.Time // lapses tells when the leases of silent workers have surely ended.
+	// started is the zero of the stamps, until is how long lapses are good.
+	started time.Time
+	until   time.Time
 }
 
 // mirrored is what a standby knows as it takes the office over: the runs of each
@@ -42,10 +51,18 @@
 	lapses map[string]time.Time
 }
 
-// take applies a message and reports whether it was taken.
-func (m *mirror) take(msg proto.Mirror) bool {
+// answer takes a message and answers it.
+func (m *mirror) answer(msg proto.Mirror) proto.MirrorAck {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.started.IsZero() {
+		m.started = time.Now().Add(-time.Millisecond) // No stamp is zero.
+	}
+	return proto.MirrorAck{OK: m.take(msg), Stamp: time.Since(m.started)}
+}
+
+// take applies a message and reports whether it was taken. The mutex is held.
+func (m *mirror) take(msg proto.Mirror) bool {
 	if msg.Term < m.term || msg.Term == m.term && msg.Session < m.session {
 		return false
 	}
@@ -66,6 +83,10 @@
 	for _, x := range msg.Lapses {
 		m.lapses[x.Worker] = time.Now().Add(x.Left)
 	}
+	m.until = time.Time{}
+	if msg.Stamp > 0 {
+		m.until = m.started.Add(msg.Stamp + wordTime)
+	}
 	return true
 }
 
@@ -76,7 +97,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	whole := m.runs != nil && m.term+1 == term
-	out := mirrored{runs: make(map[string][]winch.Running), lapses: m.lapses}
+	out := mirrored{runs: make(map[string][]winch.Running)}
+	if time.Now().Before(m.until) {
+		out.lapses = m.lapses
+	}
 	if whole {
 		for r := range m.runs {
 			out.runs[r.Worker] = append(out.runs[r.Worker], winch.Running{Task: r.Task, Run: r.Run})
@@ -90,7 +114,8 @@
 type standby struct {
 	name    string
 	session uint64
-	synced  bool // synced says that the standby has taken all runs.
+	synced  bool          // synced says that the standby has taken all runs.
+	stamp   time.Duration // stamp is that of its last answer.
 }
 
 // standbyRecord names the standby of a term's planner in the store. A standby
@@ -205,7 +230,7 @@
 	if s.synced && len(l.queued) == 0 && !l.lapseNews {
 		return // What ended is told with the next starts.
 	}
-	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed, Lapses: l.lapses.told()}
+	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed, Lapses: l.lapses.told(), Stamp: s.stamp}
 	if msg.Full {
 		msg.Add, msg.Remove = l.allRuns(), nil
 	} else {
@@ -219,7 +244,7 @@
 		l.words[x.Worker] = true
 	}
 	starts := l.queued
-	l.queued, l.removed, l.mirroring, l.lapseNews = nil, nil, true, false
+	l.queued, l.removed, l.mirroring, l.lapseNews, l.wordsAt = nil, nil, true, false, time.Now()
 	l.group.Go(func() { l.tellMirror(s, msg, starts) })
 }
 
@@ -230,6 +255,9 @@
 	err := l.node.Peers.Ask(ctx, s.name, proto.KindMirror, msg, &ack)
 	l.post(func() {
 		l.mirroring = false
+		if err == nil {
+			l.wordsHeard, s.stamp = time.Now(), ack.Stamp
+		}
 		if err != nil || !ack.OK || l.standby != s {
 			l.queued = append(starts, l.queued...)
 			if l.standby == s {
--- a/region/serve.go
+++ b/region/serve.go
@@ -132,7 +132,7 @@
 	case proto.KindKeepPoll:
 		return got(read, func(m proto.KeepPoll) any { return n.keeper.Poll(ctx, m) })
 	case proto.KindMirror:
-		return got(read, func(m proto.Mirror) any { return proto.MirrorAck{OK: n.mirror.take(m)} })
+		return got(read, func(m proto.Mirror) any { return n.mirror.answer(m) })
 	case proto.KindAdvise:
 		return got(read, func(m proto.AdviseAsk) any { return n.advise(ctx, m) })
 	case proto.KindSettings:
