A keeper whose next process is seen gave no lease after that

A worker was gone, and before its silence was noticed the entry that kept it was killed and started again. A process that listens where another did tells that the other has ended, and with it all that it could renew: one lease counts from then on. An entry that has not seen the earlier process's record, or whose VM has another address, knows nothing and counts as before.

--- a/region/assign.go
+++ b/region/assign.go
@@ -53,6 +53,7 @@
 	l.chooseStandby(live)
 	held := l.planner.Held()
 	l.want(held, live)
+	l.endKeepers()
 	l.activate(held, live)
 	l.askEarlier()
 	l.awake()
--- a/region/cell.go
+++ b/region/cell.go
@@ -15,12 +15,20 @@
 	"plantainwinch/winch"
 )
 
+// endedKept is how long it is remembered that a boot of an entry has ended: longer
+// than any lease that it gave.
+const endedKept = time.Minute
+
 // cellView is what the store says of the cell: its entries, the office, the
 // last term and the roster.
 type cellView struct {
 	mu      sync.Mutex
 	members map[string]member // members by node.
-	office  office
+	// last holds the last record of each node, also when it is gone, and ended when it
+	// was seen that a boot of an entry had ended: the next one listens where it did.
+	last   map[string]member
+	ended  map[string]time.Time
+	office office
 	// officeAt and termAt are the revisions of the records; zero if there is none.
 	officeAt uint64
 	term     office
@@ -38,6 +46,9 @@
 	if c.members == nil {
 		c.members = make(map[string]member)
 	}
+	if c.last == nil {
+		c.last, c.ended = make(map[string]member), make(map[string]time.Time)
+	}
 	switch {
 	case strings.HasPrefix(e.Key, prefixNode):
 		name := strings.TrimPrefix(e.Key, prefixNode)
@@ -47,6 +58,8 @@
 			return
 		}
 		c.members[name] = m
+		c.succeeds(c.last[name], m)
+		c.last[name] = m
 	case e.Key == keyOffice:
 		c.office, c.officeAt = office{}, 0
 		if !e.Deleted && decode(e.Data, &c.office) == nil {
@@ -63,6 +76,28 @@
 	}
 }
 
+// succeeds notes that a boot of an entry has ended, if the next one listens at its
+// address. The mutex is held.
+func (c *cellView) succeeds(old, next member) {
+	if old.Name == "" || old.Name == next.Name || old.Address != next.Address {
+		return
+	}
+	for name, at := range c.ended {
+		if time.Since(at) > endedKept {
+			delete(c.ended, name)
+		}
+	}
+	c.ended[old.Name] = time.Now()
+}
+
+// endedAt returns when it was seen that a boot of an entry had ended.
+func (c *cellView) endedAt(name string) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.ended[name]
+	return at, ok
+}
+
 // reset replaces all by what was read.
 func (c *cellView) reset(values []winch.Value) {
 	c.mu.Lock()
--- a/region/lapse.go
+++ b/region/lapse.go
@@ -93,6 +93,19 @@
 	return better
 }
 
+// ended takes what is known of a keeper's process that has ended: what it renewed last
+// ends at lapse. It reports whether that is earlier than was known of a worker.
+func (s *lapses) ended(worker, keeper string, lapse time.Time) bool {
+	better := false
+	for i, h := range s.past[worker] {
+		if h.keeper == keeper && lapse.Before(h.lapse) {
+			s.past[worker][i].lapse = lapse
+			better = true
+		}
+	}
+	return better
+}
+
 // forget drops a worker whose work has surely ended.
 func (s *lapses) forget(worker string) {
 	delete(s.past, worker)
@@ -133,6 +146,21 @@
 	}
 }
 
+// endKeepers takes note of keepers whose next processes are seen. Nobody can ask them
+// any more; but a process that has ended renews nothing, so the authority that it had
+// does not count, only one lease from then on.
+func (l *lead) endKeepers() {
+	for id, list := range l.lapses.past {
+		for _, h := range list {
+			at, ended := l.node.cell.endedAt(h.keeper)
+			if ended && l.lapses.ended(id, h.keeper, at.Add(keep.Surely(leaseMost))) && l.lapses.mute[id] {
+				l.lapsed = append(l.lapsed, id)
+			}
+		}
+	}
+	l.tellLapses()
+}
+
 // letGo takes the end of a holding. Its keeper's word is better than what was
 // assumed, so the worker's present keeper is told if the worker is silent.
 func (l *lead) letGo(keeper string, e proto.KeepEvent) {
