Random runs with tasks that last, planned stops, kills and workers that go

The random runs of a whole region left out tasks that last, entries that stop as planned in series, and workers that drain, crash and come back as another boot, so they could not find that such a task stays down while other workers have room.

A second family plays all of these overlapping. It checks at the workers that no task runs twice at once and none is filled beyond its room, that a worker which leaves gets no work later than two seconds after it said so, and that a task that lasts is not down for 3 s at a stretch from 6 s after its last run has ended, with room for two such tasks, if that stretch and the 4 s before it are calm. Planned stops and workers that leave count as calm. The deterministic test keeps its own check of 6 s flat.

In the simulation a run at a worker that does not answer now counts as running until it truly ends there, another boot answers under an ID or an address that an earlier one had, and a worker's clock may be 2% slow.

--- a/region/lasting_test.go
+++ b/region/lasting_test.go
@@ -45,7 +45,7 @@
 // back checks how long a task was down.
 func (v *lastingView) back(w *world, task winch.RunID, took time.Duration) {
 	v.longest = max(v.longest, took)
-	if took > lastingAim {
+	if w.windows == nil && took > lastingAim {
 		w.breaks("%v: %v did not run for %v", time.Since(w.log.begin), task, took)
 	}
 }
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -15,6 +15,8 @@
 	vm    winch.WorkerVM
 	mu    sync.Mutex
 	begin time.Time
+	// slow is how much slower than the entries' its steady clock is, as a part.
+	slow  float64
 	token uint64
 	until time.Duration
 	runs  map[simKey]*simRun
@@ -27,6 +29,8 @@
 	mute bool
 	// over says that the boot has ended: nothing runs there and nothing ever will.
 	over bool
+	// leaving is when it said that it leaves; zero if it has not.
+	leaving time.Time
 }
 
 type simKey struct {
@@ -35,9 +39,8 @@
 }
 
 type simRun struct {
-	end   time.Time
+	end   time.Time // end is zero for a run that goes on until it is stopped.
 	fails bool
-	lasts bool
 	milli int64
 }
 
@@ -48,18 +51,37 @@
 )
 
 func (w *world) addWorker(id, domain string) {
-	vm := winch.WorkerVM{
-		ID: id, Address: id, Service: "render", Domain: domain, Rack: "r" + domain,
-		Room: winch.Room{Milli: 4000, Memory: 1 << 40}, Born: int64(len(w.workers) + 1),
+	w.boot(simVM(id, id, domain), 0)
+}
+
+func simVM(id, address, domain string) winch.WorkerVM {
+	return winch.WorkerVM{
+		ID: id, Address: address, Service: "render", Domain: domain, Rack: "r" + domain,
+		Room: winch.Room{Milli: 4000, Memory: 1 << 40},
 	}
-	x := &simWorker{vm: vm, begin: time.Now(), runs: make(map[simKey]*simRun), most: make(map[winch.RunID]uint64)}
-	w.workers[id] = x
+}
+
+// boot starts a worker's process, which takes its address and its ID over from
+// any that had them before, and lists it.
+func (w *world) boot(vm winch.WorkerVM, slow float64) {
+	w.mu.Lock()
+	w.boots++
+	vm.Born = w.boots
+	x := &simWorker{vm: vm, begin: time.Now(), slow: slow, runs: make(map[simKey]*simRun), most: make(map[winch.RunID]uint64)}
+	w.workers[vm.ID], w.addresses[vm.Address] = x, x
+	w.mu.Unlock()
 	w.store.mu.Lock()
-	w.store.put("workers/"+id, mustJSON(vm), 0)
+	w.store.put("workers/"+vm.ID, mustJSON(vm), 0)
 	w.store.mu.Unlock()
 	w.group.Go(func() { x.work(w) })
 }
 
+// clock is what the worker's steady clock shows.
+func (x *simWorker) clock() time.Duration {
+	since := time.Since(x.begin)
+	return since - time.Duration(x.slow*float64(since))
+}
+
 // silence has a worker answer nothing any more, or answer again.
 func (w *world) silence(id string, down bool) {
 	w.mu.Lock()
@@ -72,17 +94,18 @@
 
 // work lets runs end when their time has come, and all when the lease has lapsed.
 func (x *simWorker) work(w *world) {
-	for w.ctx.Err() == nil {
+	for over := false; !over && w.ctx.Err() == nil; {
 		time.Sleep(10 * time.Millisecond)
 		w.mu.Lock()
 		x.mu.Lock()
+		over = x.over
 		now := time.Now()
-		lapsed := now.Sub(x.begin) > x.until
+		lapsed := x.clock() > x.until
 		for key, r := range x.runs {
 			switch {
 			case lapsed:
 				x.end(w, key, winch.EndLapsed)
-			case r.lasts:
+			case r.end.IsZero():
 			case now.After(r.end) && r.fails:
 				x.end(w, key, winch.EndFailed)
 			case now.After(r.end):
@@ -99,6 +122,7 @@
 	delete(x.runs, key)
 	x.used -= r.milli
 	x.most[key.task] = max(x.most[key.task], key.run)
+	// A run at a worker that answers nobody goes on there until it truly ends.
 	w.running[key.task]--
 	w.lasting.ended(key.task)
 	x.next++
@@ -116,7 +140,7 @@
 	time.Sleep(simDelay)
 	w := r.world
 	w.mu.Lock()
-	x := w.workers[vm.ID]
+	x := w.addresses[vm.Address]
 	if x == nil || x.down || !w.reaches(r.node.Domain, x.vm.Domain) || w.live()[r.node.Name] == nil {
 		w.mu.Unlock()
 		<-ctx.Done()
@@ -124,7 +148,7 @@
 	}
 	x.mu.Lock()
 	var err error
-	if x.vm.Born != vm.Born {
+	if x.vm.ID != vm.ID || x.vm.Born != vm.Born {
 		err = winch.ErrOtherBoot
 	} else {
 		err = f(x)
@@ -163,7 +187,7 @@
 				}
 				return e.Number <= c.Forget
 			})
-			out = winch.Holding{Clock: time.Since(x.begin), Ended: slices.Clone(x.ended)}
+			out = winch.Holding{Clock: x.clock(), Ended: slices.Clone(x.ended)}
 			for key := range x.runs {
 				out.Running = append(out.Running, winch.Running{Task: key.task, Run: key.run})
 			}
@@ -183,7 +207,7 @@
 		switch {
 		case x.fence(c.Token) != nil:
 			result = winch.StartFenced
-		case time.Since(x.begin) > c.Until:
+		case x.clock() > c.Until:
 			result = winch.StartLate
 		case x.runs[key] != nil:
 		case c.Run <= x.most[c.Task]:
@@ -219,7 +243,8 @@
 	x.used += simMilli
 	if c.Command == lastingWork {
 		w.lasting.began(w, c.Task)
-		x.runs[key] = &simRun{milli: simMilli, lasts: true}
+		x.runs[key] = &simRun{milli: simMilli}
+		w.windows.begins(w, x, x.runs[key])
 		return
 	}
 	x.runs[key] = &simRun{end: time.Now().Add(simWork), milli: simMilli, fails: w.intn(20) == 0}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -32,7 +32,10 @@
 	mu      sync.Mutex
 	nodes   map[string]*simNode
 	workers map[string]*simWorker
-	store   *simStore
+	// addresses holds the boot that answers at each address, boots counts all.
+	addresses map[string]*simWorker
+	boots     int64
+	store     *simStore
 	// cut holds the failure domains that reach only themselves.
 	cut map[string]bool
 	// share holds the processor shares of entries; others have 400.
@@ -41,6 +44,8 @@
 	running map[winch.RunID]int
 	noted   map[winch.RunID]bool
 	lasting lastingView
+	// windows checks tasks that last in the random runs; others have none.
+	windows *lastingWindows
 	// lost says which questions between entries get lost.
 	lost func(from, to string, kind winch.Kind) bool
 	// late says how long a question waits at the entry that is asked before that takes
@@ -68,7 +73,7 @@
 
 func newWorld(t *testing.T, seed uint64, domains, workers int) *world {
 	w := &world{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), workers: make(map[string]*simWorker),
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), workers: make(map[string]*simWorker), addresses: make(map[string]*simWorker),
 		cut: make(map[string]bool), running: make(map[winch.RunID]int), noted: make(map[winch.RunID]bool),
 	}
 	w.log = &simLog{begin: time.Now()}
@@ -157,11 +162,20 @@
 func (n *simNode) kill() {
 	n.world.mu.Lock()
 	node := n.node
-	n.node = nil
 	n.world.mu.Unlock()
-	if node != nil {
-		n.cancel()
+	n.killBoot(node)
+}
+
+// killBoot ends one boot of an entry, and reports whether that was what ended it.
+func (n *simNode) killBoot(node *Node) bool {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	if node == nil || n.node != node {
+		return false
 	}
+	n.node = nil
+	n.cancel()
+	return true
 }
 
 // intn returns a number from the world's seed.
