--- a/region/lastrand_test.go
+++ b/region/lastrand_test.go
@@ -116,6 +116,14 @@
 	}
 }
 
+// checksWindows has the stretches checked that users are promised around disturbances.
+func (w *world) checksWindows() {
+	w.mu.Lock()
+	w.windows = &lastingWindows{calm: time.Now(), told: make(map[winch.RunID]bool)}
+	w.mu.Unlock()
+	w.group.Go(func() { w.windows.watch(w) })
+}
+
 // watch checks until the world ends.
 func (v *lastingWindows) watch(w *world) {
 	for w.ctx.Err() == nil {
@@ -418,11 +426,10 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, seed, 3, 9)
-				w.windows = &lastingWindows{calm: time.Now(), told: make(map[winch.RunID]bool)}
 				settle()
+				w.checksWindows()
 				w.lasts("00000000000000a1", 7)
 				w.lasts("00000000000000a2", 5)
-				w.group.Go(func() { w.windows.watch(w) })
 				r := &lastingRun{world: w, rand: rand.New(rand.NewPCG(seed, 2))}
 				ended := w.jobsMeanwhile(24)
 				r.play(4)
