Random runs with silent workers, cuts on one way, gangs and tasks that fill

TestRandomLasting gets gangs and tasks that fill beside those that serve. A second test, TestRandomLastingWide, adds workers that are silent and answer again, entries that do not hear each other on one way, entries that do not reach a worker or get no answer of it, failure domains that are cut off and trouble with the store.

Checked besides: no member of a gang waits alone while all is calm, and no task is started after it has ended well at a worker, if that end is noted in the end and the worker's lease had not lapsed between. Before, only a start after the noting was seen, so work taken for lost too early went unseen if it was short.

--- a/region/lastrand_test.go
+++ b/region/lastrand_test.go
@@ -45,6 +45,8 @@
 	// disturbed counts the disturbances that go on, calm is when the last one ended.
 	disturbed int
 	calm      time.Time
+	// planned is when planned work was last begun.
+	planned time.Time
 	// room is since when there has been room all the while; zero if there is none.
 	room time.Time
 	// told holds the tasks whose stretch of the moment has been reported.
@@ -143,6 +145,8 @@
 	rolling bool
 	named   int // named counts the workers, for their IDs.
 	turn    int // turn counts the entries that were stopped.
+	// wide is the share of trouble that leaves some ways open, beside seven of the rest.
+	wide int
 }
 
 // between draws a time.
@@ -178,15 +182,17 @@
 }
 
 func (r *lastingRun) trouble() {
-	switch r.rand.IntN(7) {
+	switch r.rand.IntN(7 + r.wide) {
 	case 0:
 		r.kills(r.world.planner())
 	case 1:
 		r.kills(r.world.anyNode())
 	case 2, 3:
 		r.crashes()
-	default:
+	case 4, 5, 6:
 		r.planned()
+	default:
+		r.meddles()
 	}
 }
 
@@ -236,6 +242,7 @@
 		return
 	}
 	w.log.note("%s is to stop", node.Name)
+	w.plannedNow()
 	w.group.Go(func() { node.Stop(w.ctx) })
 	w.group.Go(func() {
 		time.Sleep(grace)
@@ -336,7 +343,7 @@
 // drains has a worker say that it leaves.
 func (w *world) drains(x *simWorker) {
 	w.mu.Lock()
-	x.leaving = time.Now()
+	x.leaving, w.windows.planned = time.Now(), time.Now()
 	w.windows.lookRoom(w)
 	vm := x.vm
 	w.mu.Unlock()
@@ -347,6 +354,15 @@
 	w.log.note("%s says that it leaves", vm.ID)
 }
 
+// plannedNow notes that planned work is begun.
+func (w *world) plannedNow() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.windows != nil {
+		w.windows.planned = time.Now()
+	}
+}
+
 // ends ends a boot of a worker, unless it has ended before: what runs there is gone
 // and nothing answers. One that said so before takes its entry along.
 func (w *world) ends(x *simWorker, planned bool) bool {
@@ -364,6 +380,7 @@
 	w.windows.lookRoom(w)
 	w.log.note("%s, boot %d, is gone, as planned: %v", x.vm.ID, x.vm.Born, planned)
 	if planned {
+		w.windows.planned = time.Now()
 		w.unlist(x)
 	}
 	return true
@@ -413,15 +430,24 @@
 
 // lasts hands a job in whose tasks last.
 func (w *world) lasts(id string, count int) {
-	phase := winch.Phase{Count: count, Need: winch.Room{Milli: simMilli}, Estimate: simWork, Lasting: true}
+	phase := winch.Phase{Count: count, Need: winch.Room{Milli: simMilli}, Estimate: simWork, Lasting: true, Image: "serves", Target: servingTarget}
 	w.hand(&winch.PhasedJob{ID: id, Queue: "preview", Team: "choir", Command: lastingWork, Phases: []winch.Phase{phase}})
 }
 
 // Tasks that last run while entries stop as planned in series, the planner is
-// killed, and workers leave, crash and come back as other boots, all at once. The
-// listener of a room that should stay open may find it closed for a moment, but not
-// for long after all has been calm again; and at no time is it open twice.
-func TestRandomLasting(t *testing.T) {
+// killed, and workers leave, crash and come back as other boots, all at once, beside
+// gangs and tasks that fill. The listener of a room that should stay open may find it
+// closed for a moment, but not for long after all has been calm again; and at no time
+// is it open twice.
+func TestRandomLasting(t *testing.T) { randomLasting(t, 0) }
+
+// The same with workers that are silent for a while and then answer again, maybe to
+// another keeper, entries of which one does not hear the other, entries that do not
+// reach a worker or get no answer, failure domains that are cut off, and a store that
+// is away or loses answers.
+func TestRandomLastingWide(t *testing.T) { randomLasting(t, 7) }
+
+func randomLasting(t *testing.T, wide int) {
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -430,7 +456,7 @@
 				w.checksWindows()
 				w.lasts("00000000000000a1", 7)
 				w.lasts("00000000000000a2", 5)
-				r := &lastingRun{world: w, rand: rand.New(rand.NewPCG(seed, 2))}
+				r := &lastingRun{world: w, rand: rand.New(rand.NewPCG(seed, 2)), wide: wide}
 				ended := w.jobsMeanwhile(24)
 				r.play(4)
 				r.rests()
@@ -447,7 +473,7 @@
 	group := conc.NewWaitGroup()
 	group.Go(func() {
 		for i := range count {
-			group.Go(func() { w.awaitAll(w.jobs(i, i+1), 60*time.Second) })
+			group.Go(func() { w.await(w.someJob(i), 60*time.Second) })
 			time.Sleep(3 * time.Second)
 		}
 	})
@@ -482,3 +508,151 @@
 		w.breaks("%d of %d tasks that last run after a long calm", up, count)
 	}
 }
+
+// alone checks that a member of a gang did not wait in vain while all was calm, planned
+// work too: its sender may have been told to stop. The world's mutex is held.
+func (v *lastingWindows) alone(w *world, key simKey) {
+	w.log.note("%v ends alone as %d", key.task, key.run)
+	if v != nil && v.calmFor() > calmBefore+gangTime && time.Since(v.planned) > calmBefore+gangTime {
+		w.breaks("%v: %v ends alone, calm for %v", time.Since(w.log.begin), key.task, v.calmFor())
+	}
+}
+
+// meddles plays trouble of the kinds that leave some ways open and others not.
+func (r *lastingRun) meddles() {
+	w := r.world
+	length := r.between(300*time.Millisecond, 9*time.Second)
+	switch r.rand.IntN(6) {
+	case 0, 1:
+		r.silences(length)
+	case 2:
+		r.cutsOneWay(length)
+	case 3:
+		r.cutsWorker(length)
+	case 4:
+		domain := fmt.Sprintf("d%d", r.rand.IntN(3))
+		w.log.note("%s is cut off for %v", domain, length)
+		w.troubles(length, func(on bool) { w.cut[domain] = on })
+	case 5:
+		lossy := r.chance(2)
+		w.log.note("the store is away for %v, or loses answers: %v", length, lossy)
+		w.troubles(length, func(on bool) {
+			w.store.mu.Lock()
+			defer w.store.mu.Unlock()
+			if lossy {
+				w.store.lossy = on
+			} else {
+				w.store.down = on
+			}
+		})
+	}
+}
+
+// troubles plays a disturbance for a time.
+func (w *world) troubles(length time.Duration, set func(on bool)) {
+	w.during(length, func(on bool) {
+		set(on)
+		w.windows.disturb(on)
+	})
+}
+
+// silences has a worker answer nothing for a time, while what runs there goes on until
+// its lease has lapsed.
+func (r *lastingRun) silences(length time.Duration) {
+	x := r.pick()
+	if x == nil {
+		return
+	}
+	w := r.world
+	w.log.note("%s is silent for %v", x.vm.ID, length)
+	w.troubles(length, func(on bool) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.down = on || x.over
+	})
+}
+
+// cutsOneWay loses all that one entry sends to another. What is sent on a link gets
+// lost until the link has ended for it.
+func (r *lastingRun) cutsOneWay(length time.Duration) {
+	w := r.world
+	a, b := w.nodeAt(r.rand.IntN(len(w.nodes))), w.nodeAt(r.rand.IntN(len(w.nodes)))
+	ends := r.between(300*time.Millisecond, 1500*time.Millisecond)
+	if a == b {
+		return
+	}
+	path := simPath{a.host, b.host}
+	w.log.note("%s hears nothing of %s for %v, the link ends after %v", b.host, a.host, length, ends)
+	w.troubles(length, w.blocks(w.paths, path))
+	w.group.Go(func() {
+		time.Sleep(min(length, ends))
+		w.linkChanged(path, 1)
+		time.Sleep(max(0, length-ends) + 200*time.Millisecond)
+		w.linkChanged(path, -1)
+	})
+}
+
+func (w *world) blocks(paths map[simPath]int, path simPath) func(on bool) {
+	return func(on bool) {
+		if on {
+			paths[path]++
+		} else {
+			paths[path]--
+		}
+	}
+}
+
+// linkChanged ends the link of two entries or has it stand again, and both know.
+func (w *world) linkChanged(path simPath, more int) {
+	w.mu.Lock()
+	w.links[path] += more
+	var told []*Node
+	for _, host := range []string{path.from, path.to} {
+		if n := w.nodes[host].node; n != nil {
+			told = append(told, n)
+		}
+	}
+	w.mu.Unlock()
+	for _, n := range told {
+		n.LinkChanged()
+	}
+}
+
+// cutsWorker cuts the way between one entry and one worker, both ways or one.
+func (r *lastingRun) cutsWorker(length time.Duration) {
+	w := r.world
+	n, x, ways := w.nodeAt(r.rand.IntN(len(w.nodes))), r.pick(), 1+r.rand.IntN(3)
+	if x == nil {
+		return
+	}
+	w.log.note("%s and %s are cut, ways %d, for %v", n.host, x.vm.ID, ways, length)
+	to, back := w.blocks(w.paths, simPath{n.host, x.vm.Address}), w.blocks(w.paths, simPath{x.vm.Address, n.host})
+	w.troubles(length, func(on bool) {
+		if ways&1 != 0 {
+			to(on)
+		}
+		if ways&2 != 0 {
+			back(on)
+		}
+	})
+}
+
+// someJob hands in a usual job, a gang, or tasks that fill, and returns its ID.
+func (w *world) someJob(i int) string {
+	id := fmt.Sprintf("%016x", i)
+	job := &winch.PhasedJob{ID: id, Queue: "preview", Team: "choir"}
+	switch i % 3 {
+	case 0:
+		return w.jobs(i, i+1)[0]
+	case 1:
+		gang := simPhase(gangSize)
+		gang.Gang = true
+		job.Command, job.Phases = gangWork, []winch.Phase{gang}
+	case 2:
+		fill := simPhase(5)
+		fill.Fills, fill.Image = true, "fills"
+		job.Command, job.Phases = fillingWork, []winch.Phase{fill}
+	}
+	w.hand(job)
+	return id
+}
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -29,6 +29,9 @@
 	mute bool
 	// over says that the boot has ended: nothing runs there and nothing ever will.
 	over bool
+	// lapses counts how often its lease has lapsed, lapsed says that it has.
+	lapses int
+	lapsed bool
 	// leaving is when it said that it leaves; zero if it has not.
 	leaving time.Time
 }
@@ -42,6 +45,17 @@
 	end   time.Time // end is zero for a run that goes on until it is stopped.
 	fails bool
 	milli int64
+	gang  *simGang // gang is nil for a run that is no member of one.
+	fills bool
+}
+
+// simGang is a run of a gang: its members, wherever they are.
+type simGang struct {
+	size, present int
+	// end is when all members end, once all are present; broken says that one has
+	// ended otherwise.
+	end    time.Time
+	broken bool
 }
 
 // simMilli is what each task of the world needs, simWork how long it runs.
@@ -76,6 +90,25 @@
 	w.group.Go(func() { x.work(w) })
 }
 
+// lapse looks whether the lease has lapsed, and counts how often it has.
+func (x *simWorker) lapse() bool {
+	now := x.clock() > x.until
+	if now && !x.lapsed {
+		x.lapses++
+	}
+	x.lapsed = now
+	return now
+}
+
+// simDone is the end of a run that has ended well.
+type simDone struct {
+	run    uint64
+	worker *simWorker
+	lapses int
+	// again says that the task was started after it.
+	again bool
+}
+
 // clock is what the worker's steady clock shows.
 func (x *simWorker) clock() time.Duration {
 	since := time.Since(x.begin)
@@ -100,9 +133,11 @@
 		x.mu.Lock()
 		over = x.over
 		now := time.Now()
-		lapsed := x.clock() > x.until
+		lapsed := x.lapse()
 		for key, r := range x.runs {
 			switch {
+			case r.gang != nil:
+				r.gang.work(w, x, key, r, lapsed, now)
 			case lapsed:
 				x.end(w, key, winch.EndLapsed)
 			case r.end.IsZero():
@@ -125,6 +160,12 @@
 	// A run at a worker that answers nobody goes on there until it truly ends.
 	w.running[key.task]--
 	w.lasting.ended(key.task)
+	if r.gang != nil && kind != winch.EndDone {
+		r.gang.broken = true
+	}
+	if kind == winch.EndDone {
+		w.done[key.task] = append(w.done[key.task], &simDone{run: key.run, worker: x, lapses: x.lapses})
+	}
 	x.next++
 	x.ended = append(x.ended, winch.Ended{Number: x.next, Task: key.task, Run: key.run, Kind: kind})
 }
@@ -141,7 +182,7 @@
 	w := r.world
 	w.mu.Lock()
 	x := w.addresses[vm.Address]
-	if x == nil || x.down || !w.reaches(r.node.Domain, x.vm.Domain) || w.live()[r.node.Name] == nil {
+	if x == nil || x.down || w.paths[simPath{r.node.Host, x.vm.Address}] > 0 || !w.reaches(r.node.Domain, x.vm.Domain) || w.live()[r.node.Name] == nil {
 		w.mu.Unlock()
 		<-ctx.Done()
 		return winch.ErrUncertain
@@ -153,7 +194,7 @@
 	} else {
 		err = f(x)
 	}
-	mute := x.mute
+	mute := x.mute || w.paths[simPath{x.vm.Address, r.node.Host}] > 0
 	x.mu.Unlock()
 	w.mu.Unlock()
 	if mute {
@@ -179,9 +220,11 @@
 			if err := x.fence(c.Token); err != nil {
 				return err
 			}
+			x.lapse()
 			x.until = max(x.until, c.Until)
 			x.ended = slices.DeleteFunc(x.ended, func(e winch.Ended) bool {
 				if e.Number <= c.Forget && e.Kind == winch.EndDone {
+					x.notes(r.world, e.Task, e.Run)
 					r.world.noted[e.Task] = true
 					r.world.log.note("%v of %s is noted at %s by %s", e.Task, e.Task.Job, x.vm.ID, r.node.Name)
 				}
@@ -189,7 +232,7 @@
 			})
 			out = winch.Holding{Clock: x.clock(), Ended: slices.Clone(x.ended)}
 			for key := range x.runs {
-				out.Running = append(out.Running, winch.Running{Task: key.task, Run: key.run})
+				out.Running = append(out.Running, winch.Running{Task: key.task, Run: key.run, Percent: 100, Load: x.load(key)})
 			}
 			return nil
 		})
@@ -227,27 +270,96 @@
 	return result, 0
 }
 
+// notes checks, once the end of a run that has ended well is noted, that the task was
+// not started after it; but for an end which the lease has not outlived: nobody could
+// know of that one in time.
+func (x *simWorker) notes(w *world, task winch.RunID, run uint64) {
+	for _, d := range w.done[task] {
+		if d.worker == x && d.run == run && d.again && d.lapses == x.lapses {
+			w.breaks("%v: %v was started after it had ended well at %s", time.Since(w.log.begin), task, x.vm.ID)
+		}
+	}
+}
+
 // begins starts a run and checks what must hold.
 func (x *simWorker) begins(w *world, key simKey, c winch.StartCall) {
+	for _, d := range w.done[c.Task] {
+		d.again = true
+	}
 	w.log.note("%v of %s begins as %d at %s", c.Task, c.Task.Job, c.Run, x.vm.ID)
 	if w.running[c.Task] > 0 {
-		w.breaks("%v: %v runs twice at once", time.Since(x.begin), c.Task)
+		w.breaks("%v: %v runs twice at once", time.Since(w.log.begin), c.Task)
 	}
 	if w.noted[c.Task] {
-		w.breaks("%v: %v is started after its end was recorded", time.Since(x.begin), c.Task)
+		w.breaks("%v: %v is started after its end was recorded", time.Since(w.log.begin), c.Task)
+	}
+	milli := int64(simMilli)
+	if c.Command == fillingWork {
+		milli = 0 // It takes what the others leave.
 	}
-	if x.used+simMilli > x.vm.Room.Milli {
-		w.breaks("%v: %s is filled beyond its room", time.Since(x.begin), x.vm.ID)
+	if x.used+milli > x.vm.Room.Milli {
+		w.breaks("%v: %s is filled beyond its room", time.Since(w.log.begin), x.vm.ID)
 	}
 	w.running[c.Task]++
-	x.used += simMilli
-	if c.Command == lastingWork {
+	x.used += milli
+	r := &simRun{end: time.Now().Add(simWork), milli: milli}
+	x.runs[key] = r
+	switch c.Command {
+	case lastingWork:
+		r.end = time.Time{}
 		w.lasting.began(w, c.Task)
-		x.runs[key] = &simRun{milli: simMilli}
-		w.windows.begins(w, x, x.runs[key])
-		return
+		w.windows.begins(w, x, r)
+	case gangWork:
+		r.end = time.Now().Add(gangTime)
+		r.gang = w.joins(c.Task, c.Run)
+	case fillingWork:
+		r.end = time.Now().Add(2 * simWork)
+		r.fills = true
+	default:
+		r.fails = w.intn(20) == 0
+	}
+}
+
+const (
+	// gangWork is the command of jobs of one gang, of gangSize members, fillingWork
+	// that of tasks that fill.
+	gangWork    = "gang"
+	gangSize    = 3
+	fillingWork = "fill"
+	// gangTime is how long a member waits for the others.
+	gangTime = 3 * time.Second
+)
+
+// joins counts a member of a gang's run as present.
+func (w *world) joins(task winch.RunID, run uint64) *simGang {
+	task.Index = 0
+	key := simKey{task, run}
+	g := w.gangs[key]
+	if g == nil {
+		g = &simGang{size: gangSize}
+		w.gangs[key] = g
+	}
+	g.present++
+	if g.present == g.size && !g.broken {
+		g.end = time.Now().Add(simWork)
+	}
+	return g
+}
+
+// work ends a member of a gang: with all others, or with one that has ended otherwise,
+// or alone. The locks of the world and of the worker are held.
+func (g *simGang) work(w *world, x *simWorker, key simKey, r *simRun, lapsed bool, now time.Time) {
+	switch {
+	case lapsed:
+		x.end(w, key, winch.EndLapsed)
+	case g.broken:
+		x.end(w, key, winch.EndBroken)
+	case g.end.IsZero() && now.After(r.end):
+		x.end(w, key, winch.EndAlone)
+		w.windows.alone(w, key)
+	case !g.end.IsZero() && now.After(g.end):
+		x.end(w, key, winch.EndDone)
 	}
-	x.runs[key] = &simRun{end: time.Now().Add(simWork), milli: simMilli, fails: w.intn(20) == 0}
 }
 
 func (r *simRunner) Stop(ctx context.Context, vm winch.WorkerVM, token uint64, task winch.RunID, run uint64) error {
@@ -263,8 +375,25 @@
 	})
 }
 
-func (r *simRunner) Pace(context.Context, winch.WorkerVM, uint64, winch.RunID, uint64, int) error {
-	return nil
+func (r *simRunner) Pace(ctx context.Context, vm winch.WorkerVM, token uint64, _ winch.RunID, _ uint64, _ int) error {
+	return r.call(ctx, vm, func(x *simWorker) error { return x.fence(token) })
+}
+
+// load is what a run reports: tasks that serve miss their target beside tasks that fill.
+func (x *simWorker) load(key simKey) float64 {
+	if !x.runs[key].end.IsZero() {
+		return simMilli
+	}
+	load := servingTarget / 4
+	for _, r := range x.runs {
+		if r.fills {
+			load += servingTarget / 2
+		}
+	}
+	return float64(load.Milliseconds())
 }
 
+// servingTarget is what tasks that last must stay below where some fill beside them.
+const servingTarget = 200 * time.Millisecond
+
 func (r *simRunner) Drop(winch.WorkerVM) {}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -38,12 +38,18 @@
 	store     *simStore
 	// cut holds the failure domains that reach only themselves.
 	cut map[string]bool
+	// paths holds what gets nowhere on one way between entries, or between an entry and
+	// a worker; links holds the links between entries that have ended for it.
+	paths map[simPath]int
+	links map[simPath]int
 	// share holds the processor shares of entries; others have 400.
 	share map[string]int
 	// running counts, by task, the runs at workers, also at those that do not answer.
 	running map[winch.RunID]int
 	noted   map[winch.RunID]bool
+	done    map[winch.RunID][]*simDone
 	lasting lastingView
+	gangs   map[simKey]*simGang
 	// windows checks tasks that last in the random runs; others have none.
 	windows *lastingWindows
 	// lost says which questions between entries get lost.
@@ -74,7 +80,7 @@
 func newWorld(t *testing.T, seed uint64, domains, workers int) *world {
 	w := &world{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), workers: make(map[string]*simWorker), addresses: make(map[string]*simWorker),
-		cut: make(map[string]bool), running: make(map[winch.RunID]int), noted: make(map[winch.RunID]bool),
+		cut: make(map[string]bool), paths: make(map[simPath]int), links: make(map[simPath]int), gangs: make(map[simKey]*simGang), running: make(map[winch.RunID]int), noted: make(map[winch.RunID]bool), done: make(map[winch.RunID][]*simDone),
 	}
 	w.log = &simLog{begin: time.Now()}
 	w.ctx, w.cancel = context.WithCancel(t.Context())
@@ -251,6 +257,14 @@
 	return out
 }
 
+// simPath is a way between two hosts.
+type simPath struct{ from, to string }
+
+// linked reports whether two entries have a link.
+func (w *world) linked(a, b string) bool {
+	return w.links[simPath{a, b}] == 0 && w.links[simPath{b, a}] == 0
+}
+
 // simPeers carries messages between the entries of the world.
 type simPeers struct {
 	world *world
@@ -264,7 +278,7 @@
 	defer p.world.mu.Unlock()
 	var out []string
 	for name, n := range p.world.live() {
-		if n != p.node && p.world.reaches(p.node.Domain, n.Domain) {
+		if n != p.node && p.world.reaches(p.node.Domain, n.Domain) && p.world.linked(p.node.Host, n.Host) {
 			out = append(out, name)
 		}
 	}
@@ -276,12 +290,19 @@
 	p.world.mu.Lock()
 	defer p.world.mu.Unlock()
 	n := p.world.live()[to]
-	if n == nil || !p.world.reaches(p.node.Domain, n.Domain) || p.world.live()[p.node.Name] == nil {
+	if n == nil || !p.world.reaches(p.node.Domain, n.Domain) || !p.world.linked(p.node.Host, n.Host) || p.world.live()[p.node.Name] == nil {
 		return nil
 	}
 	return n
 }
 
+// passes reports whether what is sent from one host to another arrives there.
+func (p *simPeers) passes(from, to string) bool {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	return p.world.paths[simPath{from, to}] == 0
+}
+
 // loses reports whether a question gets lost on its way.
 func (p *simPeers) loses(to string, kind winch.Kind) bool {
 	p.world.mu.Lock()
@@ -313,7 +334,7 @@
 	}
 	time.Sleep(simDelay)
 	n := p.target(to)
-	if n == nil || p.loses(to, kind) {
+	if n == nil || p.loses(to, kind) || !p.passes(p.node.Host, n.Host) {
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
@@ -324,7 +345,7 @@
 	}
 	answer := n.Handle(ctx, p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
 	time.Sleep(simDelay)
-	if p.target(to) == nil {
+	if p.target(to) == nil || !p.passes(n.Host, p.node.Host) {
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
@@ -349,6 +370,9 @@
 	if err != nil {
 		return err
 	}
+	if !p.passes(p.node.Host, n.Host) {
+		return nil // It is lost with the link, which ends for it a moment later.
+	}
 	n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
 	return nil
 }
