--- a/region/lastrand_test.go
+++ b/region/lastrand_test.go
@@ -522,9 +522,11 @@
 func (r *lastingRun) meddles() {
 	w := r.world
 	length := r.between(300*time.Millisecond, 9*time.Second)
-	switch r.rand.IntN(6) {
+	switch r.rand.IntN(7) {
 	case 0, 1:
 		r.silences(length)
+	case 6:
+		r.freezes(length)
 	case 2:
 		r.cutsOneWay(length)
 	case 3:
@@ -572,6 +574,48 @@
 	})
 }
 
+// freezes has an entry stand still as seen from outside: it reaches nobody, and what is
+// sent to it is taken up when it goes on, unless it has been killed. Its own clocks go
+// on meanwhile, as in a process that is suspended.
+func (r *lastingRun) freezes(length time.Duration) {
+	w := r.world
+	n := w.nodeAt(r.rand.IntN(len(w.nodes)))
+	if p := w.planner(); p != nil && r.chance(3) {
+		n = p
+	}
+	w.mu.Lock()
+	node, already := n.node, w.frozen[n.host] != nil
+	w.mu.Unlock()
+	if node == nil || already {
+		return
+	}
+	w.log.note("%s stands still for %v", node.Name, length)
+	var kept *simFrozen
+	w.troubles(length, func(on bool) {
+		if on {
+			w.frozen[n.host] = &simFrozen{}
+			return
+		}
+		kept = w.frozen[n.host]
+		delete(w.frozen, n.host)
+	})
+	w.group.Go(func() {
+		time.Sleep(length + time.Microsecond)
+		w.mu.Lock()
+		up := n.node == node
+		w.mu.Unlock()
+		if !up || kept == nil {
+			return
+		}
+		for _, take := range kept.asks {
+			w.group.Go(take)
+		}
+		for _, take := range kept.tells {
+			take()
+		}
+	})
+}
+
 // cutsOneWay loses all that one entry sends to another. What is sent on a link gets
 // lost until the link has ended for it.
 func (r *lastingRun) cutsOneWay(length time.Duration) {
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -94,7 +94,7 @@
 		return winch.ErrUncertain // As a client that does not wait for the answer.
 	}
 	w.mu.Lock()
-	reached := w.reaches(t.node.Domain, "") && w.live()[t.node.Name] != nil
+	reached := w.reaches(t.node.Domain, "") && w.frozen[t.node.Host] == nil && w.live()[t.node.Name] != nil
 	w.mu.Unlock()
 	t.store.mu.Lock()
 	if t.store.refused[t.node.Host] {
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -182,7 +182,7 @@
 	w := r.world
 	w.mu.Lock()
 	x := w.addresses[vm.Address]
-	if x == nil || x.down || w.paths[simPath{r.node.Host, x.vm.Address}] > 0 || !w.reaches(r.node.Domain, x.vm.Domain) || w.live()[r.node.Name] == nil {
+	if x == nil || x.down || w.paths[simPath{r.node.Host, x.vm.Address}] > 0 || w.frozen[r.node.Host] != nil || !w.reaches(r.node.Domain, x.vm.Domain) || w.live()[r.node.Name] == nil {
 		w.mu.Unlock()
 		<-ctx.Done()
 		return winch.ErrUncertain
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -42,6 +42,8 @@
 	// a worker; links holds the links between entries that have ended for it.
 	paths map[simPath]int
 	links map[simPath]int
+	// frozen holds, by the host of an entry that stands still, what came meanwhile.
+	frozen map[string]*simFrozen
 	// share holds the processor shares of entries; others have 400.
 	share map[string]int
 	// running counts, by task, the runs at workers, also at those that do not answer.
@@ -80,7 +82,7 @@
 func newWorld(t *testing.T, seed uint64, domains, workers int) *world {
 	w := &world{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), workers: make(map[string]*simWorker), addresses: make(map[string]*simWorker),
-		cut: make(map[string]bool), paths: make(map[simPath]int), links: make(map[simPath]int), gangs: make(map[simKey]*simGang), running: make(map[winch.RunID]int), noted: make(map[winch.RunID]bool), done: make(map[winch.RunID][]*simDone),
+		cut: make(map[string]bool), paths: make(map[simPath]int), links: make(map[simPath]int), frozen: make(map[string]*simFrozen), gangs: make(map[simKey]*simGang), running: make(map[winch.RunID]int), noted: make(map[winch.RunID]bool), done: make(map[winch.RunID][]*simDone),
 	}
 	w.log = &simLog{begin: time.Now()}
 	w.ctx, w.cancel = context.WithCancel(t.Context())
@@ -300,7 +302,29 @@
 func (p *simPeers) passes(from, to string) bool {
 	p.world.mu.Lock()
 	defer p.world.mu.Unlock()
-	return p.world.paths[simPath{from, to}] == 0
+	return p.world.paths[simPath{from, to}] == 0 && p.world.frozen[from] == nil
+}
+
+// simFrozen holds what was sent to an entry that stands still. Its process takes that
+// up once it goes on, whoever has given up waiting for it.
+type simFrozen struct {
+	tells, asks []func()
+}
+
+// keeps keeps a message for an entry that stands still, and reports whether it does.
+func (w *world) keeps(to *Node, tell bool, take func()) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.frozen[to.Host]
+	switch {
+	case f == nil:
+		return false
+	case tell:
+		f.tells = append(f.tells, take)
+	default:
+		f.asks = append(f.asks, take)
+	}
+	return true
 }
 
 // loses reports whether a question gets lost on its way.
@@ -338,12 +362,17 @@
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
+	take := func(into any) error { return cbor.Unmarshal(data, into) }
+	if p.world.keeps(n, false, func() { n.Handle(context.Background(), p.node.Name, kind, take) }) {
+		<-ctx.Done()
+		return winch.ErrPeerLost
+	}
 	if late := p.delayed(to, kind); late > 0 {
 		time.Sleep(late)
-		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+		n.Handle(context.Background(), p.node.Name, kind, take)
 		return winch.ErrPeerLost
 	}
-	answer := n.Handle(ctx, p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+	answer := n.Handle(ctx, p.node.Name, kind, take)
 	time.Sleep(simDelay)
 	if p.target(to) == nil || !p.passes(n.Host, p.node.Host) {
 		<-ctx.Done()
@@ -373,7 +402,12 @@
 	if !p.passes(p.node.Host, n.Host) {
 		return nil // It is lost with the link, which ends for it a moment later.
 	}
-	n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+	take := func() {
+		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+	}
+	if !p.world.keeps(n, true, take) {
+		take()
+	}
 	return nil
 }
 
