--- a/region/world_test.go
+++ b/region/world_test.go
@@ -32,15 +32,28 @@
 	mu      sync.Mutex
 	nodes   map[string]*simNode
 	workers map[string]*simWorker
-	store   *simStore
+	// addresses holds the boot that answers at each address, boots counts all.
+	addresses map[string]*simWorker
+	boots     int64
+	store     *simStore
 	// cut holds the failure domains that reach only themselves.
 	cut map[string]bool
+	// paths holds what gets nowhere on one way between entries, or between an entry and
+	// a worker; links holds the links between entries that have ended for it.
+	paths map[simPath]int
+	links map[simPath]int
+	// frozen holds, by the host of an entry that stands still, what came meanwhile.
+	frozen map[string]*simFrozen
 	// share holds the processor shares of entries; others have 400.
 	share map[string]int
 	// running counts, by task, the runs at workers, also at those that do not answer.
 	running map[winch.RunID]int
 	noted   map[winch.RunID]bool
+	done    map[winch.RunID][]*simDone
 	lasting lastingView
+	gangs   map[simKey]*simGang
+	// windows checks tasks that last in the random runs; others have none.
+	windows *lastingWindows
 	// lost says which questions between entries get lost.
 	lost func(from, to string, kind winch.Kind) bool
 	// late says how long a question waits at the entry that is asked before that takes
@@ -68,8 +81,8 @@
 
 func newWorld(t *testing.T, seed uint64, domains, workers int) *world {
 	w := &world{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), workers: make(map[string]*simWorker),
-		cut: make(map[string]bool), running: make(map[winch.RunID]int), noted: make(map[winch.RunID]bool),
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), workers: make(map[string]*simWorker), addresses: make(map[string]*simWorker),
+		cut: make(map[string]bool), paths: make(map[simPath]int), links: make(map[simPath]int), frozen: make(map[string]*simFrozen), gangs: make(map[simKey]*simGang), running: make(map[winch.RunID]int), noted: make(map[winch.RunID]bool), done: make(map[winch.RunID][]*simDone),
 	}
 	w.log = &simLog{begin: time.Now()}
 	w.ctx, w.cancel = context.WithCancel(t.Context())
@@ -157,11 +170,20 @@
 func (n *simNode) kill() {
 	n.world.mu.Lock()
 	node := n.node
-	n.node = nil
 	n.world.mu.Unlock()
-	if node != nil {
-		n.cancel()
+	n.killBoot(node)
+}
+
+// killBoot ends one boot of an entry, and reports whether that was what ended it.
+func (n *simNode) killBoot(node *Node) bool {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	if node == nil || n.node != node {
+		return false
 	}
+	n.node = nil
+	n.cancel()
+	return true
 }
 
 // intn returns a number from the world's seed.
@@ -237,6 +259,14 @@
 	return out
 }
 
+// simPath is a way between two hosts.
+type simPath struct{ from, to string }
+
+// linked reports whether two entries have a link.
+func (w *world) linked(a, b string) bool {
+	return w.links[simPath{a, b}] == 0 && w.links[simPath{b, a}] == 0
+}
+
 // simPeers carries messages between the entries of the world.
 type simPeers struct {
 	world *world
@@ -250,7 +280,7 @@
 	defer p.world.mu.Unlock()
 	var out []string
 	for name, n := range p.world.live() {
-		if n != p.node && p.world.reaches(p.node.Domain, n.Domain) {
+		if n != p.node && p.world.reaches(p.node.Domain, n.Domain) && p.world.linked(p.node.Host, n.Host) {
 			out = append(out, name)
 		}
 	}
@@ -262,12 +292,41 @@
 	p.world.mu.Lock()
 	defer p.world.mu.Unlock()
 	n := p.world.live()[to]
-	if n == nil || !p.world.reaches(p.node.Domain, n.Domain) || p.world.live()[p.node.Name] == nil {
+	if n == nil || !p.world.reaches(p.node.Domain, n.Domain) || !p.world.linked(p.node.Host, n.Host) || p.world.live()[p.node.Name] == nil {
 		return nil
 	}
 	return n
 }
 
+// passes reports whether what is sent from one host to another arrives there.
+func (p *simPeers) passes(from, to string) bool {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	return p.world.paths[simPath{from, to}] == 0 && p.world.frozen[from] == nil
+}
+
+// simFrozen holds what was sent to an entry that stands still. Its process takes that
+// up once it goes on, whoever has given up waiting for it.
+type simFrozen struct {
+	tells, asks []func()
+}
+
+// keeps keeps a message for an entry that stands still, and reports whether it does.
+func (w *world) keeps(to *Node, tell bool, take func()) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.frozen[to.Host]
+	switch {
+	case f == nil:
+		return false
+	case tell:
+		f.tells = append(f.tells, take)
+	default:
+		f.asks = append(f.asks, take)
+	}
+	return true
+}
+
 // loses reports whether a question gets lost on its way.
 func (p *simPeers) loses(to string, kind winch.Kind) bool {
 	p.world.mu.Lock()
@@ -299,18 +358,23 @@
 	}
 	time.Sleep(simDelay)
 	n := p.target(to)
-	if n == nil || p.loses(to, kind) {
+	if n == nil || p.loses(to, kind) || !p.passes(p.node.Host, n.Host) {
+		<-ctx.Done()
+		return winch.ErrPeerLost
+	}
+	take := func(into any) error { return cbor.Unmarshal(data, into) }
+	if p.world.keeps(n, false, func() { n.Handle(context.Background(), p.node.Name, kind, take) }) {
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
 	if late := p.delayed(to, kind); late > 0 {
 		time.Sleep(late)
-		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+		n.Handle(context.Background(), p.node.Name, kind, take)
 		return winch.ErrPeerLost
 	}
-	answer := n.Handle(ctx, p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+	answer := n.Handle(ctx, p.node.Name, kind, take)
 	time.Sleep(simDelay)
-	if p.target(to) == nil {
+	if p.target(to) == nil || !p.passes(n.Host, p.node.Host) {
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
@@ -335,7 +399,15 @@
 	if err != nil {
 		return err
 	}
-	n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+	if !p.passes(p.node.Host, n.Host) {
+		return nil // It is lost with the link, which ends for it a moment later.
+	}
+	take := func() {
+		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+	}
+	if !p.world.keeps(n, true, take) {
+		take()
+	}
 	return nil
 }
 
