--- a/region/belief_test.go
+++ b/region/belief_test.go
@@ -340,7 +340,9 @@
 		w.endWorker(worker)
 		w.mu.Lock()
 		domain := w.workers[worker].vm.Domain
+		w.mu.Unlock()
 		w.addWorker(worker, domain)
+		w.mu.Lock()
 		x := w.workers[worker]
 		w.mu.Unlock()
 		x.mu.Lock()
