Lasting tasks are moved from a worker that is about to leave

Users of a task that lasts lost it for some five seconds with each worker that was replaced, though the worker had said seconds before that it would leave, and others had room: the task was left to end with the worker, and then waited for until the worker's lease had lapsed. The planner now stops such a task as soon as other workers have room for it, and permits where the advice service gives them, so that it starts there at once. It stays where no other worker has room, and while the planner may not start it.

--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -55,17 +55,19 @@
 	}
 }
 
-// advise asks which workers may run a step, if it has tasks that wait and no
-// worker with room and a good ticket for them.
-func (p *Planner) advise(s *step, now time.Time, r rank) {
+// advise asks which workers may run a step, if it has tasks that wait, or some more
+// that are to move, and no worker with room and a good ticket for them.
+func (p *Planner) advise(s *step, now time.Time, r rank, moving int) {
 	cost := s.job.queue.Advice
-	if cost == nil || s.waiting == 0 || s.known.asking || now.Before(s.known.retry) {
+	wanted := s.waiting + moving
+	if cost == nil || wanted == 0 || s.known.asking || now.Before(s.known.retry) {
 		return
 	}
-	if !s.job.team.allows(s.spec.Need) || !p.spare(s) || p.covered(s, now) >= s.waiting {
+	// What moves takes no more of its team's limit than it has.
+	if moving == 0 && !s.job.team.allows(s.spec.Need) || !p.spare(s) || p.covered(s, now) >= wanted {
 		return
 	}
-	ids := p.toAsk(s, now)
+	ids := p.toAsk(s, now, wanted)
 	if len(ids) == 0 {
 		return
 	}
@@ -107,7 +109,7 @@
 
 // toAsk chooses the workers to ask about: with room, not known to be forbidden,
 // those known to be allowed first, as many as probably suffice.
-func (p *Planner) toAsk(s *step, now time.Time) []string {
+func (p *Planner) toAsk(s *step, now time.Time, wanted int) []string {
 	type option struct {
 		w     *worker
 		fit   int
@@ -137,7 +139,7 @@
 	})
 	var out []string
 	room := 0.0
-	need := askSpare * float64(s.waiting-p.covered(s, now))
+	need := askSpare * float64(wanted-p.covered(s, now))
 	for _, o := range options {
 		if len(out) == askMost || len(out) >= askLeast && room >= need {
 			break
--- /dev/null
+++ b/coord/fleet/move_test.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// lasting returns a phase of tasks that last.
+func lasting(count int, milli int64) winch.Phase {
+	phase := tasks(count, milli)
+	phase.Lasting = true
+	return phase
+}
+
+// list sets the platform's list, in which some workers drain.
+func (c *cell) list(draining ...string) {
+	var list []winch.WorkerVM
+	for id, w := range c.planner.workers {
+		vm := w.vm
+		vm.Draining = false
+		for _, x := range draining {
+			vm.Draining = vm.Draining || x == id
+		}
+		list = append(list, vm)
+	}
+	c.planner.SetWorkers(list)
+}
+
+// at counts the runs at a worker.
+func (c *cell) at(id string) int {
+	n := 0
+	for _, o := range c.running {
+		if o.Worker == id {
+			n++
+		}
+	}
+	return n
+}
+
+// A worker is about to leave. The tasks that last there are moved while it still
+// runs, so that nobody has to wait until its lease has lapsed; other tasks may end
+// before it leaves and are left.
+func TestLastingTasksMoveFromADrainingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 3, urgentQueue())
+		c.add("a", "preview", "choir", lasting(6, 1000))
+		c.add("b", "preview", "choir", tasks(3, 1000))
+		c.step()
+		is.Equal(c.at("w0"), 3)
+		c.list("w0")
+		c.step() // The stops.
+		c.step() // The starts elsewhere.
+		is.Equal(len(c.running), 9)
+		for _, o := range c.running {
+			is.True(o.Worker != "w0" || o.Task.Job == "b")
+		}
+	})
+}
+
+// All workers but a full one are about to leave. A task that was stopped there would
+// run nowhere, so it stays for as long as the worker does.
+func TestLastingTasksStayWhereNoOtherWorkerHasRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 3, urgentQueue())
+		c.add("a", "preview", "choir", lasting(30, 1000))
+		c.step()
+		is.Equal(len(c.running), 30)
+		before := c.at("w0")
+		is.Equal(before, 10)
+		c.list("w0", "w1")
+		c.step()
+		c.step()
+		is.Equal(len(c.running), 30) // Six of them fit into the third.
+		is.Equal(c.at("w2"), 16)
+		c.step()
+		is.Equal(len(c.running), 30)
+	})
+}
+
+// A planner that may not start a task yet, since an earlier one may have, stops none
+// to move it: it would run nowhere until then.
+func TestNothingMovesWhileTheEarlierPlannersWorkIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 3, urgentQueue())
+		c.add("a", "preview", "choir", lasting(3, 1000))
+		c.step()
+		c.planner.Barrier = time.Now().Add(8 * time.Second)
+		c.planner.SetRoster([]string{"gone"})
+		c.planner.Fresh = 1 << 40
+		c.list("w0")
+		c.step()
+		is.Equal(c.at("w0"), 1)
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventLost, Worker: "gone"})
+		c.step()
+		c.step()
+		is.Equal(c.at("w0"), 0)
+		is.Equal(len(c.running), 3)
+	})
+}
+
+// Where the advice service says who may run a task, a permit is got before the task
+// is stopped: the answer takes longer than the move.
+func TestAPermitIsGotBeforeATaskMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue := urgentQueue()
+		queue.Advice = &winch.AdviceCost{Call: 20 * time.Millisecond, Worker: time.Millisecond, Valid: 2 * time.Second}
+		c := newCell(t, 3, queue)
+		c.add("a", "preview", "choir", lasting(1, 1000))
+		answer := func() {
+			for _, a := range c.planner.Asks() {
+				var tickets []winch.Ticket
+				for _, id := range a.Workers {
+					tickets = append(tickets, winch.Ticket{Worker: id, Value: "t"})
+				}
+				c.planner.Advice(a, tickets, 2*time.Second, time.Now())
+			}
+		}
+		c.step()
+		answer()
+		c.step()
+		is.Equal(len(c.running), 1)
+		from := c.running[0].Worker
+		time.Sleep(5 * time.Second) // The tickets have run out.
+		c.list(from)
+		c.step()
+		is.Equal(c.at(from), 1)
+		answer()
+		c.step()
+		is.Equal(len(c.running), 0)
+		c.step()
+		is.Equal(len(c.running), 1)
+		is.True(c.running[0].Worker != from)
+	})
+}
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -111,7 +111,10 @@
 	})
 	for _, e := range waiting {
 		p.place(e.step, now)
-		p.advise(e.step, now, e.rank)
+		p.advise(e.step, now, e.rank, 0)
+	}
+	if !adopting && p.KnownBefore.IsZero() {
+		p.move(now)
 	}
 }
 
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -63,6 +63,7 @@
 	forgot   uint64
 	fills    int64 // fills is the sum of what filling runs could use.
 	serving  int   // serving counts runs with a target.
+	lasting  int   // lasting counts runs of tasks that last.
 	closely  bool
 	health   health
 	heldBack time.Time // heldBack is when fills here may next be given more.
@@ -283,6 +284,9 @@
 	if spec.Target > 0 {
 		w.serving += n
 	}
+	if spec.Lasting {
+		w.lasting += n
+	}
 }
 
 // endRun takes a run's charges back once it has surely ended.
--- a/region/lasting_test.go
+++ b/region/lasting_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"plantainwinch/winch"
 )
 
@@ -105,6 +107,24 @@
 	w.store.remove("workers/" + id)
 }
 
+// drain has a worker say that it takes no new work and is about to leave.
+func (w *world) drain(id string) {
+	w.mu.Lock()
+	vm := w.workers[id].vm
+	w.mu.Unlock()
+	vm.Draining = true
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	w.store.put("workers/"+id, mustJSON(vm), 0)
+}
+
+// runsAt counts the runs at a worker.
+func (w *world) runsAt(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.workers[id].runs)
+}
+
 // busiest returns the worker with the most runs.
 func (w *world) busiest() string {
 	w.mu.Lock()
@@ -194,3 +214,29 @@
 		})
 	}
 }
+
+// A worker says that it is about to leave, and leaves three seconds later. Tasks that
+// last were left to end with it, and then waited for until its lease had lapsed: the
+// rooms there closed for some five seconds with each worker that was replaced, though
+// it had been announced and there was room for them elsewhere.
+func TestLastingTasksLeaveADrainingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 23, 3, 9)
+		settle()
+		w.last("00000000000000a1", 12)
+		time.Sleep(time.Second)
+		for range 3 {
+			id := w.busiest()
+			w.drain(id)
+			time.Sleep(3 * time.Second)
+			is.Equal(w.runsAt(id), 0)
+			is.Equal(w.lastingUp(), 12)
+			w.leave(id)
+		}
+		time.Sleep(8 * time.Second)
+		w.endLasting()
+		t.Log("longest time down:", w.lasting.longest)
+		w.end()
+	})
+}
