A run that is stopped before the worker's first lists has not vanished

A planner that took over stopped a run at once; the stop was answered before the worker had listed anything in the session, and the keeper, which knew nothing of the run yet, said that it had vanished. The planner took it off its standby's copy, heard its end a moment later, and could not record that, since the store was away. It was lost then, and its standby knew neither of the run nor of its end. Until the first lists have come nothing is said of a run: they tell how it ended.

--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -395,3 +395,30 @@
 		r.end(cancel)
 	})
 }
+
+// A planner takes over and stops a run at once, before the worker has listed anything
+// to it. The run has ended well by then, which only the lists tell. Said to have
+// vanished, it would be taken off the standby's copy though its end is not recorded,
+// and be started a second time if the planner were lost while the store is away.
+func TestRunThatIsStoppedBeforeTheListsHasNotVanished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newRig(ctx)
+		time.Sleep(time.Second)
+		r.setSilent(true)
+		r.keeper.Set(proto.KeepSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Kept{{VM: winch.WorkerVM{ID: "w"}, Token: 6, Left: 6 * time.Second}}})
+		r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStop, Worker: "w", Token: 6, Task: oneTask, Run: 3}}})
+		time.Sleep(time.Second)
+		is.Equal(r.worker.stops, 1)
+		is.Equal(r.count(proto.EventVanished), 0)
+		r.worker.mu.Lock()
+		r.worker.ended = []winch.Ended{{Number: 1, Task: oneTask, Run: 3, Kind: winch.EndDone}}
+		r.worker.mu.Unlock()
+		r.setSilent(false)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.count(proto.EventVanished), 0)
+		is.Equal(len(r.last(proto.EventListed).Ended), 1)
+		r.end(cancel)
+	})
+}
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -106,15 +106,16 @@
 // confirm notes that the worker has answered an order about a run.
 func (h *holder) confirm(key runKey, doubt bool) {
 	h.mu.Lock()
-	r := h.runs[key]
+	r, listed := h.runs[key], h.listed
 	if r != nil {
 		r.acked = time.Now()
 		r.doubt = doubt
 	}
 	h.mu.Unlock()
-	if r == nil {
+	if r == nil && listed {
 		// Its end was listed already, or it is of an earlier session and was not
-		// listed in this one.
+		// listed in this one. Before the first lists nothing is known of it: they may
+		// hold its end, which the planner has to hear of first.
 		h.emit(proto.KeepEvent{Kind: proto.EventVanished, Task: key.task, Run: key.run})
 	}
 }
