A planner that stops tells its standby of workers that have not answered yet, too

A planner took over after a kill, heard from a keeper until when the lease of a worker that was gone ran, and was stopped as planned within the 0.6 s in which the worker's next keeper finds it silent. Its standby was told of silent workers only, so the planner after it counted the longest lease: down for 9.2 to 9.4 s. And where the lease was that of a killed keeper, the second planner after the kill knew the worker by its latest keeper, and did not see that the next process of the killed one ended the wait: 9.4 s. Both were found by random runs and shrunk. A planner that stops now tells all that it knows of workers that have not answered, and each word names the keeper whose lease it is.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -242,7 +242,8 @@
 	Full   bool        `cbor:"3,keyasint,omitempty"`
 	Add    []MirrorRun `cbor:"4,keyasint,omitempty"`
 	Remove []MirrorRun `cbor:"5,keyasint,omitempty"`
-	// Lapses are those of all workers that do not answer and on which work may run.
+	// Lapses are those of all workers that do not answer and on which work may run, and
+	// from a planner that is about to stop also of those that have not answered yet.
 	// None of their leases is renewed before a message without the worker is taken.
 	Lapses []MirrorLapse `cbor:"6,keyasint,omitempty"`
 	// Stamp is that of the standby's last answer. Lapses are good for a short time from
@@ -250,10 +251,12 @@
 	Stamp time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
-// MirrorLapse tells after how long all leases at a worker have surely lapsed.
+// MirrorLapse tells after how long the leases that a keeper gave at a worker have
+// surely lapsed. A worker that had several keepers has several.
 type MirrorLapse struct {
 	Worker string        `cbor:"1,keyasint"`
 	Left   time.Duration `cbor:"2,keyasint"`
+	Keeper string        `cbor:"3,keyasint,omitempty"`
 }
 
 // MirrorRun is one run at a worker.
--- a/region/lapse.go
+++ b/region/lapse.go
@@ -124,11 +124,23 @@
 }
 
 // told returns until when work may run at the workers that do not answer and whose
-// leases nobody may renew at present.
-func (s *lapses) told() []proto.MirrorLapse {
+// leases nobody may renew at present; with unheard, also at those that have not
+// answered their present keeper yet.
+func (s *lapses) told(keepers map[string]string, unheard bool) []proto.MirrorLapse {
 	var out []proto.MirrorLapse
 	for worker := range s.mute {
-		out = append(out, proto.MirrorLapse{Worker: worker, Left: max(s.left(worker), time.Until(s.shut[worker]))})
+		lapse, shut := s.shut[worker]
+		if shut || len(s.past[worker]) == 0 {
+			out = append(out, proto.MirrorLapse{Worker: worker, Keeper: keepers[worker], Left: time.Until(lapse)})
+		}
+	}
+	for worker, list := range s.past {
+		if !s.mute[worker] && !unheard {
+			continue
+		}
+		for _, h := range list {
+			out = append(out, proto.MirrorLapse{Worker: worker, Keeper: h.keeper, Left: time.Until(h.lapse)})
+		}
 	}
 	return out
 }
@@ -138,11 +150,10 @@
 func (l *lead) inheritLapses() {
 	longest := l.began.Add(barrier())
 	for id, w := range l.before {
-		lapse := longest
-		if known, ok := l.copiedLapses[id]; ok {
-			lapse = known
+		if l.copiedLapses[id] == nil {
+			l.lapses.inherit(id, w.Keeper, w.Turn, longest)
 		}
-		l.lapses.inherit(id, w.Keeper, w.Turn, lapse)
+		l.lapses.past[id] = append(l.lapses.past[id], l.copiedLapses[id]...)
 	}
 }
 
--- a/region/lapse_test.go
+++ b/region/lapse_test.go
@@ -140,9 +140,9 @@
 		time.Sleep(time.Second)
 		s.moved("w", "d", 11, 7*time.Second) // It renewed nothing after it had said so.
 		is.Equal(s.left("w"), 4*time.Second)
-		is.Equal(len(s.told()), 1)
+		is.Equal(len(s.told(nil, false)), 1)
 		s.back("w")
-		is.Equal(len(s.told()), 0)
+		is.Equal(len(s.told(nil, false)), 0)
 	})
 }
 
--- a/region/lead.go
+++ b/region/lead.go
@@ -97,7 +97,7 @@
 	namingTo  string
 	copied    map[string][]winch.Running // copied is what this entry knew as standby.
 	// copiedLapses is until when, as it was told, work may run at silent workers.
-	copiedLapses map[string]time.Time
+	copiedLapses map[string][]holding
 	lapses       lapses
 	lapsed       []string        // lapsed names the workers of whose lapse there is news,
 	lapseNews    bool            // and lapseNews says that the standby has not heard of it.
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -38,7 +38,7 @@
 	term    uint64
 	session uint64
 	runs    map[proto.MirrorRun]bool
-	lapses  map[string]time.Time // lapses tells when the leases of silent workers have surely ended.
+	lapses  map[string][]holding // lapses holds those that may have leases at silent workers.
 	// started is the zero of the stamps, until is how long lapses are good.
 	started time.Time
 	until   time.Time
@@ -48,7 +48,7 @@
 // worker, and until when those at silent workers may go on.
 type mirrored struct {
 	runs   map[string][]winch.Running
-	lapses map[string]time.Time
+	lapses map[string][]holding
 }
 
 // answer takes a message and answers it.
@@ -79,9 +79,9 @@
 	for _, r := range msg.Remove {
 		delete(m.runs, r)
 	}
-	m.lapses = make(map[string]time.Time, len(msg.Lapses))
+	m.lapses = make(map[string][]holding, len(msg.Lapses))
 	for _, x := range msg.Lapses {
-		m.lapses[x.Worker] = time.Now().Add(x.Left)
+		m.lapses[x.Worker] = append(m.lapses[x.Worker], holding{keeper: x.Keeper, lapse: time.Now().Add(x.Left)})
 	}
 	m.until = time.Time{}
 	if msg.Stamp > 0 {
@@ -230,7 +230,7 @@
 	if s.synced && len(l.queued) == 0 && !l.lapseNews {
 		return // What ended is told with the next starts.
 	}
-	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed, Lapses: l.lapses.told(), Stamp: s.stamp}
+	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed, Lapses: l.lapses.told(l.keepers, l.closed), Stamp: s.stamp}
 	if msg.Full {
 		msg.Add, msg.Remove = l.allRuns(), nil
 	} else {
--- a/region/yield.go
+++ b/region/yield.go
@@ -39,7 +39,9 @@
 	defer cancel()
 	_ = l.duty.Do(ctx, func() {
 		l.closed = true
+		l.lapseNews = true // The standby hears of workers that have not answered yet, too.
 		l.dispatch()
+		l.pump()
 	})
 	if !l.mirrored(ctx) {
 		for range 3 {
