The next keeper of a worker hears at once until when earlier leases run

A planner took over, heard from a keeper how long the lease of a worker that was gone ran, and was stopped 45 ms later; another than its standby took the office. The worker's keeper had been given the longest wait with the worker, and would have been told better only once it found the worker silent, so it told the third planner the longest wait too. It is told at once now, unless the worker has answered it.

--- a/region/lapse.go
+++ b/region/lapse.go
@@ -173,9 +173,10 @@
 }
 
 // letGo takes the end of a holding. Its keeper's word is better than what was
-// assumed, so the worker's present keeper is told if the worker is silent.
+// assumed, so the worker's present keeper is told unless the worker has answered it: it
+// may have to tell the next planner.
 func (l *lead) letGo(keeper string, e proto.KeepEvent) {
-	if l.lapses.released(keeper, e) && l.lapses.mute[e.Worker] {
+	if l.lapses.released(keeper, e) && !l.lapses.open[e.Worker] {
 		l.lapsed = append(l.lapsed, e.Worker)
 	}
 }
