A worker that the planner holds no more is forgotten with its lapses

Found by a review: a worker that had fallen silent and that the planner then held no more, since nothing ran there, stayed among the silent ones for as long as the planner served. Each message to the standby named it, and one went out every 0.3 s for its sake.

--- a/region/assign.go
+++ b/region/assign.go
@@ -170,7 +170,7 @@
 	}
 	for id, name := range l.keepers {
 		if !held[id] {
-			l.lapses.moved(id, name, l.kept[id].Token, l.authority())
+			l.lapses.forget(id) // Nothing that the planner knows of runs there.
 			delete(l.keepers, id)
 			delete(l.kept, id)
 			changed[name] = true
