--- a/region/lapse.go
+++ b/region/lapse.go
@@ -82,28 +82,28 @@
 // released takes what a keeper tells of a holding that has ended, and reports
 // whether it ends earlier than was known.
 func (s *lapses) released(keeper string, e proto.KeepEvent) bool {
-	lapse := time.Now().Add(e.Left)
-	better := false
-	for i, h := range s.past[e.Worker] {
-		if (h.token == e.Token || h.token == 0 && h.keeper == keeper && h.turn == e.Turn) && lapse.Before(h.lapse) {
-			s.past[e.Worker][i].lapse = lapse
-			better = true
-		}
-	}
-	return better
+	return s.shorten(e.Worker, time.Now().Add(e.Left), func(h holding) bool {
+		return h.token == e.Token || h.token == 0 && h.keeper == keeper && h.turn == e.Turn
+	})
 }
 
 // ended takes what is known of a keeper's process that has ended: what it renewed last
 // ends at lapse. It reports whether that is earlier than was known of a worker.
 func (s *lapses) ended(worker, keeper string, lapse time.Time) bool {
-	better := false
+	return s.shorten(worker, lapse, func(h holding) bool { return h.keeper == keeper })
+}
+
+// shorten has the earlier holdings of a worker that are meant end at lapse, and
+// reports whether one did so later.
+func (s *lapses) shorten(worker string, lapse time.Time, meant func(holding) bool) bool {
+	shorter := false
 	for i, h := range s.past[worker] {
-		if h.keeper == keeper && lapse.Before(h.lapse) {
+		if meant(h) && lapse.Before(h.lapse) {
 			s.past[worker][i].lapse = lapse
-			better = true
+			shorter = true
 		}
 	}
-	return better
+	return shorter
 }
 
 // forget drops a worker whose work has surely ended.
@@ -220,17 +220,12 @@
 		return
 	}
 	l.words, l.acked = make(map[string]bool), nil
-	var renewals []proto.Order
-	for _, list := range []*[]proto.Order{&l.queued, &l.told} {
-		*list = slices.DeleteFunc(*list, func(o proto.Order) bool {
-			if o.Kind != proto.OrderRenew {
-				return false
-			}
-			renewals = append(renewals, o)
-			return true
-		})
-	}
-	l.send(renewals)
+	waiting := slices.Concat(l.queued, l.told)
+	renews := func(o proto.Order) bool { return o.Kind == proto.OrderRenew }
+	starts := func(o proto.Order) bool { return !renews(o) }
+	l.queued = slices.DeleteFunc(l.queued, renews)
+	l.told = slices.DeleteFunc(l.told, renews)
+	l.send(slices.DeleteFunc(waiting, starts))
 }
 
 // tellLapses passes on until when silent workers' work may run: to their keepers
