--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -410,9 +410,9 @@
 		r.keeper.Set(proto.KeepSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Kept{{VM: winch.WorkerVM{ID: "w"}, Token: 6, Left: 6 * time.Second}}})
 		r.keeper.Orders(proto.KeepOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStop, Worker: "w", Token: 6, Task: oneTask, Run: 3}}})
 		time.Sleep(time.Second)
-		is.Equal(r.worker.stops, 1)
 		is.Equal(r.count(proto.EventVanished), 0)
 		r.worker.mu.Lock()
+		is.Equal(r.worker.stops, 1)
 		r.worker.ended = []winch.Ended{{Number: 1, Task: oneTask, Run: 3, Kind: winch.EndDone}}
 		r.worker.mu.Unlock()
 		r.setSilent(false)
--- a/region/belief_test.go
+++ b/region/belief_test.go
@@ -342,12 +342,10 @@
 		domain := w.workers[worker].vm.Domain
 		w.mu.Unlock()
 		w.addWorker(worker, domain)
+		w.silence(worker, true)
 		w.mu.Lock()
 		x := w.workers[worker]
 		w.mu.Unlock()
-		x.mu.Lock()
-		x.down = true
-		x.mu.Unlock()
 		time.Sleep(900 * time.Millisecond)
 		w.silence(worker, false)
 		time.Sleep(12 * time.Second)
