A run that a worker lists has begun, also if its start was confirmed to another keeper

It stayed a run whose start is not confirmed: the log and the gauge of the oldest wait told of a task that waits though it ran, and it was not moved from a worker that was about to leave.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -70,6 +70,7 @@
 		}
 	}
 	for _, r := range w.runs {
+		r.started = true // What the worker lists has begun, whoever heard of that.
 		if r.stopping {
 			r.stopping = false // The order may have been lost with the last session.
 			p.stop(r)
--- a/coord/fleet/move_test.go
+++ b/coord/fleet/move_test.go
@@ -142,3 +142,23 @@
 		is.True(c.running[0].Worker != from)
 	})
 }
+
+// A start was confirmed to a keeper that is gone; the planner hears of the run only
+// from the first lists to the next keeper. The run counts as one that has begun: it
+// is no task that waits, and it moves if its worker is about to leave.
+func TestRunThatTheListsConfirmMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 2, urgentQueue())
+		c.add("a", "preview", "choir", lasting(1, 1000))
+		c.planner.Schedule()
+		start := c.planner.Orders()[0]
+		c.running = append(c.running, start)
+		c.planner.Event(proto.KeepEvent{Kind: proto.EventListed, Worker: start.Worker, Running: []winch.Running{{Task: start.Task, Run: start.Run}}})
+		c.list(start.Worker)
+		c.step()
+		c.step()
+		is.Equal(c.at(start.Worker), 0)
+		is.Equal(len(c.running), 1)
+	})
+}
