Soak: lasting tasks, workers that leave, and a series of planned work

The soak tried no tasks that last, and workers only came back under their own ID, so a lasting task whose worker left and that stayed down for 10 s and more while entries were restarted in series went unseen.

Callers now keep jobs whose last phase lasts. Workers are replaced as in a release and lost for good, beside the faults there were; after these come planned stops of entries and a release at once, with nothing else. A lasting task must be back in time: 6 s after its last run it may not be without one for 3 s while there is room for two, its team is under half its limit, and those 3 s and the 4 s before are calm.

An entry is no longer started while its last process still ends, which found the addresses in use and left the entry down.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -16,12 +16,7 @@
 	worker := s.rnd.IntN(s.site.Size())
 	long := time.Duration(300+s.rnd.IntN(4000)) * time.Millisecond
 	short := time.Duration(20+s.rnd.IntN(1500)) * time.Millisecond
-	kinds := []struct {
-		name string
-		do   func()
-		undo func()
-		time time.Duration
-	}{
+	kinds := []kind{
 		{"kill", func() { p.end(syscall.SIGKILL) }, func() { s.restart(p) }, short},
 		{"stop", func() { p.end(syscall.SIGTERM) }, func() { s.restart(p) }, short},
 		{"freeze", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, long},
@@ -39,15 +34,34 @@
 		{"kill all", s.killAll, s.restartAll, short},
 	}
 	k := kinds[s.rnd.IntN(len(kinds))]
-	_, _ = fmt.Fprintf(s.faults, "%8.3f %s %s w%d for %v\n", time.Since(s.started).Seconds(), k.name, p.name, worker, k.time)
-	s.count(func(r *Report) { r.Faults++ })
+	s.note("%s %s w%d for %v", k.name, p.name, worker, k.time)
 	s.group.Go(func() {
+		if k.name != "stop" && k.name != "configuration" { // These are planned.
+			s.site.Judge.Disturb(true)
+			defer s.site.Judge.Disturb(false)
+		}
 		k.do()
 		duty.Pause(ctx, k.time)
 		k.undo()
 	})
 }
 
+// kind is a fault that can be undone.
+type kind struct {
+	name string
+	do   func()
+	undo func()
+	time time.Duration
+}
+
+// note writes a fault down.
+func (s *Soak) note(format string, args ...any) {
+	s.count(func(r *Report) { r.Faults++ })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = fmt.Fprintf(s.faults, "%s %8.3f %s\n", time.Now().Format("15:04:05.000"), time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
 // calm ends the store's faults.
 func (s *Soak) calm() { s.site.Store.Set(mimic.StoreFaults{}) }
 
--- /dev/null
+++ b/soak/lasting.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"plantainwinch/duty"
+	"plantainwinch/platform/mimic"
+)
+
+// lasting hands in one job after the other whose last phase runs until it is
+// cancelled. Two of three are cancelled while faults go on; the last is followed
+// until no more work is planned, must run whole then, and is cancelled.
+func (s *Soak) lasting(ctx, calls, planned context.Context, i int) {
+	rnd := rand.New(rand.NewPCG(s.Seed, uint64(500+i)))
+	c := &mimic.Caller{HTTP: http.Client{Timeout: 4 * time.Second}}
+	at := func() string { return s.procs[rnd.IntN(len(s.procs))].callers }
+	var group conc.WaitGroup
+	defer group.Wait()
+	for n, last := 0, false; !last; n++ {
+		// The second team's limit is for the most part left to other jobs.
+		j := mimic.Job{
+			ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x1000+i, n), Team: []string{"choir", "duct"}[i%2],
+			Take: 100 * time.Millisecond, Tasks: []int{1 + rnd.IntN(2)}, Lasts: true,
+		}
+		if i%2 == 0 {
+			j.Tasks[0] = 4 + rnd.IntN(5)
+		}
+		if rnd.IntN(2) == 0 {
+			j.Tasks = append([]int{1}, j.Tasks...)
+		}
+		last = rnd.IntN(3) == 0 || calls.Err() != nil
+		if !s.insist(ctx, c, j, at) {
+			return
+		}
+		s.site.Judge.Lasts(&j)
+		if last {
+			duty.Pause(planned, s.Time+healTime)
+			s.awaitRunning(ctx, &j)
+		} else {
+			duty.Pause(calls, time.Duration(1000+rnd.IntN(9000))*time.Millisecond)
+		}
+		s.site.Judge.Cancels(&j)
+		pick := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
+		group.Go(func() {
+			s.cancel(ctx, c, j, func() string { return s.procs[pick.IntN(len(s.procs))].callers })
+			if last && s.site.Judge.Running(&j) > 0 { // Nothing is planned any more.
+				s.problem("%s still runs %v after its cancel was acknowledged", j.ID, 2*cancelTime)
+			}
+		})
+	}
+}
+
+// insist hands a job in until it is accepted.
+func (s *Soak) insist(ctx context.Context, c *mimic.Caller, j mimic.Job, at func() string) bool {
+	for end := time.Now().Add(s.Time + healTime); time.Now().Before(end) && ctx.Err() == nil; {
+		if accepted, _ := s.submit(ctx, c, j, at); accepted {
+			s.count(func(r *Report) { r.Accepted++ })
+			return true
+		}
+	}
+	s.problem("%s is not accepted", j.ID)
+	return false
+}
+
+// awaitRunning waits until each lasting task of a job has a run.
+func (s *Soak) awaitRunning(ctx context.Context, j *mimic.Job) {
+	want := len(j.Lasting())
+	got := 0
+	for end := time.Now().Add(healTime); time.Now().Before(end) && ctx.Err() == nil; {
+		if got = s.site.Judge.Running(j); got == want {
+			s.count(func(r *Report) { r.Lasting += want })
+			return
+		}
+		duty.Pause(ctx, 200*time.Millisecond)
+	}
+	s.problem("%s has runs for %d of its %d lasting tasks", j.ID, got, want)
+}
--- a/soak/proc.go
+++ b/soak/proc.go
@@ -21,8 +21,11 @@
 	relay        *relay
 	file         string
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	// life is held while the process is started or ends, so that no other is
+	// started meanwhile, which would find the addresses in use.
+	life sync.Mutex
+	mu   sync.Mutex
+	cmd  *exec.Cmd
 }
 
 // freeAddress returns a loopback address that nobody listens on.
@@ -73,9 +76,9 @@
 
 // start starts the process; its log is appended to what earlier ones wrote.
 func (p *proc) start() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
+	p.life.Lock()
+	defer p.life.Unlock()
+	if p.running() != nil {
 		return nil // Another fault has started it again.
 	}
 	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -88,28 +91,46 @@
 	if err := cmd.Start(); err != nil {
 		return merry.Wrap(err)
 	}
-	p.cmd = cmd
+	p.set(cmd)
 	return nil
 }
 
-// signal sends a signal to the process, by its id.
-func (p *proc) signal(s syscall.Signal) {
+func (p *proc) running() *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd
+}
+
+func (p *proc) set(cmd *exec.Cmd) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(s) // It may have ended.
+	p.cmd = cmd
+}
+
+// signal sends signals to the process, by its id, and returns it.
+func (p *proc) signal(signals ...syscall.Signal) *exec.Cmd {
+	cmd := p.running()
+	for _, s := range signals {
+		if cmd != nil {
+			_ = cmd.Process.Signal(s) // It may have ended.
+		}
 	}
+	return cmd
 }
 
-// end ends the process with a signal and waits until it is gone.
+// end ends the process with a signal and waits until it is gone. A kill does not
+// wait for a planned stop that is under way.
 func (p *proc) end(s syscall.Signal) {
-	p.signal(s)
-	p.signal(syscall.SIGCONT) // A frozen process takes no other signal.
-	p.mu.Lock()
-	cmd := p.cmd
-	p.cmd = nil
-	p.mu.Unlock()
-	if cmd != nil {
-		_ = cmd.Wait()
+	told := p.signal(s, syscall.SIGCONT) // A frozen process takes no other signal.
+	p.life.Lock()
+	defer p.life.Unlock()
+	cmd := p.running()
+	if cmd == nil {
+		return
+	}
+	if cmd != told {
+		p.signal(s, syscall.SIGCONT)
 	}
+	_ = cmd.Wait()
+	p.set(nil)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -65,6 +65,7 @@
 // Report is what a run saw.
 type Report struct {
 	Accepted, Refused, Cancelled, Done, Starts, Faults int
+	Lasting                                            int // Lasting counts the tasks that ran until the end.
 	Problems                                           []string
 }
 
@@ -81,14 +82,21 @@
 	calls, stop := context.WithTimeout(ctx, s.Time)
 	defer stop()
 	var callers conc.WaitGroup
+	planned, over := context.WithCancel(ctx)
+	defer over()
 	for i := range s.Callers {
 		callers.Go(func() { s.caller(ctx, calls, i) })
+		callers.Go(func() { s.lasting(ctx, calls, planned, i) })
 	}
+	s.group.Go(func() { s.workers(ctx, calls) })
 	for calls.Err() == nil {
 		s.fault(calls)
 		duty.Pause(calls, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
 	}
+	s.planned(ctx)
 	s.group.Wait() // All faults undo themselves.
+	duty.Pause(ctx, settledTime)
+	over()
 	callers.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
