Soak: gangs, and members that wait in vain

Nothing in the soak tried tasks that work only together. Callers now hand in jobs whose last phase is a gang, beside all faults and once more when nothing but a change of the configuration and cancels goes on. A member that ends so is a broken promise unless its job was cancelled or a disturbance or planned work was near: from 3 s before it began.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -36,7 +36,12 @@
 	k := kinds[s.rnd.IntN(len(kinds))]
 	s.note("%s %s w%d for %v", k.name, p.name, worker, k.time)
 	s.group.Go(func() {
-		if k.name != "stop" && k.name != "configuration" { // These are planned.
+		switch k.name {
+		case "configuration": // It excuses nothing.
+		case "stop":
+			s.site.Judge.Plan(true)
+			defer s.site.Judge.Plan(false)
+		default:
 			s.site.Judge.Disturb(true)
 			defer s.site.Judge.Disturb(false)
 		}
--- a/soak/lasting.go
+++ b/soak/lasting.go
@@ -45,7 +45,6 @@
 		} else {
 			duty.Pause(calls, time.Duration(1000+rnd.IntN(9000))*time.Millisecond)
 		}
-		s.site.Judge.Cancels(&j)
 		pick := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
 		group.Go(func() {
 			s.cancel(ctx, c, j, func() string { return s.procs[pick.IntN(len(s.procs))].callers })
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -58,6 +58,8 @@
 			p := s.procs[(first+i)%len(s.procs)]
 			s.note("planned stop %s", p.name)
 			s.group.Go(func() {
+				s.site.Judge.Plan(true)
+				defer s.site.Judge.Plan(false)
 				p.end(syscall.SIGTERM)
 				s.restart(p)
 			})
@@ -79,6 +81,8 @@
 
 func (s *Soak) replace(ctx context.Context, i int, after time.Duration) {
 	s.note("worker %d drains for %v", i, after)
+	s.site.Judge.Plan(true)
+	defer s.site.Judge.Plan(false)
 	leave, err := s.site.Replace(i)
 	if err != nil {
 		s.problem("the stand-in has no new worker: %v", err)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -87,6 +87,7 @@
 	for i := range s.Callers {
 		callers.Go(func() { s.caller(ctx, calls, i) })
 		callers.Go(func() { s.lasting(ctx, calls, planned, i) })
+		callers.Go(func() { s.gangs(ctx, calls, i, 0) })
 	}
 	s.group.Go(func() { s.workers(ctx, calls) })
 	for calls.Err() == nil {
@@ -95,7 +96,8 @@
 	}
 	s.planned(ctx)
 	s.group.Wait() // All faults undo themselves.
-	duty.Pause(ctx, settledTime)
+	duty.Pause(ctx, settledTime-gangsTime)
+	s.quiet(ctx, &callers)
 	over()
 	callers.Wait()
 	s.mu.Lock()
@@ -224,6 +226,7 @@
 }
 
 func (s *Soak) cancel(ctx context.Context, c *mimic.Caller, j mimic.Job, at func() string) {
+	s.site.Judge.Cancels(&j)
 	end := time.Now().Add(s.Time + healTime)
 	for time.Now().Before(end) {
 		if status := c.Cancel(ctx, at(), j); status == http.StatusOK || status == http.StatusNoContent {
