Soak: cuts between entries, both ways and one way

Entries were cut off from the store only, never from each other. Each entry is now reached by the others through a relay of its own, which learns from the first message who has dialled; a cut loses what one says to the other, on the links that either has dialled. One entry or a failure domain is cut off from one other or from all, both ways or one way; cuts overlap the other faults.

So that a relay can stand before an entry, [Listen] Announce says where others reach it, if that is not where it listens.

--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -138,3 +138,19 @@
 	fmt.Println(Nearest("Heartbeet", []string{"Office", "Heartbeat", "Drain"}))
 	// Output: Heartbeat
 }
+
+func TestRegionAnnounces(t *testing.T) {
+	is := is.New(t)
+	text := func(announce string) []byte {
+		return []byte("[Entry]\nName = e1\nDomain = d1\n[Listen]\nCallers = 127.0.0.1:1\nReady = 127.0.0.1:2\nPeers = 127.0.0.1:3\n" +
+			announce + "[Platform]\nAdapter = Region\nAddress = 127.0.0.1:4\n[Peers]\nToken = x\n[Limits]\nMemory = 64MB\nProcessors = 0.5\n")
+	}
+	s, err := DecodeRegion("entry.ini", text(""))
+	is.NoErr(err)
+	is.Equal(s.Listen.Announce, "")
+	s, err = DecodeRegion("entry.ini", text("Announce = 127.0.0.1:5\n"))
+	is.NoErr(err)
+	is.Equal(s.Listen.Announce, "127.0.0.1:5")
+	_, err = DecodeRegion("entry.ini", text("Announce = nowhere\n"))
+	is.True(err != nil)
+}
--- a/conf/region.go
+++ b/conf/region.go
@@ -24,9 +24,11 @@
 type RegionListen struct {
 	Callers string `conf:"required"`
 	// Ready is where the platform asks whether new callers may be sent here.
-	Ready   string `conf:"required"`
-	Peers   string `conf:"required"`
-	Metrics string
+	Ready string `conf:"required"`
+	Peers string `conf:"required"`
+	// Announce is where other entries reach Peers, where that is another address.
+	Announce string
+	Metrics  string
 	// Jobs is where the program's own interface for jobs made of phases is served.
 	Jobs string
 }
@@ -125,6 +127,9 @@
 		{"Listen", "Peers", s.Listen.Peers},
 		{"Platform", "Address", s.Platform.Address},
 	}
+	if s.Listen.Announce != "" {
+		addresses = append(addresses, address{"Listen", "Announce", s.Listen.Announce})
+	}
 	if s.Listen.Metrics != "" {
 		addresses = append(addresses, address{"Listen", "Metrics", s.Listen.Metrics})
 	}
--- a/server/region.go
+++ b/server/region.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"net"
@@ -66,7 +67,7 @@
 	s.table = platform.NewTable(s.Settings.Platform.Address)
 	s.runner = &platform.Runner{}
 	s.Node = &region.Node{
-		Name: boot, Host: e.Name, Domain: e.Domain, Address: s.Settings.Listen.Peers,
+		Name: boot, Host: e.Name, Domain: e.Domain, Address: cmp.Or(s.Settings.Listen.Announce, s.Settings.Listen.Peers),
 		Share:  int(1000 * s.Settings.Limits.Processors),
 		Timing: region.Timing{Lease: s.Settings.Timing.Lease, Keep: s.Settings.Timing.Keep},
 		Table:  s.table, Runner: s.runner, Advisor: platform.NewAdvisor(s.Settings.Platform.Advice),
--- a/soak/proc.go
+++ b/soak/proc.go
@@ -18,7 +18,8 @@
 	program      string
 	dir          string
 	callers      string
-	relay        *relay
+	relay        *relay // relay is the way to the store, and peers that of the others to it.
+	peers        *relay
 	file         string
 
 	// life is held while the process is started or ends, so that no other is
@@ -48,7 +49,7 @@
 		}
 		at[i] = a
 	}
-	p.callers = at[0]
+	p.callers, p.peers.target = at[0], at[2]
 	p.file = filepath.Join(p.dir, p.name+".ini")
 	text := fmt.Sprintf(`[Entry]
 Name = %s
@@ -57,6 +58,7 @@
 Callers = %s
 Ready = %s
 Peers = %s
+Announce = %s
 [Platform]
 Adapter = Region
 Address = %s
@@ -70,7 +72,7 @@
 Lease = 6s
 Keep = 5m
 Grace = 5s
-`, p.name, p.domain, at[0], at[1], at[2], p.relay.address(), advice)
+`, p.name, p.domain, at[0], at[1], at[2], p.peers.address(), p.relay.address(), advice)
 	return merry.Wrap(os.WriteFile(p.file, []byte(text), 0o600))
 }
 
--- a/soak/relay.go
+++ b/soak/relay.go
@@ -8,10 +8,14 @@
 	"github.com/sourcegraph/conc"
 )
 
-// relay is one entry's way to the store. It can go silent, as in a partition,
-// reset what is open, and be slow.
+// relay is one entry's way to the store, or the way of all others to an entry. It
+// can go silent, as in a partition, reset what is open, and be slow.
 type relay struct {
 	target string
+	// entry is the name of the entry that others reach by this way, and cuts says
+	// who is cut off from whom. A way to the store has neither.
+	entry string
+	cuts  *cuts
 
 	ln    net.Listener
 	group conc.WaitGroup
@@ -46,8 +50,9 @@
 			continue
 		}
 		r.track(in, out)
-		r.group.Go(func() { r.pass(in, out) })
-		r.group.Go(func() { r.pass(out, in) })
+		from := &dialler{}
+		r.group.Go(func() { r.pass(in, out, from.listen, func() bool { return r.cuts.cut(from.name(), r.entry) }) })
+		r.group.Go(func() { r.pass(out, in, func([]byte) {}, func() bool { return r.cuts.cut(r.entry, from.name()) }) })
 	}
 }
 
@@ -59,24 +64,29 @@
 	}
 }
 
-// pass copies until an end closes. What came while the relay was silent is lost,
-// so that the connection stays open and never carries anything whole again.
-func (r *relay) pass(from, to net.Conn) {
+// pass copies until an end closes. What came while the relay was silent, or the one
+// side cut off from the other, is lost, so that the connection stays open and never
+// carries anything whole again. Its end does not pass a cut either.
+func (r *relay) pass(from, to net.Conn, see func([]byte), cut func() bool) {
+	lost := false
 	defer func() {
-		_, _ = from.Close(), to.Close()
+		_ = from.Close()
+		if !lost || r.cuts == nil {
+			_ = to.Close()
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.open, from)
 	}()
 	buf := make([]byte, 32<<10)
-	lost := false
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
 			return
 		}
+		see(buf[:n])
 		r.mu.Lock()
-		lost = lost || r.silent
+		lost = lost || r.silent || cut()
 		delay := r.delay
 		r.mu.Unlock()
 		if lost {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,7 @@
 
 	site    *mimic.Site
 	procs   []*proc
+	cuts    cuts
 	rnd     *rand.Rand
 	group   conc.WaitGroup
 	mu      sync.Mutex
@@ -90,6 +91,7 @@
 		callers.Go(func() { s.gangs(ctx, calls, i, 0) })
 	}
 	s.group.Go(func() { s.workers(ctx, calls) })
+	s.group.Go(func() { s.cutting(calls) })
 	for calls.Err() == nil {
 		s.fault(calls)
 		duty.Pause(calls, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
@@ -121,13 +123,17 @@
 		return err
 	}
 	for i := range s.Domains * s.Entries {
+		name := fmt.Sprintf("e%d", i)
 		p := &proc{
-			name: fmt.Sprintf("e%d", i), domain: s.site.Domains[i%s.Domains], program: s.Program, dir: s.Dir,
-			relay: &relay{target: s.site.StoreAddress},
+			name: name, domain: s.site.Domains[i%s.Domains], program: s.Program, dir: s.Dir,
+			relay: &relay{target: s.site.StoreAddress}, peers: &relay{entry: name, cuts: &s.cuts},
 		}
 		if err := p.relay.start(); err != nil {
 			return err
 		}
+		if err := p.peers.start(); err != nil {
+			return err
+		}
 		if err := p.settings(s.site.AdviceAddress); err != nil {
 			return err
 		}
@@ -143,6 +149,7 @@
 	for _, p := range s.procs {
 		p.end(syscall.SIGKILL)
 		p.relay.stop()
+		p.peers.stop()
 	}
 	s.site.Stop()
 	_ = s.faults.Close()
