--- a/soak/proc.go
+++ b/soak/proc.go
@@ -18,11 +18,15 @@
 	program      string
 	dir          string
 	callers      string
-	relay        *relay
+	relay        *relay // relay is the way to the store, and peers that of the others to it.
+	peers        *relay
 	file         string
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	// life is held while the process is started or ends, so that no other is
+	// started meanwhile, which would find the addresses in use.
+	life sync.Mutex
+	mu   sync.Mutex
+	cmd  *exec.Cmd
 }
 
 // freeAddress returns a loopback address that nobody listens on.
@@ -45,7 +49,7 @@
 		}
 		at[i] = a
 	}
-	p.callers = at[0]
+	p.callers, p.peers.target = at[0], at[2]
 	p.file = filepath.Join(p.dir, p.name+".ini")
 	text := fmt.Sprintf(`[Entry]
 Name = %s
@@ -54,6 +58,7 @@
 Callers = %s
 Ready = %s
 Peers = %s
+Announce = %s
 [Platform]
 Adapter = Region
 Address = %s
@@ -67,15 +72,15 @@
 Lease = 6s
 Keep = 5m
 Grace = 5s
-`, p.name, p.domain, at[0], at[1], at[2], p.relay.address(), advice)
+`, p.name, p.domain, at[0], at[1], at[2], p.peers.address(), p.relay.address(), advice)
 	return merry.Wrap(os.WriteFile(p.file, []byte(text), 0o600))
 }
 
 // start starts the process; its log is appended to what earlier ones wrote.
 func (p *proc) start() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
+	p.life.Lock()
+	defer p.life.Unlock()
+	if p.running() != nil {
 		return nil // Another fault has started it again.
 	}
 	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -88,28 +93,46 @@
 	if err := cmd.Start(); err != nil {
 		return merry.Wrap(err)
 	}
-	p.cmd = cmd
+	p.set(cmd)
 	return nil
 }
 
-// signal sends a signal to the process, by its id.
-func (p *proc) signal(s syscall.Signal) {
+func (p *proc) running() *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd
+}
+
+func (p *proc) set(cmd *exec.Cmd) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(s) // It may have ended.
+	p.cmd = cmd
+}
+
+// signal sends signals to the process, by its id, and returns it.
+func (p *proc) signal(signals ...syscall.Signal) *exec.Cmd {
+	cmd := p.running()
+	for _, s := range signals {
+		if cmd != nil {
+			_ = cmd.Process.Signal(s) // It may have ended.
+		}
 	}
+	return cmd
 }
 
-// end ends the process with a signal and waits until it is gone.
+// end ends the process with a signal and waits until it is gone. A kill does not
+// wait for a planned stop that is under way.
 func (p *proc) end(s syscall.Signal) {
-	p.signal(s)
-	p.signal(syscall.SIGCONT) // A frozen process takes no other signal.
-	p.mu.Lock()
-	cmd := p.cmd
-	p.cmd = nil
-	p.mu.Unlock()
-	if cmd != nil {
-		_ = cmd.Wait()
+	told := p.signal(s, syscall.SIGCONT) // A frozen process takes no other signal.
+	p.life.Lock()
+	defer p.life.Unlock()
+	cmd := p.running()
+	if cmd == nil {
+		return
+	}
+	if cmd != told {
+		p.signal(s, syscall.SIGCONT)
 	}
+	_ = cmd.Wait()
+	p.set(nil)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,7 @@
 
 	site    *mimic.Site
 	procs   []*proc
+	cuts    cuts
 	rnd     *rand.Rand
 	group   conc.WaitGroup
 	mu      sync.Mutex
@@ -65,6 +66,7 @@
 // Report is what a run saw.
 type Report struct {
 	Accepted, Refused, Cancelled, Done, Starts, Faults int
+	Lasting                                            int // Lasting counts the tasks that ran until the end.
 	Problems                                           []string
 }
 
@@ -81,14 +83,24 @@
 	calls, stop := context.WithTimeout(ctx, s.Time)
 	defer stop()
 	var callers conc.WaitGroup
+	planned, over := context.WithCancel(ctx)
+	defer over()
 	for i := range s.Callers {
 		callers.Go(func() { s.caller(ctx, calls, i) })
+		callers.Go(func() { s.lasting(ctx, calls, planned, i) })
+		callers.Go(func() { s.gangs(ctx, calls, i, 0) })
 	}
+	s.group.Go(func() { s.workers(ctx, calls) })
+	s.group.Go(func() { s.cutting(calls) })
 	for calls.Err() == nil {
 		s.fault(calls)
 		duty.Pause(calls, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
 	}
+	s.planned(ctx)
 	s.group.Wait() // All faults undo themselves.
+	duty.Pause(ctx, settledTime-gangsTime)
+	s.quiet(ctx, &callers)
+	over()
 	callers.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,13 +123,17 @@
 		return err
 	}
 	for i := range s.Domains * s.Entries {
+		name := fmt.Sprintf("e%d", i)
 		p := &proc{
-			name: fmt.Sprintf("e%d", i), domain: s.site.Domains[i%s.Domains], program: s.Program, dir: s.Dir,
-			relay: &relay{target: s.site.StoreAddress},
+			name: name, domain: s.site.Domains[i%s.Domains], program: s.Program, dir: s.Dir,
+			relay: &relay{target: s.site.StoreAddress}, peers: &relay{entry: name, cuts: &s.cuts},
 		}
 		if err := p.relay.start(); err != nil {
 			return err
 		}
+		if err := p.peers.start(); err != nil {
+			return err
+		}
 		if err := p.settings(s.site.AdviceAddress); err != nil {
 			return err
 		}
@@ -133,6 +149,7 @@
 	for _, p := range s.procs {
 		p.end(syscall.SIGKILL)
 		p.relay.stop()
+		p.peers.stop()
 	}
 	s.site.Stop()
 	_ = s.faults.Close()
@@ -216,6 +233,7 @@
 }
 
 func (s *Soak) cancel(ctx context.Context, c *mimic.Caller, j mimic.Job, at func() string) {
+	s.site.Judge.Cancels(&j)
 	end := time.Now().Add(s.Time + healTime)
 	for time.Now().Before(end) {
 		if status := c.Cancel(ctx, at(), j); status == http.StatusOK || status == http.StatusNoContent {
