An entry's record names its boots that have ended

The roster named keepers of the first boots, the second ones had not lived long enough to record others, and the third had never seen the first: nobody knew that those had ended, so the longest authority was waited for, and two tasks that last were down for 10.9 and 12.4 s. An entry now reads its own record before it writes it and names the boots before it, which listened at the same address. One read more at the start of an entry.

--- a/region/cell.go
+++ b/region/cell.go
@@ -19,6 +19,10 @@
 // than any lease that it gave.
 const endedKept = time.Minute
 
+// mostBefore bounds the boots that a record names: one that is killed again and again
+// starts once a second or so, and a lease lasts for five.
+const mostBefore = 8
+
 // cellView is what the store says of the cell: its entries, the office, the
 // last term and the roster.
 type cellView struct {
@@ -59,6 +63,7 @@
 		}
 		c.members[name] = m
 		c.succeeds(c.last[name], m)
+		c.noteEnded(m.Before...)
 		c.last[name] = m
 	case e.Key == keyOffice:
 		c.office, c.officeAt = office{}, 0
@@ -82,12 +87,21 @@
 	if old.Name == "" || old.Name == next.Name || old.Address != next.Address {
 		return
 	}
+	c.noteEnded(old.Name)
+}
+
+// noteEnded notes that boots of entries have ended. The mutex is held.
+func (c *cellView) noteEnded(names ...string) {
 	for name, at := range c.ended {
 		if time.Since(at) > endedKept {
 			delete(c.ended, name)
 		}
 	}
-	c.ended[old.Name] = time.Now()
+	for _, name := range names {
+		if _, noted := c.ended[name]; !noted {
+			c.ended[name] = time.Now()
+		}
+	}
 }
 
 // endedAt returns when it was seen that a boot of an entry had ended.
@@ -266,6 +280,28 @@
 	return n.cell.read && !listed && n.healthy()
 }
 
+// earlierBoots returns the boots of this entry whose records are still there, or are
+// named there. If all entries were killed, nobody else knows that those have ended.
+func (n *Node) earlierBoots(ctx context.Context) ([]string, error) {
+	key := prefixNode + n.Host
+	values, _, err := n.Table.Read(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range values {
+		var old member
+		if v.Key != key || decode(v.Data, &old) != nil || old.Address != n.Address {
+			continue
+		}
+		before := old.Before
+		if old.Name != n.Name {
+			before = append([]string{old.Name}, before...)
+		}
+		return before[:min(len(before), mostBefore)], nil
+	}
+	return nil, nil
+}
+
 // keepRecord renews the record's lease or writes the record, and returns the lease.
 func (n *Node) keepRecord(ctx context.Context, lease uint64) uint64 {
 	if lease != 0 {
@@ -274,11 +310,15 @@
 			return lease
 		}
 	}
-	lease, err := n.Table.Lease(ctx, nodeTTL)
+	before, err := n.earlierBoots(ctx)
+	if err != nil {
+		return 0
+	}
+	lease, err = n.Table.Lease(ctx, nodeTTL)
 	if err != nil {
 		return 0
 	}
-	me := member{Name: n.Name, Node: n.Host, Domain: n.Domain, Address: n.Address, Share: n.Share}
+	me := member{Name: n.Name, Node: n.Host, Domain: n.Domain, Address: n.Address, Share: n.Share, Before: before}
 	_, err = n.Table.Commit(ctx, winch.Txn{Writes: []winch.Write{{Key: prefixNode + n.Host, Data: encode(me), Lease: lease}}})
 	if err != nil {
 		return 0
--- a/region/keys.go
+++ b/region/keys.go
@@ -44,6 +44,9 @@
 	Domain  string
 	Address string // Address is where peers reach the entry.
 	Share   int    // Share is the entry's part of a processor, in thousandths.
+	// Before names the boots before this one at the same address, the last first: they
+	// have ended, since this one listens there.
+	Before []string
 }
 
 // office names the holder of the region's office.
--- a/region/unheard_test.go
+++ b/region/unheard_test.go
@@ -195,3 +195,37 @@
 		})
 	}
 }
+
+// A worker is gone, and a moment later all entries are killed, twice in a row, and
+// start again at once. None of them has known the earlier processes; their records say
+// that these have ended, so one lease is waited for and not the longest authority. The
+// listener of a room that should stay open all week finds it closed for no longer than
+// after the loss of one entry.
+func TestAllEntriesAreKilledAfterAWorkerIsGone(t *testing.T) {
+	for _, after := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := lastingWorld(t, 48)
+				w.checksWindows()
+				w.leave(w.busiest())
+				time.Sleep(after)
+				w.disturb(true)
+				for _, gap := range []time.Duration{30 * time.Millisecond, 550 * time.Millisecond} {
+					for _, n := range w.nodes {
+						n.kill()
+					}
+					time.Sleep(100 * time.Millisecond)
+					for _, n := range w.nodes {
+						n.start()
+					}
+					time.Sleep(gap)
+				}
+				w.disturb(false)
+				time.Sleep(time.Second)
+				w.stopsAsPlanned(w.planner(), 2*time.Second, 300*time.Millisecond)
+				w.checkLasting(is, 18)
+			})
+		})
+	}
+}
