How long an ended job is known counts from when its end is shown

Jobs are to be known for 120 s after they are shown as ended. Records were removed 120 s after the planner had heard of the end, which is before it was recorded and shown, by a slow store or a takeover, and before the caller asked. The time counts from when the end is recorded, with 30 s added for what a takeover may not know and for callers that ask late.

--- a/coord/fleet/record.go
+++ b/coord/fleet/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"plantainwinch/winch"
 )
@@ -97,6 +98,7 @@
 	if r.Progress.State.Final() {
 		j.shown = r.Progress.State
 		j.pressing = false
+		j.ended = time.Now() // Callers are shown it from now on, and it is kept from now on.
 	}
 	for w := range p.ending {
 		p.forget(w)
--- a/region/record.go
+++ b/region/record.go
@@ -20,6 +20,9 @@
 	// commitMost is how many records one transaction carries, with a condition and
 	// a write each, and the condition on the office.
 	commitMost = (winch.TxnEntries - 1) / 2
+	// keepMargin is added to how long an ended job is known: callers count from when
+	// they are shown its end, which the record tells no sooner than it was known here.
+	keepMargin = 30 * time.Second
 	// sweepMost is how many jobs one transaction removes, of three keys each.
 	sweepMost = (winch.TxnEntries - 1) / 3
 )
@@ -91,7 +94,7 @@
 	for ctx.Err() == nil {
 		duty.Pause(ctx, sweepEvery)
 		var ids []string
-		if l.duty.Do(ctx, func() { ids = l.planner.Expired(time.Now().Add(-l.node.Timing.Keep)) }) != nil || len(ids) == 0 {
+		if l.duty.Do(ctx, func() { ids = l.planner.Expired(time.Now().Add(-l.node.Timing.Keep - keepMargin)) }) != nil || len(ids) == 0 {
 			continue
 		}
 		ids = ids[:min(len(ids), sweepMost)]
