--- a/conf/region.go
+++ b/conf/region.go
@@ -26,7 +26,8 @@
 	// Ready is where the platform asks whether new callers may be sent here.
 	Ready string `conf:"required"`
 	Peers string `conf:"required"`
-	// Announce is where other entries reach Peers, where that is another address.
+	// Announce is where other entries reach Peers, where that is another address. It
+	// has to lead to this VM alone: a new process there tells that the last has ended.
 	Announce string
 	Metrics  string
 	// Jobs is where the program's own interface for jobs made of phases is served.
