A job beyond its objective is ranked by when its caller gives up

Cause: once a job could not be on time it went behind all that could, with no regard to the three objectives until which its caller waits. Ruled out: room alone (their tasks had waited while later jobs of the same queue were started), and the late class (they fell behind before it). Now such a job is ranked by the time left until its limit, beside the others' slack. The mechanisms are fields of one Policy.

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -40,6 +40,8 @@
 	// KnownBefore, if it is set, leaves out jobs that were heard of later: this
 	// planner's office may have lapsed then, and a later planner starts them.
 	KnownBefore time.Time
+	// Policy says which mechanisms are in force; New sets DefaultPolicy.
+	Policy Policy
 
 	jobs map[string]*job
 	// active holds the jobs that have not ended; most that are known have.
@@ -74,7 +76,7 @@
 // New returns an empty planner.
 func New(term uint64) *Planner {
 	return &Planner{
-		Term: term, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
+		Term: term, Policy: DefaultPolicy(), jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
 		ending: make(map[*worker]bool),
 	}
--- a/coord/fleet/fleet_test.go
+++ b/coord/fleet/fleet_test.go
@@ -20,12 +20,14 @@
 	// running lists the runs at the workers, in the order of their starts.
 	running []proto.Order
 	ends    map[string]uint64
+	// due is when each run ends by its estimate.
+	due map[runKey]time.Time
 }
 
 const gigabyte = winch.Bytes(1 << 30)
 
 func newCell(t *testing.T, workers int, queues ...winch.Queue) *cell {
-	c := &cell{t: t, planner: New(1), ends: make(map[string]uint64)}
+	c := &cell{t: t, planner: New(1), ends: make(map[string]uint64), due: make(map[runKey]time.Time)}
 	c.planner.SetConfig(&winch.RegionConfig{Version: 1, Queues: queues, Teams: []winch.RegionTeam{{Name: "choir"}, {Name: "duct"}}})
 	var list []winch.WorkerVM
 	for i := range workers {
@@ -67,6 +69,7 @@
 		case proto.OrderStart:
 			starts = append(starts, o)
 			c.running = append(c.running, o)
+			c.due[runKey{o.Task, o.Run}] = time.Now().Add(c.planner.task(o.Task).step.spec.Estimate)
 			c.planner.Event(proto.KeepEvent{Kind: proto.EventStarted, Worker: o.Worker, Task: o.Task, Run: o.Run})
 		case proto.OrderStop:
 			if i := slices.IndexFunc(c.running, func(x proto.Order) bool { return x.Task == o.Task && x.Run == o.Run }); i >= 0 {
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -111,7 +111,7 @@
 		rec: rec, queue: p.queues[rec.Queue], team: p.team(rec.Team), state: winch.JobQueued, shown: winch.JobQueued,
 		revision: revision, failed: make(map[string][]uint64), heard: time.Now(),
 	}
-	j.excess = !j.team.share.take(j.team.Weight, rec.Accepted)
+	j.excess = p.Policy.Shares && !j.team.share.take(j.team.Weight, rec.Accepted)
 	p.jobs[rec.ID], p.active[rec.ID] = j, j
 	for k := range max(1, rec.Times) {
 		j.addRun(k)
@@ -156,6 +156,15 @@
 	}
 }
 
+// begin is when the step's run of the phases begins to count: the job's acceptance, or
+// the time it is due.
+func (s *step) begin() time.Time {
+	if s.due.IsZero() {
+		return s.job.rec.Accepted
+	}
+	return s.due
+}
+
 // objective is when the job should have ended.
 func (j *job) objective(s *step) time.Time {
 	var longest time.Duration
@@ -164,15 +173,11 @@
 			longest = max(longest, x.tail)
 		}
 	}
-	begin := j.rec.Accepted
-	if !s.due.IsZero() {
-		begin = s.due
-	}
 	stretch, target := 1.0, time.Duration(0)
 	if j.queue != nil {
 		stretch, target = j.queue.Stretch, j.queue.Target
 	}
-	return begin.Add(target + time.Duration(stretch*float64(longest)))
+	return s.begin().Add(target + time.Duration(stretch*float64(longest)))
 }
 
 func (j *job) step(k, phase int) *step {
--- a/coord/fleet/move.go
+++ b/coord/fleet/move.go
@@ -27,7 +27,7 @@
 			p.stop(r)
 		}
 		if places < len(runs) {
-			p.advise(s, now, s.rank(now), len(runs)-places)
+			p.advise(s, now, p.rank(s, now), len(runs)-places)
 		}
 	}
 }
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -51,31 +51,39 @@
 	chanceBegun = 0.8
 )
 
-func (s *step) rank(now time.Time) rank {
+func (p *Planner) rank(s *step, now time.Time) rank {
 	j := s.job
 	objective := j.objective(s)
 	left := objective.Sub(now).Seconds()
 	slack := left - s.tail.Seconds()
-	total := objective.Sub(j.rec.Accepted)
+	limit := s.limit(objective)
 	switch {
 	case s.spec.Lasting:
 		return rank{rankLasting, j.rec.Accepted.Sub(now).Seconds()}
-	case now.After(j.rec.Accepted.Add(lateFactor*total)) && s.due.IsZero():
+	case p.Policy.LateLast && now.After(limit):
 		return rank{rankLate, slack}
 	case j.excess:
 		return rank{rankExcess, slack}
-	case j.urgent() && left < s.chance()*s.tail.Seconds():
+	case p.Policy.Chance && j.urgent() && left < s.chance()*s.tail.Seconds():
 		// When more comes than fits, serving the latest first makes all late.
 		return rank{rankUrgentLate, slack}
 	case j.urgent():
 		return rank{rankUrgent, slack}
+	case left < s.tail.Seconds()/2 && p.Policy.LastCall:
+		// It cannot be on time any more, but its caller still waits.
+		return rank{rankUsual, limit.Sub(now).Seconds() - s.tail.Seconds()}
 	case left < s.tail.Seconds()/2:
-		// What cannot be on time any more goes behind what can.
 		return rank{rankUsual, 1e4 + slack}
 	}
 	return rank{rankUsual, slack}
 }
 
+// limit is when nobody waits for the job any more, for an objective of the step's run.
+func (s *step) limit(objective time.Time) time.Time {
+	begin := s.begin()
+	return begin.Add(lateFactor * objective.Sub(begin))
+}
+
 // chance returns the part of the remaining chain that must fit.
 func (s *step) chance() float64 {
 	if s.job.begun {
@@ -101,7 +109,7 @@
 		}
 		for _, s := range j.steps {
 			if s.waiting > 0 && s.ready() {
-				waiting = append(waiting, entry{s, s.rank(now)})
+				waiting = append(waiting, entry{s, p.rank(s, now)})
 			}
 		}
 	}
@@ -113,7 +121,7 @@
 		p.place(e.step, now)
 		p.advise(e.step, now, e.rank, 0)
 	}
-	if !adopting && p.KnownBefore.IsZero() {
+	if p.Policy.Moves && !adopting && p.KnownBefore.IsZero() {
 		p.move(now)
 	}
 }
@@ -186,7 +194,7 @@
 // may always, the rest leaves the reserve for urgent work free, of its team's
 // limit and of the region's room.
 func (p *Planner) spare(s *step) bool {
-	if s.job.quick() || s.spec.Lasting {
+	if !p.Policy.UrgentRoom || s.job.quick() || s.spec.Lasting {
 		return true
 	}
 	t := s.job.team
@@ -259,6 +267,9 @@
 		free -= float64(w.fills)
 	}
 	score := free / float64(max(1, w.vm.Room.Milli))
+	if p.Policy.PackAccelerators && s.spec.Need.Accelerators > 0 {
+		score = -float64(left.Accelerators) / float64(max(1, w.vm.Room.Accelerators))
+	}
 	if s.spec.Rack != "" && s.spec.Rack != w.vm.Rack {
 		score -= farCost
 	}
--- /dev/null
+++ b/coord/fleet/policy_test.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/winch"
+)
+
+// playUntil ends runs as their estimates say and decides every 50 ms, until a time or
+// until done holds. It calls each before each decision.
+func (c *cell) playUntil(limit time.Duration, each func(at time.Duration), done func() bool) time.Duration {
+	begin := time.Now()
+	for time.Since(begin) < limit && !done() {
+		each(time.Since(begin))
+		for _, o := range slices.Clone(c.running) {
+			if !time.Now().Before(c.due[runKey{o.Task, o.Run}]) {
+				c.end(o, winch.EndDone)
+			}
+		}
+		c.step()
+		c.record()
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+func never() bool { return false }
+
+// begun returns whether a job has begun.
+func (c *cell) begun(id string) func() bool {
+	return func() bool { return c.planner.jobs[id].begun }
+}
+
+// A job that missed its objective is put behind all that can still be on time, and its
+// caller waits in vain. The pattern: a quarter more comes than the worker can do.
+func TestJobBeyondItsObjectiveRunsWhileItsCallerWaits(t *testing.T) {
+	for _, lastCall := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			queue := usualQueue() // on time: 1.2 s and 2.2 times the work of 1 s.
+			c := newCell(t, 1, queue)
+			c.planner.Policy.LastCall = lastCall
+			c.planner.Policy.UrgentRoom = false
+			n, begin := 0, time.Now()
+			come := func(time.Duration) {
+				for ; time.Duration(n)*400*time.Millisecond <= time.Since(begin); n++ { // 2.5 a second, 2 fit.
+					c.add(fmt.Sprintf("j%03d", n), "mix", "duct", tasks(1, 8000))
+				}
+			}
+			c.playUntil(5*time.Second, come, never)
+			c.add("held", "mix", "choir", tasks(1, 8000))
+			c.planner.jobs["held"].rec.Accepted = time.Now().Add(-3100 * time.Millisecond)
+			objective := 3400 * time.Millisecond
+			took := c.playUntil(20*time.Second, come, c.begun("held"))
+			is.Equal(took+3100*time.Millisecond < lateFactor*objective-time.Second, lastCall)
+		})
+	}
+}
