--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -24,7 +24,7 @@
 // DefaultPolicy returns the policy that serves: all mechanisms.
 func DefaultPolicy() Policy {
 	return Policy{
-		LastCall: true, PackAccelerators: false,
+		LastCall: true, PackAccelerators: true,
 		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true,
 	}
 }
--- a/coord/fleet/policy_test.go
+++ b/coord/fleet/policy_test.go
@@ -12,6 +12,20 @@
 	"plantainwinch/winch"
 )
 
+// accelerated returns a cell of alike workers with eight accelerators each.
+func accelerated(t *testing.T, workers int, queues ...winch.Queue) *cell {
+	c := newCell(t, workers, queues...)
+	for _, w := range c.planner.workers {
+		w.vm.Room = winch.Room{Milli: 128_000, Memory: 256 * gigabyte, Accelerators: 8}
+	}
+	return c
+}
+
+// accelerators returns a phase of tasks that need accelerators, for a time.
+func accelerators(count, each int, estimate time.Duration) winch.Phase {
+	return winch.Phase{Count: count, Need: winch.Room{Milli: 11_000, Memory: gigabyte, Accelerators: each}, Estimate: estimate}
+}
+
 // playUntil ends runs as their estimates say and decides every 50 ms, until a time or
 // until done holds. It calls each before each decision.
 func (c *cell) playUntil(limit time.Duration, each func(at time.Duration), done func() bool) time.Duration {
@@ -62,3 +76,21 @@
 		})
 	}
 }
+
+// Small tasks are spread over all workers, and none is whole for a gang that needs all
+// accelerators of two.
+func TestSmallTasksLeaveWholeWorkersToGangs(t *testing.T) {
+	for _, pack := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := accelerated(t, 4, usualQueue())
+			c.planner.Policy.PackAccelerators = pack
+			c.add("a", "mix", "choir", accelerators(9, 1, 2*time.Second))
+			is.Equal(len(c.step()), 9)
+			gang := accelerators(2, 8, 4*time.Second)
+			gang.Gang = true
+			c.add("b", "mix", "choir", gang)
+			is.Equal(len(c.step()) == 2, pack)
+		})
+	}
+}
