--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -14,6 +14,8 @@
 	firstShare = 0.4
 	// shareStep is how much one answer moves what is known of a queue's share.
 	shareStep = 0.2
+	// turnStep is how much one answer moves what is known of a queue's turnaround.
+	turnStep = 0.2
 	// askLeast and askMost bound the workers of one question; the service takes
 	// 100 at most.
 	askLeast = 8
@@ -90,7 +92,12 @@
 
 // fit returns how many tasks of a step fit into a worker's free room.
 func (p *Planner) fit(s *step, w *worker) int {
-	charge, left := s.spec.Charge(), w.free()
+	return p.fitInto(s, w, p.open(s, w))
+}
+
+// fitInto returns how many tasks of a step fit into some room of a worker.
+func (p *Planner) fitInto(s *step, w *worker, left winch.Room) int {
+	charge := s.spec.Charge()
 	n := len(s.tasks)
 	if charge.Milli > 0 {
 		n = min(n, int(left.Milli/charge.Milli))
@@ -107,51 +114,97 @@
 	return max(0, n)
 }
 
-// toAsk chooses the workers to ask about: with room, not known to be forbidden,
-// those known to be allowed first, as many as probably suffice.
+// option is a worker that could be asked about.
+type option struct {
+	w     *worker
+	fit   int
+	known bool // known says that the step is allowed there and only needs a ticket.
+	score float64
+}
+
+// toAsk chooses the workers to ask about: those with room, or with room by the time
+// of the answer where the step is known to be allowed, as many as probably suffice.
+// A first question names as many as cost no more than the question itself.
 func (p *Planner) toAsk(s *step, now time.Time, wanted int) []string {
-	type option struct {
-		w     *worker
-		fit   int
-		score float64
+	options := p.options(s, now)
+	var out []string
+	room := 0.0
+	need := askSpare * float64(wanted-p.covered(s, now))
+	for _, o := range options {
+		if o.fit == 0 || len(out) == askMost || len(out) >= askLeast && room >= need {
+			break
+		}
+		out = append(out, o.w.vm.ID)
+		if o.known {
+			room += float64(o.fit)
+		} else {
+			room += float64(o.fit) * max(0.1, s.job.queue.share)
+		}
 	}
-	var options []option
+	if p.Policy.AskAll && s.known.asked.IsZero() {
+		for _, o := range options[len(out):] {
+			if len(out) >= askMost || time.Duration(len(out))*s.job.queue.Advice.Worker >= s.job.queue.Advice.Call {
+				break
+			}
+			out = append(out, o.w.vm.ID)
+		}
+	}
+	return out
+}
+
+// options returns the workers that could be asked about, the best first: those with
+// room before those without.
+func (p *Planner) options(s *step, now time.Time) []option {
+	var out []option
+	answer := now.Add(s.job.queue.turnaround)
 	for id, w := range p.workers {
 		if s.known.denied[id] || !p.suits(s, w, now) {
 			continue
 		}
 		t, known := s.known.allowed[id]
-		if known && t.good(now) {
+		if known && t.good(now) && !s.outlasts(w, t) {
 			continue
 		}
-		n := p.fit(s, w)
-		if n == 0 {
-			continue
-		}
-		score := p.score(s, w, w.free())
+		o := option{w: w, fit: p.fit(s, w), known: known, score: p.score(s, w, w.free())}
 		if known {
-			score++
+			o.score++
+		}
+		if known && p.Policy.Reserve {
+			o.fit = max(o.fit, s.slotsBy(w, answer))
 		}
-		options = append(options, option{w, n, score})
+		out = append(out, o)
 	}
-	slices.SortFunc(options, func(a, b option) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.w.vm.ID, b.w.vm.ID))
+	slices.SortFunc(out, func(a, b option) int {
+		return cmp.Or(compareBool(b.fit > 0, a.fit > 0), cmp.Compare(b.score, a.score), cmp.Compare(a.w.vm.ID, b.w.vm.ID))
 	})
-	var out []string
-	room := 0.0
-	need := askSpare * float64(wanted-p.covered(s, now))
-	for _, o := range options {
-		if len(out) == askMost || len(out) >= askLeast && room >= need {
-			break
-		}
-		out = append(out, o.w.vm.ID)
-		if _, known := s.known.allowed[o.w.vm.ID]; known {
-			room += float64(o.fit)
-		} else {
-			room += float64(o.fit) * max(0.1, s.job.queue.share)
+	return out
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// outlasts reports whether a place kept for the step at a worker comes free only after
+// its ticket has run out.
+func (s *step) outlasts(w *worker, t permit) bool {
+	return slices.ContainsFunc(s.slots, func(x slot) bool { return x.w == w && !t.good(x.at) })
+}
+
+// slotsBy counts the places kept for the step at a worker by some time.
+func (s *step) slotsBy(w *worker, by time.Time) int {
+	n := 0
+	for _, x := range s.slots {
+		if x.w == w && !x.at.After(by) {
+			n++
 		}
 	}
-	return out
+	return n
 }
 
 // Advice takes the answer to an Ask.
@@ -181,6 +234,9 @@
 		}
 		s.known.allowed[t.Worker] = permit{t.Value, sent.Add(valid)}
 	}
+	if q := s.job.queue; q != nil {
+		q.turnaround += time.Duration(turnStep * float64(time.Since(a.Asked)-q.turnaround))
+	}
 	if fresh > 0 && s.job.queue != nil {
 		q := s.job.queue
 		q.share += shareStep * (float64(allowed)/float64(fresh) - q.share)
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -57,6 +57,11 @@
 	// room is that of all usable workers, free what of it was free at the last
 	// Schedule, less what has been started since.
 	room, free winch.Room
+	// held is the room that is kept for steps which are looked at earlier than others,
+	// as of the last Schedule.
+	held map[*worker]reservation
+	// planned counts the steps that it looked for places for.
+	planned int
 	// ending holds the workers with ends that are not forgotten yet.
 	ending map[*worker]bool
 
@@ -78,7 +83,7 @@
 	return &Planner{
 		Term: term, Policy: DefaultPolicy(), jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
-		ending: make(map[*worker]bool),
+		ending: make(map[*worker]bool), held: make(map[*worker]reservation),
 	}
 }
 
@@ -87,6 +92,8 @@
 	// share is the part of the workers asked about that the advice service allows,
 	// learnt from its answers.
 	share float64
+	// turnaround is how long a question usually takes, waiting included.
+	turnaround time.Duration
 }
 
 type team struct {
@@ -106,6 +113,9 @@
 			p.queues[q.Name] = known
 		}
 		known.Queue = q
+		if known.turnaround == 0 && q.Advice != nil {
+			known.turnaround = q.Advice.Call
+		}
 	}
 	for _, t := range c.Teams {
 		p.team(t.Name).RegionTeam = t
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -54,6 +54,8 @@
 	tail  time.Duration
 	known advice
 	gang  gangRun
+	// slots are the places where the tasks that wait are expected to start.
+	slots []slot
 	// took is the mean run time of the tasks that ended well at a sound pace.
 	took    time.Duration
 	samples int
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -98,6 +98,8 @@
 	now := time.Now()
 	adopting := p.Adopting()
 	p.measure(now)
+	clear(p.held)
+	p.planned = 0
 	type entry struct {
 		step *step
 		rank rank
@@ -119,6 +121,7 @@
 	})
 	for _, e := range waiting {
 		p.place(e.step, now)
+		p.reserve(e.step, now, e.rank)
 		p.advise(e.step, now, e.rank, 0)
 	}
 	if p.Policy.Moves && !adopting && p.KnownBefore.IsZero() {
@@ -157,7 +160,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range p.candidates(s, now) {
-		left := w.free()
+		left := p.open(s, w)
 		if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w) >= s.spec.MostPerVM {
 			continue
 		}
--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -9,6 +9,11 @@
 	// PackAccelerators gives accelerators out where the fewest are free, so that
 	// whole workers stay free for tasks that need all of one.
 	PackAccelerators bool
+	// Reserve keeps room for gangs and large tasks that wait for it.
+	Reserve bool
+	// AskAll asks about all workers at once where that costs little more than asking
+	// about some: who may run a step does not change.
+	AskAll bool
 	// UrgentRoom keeps room free for urgent work.
 	UrgentRoom bool
 	// Shares ranks what a team hands in beyond its share behind the rest.
@@ -24,7 +29,7 @@
 // DefaultPolicy returns the policy that serves: all mechanisms.
 func DefaultPolicy() Policy {
 	return Policy{
-		LastCall: true, PackAccelerators: true,
+		LastCall: true, PackAccelerators: true, Reserve: false, AskAll: true,
 		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true,
 	}
 }
--- a/coord/fleet/policy_test.go
+++ b/coord/fleet/policy_test.go
@@ -94,3 +94,42 @@
 		})
 	}
 }
+
+// Questions name only the few workers with room, and each time another few: a step that
+// is allowed at three workers of thirteen asks again and again. The cost of a question
+// is mostly the question itself.
+func TestFirstQuestionNamesAllWorkersOfASmallService(t *testing.T) {
+	for _, all := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			queue := usualQueue()
+			c := accelerated(t, 13, queue)
+			c.planner.Policy.AskAll = all
+			c.add("a", "mix", "choir", accelerators(11, 8, 4*time.Second))
+			is.Equal(len(c.step()), 11)
+			queue.Advice = &winch.AdviceCost{Call: 430 * time.Millisecond, Worker: 6 * time.Millisecond, Valid: 2 * time.Second}
+			c.planner.SetConfig(&winch.RegionConfig{Version: 2, Queues: []winch.Queue{queue}, Teams: []winch.RegionTeam{{Name: "choir"}}})
+			c.add("b", "mix", "choir", accelerators(1, 8, time.Second))
+			c.step()
+			asks := c.planner.Asks()
+			is.Equal(len(asks), 1)
+			is.Equal(len(asks[0].Workers) == 13, all)
+		})
+	}
+}
+
+// Workers that are not allowed, or of which the question is dear, are not all asked
+// about: a question that costs more per worker than by itself stays short.
+func TestDearQuestionNamesFewWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue := usualQueue()
+		queue.Advice = &winch.AdviceCost{Call: 20 * time.Millisecond, Worker: 10 * time.Millisecond, Valid: 2 * time.Second}
+		c := newCell(t, 40, queue)
+		c.add("a", "mix", "choir", tasks(1, 1000))
+		c.step()
+		asks := c.planner.Asks()
+		is.Equal(len(asks), 1)
+		is.Equal(len(asks[0].Workers), askLeast)
+	})
+}
--- /dev/null
+++ b/coord/fleet/reserve.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"plantainwinch/winch"
+)
+
+const (
+	// largePart is the part of a worker's room from which on a task counts as large:
+	// at most one more of its kind fits beside it.
+	largePart = 0.5
+	// mostPlanned bounds the steps that places are looked for in one Schedule.
+	mostPlanned = 64
+	// stopSoon is how long a stopped run is expected to hold its room.
+	stopSoon = 300 * time.Millisecond
+	// leastLeft is the least that a run is expected to take yet.
+	leastLeft = 50 * time.Millisecond
+)
+
+// reservation is room of a worker that is kept for a step which waits for it.
+type reservation struct {
+	room winch.Room
+	from time.Time // from is when the step is expected to use it.
+}
+
+// slot is a place for one task of a step.
+type slot struct {
+	w  *worker
+	at time.Time // at is when there is expected to be room.
+}
+
+// reserve keeps room for a step that waits for several places at once, or for a large
+// part of a worker: as small tasks end, others would take their room one by one, and the
+// step would wait as long as any of them come. What ends before the step is expected to
+// start may still use the room.
+func (p *Planner) reserve(s *step, now time.Time, r rank) {
+	s.slots = nil
+	if !p.Policy.Reserve || p.planned >= mostPlanned || s.waiting == 0 || r.class >= rankExcess || !s.job.team.allows(s.wantsAtOnce()) || !p.spare(s) {
+		return
+	}
+	p.planned++
+	wants := s.waiting
+	if s.spec.Gang && (s.gang.ending || s.gang.number == 0) {
+		wants = len(s.tasks)
+	}
+	slots := p.slots(s, now)
+	if s.spec.Gang && len(slots) < wants {
+		return
+	}
+	s.slots = slots[:min(wants, len(slots))]
+	if len(s.slots) == 0 || !s.spec.Gang && !s.large(s.slots[0].w) {
+		return
+	}
+	from := s.slots[len(s.slots)-1].at
+	if until := s.known.answerBy(s.job.queue, now); from.Before(until) {
+		from = until
+	}
+	for _, x := range s.slots {
+		h := p.held[x.w]
+		if h.from.IsZero() || from.Before(h.from) {
+			h.from = from
+		}
+		h.room = h.room.Add(s.spec.Charge())
+		p.held[x.w] = h
+	}
+}
+
+// large reports whether a task of the step takes a large part of a worker.
+func (s *step) large(w *worker) bool {
+	need, room := s.spec.Charge(), w.vm.Room
+	return float64(need.Milli) >= largePart*float64(room.Milli) ||
+		float64(need.Memory) >= largePart*float64(room.Memory) ||
+		need.Accelerators > 0 && float64(need.Accelerators) >= largePart*float64(room.Accelerators)
+}
+
+// slots returns places for the tasks of a step at workers that it is known to be
+// allowed at, those that come free first first.
+func (p *Planner) slots(s *step, now time.Time) []slot {
+	var out []slot
+	for _, w := range p.workers {
+		if !p.suits(s, w, now) {
+			continue
+		}
+		if _, known := s.known.allowed[w.vm.ID]; !known && s.job.queue.Advice != nil {
+			continue
+		}
+		out = append(out, p.slotsAt(s, w, now)...)
+	}
+	slices.SortFunc(out, func(a, b slot) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.w.vm.ID, b.w.vm.ID))
+	})
+	return out
+}
+
+// slotsAt returns the places at one worker.
+func (p *Planner) slotsAt(s *step, w *worker, now time.Time) []slot {
+	left := w.free().Sub(p.held[w].room)
+	var out []slot
+	add := func(at time.Time) {
+		for n := p.fitInto(s, w, left); len(out) < n; {
+			out = append(out, slot{w, at})
+		}
+	}
+	add(now)
+	for _, e := range w.expected(now) {
+		left = left.Add(e.room)
+		add(e.at)
+	}
+	return out
+}
+
+// expectedEnd is room that is expected to come free.
+type expectedEnd struct {
+	at   time.Time
+	room winch.Room
+}
+
+// expected returns the ends that are expected at a worker, the first first.
+func (w *worker) expected(now time.Time) []expectedEnd {
+	var out []expectedEnd
+	for _, r := range w.runs {
+		if at, ok := r.expectedEnd(now); ok {
+			out = append(out, expectedEnd{at, r.charge})
+		}
+	}
+	slices.SortFunc(out, func(a, b expectedEnd) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.room.Milli, b.room.Milli), cmp.Compare(a.room.Accelerators, b.room.Accelerators))
+	})
+	return out
+}
+
+// expectedEnd returns when a run is expected to end: by its progress if it has told
+// one, else by its estimate. Runs that last, and those of unknown jobs, are not
+// expected to end.
+func (r *run) expectedEnd(now time.Time) (time.Time, bool) {
+	least := now.Add(leastLeft)
+	switch {
+	case r.stopping:
+		return later(r.until.Add(stopSoon), least), true
+	case r.task == nil || r.task.step.spec.Lasting:
+		return time.Time{}, false
+	}
+	took := r.task.step.spec.Estimate
+	if r.percent > 0 && r.moved.After(r.since) {
+		took = time.Duration(float64(r.moved.Sub(r.since)) * 100 / r.percent)
+	}
+	return later(r.since.Add(took), least), true
+}
+
+// open returns the room of a worker that a step may use now.
+func (p *Planner) open(s *step, w *worker) winch.Room {
+	left := w.free()
+	h, held := p.held[w]
+	if !held || time.Now().Add(s.spec.Estimate).Before(h.from) {
+		return left
+	}
+	return left.Sub(h.room)
+}
+
+// answerBy is when an answer to a question about the step is expected; the zero time
+// if it needs none now.
+func (a *advice) answerBy(q *queue, now time.Time) time.Time {
+	if q.Advice == nil {
+		return time.Time{}
+	}
+	for _, t := range a.allowed {
+		if t.good(now) {
+			return time.Time{}
+		}
+	}
+	if a.asking {
+		return a.asked.Add(q.turnaround)
+	}
+	return now.Add(q.turnaround)
+}
