Room is kept for gangs and large tasks, with backfill

Cause: a task that needs a whole worker was overtaken by small ones one by one, and its tickets ran out meanwhile. Each step that waits, by rank, gets the places that come free first at workers that allow it, by the progress or the estimates of what runs; lower ranks may use them only if they end before. Questions go out in time for the answer to come with the room.

--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -204,7 +204,8 @@
 	if !t.allows(s.spec.Need.Add(t.urgent.reserve(t.Cap, teamPart))) {
 		return false
 	}
-	return s.spec.Fills || s.spec.Need.Add(p.urgent.reserve(p.room, regionPart)).Fits(p.free)
+	kept := p.urgent.reserve(p.room, regionPart)
+	return s.spec.Fills || kept == (winch.Room{}) || s.spec.Need.Add(kept).Fits(p.free)
 }
 
 // candidates returns the workers that may run the step now, whatever their room.
--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -29,7 +29,7 @@
 // DefaultPolicy returns the policy that serves: all mechanisms.
 func DefaultPolicy() Policy {
 	return Policy{
-		LastCall: true, PackAccelerators: true, Reserve: false, AskAll: true,
+		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true,
 		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true,
 	}
 }
--- a/coord/fleet/policy_test.go
+++ b/coord/fleet/policy_test.go
@@ -95,6 +95,51 @@
 	}
 }
 
+// A gang that needs a whole worker is overtaken for ever by small tasks, each of which
+// takes an accelerator that has just come free.
+func TestSmallTasksDoNotOvertakeAGangForEver(t *testing.T) {
+	for _, reserve := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := accelerated(t, 2, usualQueue())
+			c.planner.Policy.Reserve = reserve
+			n := 0
+			begin := time.Now()
+			small := func(time.Duration) {
+				for ; time.Duration(n)*150*time.Millisecond <= time.Since(begin); n++ { // 13 of 16 accelerators
+					c.add(fmt.Sprintf("s%03d", n), "mix", "choir", accelerators(1, 1, 2*time.Second))
+				}
+			}
+			c.planner.Policy.PackAccelerators = false
+			c.playUntil(3*time.Second, small, never)
+			gang := accelerators(1, 8, 4*time.Second)
+			gang.Gang = true
+			c.add("g", "mix", "choir", gang)
+			took := c.playUntil(30*time.Second, small, c.begun("g"))
+			is.Equal(took <= 1200*time.Millisecond+8800*time.Millisecond, reserve) // its objective
+		})
+	}
+}
+
+// Room that is kept for a gang stands idle until the gang's last worker comes free,
+// though short tasks could use it meanwhile.
+func TestShortTasksUseRoomThatIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := accelerated(t, 1, usualQueue())
+		c.add("a", "mix", "choir", accelerators(4, 1, 10*time.Second))
+		is.Equal(len(c.step()), 4)
+		gang := accelerators(1, 8, time.Second)
+		gang.Gang = true
+		c.add("gang", "mix", "choir", gang)
+		is.Equal(len(c.step()), 0)
+		c.add("long", "mix", "choir", accelerators(1, 1, 11*time.Second))
+		is.Equal(len(c.step()), 0)
+		c.add("short", "mix", "choir", accelerators(1, 1, 2*time.Second))
+		is.Equal(len(c.step()), 1)
+	})
+}
+
 // Questions name only the few workers with room, and each time another few: a step that
 // is allowed at three workers of thirteen asks again and again. The cost of a question
 // is mostly the question itself.
@@ -133,3 +178,34 @@
 		is.Equal(len(asks[0].Workers), askLeast)
 	})
 }
+
+// A ticket ages while a gang waits for room. The next question goes out in time for the
+// answer to come as the room does, and names only workers that allow the gang.
+func TestTicketIsRenewedForTheTimeOfTheRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue := usualQueue()
+		c := accelerated(t, 4, queue)
+		c.add("a", "mix", "choir", accelerators(4, 8, 5*time.Second))
+		is.Equal(len(c.step()), 4)
+		queue.Advice = &winch.AdviceCost{Call: 400 * time.Millisecond, Worker: time.Millisecond, Valid: 2 * time.Second}
+		c.planner.SetConfig(&winch.RegionConfig{Version: 2, Queues: []winch.Queue{queue}, Teams: []winch.RegionTeam{{Name: "choir"}}})
+		gang := accelerators(1, 8, time.Second)
+		gang.Gang = true
+		c.add("g", "mix", "choir", gang)
+		var asked []time.Duration
+		var pending []Ask
+		took := c.playUntil(8*time.Second, func(at time.Duration) {
+			for _, a := range pending {
+				c.planner.Advice(a, []winch.Ticket{{Worker: "w1", Value: "t"}}, 2*time.Second, time.Now())
+			}
+			pending = c.planner.Asks()
+			for range pending {
+				asked = append(asked, at)
+			}
+		}, c.begun("g"))
+		t.Log(asked, took)
+		is.True(took < 5200*time.Millisecond) // The room comes after 5 s.
+		is.True(len(asked) <= 4)
+	})
+}
