Answers of workers are waited for by the round trips that were seen

Cause: an order without an answer held a sender for 0.6 s, and its task waited up to 1.5 s more for the hold on its way to end; a hold whose answer was lost left ends unheard for 2.1 s. Now the limit follows the round trips (mean and four spreads, 0.12 to 0.6 s, doubled for each call in a row without an answer), the lists are asked for at once after a doubtful start, and while answers are lost holds last 0.4 s. A list that a newer one has overtaken is dropped.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -27,8 +27,9 @@
 	// are recorded. A worker answers at once as long as it lists ends, so a hold
 	// sent before would only list the same ends again.
 	recordTime = 140 * time.Millisecond
-	// answerTime is how long an answer may take beyond what the worker may wait.
-	answerTime = 600 * time.Millisecond
+	// lossyWait is used while answers are lost: nothing is heard of a worker's ends
+	// from the loss of an answer until the next hold.
+	lossyWait = 400 * time.Millisecond
 	// shutWait is how long a worker may wait for an end while its lease may not be
 	// renewed yet, and openTime how long the next hold waits for that.
 	shutWait = 300 * time.Millisecond
@@ -122,6 +123,12 @@
 	closely  bool // closely says that the planner paces runs by what is reported.
 	lastEnd  uint64
 	statusAt time.Time
+	// unanswered counts the calls in a row that were not answered, missed is when the
+	// last was given up.
+	unanswered int
+	missed     time.Time
+	// listsAt is the worker's clock in the newest lists that were taken.
+	listsAt time.Duration
 }
 
 func (h *holder) run(ctx context.Context) {
@@ -263,7 +270,10 @@
 		// It is asked at once who it is, and told nothing.
 		call.Forget, call.Wait = 0, 0
 	}
-	limit := call.Wait + answerTime
+	if h.keeper.trips.lossy() && len(h.runs) > 0 {
+		call.Wait = min(call.Wait, lossyWait)
+	}
+	limit := call.Wait + h.keeper.trips.limit(h.unanswered)
 	if !h.open {
 		// No answer is waited for long beyond the loss: work waits for it.
 		limit = min(limit, max(time.Until(h.lapse()), lapseLook))
@@ -271,7 +281,32 @@
 	h.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return h.keeper.Runner.Hold(callCtx, h.vm, call)
+	answer, err := h.keeper.Runner.Hold(callCtx, h.vm, call)
+	h.noteCall(isAnswer(err))
+	if err == nil && call.Wait == 0 {
+		h.keeper.trips.answered(time.Since(sent))
+	}
+	return answer, err
+}
+
+// list asks for the worker's lists at once, beside the hold that waits for an end.
+// It does not renew the lease.
+func (h *holder) list(ctx context.Context) {
+	h.mu.Lock()
+	ask := winch.HoldCall{Token: h.token, Forget: h.forget, Until: h.until}
+	ok := h.listed && !h.silent
+	h.mu.Unlock()
+	if !ok {
+		return // The next hold asks without waiting.
+	}
+	sent := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, h.answerLimit())
+	defer cancel()
+	answer, err := h.keeper.Runner.Hold(callCtx, h.vm, ask)
+	if err != nil || ctx.Err() != nil || h.setClock(answer.Clock) {
+		return // The hold that waits finds out what is wrong.
+	}
+	h.answered(sent, answer)
 }
 
 // over reports whether an error ends the holding of the worker.
@@ -347,6 +382,10 @@
 func (h *holder) compareAll(sent time.Time, answer winch.Holding) []proto.KeepEvent {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.listed && h.outdated(answer) {
+		return nil
+	}
+	h.listsAt = max(h.listsAt, answer.Clock)
 	back := h.silent
 	h.silent = false
 	h.heard = time.Now()
@@ -376,6 +415,16 @@
 	return append(out, h.look(answer.Running)...)
 }
 
+// outdated reports whether newer lists have been taken: answers overtake each other.
+// The mutex is held.
+func (h *holder) outdated(answer winch.Holding) bool {
+	last := uint64(0)
+	for _, e := range answer.Ended {
+		last = max(last, e.Number)
+	}
+	return answer.Clock > 0 && (answer.Clock < h.listsAt || answer.Clock == h.listsAt && last < h.lastEnd)
+}
+
 // first tells the first lists whole.
 func (h *holder) first(answer winch.Holding, ends []winch.Ended) proto.KeepEvent {
 	h.listed = true
@@ -412,7 +461,7 @@
 		return out
 	}
 	for key, r := range h.runs {
-		if running[key] || r.acked.IsZero() || !r.acked.Before(sent) {
+		if running[key] || r.acked.IsZero() || r.acked.After(sent) {
 			continue
 		}
 		delete(h.runs, key)
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -33,6 +33,8 @@
 	// Lease is how long workers go on without hearing of a keeper.
 	Lease time.Duration
 
+	trips trips
+
 	mu      sync.Mutex
 	session proto.Session
 	started time.Time
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -12,9 +12,6 @@
 	"plantainwinch/winch"
 )
 
-// orderTime is how long the answer to an order is waited for.
-const orderTime = 600 * time.Millisecond
-
 // send passes queued orders to the worker, one after the other.
 func (h *holder) send(ctx context.Context) {
 	for {
@@ -34,7 +31,7 @@
 	case proto.OrderStop:
 		h.stopUntilHeard(ctx, runKey{c.Task, c.Run}, false)
 	case proto.OrderPace:
-		callCtx, cancel := context.WithTimeout(ctx, orderTime)
+		callCtx, cancel := context.WithTimeout(ctx, h.answerLimit())
 		defer cancel()
 		if err := h.keeper.Runner.Pace(callCtx, h.vm, h.token, c.Task, c.Run, c.Percent); err != nil {
 			h.keeper.count("Keep.PaceFailed")
@@ -50,12 +47,13 @@
 		h.emit(proto.KeepEvent{Kind: proto.EventNotStarted, Task: c.Task, Run: c.Run, Result: winch.StartRefused})
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTime)
+	callCtx, cancel := context.WithTimeout(ctx, h.answerLimit())
 	defer cancel()
 	result, clock := h.keeper.Runner.Start(callCtx, h.vm, winch.StartCall{
 		Token: h.token, Task: c.Task, Run: c.Run, Command: c.text,
 		Checkpoint: c.Checkpoint, Ticket: c.Ticket, Until: until,
 	})
+	h.noteOrder(now, result != winch.StartUncertain)
 	if reborn := h.setClock(clock); reborn {
 		h.startedElsewhere(ctx, key)
 		return
@@ -80,6 +78,14 @@
 	}
 }
 
+// noteOrder takes whether an order was answered, and its round trip.
+func (h *holder) noteOrder(sent time.Time, ok bool) {
+	h.noteCall(ok)
+	if ok {
+		h.keeper.trips.answered(time.Since(sent))
+	}
+}
+
 // startedElsewhere ends a run that another boot of the worker began, which
 // answered under the same ID. Nothing of that boot is known: started again
 // elsewhere, as all that ran on the boot that was meant, it would run twice.
@@ -125,12 +131,17 @@
 // the next lists tell for good whether it was started.
 func (h *holder) stopUntilHeard(ctx context.Context, key runKey, doubt bool) {
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, orderTime)
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, h.answerLimit())
 		err := h.keeper.Runner.Stop(callCtx, h.vm, h.token, key.task, key.run)
 		cancel()
+		h.noteOrder(sent, isAnswer(err))
 		switch {
 		case err == nil:
 			h.confirm(key, doubt)
+			if doubt {
+				h.list(ctx) // The task waits until it is known whether the run had begun.
+			}
 			return
 		case errors.Is(err, winch.ErrFenced), errors.Is(err, winch.ErrOtherBoot):
 			return // The next hold learns the same and tells it.
