Each job's end is logged with what its time went into; plantainwinch explain

Cause: which requests lose, when and why, had to be pieced together from lines of starts, ends and questions. The planner now counts for each step why its tasks wait (limit, room, room kept for urgent work, advice, an unanswered start, an end that was not heard, an earlier planner's workers) and logs it with the job's end; explain sums it up by queue, moment and reason. The same sight showed that room for urgent work of one service was kept free of all workers' room, so that gangs of another waited beside it: it is counted by service now.

--- /dev/null
+++ b/cause/cause.go
@@ -0,0 +1,241 @@
+// Package cause reads the logs of a region's entries and tells which jobs were late
+// or not accepted, when, and what their time went into.
+package cause
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// lateFactor is how many objectives a job may take until nobody waits for it.
+const lateFactor = 3
+
+// longestLine bounds a line of a log.
+const longestLine = 4 << 20
+
+// Messages of the log that are read.
+const (
+	messageAccepted = "accepted"
+	messageEnded    = "job ended"
+	messageRefused  = "answered otherwise"
+)
+
+// line is what is read of a line of a log. Times are as zap writes them: ts in
+// RFC 3339, durations in seconds.
+type line struct {
+	Message   string             `json:"msg"`
+	At        time.Time          `json:"ts"`
+	Job       string             `json:"job"`
+	Queue     string             `json:"queue"`
+	State     string             `json:"state"`
+	Took      float64            `json:"took"`
+	Objective float64            `json:"objective"`
+	Waited    map[string]float64 `json:"waited"`
+	Status    int                `json:"status"`
+	Reason    string             `json:"reason"`
+}
+
+// Class counts jobs by how well they were served.
+type Class struct {
+	Jobs   int // Jobs counts those that ended or are open.
+	OnTime int
+	Late   int // Late: beyond the objective, within three times it.
+	Missed int // Missed: beyond three times the objective, or failed.
+	Open   int // Open: accepted, and no end in these logs.
+}
+
+// Loss is what the time of jobs that were not on time went into.
+type Loss struct {
+	Reason string
+	Jobs   int           // Jobs counts those of which it is the longest wait.
+	Time   time.Duration // Time is the sum over all jobs that were not on time.
+}
+
+// Queue is what became of a queue's jobs.
+type Queue struct {
+	Name string
+	Class
+	Losses []Loss // Losses begin with the longest.
+}
+
+// Moment is what became of the jobs that were accepted in a span of time.
+type Moment struct {
+	Begin time.Time
+	Class
+	Losses []Loss
+}
+
+// Refusal counts requests that were not accepted, by status and reason.
+type Refusal struct {
+	Status int
+	Reason string
+	Count  int
+}
+
+// Report is what the logs tell.
+type Report struct {
+	Queues   []Queue
+	Moments  []Moment
+	Refusals []Refusal
+}
+
+// Reader gathers the lines of logs. Set the field before the first Read.
+type Reader struct {
+	// Every is the length of a Moment.
+	Every time.Duration
+
+	accepted map[string]line
+	ended    map[string]line
+	refused  map[Refusal]int
+}
+
+// Read takes a log: one JSON object a line, whatever stands before it. Lines
+// without one are passed over.
+func (r *Reader) Read(in io.Reader) error {
+	if r.accepted == nil {
+		r.accepted, r.ended, r.refused = make(map[string]line), make(map[string]line), make(map[Refusal]int)
+	}
+	scan := bufio.NewScanner(in)
+	scan.Buffer(nil, longestLine)
+	for scan.Scan() {
+		at := bytes.IndexByte(scan.Bytes(), '{')
+		var l line
+		if at < 0 || json.Unmarshal(scan.Bytes()[at:], &l) != nil {
+			continue
+		}
+		r.take(l)
+	}
+	return merry.Prepend(scan.Err(), "log cannot be read")
+}
+
+func (r *Reader) take(l line) {
+	switch l.Message {
+	case messageAccepted:
+		if first, known := r.accepted[l.Job]; !known || l.At.Before(first.At) {
+			r.accepted[l.Job] = l
+		}
+	case messageEnded:
+		if first, known := r.ended[l.Job]; !known || l.At.Before(first.At) {
+			r.ended[l.Job] = l
+		}
+	case messageRefused:
+		r.refused[Refusal{Status: l.Status, Reason: l.Reason}]++
+	}
+}
+
+// tally sums up jobs.
+type tally struct {
+	Class
+	losses map[string]*Loss
+}
+
+func (t *tally) loss(reason string) *Loss {
+	if t.losses == nil {
+		t.losses = make(map[string]*Loss)
+	}
+	if t.losses[reason] == nil {
+		t.losses[reason] = &Loss{Reason: reason}
+	}
+	return t.losses[reason]
+}
+
+// add counts a job that ended; one that was cancelled is left out.
+func (t *tally) add(l line) {
+	t.Jobs++
+	switch {
+	case l.State == "Failed" || l.Took > lateFactor*l.Objective:
+		t.Missed++
+	case l.Took <= l.Objective:
+		t.OnTime++
+		return
+	default:
+		t.Late++
+	}
+	longest, most := "work", 0.0
+	for _, reason := range sortedKeys(l.Waited) {
+		d := l.Waited[reason]
+		t.loss(reason).Time += seconds(d)
+		if d > most {
+			longest, most = reason, d
+		}
+	}
+	t.loss(longest).Jobs++
+}
+
+func (t *tally) list() []Loss {
+	out := make([]Loss, 0, len(t.losses))
+	for _, x := range t.losses {
+		out = append(out, *x)
+	}
+	slices.SortFunc(out, func(a, b Loss) int {
+		return cmp.Or(cmp.Compare(b.Jobs, a.Jobs), cmp.Compare(b.Time, a.Time), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
+
+// Report sums up what was read.
+func (r *Reader) Report() Report {
+	queues, moments := make(map[string]*tally), make(map[time.Time]*tally)
+	count := func(queue string, at time.Time, f func(*tally)) {
+		begin := at.Truncate(max(r.Every, time.Millisecond))
+		if queues[queue] == nil {
+			queues[queue] = &tally{}
+		}
+		if moments[begin] == nil {
+			moments[begin] = &tally{}
+		}
+		f(queues[queue])
+		f(moments[begin])
+	}
+	for job, l := range r.ended {
+		if l.State == "Cancelled" {
+			continue
+		}
+		at := l.At.Add(-seconds(l.Took))
+		if a, known := r.accepted[job]; known {
+			at = a.At
+		}
+		count(l.Queue, at, func(t *tally) { t.add(l) })
+	}
+	for job, a := range r.accepted {
+		if _, ended := r.ended[job]; !ended {
+			count(a.Queue, a.At, func(t *tally) { t.Jobs++; t.Open++ })
+		}
+	}
+	var out Report
+	for name, t := range queues {
+		out.Queues = append(out.Queues, Queue{Name: name, Class: t.Class, Losses: t.list()})
+	}
+	for begin, t := range moments {
+		out.Moments = append(out.Moments, Moment{Begin: begin, Class: t.Class, Losses: t.list()})
+	}
+	for x, n := range r.refused {
+		out.Refusals = append(out.Refusals, Refusal{Status: x.Status, Reason: x.Reason, Count: n})
+	}
+	slices.SortFunc(out.Queues, func(a, b Queue) int {
+		return cmp.Or(cmp.Compare(b.Late+b.Missed, a.Late+a.Missed), cmp.Compare(a.Name, b.Name))
+	})
+	slices.SortFunc(out.Moments, func(a, b Moment) int { return a.Begin.Compare(b.Begin) })
+	slices.SortFunc(out.Refusals, func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Status, b.Status), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func sortedKeys(m map[string]float64) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -68,7 +68,7 @@
 	}
 	root.AddCommand(
 		newServe(), newStand(), newDev(), newApply(), newCheck(), newTeam(), newClass(), newService(), newKey(),
-		newCall(), newJob(), newStatus(), newAudit(), newLoad(), newTrial(), newSoak(), newPhased(),
+		newCall(), newJob(), newStatus(), newAudit(), newLoad(), newTrial(), newSoak(), newPhased(), newExplain(),
 	)
 	return root
 }
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -12,15 +12,32 @@
 	// not kept free any more. Urgent jobs run for seconds and come in waves of some
 	// ten seconds; room kept free for much longer than that would stand idle.
 	peakHalf = 6 * time.Second
-	// regionPart is the most of the region's room that is kept free for urgent work:
-	// one team that sends many times its usual would else keep all other work
+	// poolPart is the most of the room of a service's workers that is kept free for
+	// urgent work: one team that sends many times its usual would else keep all other work
 	// waiting beside idle machines. Of its own limit a team's urgent work may have
 	// all kept free: long work started there delays the next burst by seconds.
-	regionPart = 0.5
-	teamPart   = 1.0
+	poolPart = 0.5
+	teamPart = 1.0
 )
 
-// demand is how much urgent work a team, or the region, has lately wanted to
+// pool is the workers of one service.
+type pool struct {
+	// room is that of all usable workers, free what of it was free at the last
+	// Schedule, less what has been started since.
+	room, free winch.Room
+	urgent     demand
+}
+
+func (p *Planner) pool(service string) *pool {
+	x := p.pools[service]
+	if x == nil {
+		x = &pool{}
+		p.pools[service] = x
+	}
+	return x
+}
+
+// demand is how much urgent work a team, or a service, has lately wanted to
 // run at once. Work that is not urgent leaves that much free: it runs for long,
 // and an urgent task that finds the limit reached by it would wait for its end.
 type demand struct {
@@ -76,18 +93,21 @@
 
 // measure counts the urgent work of all teams.
 func (p *Planner) measure(now time.Time) {
-	p.urgent.begin()
+	for _, x := range p.pools {
+		x.urgent.begin()
+		x.room, x.free = winch.Room{}, winch.Room{}
+	}
 	for _, t := range p.teams {
 		t.urgent.begin()
 	}
-	p.room, p.free = winch.Room{}, winch.Room{}
 	for _, w := range p.workers {
 		if w.usable() {
-			p.room, p.free = p.room.Add(w.vm.Room), p.free.Add(w.free())
+			x := p.pool(w.vm.Service)
+			x.room, x.free = x.room.Add(w.vm.Room), x.free.Add(w.free())
 		}
 		for _, r := range w.runs {
 			if r.task != nil && !r.stopping && r.task.step.job.urgent() {
-				p.countUrgent(r.team, r.need, true)
+				p.countUrgent(r.task.step.job, r.need, true)
 			}
 		}
 	}
@@ -102,19 +122,21 @@
 		for _, s := range j.steps {
 			if s.waiting > 0 && s.ready() {
 				for range s.waiting {
-					p.countUrgent(j.team, s.spec.Need, false)
+					p.countUrgent(j, s.spec.Need, false)
 				}
 			}
 		}
 	}
-	p.urgent.end(now)
+	for _, x := range p.pools {
+		x.urgent.end(now)
+	}
 	for _, t := range p.teams {
 		t.urgent.end(now)
 	}
 }
 
-func (p *Planner) countUrgent(t *team, need winch.Room, runs bool) {
-	for _, d := range []*demand{&p.urgent, &t.urgent} {
+func (p *Planner) countUrgent(j *job, need winch.Room, runs bool) {
+	for _, d := range []*demand{&p.pool(j.queue.Service).urgent, &j.team.urgent} {
 		d.want = d.want.Add(need)
 		if runs {
 			d.used = d.used.Add(need)
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -24,6 +24,7 @@
 	case proto.EventNotStarted:
 		p.notStarted(w, e)
 	case proto.EventEnded:
+		p.unheard(e)
 		p.endedAll(w, e.Ended)
 	case proto.EventVanished:
 		p.vanished(w, runKey{e.Task, e.Run})
@@ -130,6 +131,7 @@
 		return
 	}
 	r.started = true
+	r.task.step.spendMost(WaitStart, time.Since(r.since))
 	r.since, r.moved = time.Now(), time.Now()
 	p.counts.Started++
 	r.task.step.job.update()
@@ -146,11 +148,13 @@
 	if r.task == nil {
 		return
 	}
+	r.task.step.spendMost(WaitStart, time.Since(r.since))
 	switch e.Result {
 	case winch.StartTicket:
 		r.task.step.known.expire(w.vm.ID)
 	case winch.StartNoRoom, winch.StartRefused, winch.StartUncertain:
 		w.health.rest(refusedRest)
+		r.task.step.job.unanswered++
 	}
 }
 
@@ -170,6 +174,15 @@
 	}
 }
 
+// unheard counts how long ends may have gone unheard since answers were lost.
+func (p *Planner) unheard(e proto.KeepEvent) {
+	for _, x := range e.Ended {
+		if t := p.task(x.Task); t != nil && e.Blind > 0 {
+			t.step.spendMost(WaitUnheard, e.Blind)
+		}
+	}
+}
+
 func (p *Planner) endedAll(w *worker, list []winch.Ended) {
 	for _, e := range list {
 		if e.Number <= w.lastEnd {
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -53,10 +53,8 @@
 	// not answered yet.
 	roster map[string]bool
 	runs   uint64
-	urgent demand
-	// room is that of all usable workers, free what of it was free at the last
-	// Schedule, less what has been started since.
-	room, free winch.Room
+	// pools holds the room and the urgent demand of each service's workers.
+	pools map[string]*pool
 	// held is the room that is kept for steps which are looked at earlier than others,
 	// as of the last Schedule.
 	held map[*worker]reservation
@@ -65,11 +63,12 @@
 	// ending holds the workers with ends that are not forgotten yet.
 	ending map[*worker]bool
 
-	orders []proto.Order
-	asks   []Ask
-	dirty  []*job
-	gone   []Gone
-	counts Counts
+	orders  []proto.Order
+	asks    []Ask
+	dirty   []*job
+	gone    []Gone
+	endings []Ending
+	counts  Counts
 }
 
 // Counts are totals since the planner took over.
@@ -83,7 +82,7 @@
 	return &Planner{
 		Term: term, Policy: DefaultPolicy(), jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
-		ending: make(map[*worker]bool), held: make(map[*worker]reservation),
+		ending: make(map[*worker]bool), held: make(map[*worker]reservation), pools: make(map[string]*pool),
 	}
 }
 
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -27,12 +27,13 @@
 	ended   time.Time
 
 	// changes counts what is to be recorded, saved how much of it is.
-	changes  uint64
-	saved    uint64
-	saving   bool
-	revision uint64              // revision of the progress record; zero if there is none.
-	failed   map[string][]uint64 // failed lists the runs that failed, by failKey.
-	pressing bool                // pressing says that a caller waits for the record.
+	changes    uint64
+	saved      uint64
+	saving     bool
+	revision   uint64              // revision of the progress record; zero if there is none.
+	failed     map[string][]uint64 // failed lists the runs that failed, by failKey.
+	unanswered int                 // unanswered counts starts without an answer.
+	pressing   bool                // pressing says that a caller waits for the record.
 }
 
 // step is one phase of one run of a job's phases.
@@ -59,6 +60,11 @@
 	// took is the mean run time of the tasks that ended well at a sound pace.
 	took    time.Duration
 	samples int
+	// spent is how long tasks have waited for each reason, reason why some wait
+	// since judged.
+	spent  map[Reason]time.Duration
+	reason Reason
+	judged time.Time
 }
 
 // task is one task of a step.
@@ -175,11 +181,15 @@
 			longest = max(longest, x.tail)
 		}
 	}
-	stretch, target := 1.0, time.Duration(0)
-	if j.queue != nil {
-		stretch, target = j.queue.Stretch, j.queue.Target
+	return s.begin().Add(j.allowance(longest))
+}
+
+// allowance is how long a job may take whose longest chain of work takes a time.
+func (j *job) allowance(chain time.Duration) time.Duration {
+	if j.queue == nil {
+		return chain
 	}
-	return s.begin().Add(target + time.Duration(stretch*float64(longest)))
+	return j.queue.Target + time.Duration(j.queue.Stretch*float64(chain))
 }
 
 func (j *job) step(k, phase int) *step {
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -106,11 +106,17 @@
 	}
 	var waiting []entry
 	for _, j := range p.active {
-		if j.state.Final() || adopting && j.rec.Revision <= p.Fresh || !p.KnownBefore.IsZero() && j.heard.After(p.KnownBefore) {
+		if j.state.Final() {
 			continue
 		}
+		held := p.holds(j, adopting)
 		for _, s := range j.steps {
-			if s.waiting > 0 && s.ready() {
+			if s.waiting == 0 || !s.ready() {
+				continue
+			}
+			if held != 0 {
+				s.account(now, held)
+			} else {
 				waiting = append(waiting, entry{s, p.rank(s, now)})
 			}
 		}
@@ -123,6 +129,7 @@
 		p.place(e.step, now)
 		p.reserve(e.step, now, e.rank)
 		p.advise(e.step, now, e.rank, 0)
+		e.step.account(now, p.heldBy(e.step))
 	}
 	if p.Policy.Moves && !adopting && p.KnownBefore.IsZero() {
 		p.move(now)
@@ -185,7 +192,8 @@
 // order starts a task at a worker.
 func (p *Planner) order(t *task, w *worker, number uint64, checkpoint string) {
 	r := p.addRun(w, t, t.id(), number)
-	p.free = p.free.Sub(r.charge)
+	x := p.pool(t.step.job.queue.Service)
+	x.free = x.free.Sub(r.charge)
 	t.step.job.begun = true
 	p.orders = append(p.orders, proto.Order{
 		Kind: proto.OrderStart, Worker: w.vm.ID, Task: t.id(), Run: number,
@@ -195,7 +203,7 @@
 
 // spare reports whether a step may take what it needs: urgent and lasting work
 // may always, the rest leaves the reserve for urgent work free, of its team's
-// limit and of the region's room.
+// limit and of the room of its service's workers.
 func (p *Planner) spare(s *step) bool {
 	if !p.Policy.UrgentRoom || s.job.quick() || s.spec.Lasting {
 		return true
@@ -204,8 +212,9 @@
 	if !t.allows(s.spec.Need.Add(t.urgent.reserve(t.Cap, teamPart))) {
 		return false
 	}
-	kept := p.urgent.reserve(p.room, regionPart)
-	return s.spec.Fills || kept == (winch.Room{}) || s.spec.Need.Add(kept).Fits(p.free)
+	x := p.pool(s.job.queue.Service)
+	kept := x.urgent.reserve(x.room, poolPart)
+	return s.spec.Fills || kept == (winch.Room{}) || s.spec.Need.Add(kept).Fits(x.free)
 }
 
 // candidates returns the workers that may run the step now, whatever their room.
--- a/coord/fleet/policy_test.go
+++ b/coord/fleet/policy_test.go
@@ -209,3 +209,36 @@
 		is.True(len(asked) <= 4)
 	})
 }
+
+// A burst of urgent work at one service keeps the room of another service free, which
+// it cannot use.
+func TestUrgentWorkOfAnotherServiceKeepsNoRoomFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		optics := winch.Queue{Name: "scan", Service: "optics", Priority: 2, Attempts: 2, Target: time.Second, Stretch: 2}
+		c := newCell(t, 4, urgentQueue(), optics)
+		w := c.planner.workers["w3"]
+		w.vm.Service = "optics"
+		c.add("a", "preview", "choir", tasks(300, 1000))
+		is.Equal(len(c.step()), 48)
+		c.add("b", "scan", "duct", tasks(16, 1000))
+		is.Equal(len(c.step()), 16)
+	})
+}
+
+// The record of a job's end tells what its time went into.
+func TestEndingTellsWhatTheTimeWentInto(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, usualQueue())
+		c.add("a", "mix", "choir", tasks(1, 16000))
+		c.add("b", "mix", "choir", tasks(1, 16000))
+		c.playUntil(5*time.Second, func(time.Duration) {}, func() bool { return c.state("b") == winch.JobDone })
+		endings := c.planner.Endings()
+		is.Equal(len(endings), 2)
+		is.Equal(endings[0].Waited[WaitRoom], time.Duration(0))
+		is.True(endings[1].Waited[WaitRoom] >= time.Second)
+		is.True(endings[1].Took >= 2*time.Second)
+		is.Equal(len(c.planner.Endings()), 0)
+	})
+}
--- a/coord/fleet/record.go
+++ b/coord/fleet/record.go
@@ -96,8 +96,11 @@
 	j.revision = revision
 	j.saved = max(j.saved, r.Changes)
 	if r.Progress.State.Final() {
-		j.shown = r.Progress.State
 		j.pressing = false
+		if j.shown != j.state {
+			p.endings = append(p.endings, j.ending(time.Now()))
+		}
+		j.shown = r.Progress.State
 		j.ended = time.Now() // Callers are shown it from now on, and it is kept from now on.
 	}
 	for w := range p.ending {
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -8,7 +8,7 @@
 	"plantainwinch/winch"
 )
 
-// Reason says why a lasting task does not run.
+// Reason says why a task does not run, or is not known to have ended.
 type Reason int
 
 // Reasons, in the order in which they are looked for.
@@ -42,6 +42,10 @@
 	WaitDenied
 	// WaitRoom: no worker that may run it has room.
 	WaitRoom
+	// WaitUrgentRoom: what is free is kept for urgent work.
+	WaitUrgentRoom
+	// WaitUnheard: the end of a run was listed late, since the worker's answers were lost.
+	WaitUnheard
 )
 
 // String implements fmt.Stringer.
@@ -50,6 +54,7 @@
 		"", "run not known as ended", "start not confirmed", "queue not configured", "earlier planner's workers not heard",
 		"office may have lapsed", "team's limit", "no worker", "workers set aside", "next decision", "advice asked",
 		"advice failed", "no ticket", "not allowed", "no room",
+		"room kept for urgent work", "end not heard",
 	}
 	if r < 0 || int(r) >= len(names) {
 		return ""
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -388,7 +388,12 @@
 	h.listsAt = max(h.listsAt, answer.Clock)
 	back := h.silent
 	h.silent = false
-	h.heard = time.Now()
+	now := time.Now()
+	blind := time.Duration(0)
+	if back {
+		blind = now.Sub(h.heard)
+	}
+	h.heard = now
 	if back {
 		h.keeper.Log.Info("worker answers again", zap.String("worker", h.vm.ID), zap.Uint64("token", h.token))
 	}
@@ -409,7 +414,7 @@
 		out = append(out, proto.KeepEvent{Kind: proto.EventBack, Spell: h.spell})
 	}
 	if len(fresh) > 0 {
-		out = append(out, proto.KeepEvent{Kind: proto.EventEnded, Ended: fresh})
+		out = append(out, proto.KeepEvent{Kind: proto.EventEnded, Ended: fresh, Blind: blind})
 	}
 	out = append(out, h.compare(sent, answer)...)
 	return append(out, h.look(answer.Running)...)
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -170,6 +170,9 @@
 	Spell uint64 `cbor:"10,keyasint,omitempty"`
 	// Turn is, with EventKnown and EventReleased, that of the holding.
 	Turn uint64 `cbor:"11,keyasint,omitempty"`
+	// Blind is, with EventEnded, for how long nothing had been heard of the worker
+	// although it was asked; zero if its last call was answered.
+	Blind time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // AdviseAsk asks an entry to call the advice service in its lane.
