A worker is asked once more before it counts as silent

It is now asked once more at once, without a longer lease; until when its lease runs counts as before. While answers are lost holds last 0.3 s, and answers are waited for 0.1 s at least. The log of a job's end tells whether it was beyond its team's share and how long its record took.

--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -20,6 +20,8 @@
 	Waited map[Reason]time.Duration
 	// Unanswered counts starts without an answer, Failed runs that failed.
 	Unanswered, Failed int
+	// Excess says that its team handed it in beyond its share.
+	Excess bool
 }
 
 // account notes why a step's tasks wait from now on, and counts the time since it
@@ -87,7 +89,7 @@
 	out := Ending{
 		Job: j.rec.ID, Queue: j.rec.Queue, Team: j.rec.Team, State: j.state, Accepted: begin,
 		Took: now.Sub(begin), Objective: j.allowance(j.seenChain()),
-		Waited: make(map[Reason]time.Duration), Unanswered: j.unanswered,
+		Waited: make(map[Reason]time.Duration), Unanswered: j.unanswered, Excess: j.excess,
 	}
 	for _, s := range j.steps {
 		s.account(now, 0)
@@ -95,6 +97,7 @@
 			out.Waited[reason] += d
 		}
 	}
+	out.Waited[WaitRecord] = now.Sub(j.ended)
 	for _, runs := range j.failed {
 		out.Failed += len(runs)
 	}
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -44,6 +44,8 @@
 	WaitRoom
 	// WaitUrgentRoom: what is free is kept for urgent work.
 	WaitUrgentRoom
+	// WaitRecord: all tasks have ended, and the store does not hold that yet.
+	WaitRecord
 	// WaitUnheard: the end of a run was listed late, since the worker's answers were lost.
 	WaitUnheard
 )
@@ -54,7 +56,7 @@
 		"", "run not known as ended", "start not confirmed", "queue not configured", "earlier planner's workers not heard",
 		"office may have lapsed", "team's limit", "no worker", "workers set aside", "next decision", "advice asked",
 		"advice failed", "no ticket", "not allowed", "no room",
-		"room kept for urgent work", "end not heard",
+		"room kept for urgent work", "not recorded", "end not heard",
 	}
 	if r < 0 || int(r) >= len(names) {
 		return ""
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -29,7 +29,7 @@
 	recordTime = 140 * time.Millisecond
 	// lossyWait is used while answers are lost: nothing is heard of a worker's ends
 	// from the loss of an answer until the next hold.
-	lossyWait = 400 * time.Millisecond
+	lossyWait = 300 * time.Millisecond
 	// shutWait is how long a worker may wait for an end while its lease may not be
 	// renewed yet, and openTime how long the next hold waits for that.
 	shutWait = 300 * time.Millisecond
@@ -110,6 +110,9 @@
 	// prior is when the leases that earlier holdings gave have surely passed.
 	prior  time.Time
 	silent bool
+	// doubted says that the last hold was not answered: the worker is asked once more,
+	// at once, before it counts as silent.
+	doubted bool
 	// open says that the lease may be renewed: the planner knows that the worker
 	// answers in this spell. Otherwise, were this keeper lost, the planner would have
 	// to count the longest lease from then on, for a worker that never answered too.
@@ -221,6 +224,9 @@
 			h.waitRecorded(ctx)
 			continue
 		}
+		if h.doubt(err) {
+			continue
+		}
 		if h.over(err) {
 			return
 		}
@@ -228,6 +234,19 @@
 	}
 }
 
+// doubt reports whether the worker is to be asked once more before it counts as
+// silent. An answer that is lost says nothing of the worker, and a silent one gets
+// no work until planner and standby have heard that it answers.
+func (h *holder) doubt(err error) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if isAnswer(err) || h.silent || h.doubted || !h.listed {
+		return false
+	}
+	h.doubted = true
+	return true
+}
+
 // waitRecorded waits until the ends that were told are recorded, not for long.
 func (h *holder) waitRecorded(ctx context.Context) {
 	duty.Pause(ctx, holdPause)
@@ -256,7 +275,7 @@
 		if h.closely {
 			call.Wait = closeWait
 		}
-		if h.open && !h.closed {
+		if h.open && !h.closed && !h.doubted {
 			h.until = h.clockNow(sent) + lease
 			h.own = later(h.own, sent.Add(Surely(lease)))
 		} else {
@@ -264,7 +283,7 @@
 		}
 		call.Until = h.until
 	}
-	if h.silent {
+	if h.silent || h.doubted {
 		// Another boot may answer under the same ID, whose ends are numbered anew:
 		// told the numbers of the last one it would drop ends that nobody has seen.
 		// It is asked at once who it is, and told nothing.
@@ -294,7 +313,7 @@
 func (h *holder) list(ctx context.Context) {
 	h.mu.Lock()
 	ask := winch.HoldCall{Token: h.token, Forget: h.forget, Until: h.until}
-	ok := h.listed && !h.silent
+	ok := h.listed && !h.silent && !h.doubted
 	h.mu.Unlock()
 	if !ok {
 		return // The next hold asks without waiting.
@@ -316,7 +335,7 @@
 	if first {
 		h.spell++
 	}
-	h.silent, h.open = true, false
+	h.silent, h.open, h.doubted = true, false, false
 	left := time.Until(h.lapse())
 	lapsed := left <= 0
 	state := h.describe(err)
@@ -390,9 +409,10 @@
 	h.silent = false
 	now := time.Now()
 	blind := time.Duration(0)
-	if back {
+	if back || h.doubted {
 		blind = now.Sub(h.heard)
 	}
+	h.doubted = false
 	h.heard = now
 	if back {
 		h.keeper.Log.Info("worker answers again", zap.String("worker", h.vm.ID), zap.Uint64("token", h.token))
--- a/coord/keep/trips.go
+++ b/coord/keep/trips.go
@@ -11,7 +11,7 @@
 const (
 	// leastAnswer and mostAnswer bound how long the answer to a call is waited for. It
 	// follows the round trips that were seen; before the first it is mostAnswer.
-	leastAnswer = 120 * time.Millisecond
+	leastAnswer = 100 * time.Millisecond
 	mostAnswer  = 600 * time.Millisecond
 	// tripStep and spreadStep are how much one round trip moves the mean and the
 	// spread, and spreads how many spreads beyond the mean are waited for (RFC 6298).
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -25,7 +25,7 @@
 	// than it takes to replace a planner that is lost. wordAgain is how often it is told
 	// again, and wordMargin what the planner adds before it counts on nothing of it.
 	wordTime   = 2100 * time.Millisecond
-	wordAgain  = 300 * time.Millisecond
+	wordAgain  = 150 * time.Millisecond
 	wordMargin = 100 * time.Millisecond
 )
 
