--- a/coord/lanes/lanes.go
+++ b/coord/lanes/lanes.go
@@ -5,15 +5,20 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// urgentPart is the part of the lanes that slow questions leave to urgent
-	// ones. A slow one takes half a second and more, an urgent one some 30 ms; with
-	// no lane kept free, urgent ones wait behind slow ones for most of their time.
-	urgentPart = 1.0 / 3
+	// urgentSpare is how many times the lanes that urgent questions have lately taken
+	// are left to them by slow ones. A slow one takes half a second and more, an urgent
+	// one some 30 ms; with no lane kept free, urgent ones wait behind slow ones for most
+	// of their time. At most urgentMost of the lanes are left.
+	urgentSpare = 2.0
+	urgentMost  = 0.5
+	// urgentHalf is how long it takes until half of a change of their use is noticed.
+	urgentHalf = 3 * time.Second
 	// restAfterFailure is how long a lane that gave no answer is left alone.
 	restAfterFailure = time.Second
 )
@@ -30,6 +35,10 @@
 	lanes   map[string]*lane
 	waiting []Question[T]
 	slow    int // slow counts lanes that are busy with questions that are not urgent.
+	urgent  int // urgent counts those that are busy with urgent ones.
+	// use is the mean of urgent up to at.
+	use float64
+	at  time.Time
 }
 
 type lane struct {
@@ -82,6 +91,7 @@
 		}
 		return 1
 	})
+	l.measure(now)
 	name := l.free(now)
 	q := l.waiting[0]
 	if name == "" || !q.Urgent && l.slow >= l.mostSlow() {
@@ -90,7 +100,9 @@
 	l.waiting = slices.Delete(l.waiting, 0, 1)
 	x := l.lanes[name]
 	x.busy, x.urgent = true, q.Urgent
-	if !q.Urgent {
+	if q.Urgent {
+		l.urgent++
+	} else {
 		l.slow++
 	}
 	return name, q, true
@@ -102,7 +114,17 @@
 	if n <= 1 {
 		return n
 	}
-	return n - max(1, int(float64(n)*urgentPart))
+	kept := min(int(math.Ceil(urgentSpare*l.use)), int(urgentMost*float64(n)))
+	return n - max(1, kept)
+}
+
+// measure takes what urgent questions have used since the last call into the mean.
+func (l *Lanes[T]) measure(now time.Time) {
+	if !l.at.IsZero() {
+		kept := math.Exp2(-now.Sub(l.at).Seconds() / urgentHalf.Seconds())
+		l.use += (1 - kept) * (float64(l.urgent) - l.use)
+	}
+	l.at = now
 }
 
 func (l *Lanes[T]) free(now time.Time) string {
@@ -121,8 +143,11 @@
 	if x == nil || !x.busy {
 		return
 	}
+	l.measure(now)
 	x.busy = false
-	if !x.urgent {
+	if x.urgent {
+		l.urgent--
+	} else {
 		l.slow--
 	}
 	if !ok {
