--- a/region/record.go
+++ b/region/record.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/fleet"
@@ -17,6 +18,9 @@
 	// commitGap is the pause between two transactions that no caller waits for:
 	// one carries all that has changed meanwhile.
 	commitGap = 100 * time.Millisecond
+	// committers is how many transactions may be on their way at once: while the store
+	// is slow, an end that comes just after one was sent need not wait for its answer.
+	committers = 3
 	// commitMost is how many records one transaction carries, with a condition and
 	// a write each, and the condition on the office.
 	commitMost = (winch.TxnEntries - 1) / 2
@@ -29,6 +33,14 @@
 
 // runCommits writes changed records until ctx ends.
 func (l *lead) runCommits(ctx context.Context) {
+	var group conc.WaitGroup
+	for range committers {
+		group.Go(func() { l.writeRecords(ctx) })
+	}
+	group.Wait()
+}
+
+func (l *lead) writeRecords(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
