Tasks that stand still or are much slower than their siblings start elsewhere

Cause: nothing looked at the progress that workers report; a task on a worker that stands still ran until its caller had gone. A run that reports no progress for a second, or a third of the rate of its step's other tasks, is stopped and started elsewhere if it would end sooner there, twice a task at most; a worker where most runs are so gets no new work for 2 s.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -133,6 +133,9 @@
 	r.started = true
 	r.task.step.spendMost(WaitStart, time.Since(r.since))
 	r.since, r.moved = time.Now(), time.Now()
+	if r.task.checkpoint == "" {
+		r.baseAt = r.since
+	}
 	p.counts.Started++
 	r.task.step.job.update()
 }
@@ -311,10 +314,14 @@
 		if r.percent != x.Percent {
 			r.percent, r.moved = x.Percent, now
 		}
+		if r.baseAt.IsZero() {
+			r.base, r.baseAt = x.Percent, now
+		}
 		r.load = x.Load
 		if r.task != nil && x.Checkpoint != "" {
 			r.task.checkpoint = x.Checkpoint
 		}
 	}
 	p.pace(w, now)
+	p.judgeSpeed(w, now)
 }
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -73,8 +73,8 @@
 
 // Counts are totals since the planner took over.
 type Counts struct {
-	Started, NotStarted, Done, Failed, Stopped, Lost, Asked int64
-	Running                                                 int
+	Started, NotStarted, Done, Failed, Stopped, Lost, Asked, Restarted int64
+	Running                                                            int
 }
 
 // New returns an empty planner.
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -78,6 +78,8 @@
 	checkpoint string
 	// avoid names the worker at which the task failed last.
 	avoid string
+	// restarts counts how often it was stopped since it was slow.
+	restarts int
 	// seen is when a run that has ended was last known to do the task's work.
 	seen time.Time
 }
--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -14,6 +14,8 @@
 	// AskAll asks about all workers at once where that costs little more than asking
 	// about some: who may run a step does not change.
 	AskAll bool
+	// Restart starts tasks elsewhere that stand still or are much slower than others.
+	Restart bool
 	// UrgentRoom keeps room free for urgent work.
 	UrgentRoom bool
 	// Shares ranks what a team hands in beyond its share behind the rest.
@@ -29,7 +31,7 @@
 // DefaultPolicy returns the policy that serves: all mechanisms.
 func DefaultPolicy() Policy {
 	return Policy{
-		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true,
+		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true,
 		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true,
 	}
 }
--- /dev/null
+++ b/coord/fleet/slow_test.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// report has each worker tell the progress of its runs, as rate says in percent a
+// second, every half a second for some time. It decides and returns the starts.
+func (c *cell) report(length time.Duration, rate func(worker string) float64) []proto.Order {
+	var starts []proto.Order
+	done := make(map[runKey]float64)
+	for begin := time.Now(); time.Since(begin) < length; {
+		time.Sleep(500 * time.Millisecond)
+		running := make(map[string][]winch.Running)
+		for _, o := range c.running {
+			key := runKey{o.Task, o.Run}
+			done[key] = min(99, done[key]+rate(o.Worker)/2)
+			running[o.Worker] = append(running[o.Worker], winch.Running{Task: o.Task, Run: o.Run, Percent: done[key]})
+		}
+		for id, list := range running {
+			c.planner.Event(proto.KeepEvent{Kind: proto.EventStatus, Worker: id, Running: list})
+		}
+		starts = append(starts, c.step()...)
+	}
+	return starts
+}
+
+// startOnTwo starts a job of four tasks on two workers, and returns one of these.
+func startOnTwo(c *cell, estimate time.Duration) string {
+	phase := tasks(4, 1000)
+	phase.Estimate, phase.MostPerVM = estimate, 2
+	c.add("a", "mix", "choir", phase)
+	return c.step()[0].Worker
+}
+
+// Tasks on a worker stand still. Its answers are good, so nothing else would ever end
+// them, and the job is never done.
+func TestTaskThatStandsStillIsStartedElsewhere(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t, 4, usualQueue())
+			c.planner.Policy.Restart = on
+			stuck := startOnTwo(c, 4*time.Second)
+			starts := c.report(3*time.Second, func(worker string) float64 {
+				if worker == stuck {
+					return 0
+				}
+				return 20
+			})
+			is.Equal(len(starts) > 0, on)
+			for _, o := range starts {
+				is.True(o.Worker != stuck)
+			}
+		})
+	}
+}
+
+// A worker turns slow, and a step waits for it while other workers are idle.
+func TestTaskOfASlowWorkerIsStartedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 4, usualQueue())
+		slow := startOnTwo(c, 10*time.Second)
+		starts := c.report(3*time.Second, func(worker string) float64 {
+			if worker == slow {
+				return 2
+			}
+			return 12
+		})
+		is.True(len(starts) > 0)
+		for _, o := range starts {
+			is.True(o.Worker != slow)
+		}
+	})
+}
+
+// Estimates are wrong by several times; that is no sign of a slow worker.
+func TestTasksThatAreLongerThanTheirEstimateStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 4, usualQueue())
+		startOnTwo(c, time.Second)
+		is.Equal(len(c.report(6*time.Second, func(string) float64 { return 10 })), 0)
+	})
+}
+
+// Work that stands still everywhere is stopped and started for ever.
+func TestTaskThatStandsStillEverywhereIsLeftAfterAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 8, usualQueue())
+		c.add("a", "mix", "choir", tasks(1, 1000))
+		c.step()
+		is.True(len(c.report(40*time.Second, func(string) float64 { return 0 })) <= mostRestarts)
+	})
+}
+
+// No other worker has room: a slow task goes on where it is.
+func TestSlowTaskStaysWhereNoOtherWorkerHasRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(t, 1, usualQueue())
+		c.add("a", "mix", "choir", tasks(1, 1000))
+		c.step()
+		is.Equal(len(c.report(5*time.Second, func(string) float64 { return 0 })), 0)
+		is.Equal(len(c.running), 1)
+	})
+}
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -32,6 +32,9 @@
 	// percent is the progress last reported, moved when it last changed.
 	percent float64
 	moved   time.Time
+	// base is the progress that was told first, at baseAt.
+	base    float64
+	baseAt  time.Time
 	load    float64
 	pace    int // pace is the percentage in force, 100 at the start, or paceUnknown.
 	pacedAt time.Time
