--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -114,11 +114,11 @@
 		for _, a := range s.after {
 			before = max(before, chain[a])
 		}
-		took := s.took
+		took := s.longest
 		if s.samples == 0 {
 			took = s.spec.Estimate
 		}
-		chain[s] = before + took
+		chain[s] = before + took + j.queue.adviceTime()
 		longest = max(longest, chain[s])
 	}
 	return longest
--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -23,6 +23,8 @@
 	// askSpare is how many times the room that a step needs is asked for, since
 	// other work takes some of it before the answer comes.
 	askSpare = 2.0
+	// adviceWorkers is the number of workers in the question that objectives allow for.
+	adviceWorkers = 30
 	// askAgain is the pause after a question that failed.
 	askAgain = 100 * time.Millisecond
 )
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -300,6 +300,7 @@
 	}
 	took := time.Since(r.since)
 	s.samples++
+	s.longest = max(s.longest, took)
 	s.took += (took - s.took) / time.Duration(s.samples)
 }
 
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -95,6 +95,15 @@
 	turnaround time.Duration
 }
 
+// adviceTime is how long a question about the usual number of workers takes, which a
+// job's objective allows for once for each phase.
+func (q *queue) adviceTime() time.Duration {
+	if q == nil || q.Advice == nil {
+		return 0
+	}
+	return q.Advice.Call + adviceWorkers*q.Advice.Worker
+}
+
 type team struct {
 	winch.RegionTeam
 	// used is what all runs of the team hold that may exist, stopping ones included.
@@ -122,6 +131,7 @@
 	for _, j := range p.jobs {
 		if j.queue == nil {
 			j.queue = p.queues[j.rec.Queue]
+			j.chains()
 		}
 	}
 }
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -57,8 +57,9 @@
 	gang  gangRun
 	// slots are the places where the tasks that wait are expected to start.
 	slots []slot
-	// took is the mean run time of the tasks that ended well at a sound pace.
+	// took is the mean run time of the tasks that ended well, longest the longest.
 	took    time.Duration
+	longest time.Duration
 	samples int
 	// spent is how long tasks have waited for each reason, reason why some wait
 	// since judged.
@@ -126,6 +127,7 @@
 	for k := range max(1, rec.Times) {
 		j.addRun(k)
 	}
+	j.chains()
 	if progress != nil {
 		j.restore(progress)
 	}
@@ -149,15 +151,24 @@
 		s.waiting = len(s.tasks)
 		j.steps = append(j.steps, s)
 	}
-	j.chain(first)
 }
 
-// chain computes the longest chain of estimates from each phase on. A phase
-// names earlier phases only, so one pass backwards is enough.
+// chains computes the longest chain of estimates from each phase of each run on.
+func (j *job) chains() {
+	for _, s := range j.steps {
+		s.tail = 0
+	}
+	for first := 0; first < len(j.steps); first += len(j.rec.Phases) {
+		j.chain(first)
+	}
+}
+
+// chain computes the longest chain of one run. A phase names earlier phases only, so
+// one pass backwards is enough.
 func (j *job) chain(first int) {
-	steps := j.steps[first:]
+	steps := j.steps[first : first+len(j.rec.Phases)]
 	for i, s := range slices.Backward(steps) {
-		s.tail += s.spec.Estimate
+		s.tail += s.spec.Estimate + j.queue.adviceTime()
 		for _, a := range s.spec.After {
 			if a < i {
 				steps[a].tail = max(steps[a].tail, s.tail)
