--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -58,6 +58,8 @@
 	// held is the room that is kept for steps which are looked at earlier than others,
 	// as of the last Schedule.
 	held map[*worker]reservation
+	// preempted is when work was last stopped for other work.
+	preempted time.Time
 	// planned counts the steps that it looked for places for.
 	planned int
 	// ending holds the workers with ends that are not forgotten yet.
@@ -73,8 +75,8 @@
 
 // Counts are totals since the planner took over.
 type Counts struct {
-	Started, NotStarted, Done, Failed, Stopped, Lost, Asked, Restarted int64
-	Running                                                            int
+	Started, NotStarted, Done, Failed, Stopped, Lost, Asked, Restarted, Preempted int64
+	Running                                                                       int
 }
 
 // New returns an empty planner.
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -79,8 +79,9 @@
 	checkpoint string
 	// avoid names the worker at which the task failed last.
 	avoid string
-	// restarts counts how often it was stopped since it was slow.
-	restarts int
+	// yields counts how often it was stopped for other work, restarts how often
+	// since it was slow.
+	yields, restarts int
 	// seen is when a run that has ended was last known to do the task's work.
 	seen time.Time
 }
--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -16,6 +16,9 @@
 	AskAll bool
 	// Restart starts tasks elsewhere that stand still or are much slower than others.
 	Restart bool
+	// Preempt stops work that saves its progress and has time to spare, for gangs and
+	// large tasks that would wait long for room.
+	Preempt bool
 	// UrgentRoom keeps room free for urgent work.
 	UrgentRoom bool
 	// Shares ranks what a team hands in beyond its share behind the rest.
@@ -31,7 +34,7 @@
 // DefaultPolicy returns the policy that serves: all mechanisms.
 func DefaultPolicy() Policy {
 	return Policy{
-		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true,
+		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true, Preempt: true,
 		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true,
 	}
 }
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -66,6 +66,7 @@
 		h.room = h.room.Add(s.spec.Charge())
 		p.held[x.w] = h
 	}
+	p.preempt(s, now, r)
 }
 
 // large reports whether a task of the step takes a large part of a worker.
