Preemption reverted; the planner's clock is a field; a decision costs less

The clock is a field, so that a trial can play minutes in a second. A decision looked at all workers for each task that waits and sorted them, and looked for places anew each time. Workers are listed by service once a decision, steps that fit into no worker's free room are passed over, and places are kept for 20 ms.

--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -86,6 +86,9 @@
 // covered counts the tasks that fit into workers with good tickets.
 func (p *Planner) covered(s *step, now time.Time) int {
 	n := 0
+	if !s.spec.Charge().Fits(p.pool(s.job.queue.Service).most) {
+		return 0
+	}
 	for _, w := range p.candidates(s, now) {
 		n += p.fit(s, w)
 	}
@@ -128,6 +131,10 @@
 // of the answer where the step is known to be allowed, as many as probably suffice.
 // A first question names as many as cost no more than the question itself.
 func (p *Planner) toAsk(s *step, now time.Time, wanted int) []string {
+	full := !s.spec.Charge().Fits(p.pool(s.job.queue.Service).most)
+	if full && len(s.slots) == 0 && !(p.Policy.AskAll && s.known.asked.IsZero()) {
+		return nil
+	}
 	options := p.options(s, now)
 	var out []string
 	room := 0.0
@@ -159,7 +166,8 @@
 func (p *Planner) options(s *step, now time.Time) []option {
 	var out []option
 	answer := now.Add(s.job.queue.turnaround)
-	for id, w := range p.workers {
+	for _, w := range p.pool(s.job.queue.Service).workers {
+		id := w.vm.ID
 		if s.known.denied[id] || !p.suits(s, w, now) {
 			continue
 		}
@@ -237,7 +245,7 @@
 		s.known.allowed[t.Worker] = permit{t.Value, sent.Add(valid)}
 	}
 	if q := s.job.queue; q != nil {
-		q.turnaround += time.Duration(turnStep * float64(time.Since(a.Asked)-q.turnaround))
+		q.turnaround += time.Duration(turnStep * float64(p.now().Sub(a.Asked)-q.turnaround))
 	}
 	if fresh > 0 && s.job.queue != nil {
 		q := s.job.queue
@@ -248,7 +256,7 @@
 // AdviceFailed notes that a question got no answer.
 func (p *Planner) AdviceFailed(a Ask) {
 	if s := p.asked(a); s != nil {
-		s.known.retry = time.Now().Add(askAgain)
+		s.known.retry = p.now().Add(askAgain)
 	}
 }
 
--- /dev/null
+++ b/coord/fleet/bench_test.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// BenchmarkSchedule measures one decision while 10,000 tasks wait in 500 jobs of several
+// kinds, at the sizes that are played and at the one to design for.
+func BenchmarkSchedule(b *testing.B) {
+	for _, workers := range []int{48, 350, 3000} {
+		for _, advised := range []bool{false, true} {
+			b.Run(fmt.Sprintf("workers=%d/advice=%t", workers, advised), func(b *testing.B) {
+				p := waitingPlanner(workers, advised)
+				for range 20 {
+					p.Schedule()
+					p.Orders()
+					answerAll(p)
+				}
+				b.ResetTimer()
+				for b.Loop() {
+					p.Schedule()
+					p.Orders()
+					p.Asks()
+				}
+			})
+		}
+	}
+}
+
+// answerAll allows every fourth worker that was asked about.
+func answerAll(p *Planner) {
+	for _, a := range p.Asks() {
+		var tickets []winch.Ticket
+		for i, id := range a.Workers {
+			if i%4 == 0 {
+				tickets = append(tickets, winch.Ticket{Worker: id, Value: "t"})
+			}
+		}
+		p.Advice(a, tickets, time.Hour, p.now())
+	}
+}
+
+func waitingPlanner(workers int, advised bool) *Planner {
+	p := New(1)
+	queues := []winch.Queue{urgentQueue(), usualQueue()}
+	if advised {
+		for i := range queues {
+			queues[i].Advice = &winch.AdviceCost{Call: 20 * time.Millisecond, Worker: time.Millisecond, Valid: time.Hour}
+		}
+	}
+	p.SetConfig(&winch.RegionConfig{Version: 1, Queues: queues, Teams: []winch.RegionTeam{{Name: "choir"}}})
+	var list []winch.WorkerVM
+	for i := range workers {
+		list = append(list, winch.WorkerVM{ID: fmt.Sprintf("w%04d", i), Service: "render", Room: winch.Room{Milli: 16_000, Memory: 32 * gigabyte}, Born: 1})
+	}
+	p.SetWorkers(list)
+	for _, vm := range list {
+		p.Event(proto.KeepEvent{Kind: proto.EventListed, Worker: vm.ID})
+	}
+	for i := range workers {
+		addTo(p, fmt.Sprintf("run%04d", i), "mix", 4, 4000, false)
+	}
+	for range 40 {
+		p.Schedule()
+		p.Orders()
+		answerAll(p)
+	}
+	for i := range 500 {
+		queue := "mix"
+		if i%2 == 0 {
+			queue = "preview"
+		}
+		addTo(p, fmt.Sprintf("wait%04d", i), queue, 20, 5000, i%10 == 0)
+	}
+	return p
+}
+
+func addTo(p *Planner, id, queue string, count int, milli int64, gang bool) {
+	phase := winch.Phase{Count: count, Need: winch.Room{Milli: milli, Memory: gigabyte}, Estimate: 10 * time.Second, Gang: gang}
+	p.Add(&winch.PhasedJob{ID: id, Queue: queue, Team: "choir", Phases: []winch.Phase{phase}, Accepted: time.Now(), Revision: 7}, nil, 0)
+}
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"plantainwinch/winch"
@@ -26,6 +28,11 @@
 	// Schedule, less what has been started since.
 	room, free winch.Room
 	urgent     demand
+	// workers are those that may be given work, by ID, as of the last Schedule.
+	workers []*worker
+	// most is the largest free room of each kind at any of them: what does not fit
+	// into it fits nowhere.
+	most winch.Room
 }
 
 func (p *Planner) pool(service string) *pool {
@@ -95,7 +102,7 @@
 func (p *Planner) measure(now time.Time) {
 	for _, x := range p.pools {
 		x.urgent.begin()
-		x.room, x.free = winch.Room{}, winch.Room{}
+		x.room, x.free, x.most, x.workers = winch.Room{}, winch.Room{}, winch.Room{}, x.workers[:0]
 	}
 	for _, t := range p.teams {
 		t.urgent.begin()
@@ -104,6 +111,11 @@
 		if w.usable() {
 			x := p.pool(w.vm.Service)
 			x.room, x.free = x.room.Add(w.vm.Room), x.free.Add(w.free())
+			x.workers = append(x.workers, w)
+			left := w.free()
+			x.most = winch.Room{
+				Milli: max(x.most.Milli, left.Milli), Memory: max(x.most.Memory, left.Memory), Accelerators: max(x.most.Accelerators, left.Accelerators),
+			}
 		}
 		for _, r := range w.runs {
 			if r.task != nil && !r.stopping && r.task.step.job.urgent() {
@@ -129,6 +141,7 @@
 	}
 	for _, x := range p.pools {
 		x.urgent.end(now)
+		slices.SortFunc(x.workers, func(a, b *worker) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
 	}
 	for _, t := range p.teams {
 		t.urgent.end(now)
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -131,8 +131,8 @@
 		return
 	}
 	r.started = true
-	r.task.step.spendMost(WaitStart, time.Since(r.since))
-	r.since, r.moved = time.Now(), time.Now()
+	r.task.step.spendMost(WaitStart, p.now().Sub(r.since))
+	r.since, r.moved = p.now(), p.now()
 	if r.task.checkpoint == "" {
 		r.baseAt = r.since
 	}
@@ -151,12 +151,12 @@
 	if r.task == nil {
 		return
 	}
-	r.task.step.spendMost(WaitStart, time.Since(r.since))
+	r.task.step.spendMost(WaitStart, p.now().Sub(r.since))
 	switch e.Result {
 	case winch.StartTicket:
 		r.task.step.known.expire(w.vm.ID)
 	case winch.StartNoRoom, winch.StartRefused, winch.StartUncertain:
-		w.health.rest(refusedRest)
+		w.health.rest(p.now(), refusedRest)
 		r.task.step.job.unanswered++
 	}
 }
@@ -241,7 +241,7 @@
 		p.finishTask(t)
 	case winch.EndFailed:
 		p.counts.Failed++
-		w.health.bad(j.rec.ID)
+		w.health.bad(p.now(), j.rec.ID)
 		t.avoid = w.vm.ID
 		if s.spec.Lasting {
 			return false
@@ -298,7 +298,7 @@
 	if r == nil || !r.started {
 		return
 	}
-	took := time.Since(r.since)
+	took := s.job.planner.now().Sub(r.since)
 	s.samples++
 	s.longest = max(s.longest, took)
 	s.took += (took - s.took) / time.Duration(s.samples)
@@ -306,7 +306,7 @@
 
 // status takes how the runs of a worker go.
 func (p *Planner) status(w *worker, list []winch.Running) {
-	now := time.Now()
+	now := p.now()
 	for _, x := range list {
 		r := w.runs[runKey{x.Task, x.Run}]
 		if r == nil {
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -40,6 +40,8 @@
 	// KnownBefore, if it is set, leaves out jobs that were heard of later: this
 	// planner's office may have lapsed then, and a later planner starts them.
 	KnownBefore time.Time
+	// Clock tells the time; New sets the runtime's.
+	Clock func() time.Time
 	// Policy says which mechanisms are in force; New sets DefaultPolicy.
 	Policy Policy
 
@@ -58,8 +60,6 @@
 	// held is the room that is kept for steps which are looked at earlier than others,
 	// as of the last Schedule.
 	held map[*worker]reservation
-	// preempted is when work was last stopped for other work.
-	preempted time.Time
 	// planned counts the steps that it looked for places for.
 	planned int
 	// ending holds the workers with ends that are not forgotten yet.
@@ -75,14 +75,14 @@
 
 // Counts are totals since the planner took over.
 type Counts struct {
-	Started, NotStarted, Done, Failed, Stopped, Lost, Asked, Restarted, Preempted int64
-	Running                                                                       int
+	Started, NotStarted, Done, Failed, Stopped, Lost, Asked, Restarted int64
+	Running                                                            int
 }
 
 // New returns an empty planner.
 func New(term uint64) *Planner {
 	return &Planner{
-		Term: term, Policy: DefaultPolicy(), jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
+		Term: term, Policy: DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
 		ending: make(map[*worker]bool), held: make(map[*worker]reservation), pools: make(map[string]*pool),
 	}
@@ -147,6 +147,9 @@
 	return t
 }
 
+// now returns the time.
+func (p *Planner) now() time.Time { return p.Clock() }
+
 // Orders returns the orders since the last call.
 func (p *Planner) Orders() []proto.Order {
 	out := p.orders
--- a/coord/fleet/gang.go
+++ b/coord/fleet/gang.go
@@ -29,7 +29,7 @@
 func (s *step) adopt(number uint64) {
 	if s.spec.Gang && s.gang.number == 0 {
 		s.gang.number = number
-		s.gang.begun = time.Now()
+		s.gang.begun = s.job.planner.now()
 	}
 }
 
@@ -71,9 +71,10 @@
 		p.endGang(s)
 		return
 	}
+	workers := p.candidates(s, now)
 	for _, t := range s.tasks {
 		if t.free() {
-			p.placeTask(t, now, s.gang.number, s.gang.checkpoint)
+			p.placeTask(t, workers, s.gang.number, s.gang.checkpoint)
 		}
 	}
 }
@@ -113,6 +114,10 @@
 // pickGang chooses a worker for each member, or returns nil if not all fit.
 func (p *Planner) pickGang(s *step, now time.Time) []*worker {
 	charge := s.spec.Charge()
+	if !charge.Fits(p.pool(s.job.queue.Service).most) {
+		return nil
+	}
+	workers := p.candidates(s, now)
 	var total winch.Room
 	taken := make(map[*worker]winch.Room)
 	count := make(map[*worker]int)
@@ -124,7 +129,7 @@
 		}
 		var best *worker
 		var bestScore float64
-		for _, w := range p.candidates(s, now) {
+		for _, w := range workers {
 			left := p.open(s, w).Sub(taken[w])
 			if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w)+count[w] >= s.spec.MostPerVM {
 				continue
--- a/coord/fleet/health.go
+++ b/coord/fleet/health.go
@@ -30,7 +30,7 @@
 	h.penalty = 0
 }
 
-func (h *health) bad(job string) {
+func (h *health) bad(now time.Time, job string) {
 	if h.jobs == nil {
 		h.jobs = make(map[string]bool)
 	}
@@ -39,11 +39,11 @@
 		return
 	}
 	h.penalty = min(max(firstRest, 2*h.penalty), mostRest)
-	h.rest(h.penalty)
+	h.rest(now, h.penalty)
 }
 
-func (h *health) rest(d time.Duration) {
-	if until := time.Now().Add(d); until.After(h.until) {
+func (h *health) rest(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(h.until) {
 		h.until = until
 	}
 }
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -10,10 +10,11 @@
 
 // job is an accepted job while it is not forgotten.
 type job struct {
-	rec   *winch.PhasedJob
-	queue *queue // queue is nil until a configuration names it.
-	team  *team
-	steps []*step
+	planner *Planner
+	rec     *winch.PhasedJob
+	queue   *queue // queue is nil until a configuration names it.
+	team    *team
+	steps   []*step
 	// state is what this planner knows, shown what is recorded and may be told.
 	state     winch.JobState
 	shown     winch.JobState
@@ -56,7 +57,9 @@
 	known advice
 	gang  gangRun
 	// slots are the places where the tasks that wait are expected to start.
-	slots []slot
+	// They were looked for at lookedFor.
+	slots     []slot
+	lookedFor time.Time
 	// took is the mean run time of the tasks that ended well, longest the longest.
 	took    time.Duration
 	longest time.Duration
@@ -79,9 +82,8 @@
 	checkpoint string
 	// avoid names the worker at which the task failed last.
 	avoid string
-	// yields counts how often it was stopped for other work, restarts how often
-	// since it was slow.
-	yields, restarts int
+	// restarts counts how often it was stopped since it was slow.
+	restarts int
 	// seen is when a run that has ended was last known to do the task's work.
 	seen time.Time
 }
@@ -110,7 +112,7 @@
 			return false
 		}
 	}
-	return s.due.IsZero() || !time.Now().Before(s.due)
+	return s.due.IsZero() || !s.job.planner.now().Before(s.due)
 }
 
 // Add takes an accepted job, with what is recorded of its progress. A job that
@@ -121,7 +123,8 @@
 	}
 	j := &job{
 		rec: rec, queue: p.queues[rec.Queue], team: p.team(rec.Team), state: winch.JobQueued, shown: winch.JobQueued,
-		revision: revision, failed: make(map[string][]uint64), heard: time.Now(),
+		revision: revision, failed: make(map[string][]uint64), heard: p.now(),
+		planner: p,
 	}
 	j.excess = p.Policy.Shares && !j.team.share.take(j.team.Weight, rec.Accepted)
 	p.jobs[rec.ID], p.active[rec.ID] = j, j
@@ -254,7 +257,7 @@
 	}
 	t.done = true
 	t.step.done++
-	t.step.finished = time.Now()
+	t.step.finished = t.step.job.planner.now()
 	t.recount()
 }
 
@@ -311,7 +314,7 @@
 
 func (j *job) finish(state winch.JobState) {
 	j.state = state
-	j.ended = time.Now()
+	j.ended = j.planner.now()
 	j.pressing = true
 }
 
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -95,7 +95,7 @@
 // Schedule starts what can start. It is called after events, at most every few
 // milliseconds.
 func (p *Planner) Schedule() {
-	now := time.Now()
+	now := p.now()
 	adopting := p.Adopting()
 	p.measure(now)
 	clear(p.held)
@@ -141,8 +141,12 @@
 		p.placeGang(s, now)
 		return
 	}
+	if !s.spec.Charge().Fits(p.pool(s.job.queue.Service).most) {
+		return
+	}
+	workers := p.candidates(s, now)
 	for _, t := range s.tasks {
-		if t.free() && !p.placeTask(t, now, 0, t.checkpoint) {
+		if t.free() && !p.placeTask(t, workers, 0, t.checkpoint) {
 			return
 		}
 	}
@@ -157,16 +161,16 @@
 		(limit.Accelerators == 0 || after.Accelerators <= limit.Accelerators)
 }
 
-// placeTask starts a task at the best worker and reports whether there was one.
-func (p *Planner) placeTask(t *task, now time.Time, number uint64, checkpoint string) bool {
+// placeTask starts a task at the best of some workers and reports whether there was one.
+func (p *Planner) placeTask(t *task, workers []*worker, number uint64, checkpoint string) bool {
 	s := t.step
+	charge := s.spec.Charge()
 	if !s.job.team.allows(s.spec.Need) || !p.spare(s) {
 		return false
 	}
-	charge := s.spec.Charge()
 	var best *worker
 	var bestScore float64
-	for _, w := range p.candidates(s, now) {
+	for _, w := range workers {
 		left := p.open(s, w)
 		if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w) >= s.spec.MostPerVM {
 			continue
@@ -217,24 +221,18 @@
 	return s.spec.Fills || kept == (winch.Room{}) || s.spec.Need.Add(kept).Fits(x.free)
 }
 
-// candidates returns the workers that may run the step now, whatever their room.
+// candidates returns the workers that may run the step now, whatever their room, by
+// ID. It is only called within Schedule.
 func (p *Planner) candidates(s *step, now time.Time) []*worker {
 	var out []*worker
-	if s.job.queue.Advice != nil {
-		for id, ticket := range s.known.allowed {
-			w := p.workers[id]
-			if w != nil && ticket.good(now) && p.suits(s, w, now) {
-				out = append(out, w)
-			}
+	for _, w := range p.pool(s.job.queue.Service).workers {
+		if s.job.queue.Advice != nil && !s.known.allowed[w.vm.ID].good(now) {
+			continue
 		}
-	} else {
-		for _, w := range p.workers {
-			if p.suits(s, w, now) {
-				out = append(out, w)
-			}
+		if p.suits(s, w, now) {
+			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
 	return out
 }
 
--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -1,5 +1,12 @@
 package fleet
 
+import (
+	"reflect"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
 // Policy names the mechanisms by which the planner chooses who goes first and
 // where. Each can be switched off by itself, to see what it is worth.
 type Policy struct {
@@ -16,9 +23,6 @@
 	AskAll bool
 	// Restart starts tasks elsewhere that stand still or are much slower than others.
 	Restart bool
-	// Preempt stops work that saves its progress and has time to spare, for gangs and
-	// large tasks that would wait long for room.
-	Preempt bool
 	// UrgentRoom keeps room free for urgent work.
 	UrgentRoom bool
 	// Shares ranks what a team hands in beyond its share behind the rest.
@@ -34,7 +38,28 @@
 // DefaultPolicy returns the policy that serves: all mechanisms.
 func DefaultPolicy() Policy {
 	return Policy{
-		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true, Preempt: true,
+		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true,
 		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true,
 	}
 }
+
+// Mechanisms returns the names of all mechanisms, in the order of the fields of Policy.
+func Mechanisms() []string {
+	t := reflect.TypeFor[Policy]()
+	out := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		out = append(out, t.Field(i).Name)
+	}
+	return out
+}
+
+// Without returns the policy with a mechanism switched off, or an error that names
+// those there are.
+func (p Policy) Without(name string) (Policy, error) {
+	field := reflect.ValueOf(&p).Elem().FieldByName(name)
+	if !field.IsValid() {
+		return p, merry.Errorf("no mechanism %q: name one of %s", name, strings.Join(Mechanisms(), ", "))
+	}
+	field.SetBool(false)
+	return p, nil
+}
--- a/coord/fleet/record.go
+++ b/coord/fleet/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"plantainwinch/winch"
 )
@@ -98,10 +97,10 @@
 	if r.Progress.State.Final() {
 		j.pressing = false
 		if j.shown != j.state {
-			p.endings = append(p.endings, j.ending(time.Now()))
+			p.endings = append(p.endings, j.ending(p.now()))
 		}
 		j.shown = r.Progress.State
-		j.ended = time.Now() // Callers are shown it from now on, and it is kept from now on.
+		j.ended = p.now() // Callers are shown it from now on, and it is kept from now on.
 	}
 	for w := range p.ending {
 		p.forget(w)
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -12,6 +12,8 @@
 	// largePart is the part of a worker's room from which on a task counts as large:
 	// at most one more of its kind fits beside it.
 	largePart = 0.5
+	// replanTime is how long the places that were found for a step are kept.
+	replanTime = 20 * time.Millisecond
 	// mostPlanned bounds the steps that places are looked for in one Schedule.
 	mostPlanned = 64
 	// stopSoon is how long a stopped run is expected to hold its room.
@@ -37,8 +39,8 @@
 // step would wait as long as any of them come. What ends before the step is expected to
 // start may still use the room.
 func (p *Planner) reserve(s *step, now time.Time, r rank) {
-	s.slots = nil
 	if !p.Policy.Reserve || p.planned >= mostPlanned || s.waiting == 0 || r.class >= rankExcess || !s.job.team.allows(s.wantsAtOnce()) || !p.spare(s) {
+		s.slots = nil
 		return
 	}
 	p.planned++
@@ -46,11 +48,13 @@
 	if s.spec.Gang && (s.gang.ending || s.gang.number == 0) {
 		wants = len(s.tasks)
 	}
-	slots := p.slots(s, now)
-	if s.spec.Gang && len(slots) < wants {
-		return
+	if now.Sub(s.lookedFor) >= replanTime || len(s.slots) != wants {
+		s.lookedFor, s.slots = now, p.slots(s, now)
+		if s.spec.Gang && len(s.slots) < wants {
+			s.slots = nil
+		}
+		s.slots = s.slots[:min(wants, len(s.slots))]
 	}
-	s.slots = slots[:min(wants, len(slots))]
 	if len(s.slots) == 0 || !s.spec.Gang && !s.large(s.slots[0].w) {
 		return
 	}
@@ -66,7 +70,6 @@
 		h.room = h.room.Add(s.spec.Charge())
 		p.held[x.w] = h
 	}
-	p.preempt(s, now, r)
 }
 
 // large reports whether a task of the step takes a large part of a worker.
@@ -81,11 +84,8 @@
 // allowed at, those that come free first first.
 func (p *Planner) slots(s *step, now time.Time) []slot {
 	var out []slot
-	for _, w := range p.workers {
-		if !p.suits(s, w, now) {
-			continue
-		}
-		if _, known := s.known.allowed[w.vm.ID]; !known && s.job.queue.Advice != nil {
+	for _, w := range p.pool(s.job.queue.Service).workers {
+		if _, known := s.known.allowed[w.vm.ID]; !known && s.job.queue.Advice != nil || !p.suits(s, w, now) {
 			continue
 		}
 		out = append(out, p.slotsAt(s, w, now)...)
@@ -155,7 +155,7 @@
 func (p *Planner) open(s *step, w *worker) winch.Room {
 	left := w.free()
 	h, held := p.held[w]
-	if !held || time.Now().Add(s.spec.Estimate).Before(h.from) {
+	if !held || p.now().Add(s.spec.Estimate).Before(h.from) {
 		return left
 	}
 	return left.Sub(h.room)
--- a/coord/fleet/slow.go
+++ b/coord/fleet/slow.go
@@ -43,7 +43,7 @@
 	if len(slow) == 0 || 2*len(slow) < judged {
 		return
 	}
-	w.health.rest(slowRest)
+	w.health.rest(now, slowRest)
 	slices.SortFunc(slow, func(a, b *run) int { return a.since.Compare(b.since) })
 	for _, r := range slow {
 		p.restart(r, now)
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -127,7 +127,7 @@
 	case heard:
 		w.silent = time.Time{}
 	case w.silent.IsZero():
-		w.silent = time.Now()
+		w.silent = w.planner.now()
 	}
 }
 
@@ -177,7 +177,7 @@
 // Waits returns the lasting tasks that have waited longer than a time, and why,
 // those that wait longest first. It changes nothing.
 func (p *Planner) Waits(longer time.Duration) []Wait {
-	now := time.Now()
+	now := p.now()
 	var out []Wait
 	for _, j := range p.active {
 		if j.cancelled || j.state.Final() {
@@ -361,7 +361,7 @@
 // Unheard returns the workers that have not been heard for longer than a time
 // and still have runs charged to them, those silent longest first.
 func (p *Planner) Unheard(longer time.Duration) []Charged {
-	now := time.Now()
+	now := p.now()
 	var out []Charged
 	for _, w := range p.workers {
 		if len(w.runs) > 0 && !w.silent.IsZero() && now.Sub(w.silent) > longer {
--- a/coord/fleet/waits_test.go
+++ b/coord/fleet/waits_test.go
@@ -184,7 +184,7 @@
 		}, func(is *is.I, w Wait) { is.Equal(w.Offer, Offer{Workers: 2}) }},
 		{WaitRest, usualQueue(), func(c *cell) {
 			for _, w := range c.planner.workers {
-				w.health.rest(10 * time.Second)
+				w.health.rest(time.Now(), 10*time.Second)
 			}
 		}, func(is *is.I, w Wait) { is.Equal(w.Offer, Offer{Workers: 2, Usable: 2, Resting: 2}) }},
 		{WaitRoom, usualQueue(), func(c *cell) {
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -42,8 +42,9 @@
 
 // worker is one boot of a worker VM.
 type worker struct {
-	vm   winch.WorkerVM
-	used winch.Room
+	planner *Planner
+	vm      winch.WorkerVM
+	used    winch.Room
 	// ready says that the worker's lists were received in this session.
 	ready bool
 	// gone says that the worker is not in the platform's list any more.
@@ -111,7 +112,7 @@
 			w = nil
 		}
 		if w == nil {
-			w = &worker{runs: make(map[runKey]*run), empty: !p.roster[vm.ID]}
+			w = &worker{planner: p, runs: make(map[runKey]*run), empty: !p.roster[vm.ID]}
 			p.workers[vm.ID] = w
 		}
 		w.over = w.over && w.vm.Born == vm.Born
@@ -142,7 +143,7 @@
 func (p *Planner) SetGone(vms []winch.WorkerVM) {
 	for _, vm := range vms {
 		if p.workers[vm.ID] == nil && p.roster[vm.ID] {
-			p.workers[vm.ID] = &worker{vm: vm, gone: true, runs: make(map[runKey]*run), silent: time.Now()}
+			p.workers[vm.ID] = &worker{planner: p, vm: vm, gone: true, runs: make(map[runKey]*run), silent: p.now()}
 		}
 	}
 }
@@ -156,7 +157,7 @@
 
 // Adopting reports whether work of an earlier planner may still run unseen.
 func (p *Planner) Adopting() bool {
-	if p.awaitsEarlier(time.Now()) {
+	if p.awaitsEarlier(p.now()) {
 		return true
 	}
 	for id := range p.roster {
@@ -253,7 +254,7 @@
 
 // addRun charges a run to the worker and the team.
 func (p *Planner) addRun(w *worker, t *task, id winch.RunID, number uint64) *run {
-	r := &run{key: runKey{id, number}, task: t, worker: w, since: time.Now(), moved: time.Now(), pace: 100}
+	r := &run{key: runKey{id, number}, task: t, worker: w, since: p.now(), moved: p.now(), pace: 100}
 	if t != nil {
 		spec := t.step.spec
 		r.need, r.charge, r.team = spec.Need, spec.Charge(), t.step.job.team
@@ -306,7 +307,7 @@
 	w.count(r.task.step.spec, -1)
 	p.watch(w)
 	r.team.used = r.team.used.Sub(r.need)
-	r.task.seen = later(r.task.seen, r.seen(time.Now()))
+	r.task.seen = later(r.task.seen, r.seen(p.now()))
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(x *run) bool { return x == r })
 	r.task.recount()
 }
@@ -316,7 +317,7 @@
 	if r.stopping {
 		return
 	}
-	r.until = r.seen(time.Now())
+	r.until = r.seen(p.now())
 	r.stopping = true
 	if r.task != nil {
 		r.task.recount()
