Jobs accepted after a takeover start at once where the last planner is known to have ended

Cause: a planner without a copy held jobs back that were accepted in its first 1.5 s, since an earlier one may believe for a lease more that it holds the office.

--- a/region/lead.go
+++ b/region/lead.go
@@ -46,6 +46,8 @@
 	// staleTime is how long a planner goes on that cannot renew its office. What it
 	// starts last still has a second to run before its keepers let go.
 	staleTime = keepGrace - 1500*time.Millisecond
+	// freshLook is how often it is looked whether the earlier planner's process has ended.
+	freshLook = 20 * time.Millisecond
 	// loadEvery is how often the region's load is logged.
 	loadEvery = time.Second
 )
@@ -55,6 +57,7 @@
 type lead struct {
 	node     *Node
 	term     uint64
+	last     string // last names the planner of the term before.
 	revision uint64 // revision of the office; all records are written under it.
 	lease    uint64
 	valid    atomic.Pointer[validity]
@@ -262,9 +265,13 @@
 
 // runFresh learns the revision after which no earlier planner can have started
 // an accepted job: one whose lease the store has ended may believe for a whole
-// lease more that it holds the office.
+// lease more that it holds the office, unless its process is known to have ended.
 func (l *lead) runFresh(ctx context.Context) {
-	duty.Pause(ctx, officeTTL)
+	for end := time.Now().Add(officeTTL); time.Now().Before(end) && ctx.Err() == nil; duty.Pause(ctx, freshLook) {
+		if _, ended := l.node.cell.endedAt(l.last); ended && l.last != "" {
+			break
+		}
+	}
 	for ctx.Err() == nil {
 		_, asOf, err := l.node.Table.Read(ctx, keyTerm)
 		if err == nil {
