--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -2,44 +2,122 @@
 
 import (
 	"io"
+	"slices"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 
+	"plantainwinch/coord/fleet"
 	"plantainwinch/coord/place"
 	"plantainwinch/trial"
 )
 
-// fleets runs the baseline and both preferences over each fleet's arrivals.
-func fleets(seed uint64) (out []trial.Result) {
-	for _, f := range trial.Fleets() {
-		out = append(out,
-			trial.Run(f, seed, place.Packing, true), trial.Run(f, seed, place.Packing, false), trial.Run(f, seed, place.Waiting, false))
-	}
-	return out
+// trialOptions are the flags of trial.
+type trialOptions struct {
+	client
+	seed     uint64
+	patterns []string
+	without  []string
+	plot     string
+	each     bool
+	fleets   bool
+	growth   bool
 }
 
 func newTrial() *cobra.Command {
-	var seed uint64
-	var c client
-	var growth bool
+	var o trialOptions
 	cmd := &cobra.Command{
 		Use:   "trial",
-		Short: "Measure the placer's decisions against the baseline on the same arrivals",
-		Long: "Measure the placer's decisions against first come, first fit on the same generated arrivals: waiting, targets met,\n" +
-			"packing, distance to share, cost of a decision. With --growth, the cost of a decision at 50 to 1600 workers.",
-		Example: "  plantainwinch trial\n  plantainwinch trial --growth",
+		Short: "Measure the planner's decisions on generated loads",
+		Long: "Plays generated loads against the planner of a region, in its own time and without a network, and prints for each\n" +
+			"queue how many jobs were on time and within three objectives, how long they took, what they waited for, and the\n" +
+			"use of lanes and room. --without switches a mechanism off, --each all of them one by one.\n" +
+			"With --fleets, the placer of a failure domain against first come, first fit; with --growth, what its decisions\n" +
+			"cost at 50 to 1600 workers.",
+		Example: "  plantainwinch trial\n  plantainwinch trial --pattern gangs --without Reserve,AskAll --plot plots\n  plantainwinch trial --fleets",
 		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			results := trial.Growth
-			if !growth {
-				results = fleets
-			}
-			all := results(seed)
-			return c.print(cmd, all, func(w io.Writer) { _ = trial.Print(w, all) })
-		},
+		RunE:    func(cmd *cobra.Command, _ []string) error { return o.run(cmd) },
 	}
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the arrivals")
-	cmd.Flags().BoolVar(&growth, "growth", false, "measure how a decision's cost grows with the fleet")
-	cmd.Flags().StringVar(&c.Output, "output", "table", "table or json")
+	cmd.Flags().Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
+	cmd.Flags().StringSliceVar(&o.patterns, "pattern", nil, "patterns to play, all if none is named")
+	cmd.Flags().StringSliceVar(&o.without, "without", nil, "mechanisms to switch off")
+	cmd.Flags().BoolVar(&o.each, "each", false, "play also with each mechanism switched off by itself")
+	cmd.Flags().StringVar(&o.plot, "plot", "", "folder for plots, as SVG")
+	cmd.Flags().BoolVar(&o.fleets, "fleets", false, "measure the placer of a failure domain")
+	cmd.Flags().BoolVar(&o.growth, "growth", false, "measure how its decisions' cost grows with the fleet")
+	cmd.Flags().StringVar(&o.Output, "output", "table", "table or json")
 	return cmd
 }
+
+func (o *trialOptions) run(cmd *cobra.Command) error {
+	switch {
+	case o.growth:
+		return o.placer(cmd, trial.Growth(o.seed))
+	case o.fleets:
+		return o.placer(cmd, fleets(o.seed))
+	}
+	patterns, err := o.chosen()
+	if err != nil {
+		return err
+	}
+	off := [][]string{o.without}
+	if o.each {
+		for _, name := range fleet.Mechanisms() {
+			off = append(off, append(slices.Clone(o.without), name))
+		}
+	}
+	var all []trial.Outcome
+	for _, p := range patterns {
+		for _, names := range off {
+			policy := fleet.DefaultPolicy()
+			for _, name := range names {
+				if policy, err = policy.Without(name); err != nil {
+					return err
+				}
+			}
+			out := trial.Play(p, policy, o.seed)
+			out.Without = names
+			all = append(all, out)
+		}
+	}
+	if o.plot != "" {
+		if err := trial.Plot(o.plot, all); err != nil {
+			return err
+		}
+	}
+	return o.print(cmd, all, func(w io.Writer) { _ = trial.PrintOutcomes(w, all) })
+}
+
+// chosen returns the patterns that were named.
+func (o *trialOptions) chosen() ([]trial.Pattern, error) {
+	all := trial.Patterns()
+	if len(o.patterns) == 0 {
+		return all, nil
+	}
+	var out []trial.Pattern
+	for _, name := range o.patterns {
+		i := slices.IndexFunc(all, func(p trial.Pattern) bool { return p.Name == name })
+		if i < 0 {
+			var names []string
+			for _, p := range all {
+				names = append(names, p.Name)
+			}
+			return nil, merry.Errorf("no pattern %q: name one of %v", name, names)
+		}
+		out = append(out, all[i])
+	}
+	return out, nil
+}
+
+func (o *trialOptions) placer(cmd *cobra.Command, all []trial.Result) error {
+	return o.print(cmd, all, func(w io.Writer) { _ = trial.Print(w, all) })
+}
+
+// fleets runs the baseline and both preferences over each fleet's arrivals.
+func fleets(seed uint64) (out []trial.Result) {
+	for _, f := range trial.Fleets() {
+		out = append(out,
+			trial.Run(f, seed, place.Packing, true), trial.Run(f, seed, place.Packing, false), trial.Run(f, seed, place.Waiting, false))
+	}
+	return out
+}
--- /dev/null
+++ b/trial/plot.go
@@ -0,0 +1,77 @@
+package trial
+
+import (
+	"image/color"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot, and how far its time axis reaches in objectives.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	plotMost   = 4.0
+)
+
+// Colours of the queues, in the order of their names; the blue, orange, green and red
+// of a palette that colour-blind readers can tell apart (Okabe and Ito).
+var colours = []color.RGBA{{0, 114, 178, 255}, {230, 159, 0, 255}, {0, 158, 115, 255}, {213, 94, 0, 255}}
+
+// Plot writes an SVG for each outcome into a folder: for each queue the share of its
+// jobs that had ended by a time, in objectives.
+func Plot(folder string, all []Outcome) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return merry.Prepend(err, "the folder for plots cannot be made")
+	}
+	for _, o := range all {
+		p, err := o.plot()
+		if err != nil {
+			return merry.Prepend(err, o.Pattern)
+		}
+		name := strings.Join(append([]string{o.Pattern}, o.Without...), "-without-") + ".svg"
+		if err := p.Save(plotWidth, plotHeight, filepath.Join(folder, name)); err != nil {
+			return merry.Prepend(err, "the plot cannot be written")
+		}
+	}
+	return nil
+}
+
+func (o Outcome) plot() (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = strings.Join(append([]string{o.Pattern}, o.Without...), " without ")
+	p.X.Label.Text, p.Y.Label.Text = "time taken / objective", "share of jobs"
+	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = 0, plotMost, 0, 1
+	p.Legend.Left = false
+	p.Add(plotter.NewGrid())
+	for i, q := range o.Queues {
+		line, err := plotter.NewLine(q.curve())
+		if err != nil {
+			return nil, err
+		}
+		line.Color = colours[i%len(colours)]
+		line.Width = vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(q.Queue, line)
+	}
+	return p, nil
+}
+
+// curve is the share of jobs that had ended by each ratio.
+func (s Served) curve() plotter.XYs {
+	out := plotter.XYs{{X: 0, Y: 0}}
+	share := func(n int) float64 { return float64(n) / float64(max(1, s.Jobs)) }
+	for i, ratio := range s.Ratios {
+		if ratio > plotMost {
+			break
+		}
+		out = append(out, plotter.XY{X: ratio, Y: share(i)}, plotter.XY{X: ratio, Y: share(i + 1)})
+	}
+	last := out[len(out)-1]
+	return append(out, plotter.XY{X: plotMost, Y: last.Y})
+}
--- /dev/null
+++ b/trial/region_test.go
@@ -0,0 +1,120 @@
+package trial
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/coord/fleet"
+)
+
+// plays holds what has been played: tests look at several queues of one play.
+var plays sync.Map
+
+func played(pattern string, policy fleet.Policy) Outcome {
+	type key struct {
+		pattern string
+		policy  fleet.Policy
+	}
+	play := func() Outcome {
+		for _, p := range Patterns() {
+			if p.Name == pattern {
+				return Play(p, policy, 1)
+			}
+		}
+		return Outcome{}
+	}
+	out, _ := plays.LoadOrStore(key{pattern, policy}, sync.OnceValue(play))
+	return out.(func() Outcome)()
+}
+
+// served plays a pattern, without some mechanisms, and returns what became of a queue.
+func served(t *testing.T, pattern, queue string, without ...string) Served {
+	t.Helper()
+	policy := fleet.DefaultPolicy()
+	for _, name := range without {
+		var err error
+		if policy, err = policy.Without(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, q := range played(pattern, policy).Queues {
+		if q.Queue == queue {
+			return q
+		}
+	}
+	t.Fatalf("no queue %s in pattern %s", queue, pattern)
+	return Served{}
+}
+
+// Gangs that need whole workers are overtaken by small tasks, and some are never served.
+func TestGangsAreServedBesideSmallTasks(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	with := served(t, "gangs", "gang")
+	is.True(with.Within >= 0.97)
+	is.True(served(t, "gangs", "gang", "Reserve").Within < with.Within)
+	is.True(served(t, "gangs", "gang", "AskAll").Within < with.Within)
+}
+
+// Questions near the limit of the lanes: urgent ones wait, or slow ones are asked anew.
+func TestUrgentQuestionsAreAnsweredWhereLanesAreFew(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	is.True(served(t, "lanes", "lookup").OnTime >= 0.95)
+	is.True(served(t, "lanes", "small", "AskAll").OnTime < served(t, "lanes", "small").OnTime)
+}
+
+// A team sends five times its share, and the others wait behind it.
+func TestTeamsAreServedBesideAHotOne(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	is.True(served(t, "hot-team", "batch").Within >= 0.99)
+	is.True(served(t, "hot-team", "lookup", "UrgentRoom").OnTime < served(t, "hot-team", "lookup").OnTime)
+}
+
+// More comes than fits for a while; what missed its objective is left until nobody waits.
+func TestOverloadLeavesNobodyOut(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	is.True(served(t, "overload", "gang", "LastCall").Within < served(t, "overload", "gang").Within)
+}
+
+// Answers are lost for ten seconds; lookups are on time nevertheless.
+func TestLookupsAreOnTimeWhileAnswersAreLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	is.True(served(t, "unheard", "lookup").OnTime >= 0.95)
+}
+
+// Bursts of lookups come over wide batches that fill the workers.
+func TestBurstsAreServedOverWideBatches(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	is.True(served(t, "bursts", "lookup").OnTime >= 0.95)
+	is.True(served(t, "bursts", "batch").Within >= 0.99)
+}
+
+// Two plays of a seed differ, and no figure can be compared.
+func TestSeedGivesTheSameOutcome(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := Patterns()[2]
+	p.Length = 20 * time.Second
+	is.Equal(Play(p, fleet.DefaultPolicy(), 1), Play(p, fleet.DefaultPolicy(), 1))
+}
+
+func TestPlotIsWritten(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	out := Outcome{Pattern: "gangs", Without: []string{"Reserve"}, Queues: []Served{{Queue: "gang", Jobs: 2, Ratios: []float64{0.5, 5}}}}
+	is.NoErr(Plot(folder, []Outcome{out}))
+	data, err := os.ReadFile(filepath.Join(folder, "gangs-without-Reserve.svg"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(data), "<svg"))
+}
