--- a/region/belief_test.go
+++ b/region/belief_test.go
@@ -28,6 +28,7 @@
 // taken itself off the list, so it gets no session, and is never asked until when the
 // worker's lease runs: the longest that its authority may reach is counted instead.
 func TestPlannerIsStoppedAsItsOwnWorkerIsGone(t *testing.T) {
+	t.Parallel()
 	for _, slow := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond} {
 		for _, before := range []time.Duration{0, 500 * time.Millisecond, time.Second} {
 			synctest.Test(t, func(t *testing.T) {
@@ -61,6 +62,7 @@
 // planner counts anew the longest that the one before it may have had authority, and
 // takes no standby meanwhile; all work that the region had accepted waits with it.
 func TestWaitForAnEarlierPlannerIsNotCountedAnewByEach(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
 		w := lastingWorld(t, 40)
@@ -118,6 +120,7 @@
 // then, and the worker cut off; the standby takes over, finds the lease lapsed by the
 // old word, and starts the work a second time while the first goes on.
 func TestRenewalAfterAnotherKeeperGotTheWorkerWaitsForTheStandbyToo(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
 		w := lastingWorld(t, 35)
@@ -242,6 +245,7 @@
 // keeper until when its leases run. That has long passed, by the old holding, but the
 // other keeper renewed the lease just now: the work is started a second time.
 func TestStaleHoldingDoesNotTellWhenALaterLeaseEnds(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		w := lastingWorld(t, 36)
 		staleHolding(w, is.NewRelaxed(t), func() {})
@@ -254,6 +258,7 @@
 // learns from the first keeper what runs at the worker that is cut off. It knows of
 // nothing that the other keeper has started since, and that is started once more.
 func TestStaleHoldingDoesNotTellWhatALaterOneStarted(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		w := lastingWorld(t, 36)
 		p := w.planner()
@@ -275,6 +280,7 @@
 // run": nothing, since it knows of nothing. It is killed, and the planner that follows
 // takes the record at its word and starts at once what still runs at the worker.
 func TestSilentWorkerThatWasNeverHeardIsNotRecordedAsSettled(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		w := lastingWorld(t, 37)
 		p := w.planner()
@@ -303,6 +309,7 @@
 // though its keeper, the planner and the worker all hear each other: what runs there
 // ends, long before the planner's authority does.
 func TestWorkerThatAnswersIsRenewedWhileStandbyAndStoreAreAway(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
 		w := lastingWorld(t, 38)
@@ -330,6 +337,7 @@
 // hears that another answers. The planner takes that for news of the new boot, and
 // never uses it: the worker stands idle for as long as it lives.
 func TestNewBootThatWasListedFirstIsUsed(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
 		w := lastingWorld(t, 39)
@@ -363,6 +371,7 @@
 // begins as it reads it, and renews the worker's lease for longer than the planner
 // thinks that it may. The planner starts the work elsewhere while it runs there.
 func TestQuestionThatWaitedAtAFrozenKeeperGivesNoAuthorityAnew(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
 		w := lastingWorld(t, 41)
--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -41,6 +41,7 @@
 // A region without faults: jobs that are accepted at any entry run and are
 // shown as done at any other.
 func TestCalmRegion(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 1, 3, 9)
@@ -55,6 +56,7 @@
 // The planner is killed while work runs. Another takes over within two seconds
 // or so; what runs goes on, and no job is lost or run twice.
 func TestPlannerKilled(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 2, 3, 9)
@@ -76,6 +78,7 @@
 // knows that the office's holder has ended and frees the office, so the standby
 // takes over long before the lease lapses: callers notice next to nothing.
 func TestPlannerKilledAndStartedAgain(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 2, 3, 9)
@@ -101,6 +104,7 @@
 // as soon as the other workers have answered. Waiting until everything at the
 // silent worker had surely ended would take them eight seconds.
 func TestSilentWorkerHoldsNothingUpAfterAPowerLoss(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 9, 3, 9)
@@ -131,6 +135,7 @@
 // one is back the office goes there, and the small one plans no longer: it was
 // seen to fall behind for as long as it did, and all work was late.
 func TestOfficeGoesBackToAStrongEntry(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 8, 3, 9)
@@ -160,6 +165,7 @@
 // soon: a weak one was seen to need five seconds until it knew what runs, and all
 // that time nothing was started.
 func TestStrongEntriesTakeTheOfficeAfterAPowerLoss(t *testing.T) {
+	t.Parallel()
 	for name, later := range map[string]time.Duration{"at once": 300 * time.Millisecond, "later": 2 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -201,6 +207,7 @@
 // everything down before would take longer than its lease, and nothing would start
 // for seconds.
 func TestPlannerStopsWhileTheStoreIsSlow(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 7, 3, 9)
@@ -226,6 +233,7 @@
 // outage are never answered. The others see within a second that the store is
 // back and the office free; waiting for their old calls to time out would add four.
 func TestStoreBackIsSeenSoon(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 6, 3, 9)
@@ -262,6 +270,7 @@
 // there within the two seconds that the operator was promised. What is passed on
 // is one copy for the entry that lacks it, not one for each pair of entries.
 func TestSettingsReachAnEntryThatTheStoreTurnsAway(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 5, 3, 9)
@@ -292,6 +301,7 @@
 // The standby takes over and knows what runs there, so jobs that were accepted
 // before go on at once in the other domains, and no task runs on both sides.
 func TestPlannerCutOffWithItsDomain(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 3, 3, 9)
@@ -324,6 +334,7 @@
 // All entries lose power at once and start again. Nothing that was accepted is
 // lost, and what still runs at the workers is found and not started again.
 func TestAllEntriesKilled(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 4, 3, 9)
 		settle()
@@ -343,6 +354,7 @@
 // A planned stop of the planner: the office changes hands at once, nothing that
 // runs is stopped and nothing waits.
 func TestPlannerStopsAsPlanned(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 5, 3, 9)
@@ -364,6 +376,7 @@
 // before and after. Submissions are refused or uncertain meanwhile, and those
 // that were accepted are done exactly once.
 func TestStoreDown(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 6, 3, 9)
 		settle()
@@ -389,6 +402,7 @@
 // The store is down, and nothing else. Work that was accepted before goes on:
 // its next phases start, through the same planner, until the store is back.
 func TestWorkGoesOnWithoutTheStore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 7, 3, 3)
@@ -499,8 +513,10 @@
 // every accepted job ends, and at no time did a task run twice or a worker hold
 // more than its room.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, seed, 3, 9)
 				settle()
--- a/region/keep_test.go
+++ b/region/keep_test.go
@@ -14,6 +14,7 @@
 // before that time was over and was told that there is no such job: it was counted
 // from when the planner had heard of the end, and not from when it was shown.
 func TestEndedJobIsKnownForAsLongAsPromised(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
 		w := newWorld(t, 51, 3, 9)
--- a/region/lapse_test.go
+++ b/region/lapse_test.go
@@ -53,6 +53,7 @@
 // worker was silent, and that nothing was renewed after that; it does not wait as long
 // as for a keeper that may yet renew.
 func TestKeeperIsKilledAfterItsWorkerIsGone(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{2500 * time.Millisecond, 3500 * time.Millisecond, 4500 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
@@ -71,6 +72,7 @@
 // anew that the lost planner's authority may reach: rooms that should stay open would
 // be closed for twice as long.
 func TestPlannerIsKilledAfterItsWorkerIsGone(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{2500 * time.Millisecond, 3500 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
@@ -90,6 +92,7 @@
 // runs on there under a renewed lease, and a standby that went by the old word would
 // start it a second time.
 func TestWorkerAnswersAgainBeforePlannerAndKeeperAreKilled(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := lastingWorld(t, 33)
@@ -114,6 +117,7 @@
 // given: the longest counts, the keeper's own word replaces what was assumed of that
 // holding alone, and a keeper that never heard of the worker adds nothing.
 func TestLapsesOfEarlierHoldings(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newLapses()
@@ -151,6 +155,7 @@
 // only, and that counts from an answer of its own: a message may wait for seconds
 // before it is read.
 func TestStandbyGoesByNoOldWord(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		lapses := []proto.MirrorLapse{{Worker: "w", Left: 5 * time.Second}}
--- a/region/lasting_test.go
+++ b/region/lasting_test.go
@@ -171,6 +171,7 @@
 // longest one from its own beginning. The keepers' logs prove it: the worker was lost
 // 7.7 s after the last holding of it had begun, however long it had been gone.
 func TestLastingTaskIsBackWhileEntriesStopInSeries(t *testing.T) {
+	t.Parallel()
 	for _, millis := range []int{0, 30, 300, 700, 1100, 1400} {
 		after := time.Duration(millis) * time.Millisecond
 		t.Run(after.String(), func(t *testing.T) {
@@ -197,6 +198,7 @@
 // anybody knows until its lease has lapsed, on a slow clock too; a lease as long as
 // workers grant would leave nothing of the six seconds for finding another place.
 func TestLastingTaskIsBackAfterItsWorkerIsGone(t *testing.T) {
+	t.Parallel()
 	for _, millis := range []int{0, 400, 800, 1200, 1600} {
 		after := time.Duration(millis) * time.Millisecond
 		t.Run(after.String(), func(t *testing.T) {
@@ -220,6 +222,7 @@
 // rooms there closed for some five seconds with each worker that was replaced, though
 // it had been announced and there was room for them elsewhere.
 func TestLastingTasksLeaveADrainingWorker(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 23, 3, 9)
--- a/region/lastrand_test.go
+++ b/region/lastrand_test.go
@@ -439,17 +439,24 @@
 // gangs and tasks that fill. The listener of a room that should stay open may find it
 // closed for a moment, but not for long after all has been calm again; and at no time
 // is it open twice.
-func TestRandomLasting(t *testing.T) { randomLasting(t, 0) }
+func TestRandomLasting(t *testing.T) {
+	t.Parallel()
+	randomLasting(t, 0)
+}
 
 // The same with workers that are silent for a while and then answer again, maybe to
 // another keeper, entries of which one does not hear the other, entries that do not
 // reach a worker or get no answer, failure domains that are cut off, and a store that
 // is away or loses answers.
-func TestRandomLastingWide(t *testing.T) { randomLasting(t, 7) }
+func TestRandomLastingWide(t *testing.T) {
+	t.Parallel()
+	randomLasting(t, 7)
+}
 
 func randomLasting(t *testing.T, wide int) {
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, seed, 3, 9)
 				settle()
--- a/region/sight_test.go
+++ b/region/sight_test.go
@@ -57,6 +57,7 @@
 // which run at which worker and keeper holds the task back, and then that it
 // waits no longer.
 func TestLogTellsWhyALastingTaskWaits(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 1, 3, 3)
@@ -100,6 +101,7 @@
 // An entry that gives the office up leaves no gauge behind of what waited then:
 // the next planner shows what waits now.
 func TestGaugesEndWithTheOffice(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 1, 3, 3)
@@ -116,6 +118,7 @@
 // Hundreds of tasks wait at once, as they do when a failure domain is lost. The
 // log stays bounded, says what was left out, and comes to each of them in turn.
 func TestLogOfManyWaitsIsBounded(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		log := &simLog{begin: time.Now()}
--- a/region/unheard_test.go
+++ b/region/unheard_test.go
@@ -27,6 +27,7 @@
 // longest one. The listener of a room that should stay open all week finds it closed
 // for more than nine seconds.
 func TestPlannerThatKeepsAWorkerStopsBeforeItsSilenceIsNoticed(t *testing.T) {
+	t.Parallel()
 	for _, after := range unheard() {
 		t.Run(after.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -46,6 +47,7 @@
 // The same with an entry that is not the planner: the planner takes its workers from
 // it while it goes on, and hears until when their leases run.
 func TestKeeperStopsBeforeTheSilenceOfItsWorkerIsNoticed(t *testing.T) {
+	t.Parallel()
 	for _, after := range unheard() {
 		t.Run(after.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -67,6 +69,7 @@
 // authority that it could have had is waited for, counted from when others noticed.
 // Long after all is calm again users still find the room closed.
 func TestKeeperIsKilledBeforeTheSilenceOfItsWorkerIsNoticed(t *testing.T) {
+	t.Parallel()
 	for _, own := range []bool{true, false} {
 		for _, after := range unheard() {
 			t.Run(fmt.Sprintf("planner %v %v", own, after), func(t *testing.T) {
@@ -95,6 +98,7 @@
 // planned a moment later, before the worker's next keeper has found it silent. The
 // planner after that is told nothing of the worker and waits for the longest lease.
 func TestPlannerStopsAfterItHeardOfALeaseAndBeforeTheSilence(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{20 * time.Millisecond, 170 * time.Millisecond, 320 * time.Millisecond, 545 * time.Millisecond, time.Hour} {
 		t.Run(after.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -128,6 +132,7 @@
 // know what ran there when the store is back, but all the other workers answer, and
 // the rooms that were open there and elsewhere are open again soon.
 func TestWorkGoesOnSoonAfterTheStoreWasAway(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := lastingWorld(t, 45)
@@ -142,6 +147,7 @@
 // before it may have had authority. Each counts that anew and is stopped before it has
 // passed, so nothing is started in the whole region for as long as the stops go on.
 func TestWorkGoesOnWhileEntriesStopAfterTheStoreWasAway(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := lastingWorld(t, 46)
@@ -170,6 +176,7 @@
 // last one end soon after; but not that one of them is the worker's, which has had
 // another keeper since.
 func TestKilledKeeperIsBackAfterAnotherPlanner(t *testing.T) {
+	t.Parallel()
 	for _, again := range []time.Duration{1900 * time.Millisecond, 2100 * time.Millisecond} {
 		t.Run(again.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -202,6 +209,7 @@
 // listener of a room that should stay open all week finds it closed for no longer than
 // after the loss of one entry.
 func TestAllEntriesAreKilledAfterAWorkerIsGone(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
 		t.Run(after.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
