--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -44,20 +44,31 @@
 		return
 	}
 	p.planned++
+	p.findSlots(s, now)
+	if len(s.slots) > 0 && (s.spec.Gang || s.large(s.slots[0].w)) {
+		p.keepRoom(s, now)
+	}
+}
+
+// findSlots looks for places for all tasks of a step that wait; a gang takes all or none.
+func (p *Planner) findSlots(s *step, now time.Time) {
 	wants := s.waiting
 	if s.spec.Gang && (s.gang.ending || s.gang.number == 0) {
 		wants = len(s.tasks)
 	}
-	if now.Sub(s.lookedFor) >= replanTime || len(s.slots) != wants {
-		s.lookedFor, s.slots = now, p.slots(s, now)
-		if s.spec.Gang && len(s.slots) < wants {
-			s.slots = nil
-		}
-		s.slots = s.slots[:min(wants, len(s.slots))]
-	}
-	if len(s.slots) == 0 || !s.spec.Gang && !s.large(s.slots[0].w) {
+	if now.Sub(s.lookedFor) < replanTime && len(s.slots) == wants {
 		return
 	}
+	s.lookedFor, s.slots = now, p.slots(s, now)
+	if s.spec.Gang && len(s.slots) < wants {
+		s.slots = nil
+	}
+	s.slots = s.slots[:min(wants, len(s.slots))]
+}
+
+// keepRoom keeps the room at a step's places from the steps that come after it, from
+// when the last place is expected to come free and the step to have its tickets.
+func (p *Planner) keepRoom(s *step, now time.Time) {
 	from := s.slots[len(s.slots)-1].at
 	if until := s.known.answerBy(s.job.queue, now); from.Before(until) {
 		from = until
