--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// holds returns why a step is left out of a Schedule, if it is.
-func (p *Planner) holds(j *job, adopting bool) Reason {
+// heldBack returns why a step is left out of a Schedule, if it is.
+func (p *Planner) heldBack(j *job, adopting bool) Reason {
 	switch {
 	case adopting && j.rec.Revision <= p.Fresh:
 		return WaitAdopting
@@ -58,8 +58,8 @@
 	return 0
 }
 
-// held returns why tasks of a step that was just tried have not been started.
-func (p *Planner) heldBy(s *step) Reason {
+// waitsFor returns why tasks of a step that was just tried have not been started.
+func (p *Planner) waitsFor(s *step) Reason {
 	switch {
 	case s.waiting == 0:
 		return 0
--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -97,7 +97,7 @@
 
 // fit returns how many tasks of a step fit into a worker's free room.
 func (p *Planner) fit(s *step, w *worker) int {
-	return p.fitInto(s, w, p.open(s, w))
+	return p.fitInto(s, w, p.openRoom(s, w))
 }
 
 // fitInto returns how many tasks of a step fit into some room of a worker.
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -57,9 +57,9 @@
 	runs   uint64
 	// pools holds the room and the urgent demand of each service's workers.
 	pools map[string]*pool
-	// held is the room that is kept for steps which are looked at earlier than others,
+	// kept is the room that is kept for steps which are looked at earlier than others,
 	// as of the last Schedule.
-	held map[*worker]reservation
+	kept map[*worker]reservation
 	// planned counts the steps that it looked for places for.
 	planned int
 	// ending holds the workers with ends that are not forgotten yet.
@@ -84,7 +84,7 @@
 	return &Planner{
 		Term: term, Policy: DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
-		ending: make(map[*worker]bool), held: make(map[*worker]reservation), pools: make(map[string]*pool),
+		ending: make(map[*worker]bool), kept: make(map[*worker]reservation), pools: make(map[string]*pool),
 	}
 }
 
--- a/coord/fleet/gang.go
+++ b/coord/fleet/gang.go
@@ -130,7 +130,7 @@
 		var best *worker
 		var bestScore float64
 		for _, w := range workers {
-			left := p.open(s, w).Sub(taken[w])
+			left := p.openRoom(s, w).Sub(taken[w])
 			if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w)+count[w] >= s.spec.MostPerVM {
 				continue
 			}
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -98,7 +98,7 @@
 	now := p.now()
 	adopting := p.Adopting()
 	p.measure(now)
-	clear(p.held)
+	clear(p.kept)
 	p.planned = 0
 	type entry struct {
 		step *step
@@ -109,7 +109,7 @@
 		if j.state.Final() {
 			continue
 		}
-		held := p.holds(j, adopting)
+		held := p.heldBack(j, adopting)
 		for _, s := range j.steps {
 			if s.waiting == 0 || !s.ready() {
 				continue
@@ -129,7 +129,7 @@
 		p.place(e.step, now)
 		p.reserve(e.step, now, e.rank)
 		p.advise(e.step, now, e.rank, 0)
-		e.step.account(now, p.heldBy(e.step))
+		e.step.account(now, p.waitsFor(e.step))
 	}
 	if p.Policy.Moves && !adopting && p.KnownBefore.IsZero() {
 		p.move(now)
@@ -171,7 +171,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range workers {
-		left := p.open(s, w)
+		left := p.openRoom(s, w)
 		if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w) >= s.spec.MostPerVM {
 			continue
 		}
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -74,12 +74,12 @@
 		from = until
 	}
 	for _, x := range s.slots {
-		h := p.held[x.w]
+		h := p.kept[x.w]
 		if h.from.IsZero() || from.Before(h.from) {
 			h.from = from
 		}
 		h.room = h.room.Add(s.spec.Charge())
-		p.held[x.w] = h
+		p.kept[x.w] = h
 	}
 }
 
@@ -109,7 +109,7 @@
 
 // slotsAt returns the places at one worker.
 func (p *Planner) slotsAt(s *step, w *worker, now time.Time) []slot {
-	left := w.free().Sub(p.held[w].room)
+	left := w.free().Sub(p.kept[w].room)
 	var out []slot
 	add := func(at time.Time) {
 		for n := p.fitInto(s, w, left); len(out) < n; {
@@ -162,11 +162,11 @@
 	return later(r.since.Add(took), least), true
 }
 
-// open returns the room of a worker that a step may use now.
-func (p *Planner) open(s *step, w *worker) winch.Room {
+// openRoom returns the room of a worker that a step may use now.
+func (p *Planner) openRoom(s *step, w *worker) winch.Room {
 	left := w.free()
-	h, held := p.held[w]
-	if !held || p.now().Add(s.spec.Estimate).Before(h.from) {
+	h, ok := p.kept[w]
+	if !ok || p.now().Add(s.spec.Estimate).Before(h.from) {
 		return left
 	}
 	return left.Sub(h.room)
