--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,54 +28,141 @@
 	adviceWorkers = 30
 	// askAgain is the pause after a question that failed.
 	askAgain = 100 * time.Millisecond
+	// neglected is after how long without a question a step counts as waiting long for
+	// one. One in neglectedShare of the openings is left to such steps.
+	neglected      = 3 * time.Second
+	neglectedShare = 8
 )
 
+// Openings is how many questions may be asked, urgent and others.
+type Openings struct {
+	Urgent, Usual int
+}
+
+// unbounded lets everything be asked at once.
+var unbounded = Openings{math.MaxInt, math.MaxInt}
+
+// of returns the openings for a step's questions.
+func (o *Openings) of(s *step) *int {
+	if s.job.quick() {
+		return &o.Urgent
+	}
+	return &o.Usual
+}
+
 // advice is what is known of the workers that may run a step. Who may does not
 // change; a ticket ages, and ends with the worker's boot.
 type advice struct {
-	allowed map[string]permit
-	denied  map[string]bool
+	allowed []permit // allowed is in the order of the workers' IDs.
+	denied  []*worker
 	asking  bool
 	asked   time.Time // asked is when the service was last asked.
 	retry   time.Time
 }
 
 type permit struct {
-	value string
-	until time.Time
+	worker *worker
+	value  string
+	until  time.Time
 }
 
 func (t permit) good(now time.Time) bool {
 	return now.Add(ticketMargin).Before(t.until)
 }
 
-func (a *advice) ticket(id string) string {
-	return a.allowed[id].value
+// permit returns the permit for a worker; the zero one if there is none.
+func (a *advice) permit(w *worker) permit {
+	for i := range a.allowed {
+		if a.allowed[i].worker == w {
+			return a.allowed[i]
+		}
+	}
+	return permit{}
 }
 
-func (a *advice) expire(id string) {
-	if t, ok := a.allowed[id]; ok {
-		t.until = time.Time{}
-		a.allowed[id] = t
+func (a *advice) isDenied(w *worker) bool {
+	return slices.Contains(a.denied, w)
+}
+
+func (a *advice) expire(w *worker) {
+	for i := range a.allowed {
+		if a.allowed[i].worker == w {
+			a.allowed[i].until = time.Time{}
+		}
+	}
+}
+
+// allow takes a permit.
+func (a *advice) allow(t permit) {
+	for i := range a.allowed {
+		if a.allowed[i].worker == t.worker {
+			a.allowed[i] = t
+			return
+		}
 	}
+	i, _ := slices.BinarySearchFunc(a.allowed, t.worker.vm.ID, func(x permit, id string) int { return cmp.Compare(x.worker.vm.ID, id) })
+	a.allowed = slices.Insert(a.allowed, i, t)
 }
 
 // advise asks which workers may run a step, if it has tasks that wait, or some more
 // that are to move, and no worker with room and a good ticket for them.
 func (p *Planner) advise(s *step, now time.Time, r rank, moving int) {
-	cost := s.job.queue.Advice
-	wanted := s.waiting + moving
-	if cost == nil || wanted == 0 || s.known.asking || now.Before(s.known.retry) {
+	if !p.wantsAdvice(s, now, moving) {
 		return
 	}
+	if left := *p.Openings.of(s); left > p.neglectedPart(s) || moving > 0 && left > 0 {
+		p.askFor(s, now, r, moving)
+	} else if now.Sub(later(s.since, s.known.asked)) > neglected {
+		p.overdue = append(p.overdue, waiting{s, r})
+	}
+}
+
+// wantsAdvice reports whether a question about a step is due.
+func (p *Planner) wantsAdvice(s *step, now time.Time, moving int) bool {
+	if s.job.queue.Advice == nil || s.waiting+moving == 0 || s.known.asking || now.Before(s.known.retry) {
+		return false
+	}
 	// What moves takes no more of its team's limit than it has.
-	if moving == 0 && !s.job.team.allows(s.spec.Need) || !p.spare(s) || p.covered(s, now) >= wanted {
+	return (moving > 0 || s.job.team.allows(s.spec.Need)) && p.spare(s)
+}
+
+// neglectedPart is how many of the openings are left to steps that have waited long for
+// a question.
+func (p *Planner) neglectedPart(s *step) int {
+	if *p.asOpened.of(s) == math.MaxInt {
+		return 0
+	}
+	return *p.asOpened.of(s) / neglectedShare
+}
+
+// askNeglected asks for steps that have waited long for a question, the longest first:
+// by rank alone those with the lowest would never be asked about while lanes are few.
+func (p *Planner) askNeglected(now time.Time) {
+	slices.SortFunc(p.overdue, func(a, b waiting) int {
+		return cmp.Or(later(a.step.since, a.step.known.asked).Compare(later(b.step.since, b.step.known.asked)), compareWaiting(a, b))
+	})
+	for _, e := range p.overdue {
+		if *p.Openings.of(e.step) > 0 {
+			p.askFor(e.step, now, e.rank, 0)
+		}
+	}
+	clear(p.overdue)
+	p.overdue = p.overdue[:0]
+}
+
+// askFor asks about a step, unless workers with room and good tickets suffice.
+func (p *Planner) askFor(s *step, now time.Time, r rank, moving int) {
+	cost := s.job.queue.Advice
+	wanted := s.waiting + moving
+	covered := p.covered(s, now)
+	if covered >= wanted {
 		return
 	}
-	ids := p.toAsk(s, now, wanted)
+	ids := p.toAsk(s, now, wanted-covered)
 	if len(ids) == 0 {
 		return
 	}
+	*p.Openings.of(s)--
 	s.known.asking, s.known.asked = true, now
 	p.counts.Asked++
 	p.asks = append(p.asks, Ask{
@@ -89,21 +177,17 @@
 	if !s.spec.Charge().Fits(p.pool(s.job.queue.Service).most) {
 		return 0
 	}
-	for _, w := range p.candidates(s, now) {
-		n += p.fit(s, w)
-	}
+	counts := s.perWorker()
+	p.eachCandidate(s, now, func(w *worker) {
+		n += s.fitInto(p.openRoom(s, w, now), roomFor(s.spec.MostPerVM, counts[w]))
+	})
 	return n
 }
 
-// fit returns how many tasks of a step fit into a worker's free room.
-func (p *Planner) fit(s *step, w *worker) int {
-	return p.fitInto(s, w, p.openRoom(s, w))
-}
-
-// fitInto returns how many tasks of a step fit into some room of a worker.
-func (p *Planner) fitInto(s *step, w *worker, left winch.Room) int {
+// fitInto returns how many tasks of a step fit into some room of a worker, at most some.
+func (s *step) fitInto(left winch.Room, most int) int {
 	charge := s.spec.Charge()
-	n := len(s.tasks)
+	n := min(len(s.tasks), most)
 	if charge.Milli > 0 {
 		n = min(n, int(left.Milli/charge.Milli))
 	}
@@ -113,9 +197,6 @@
 	if charge.Accelerators > 0 {
 		n = min(n, left.Accelerators/charge.Accelerators)
 	}
-	if s.spec.MostPerVM > 0 {
-		n = min(n, s.spec.MostPerVM-p.onWorker(s, w))
-	}
 	return max(0, n)
 }
 
@@ -127,18 +208,19 @@
 	score float64
 }
 
-// toAsk chooses the workers to ask about: those with room, or with room by the time
-// of the answer where the step is known to be allowed, as many as probably suffice.
-// A first question names as many as cost no more than the question itself.
+// toAsk chooses the workers to ask about for some tasks: those with room, or with room by
+// the time of the answer where the step is known to be allowed, as many as probably
+// suffice. A first question names as many as cost no more than the question itself.
 func (p *Planner) toAsk(s *step, now time.Time, wanted int) []string {
+	first := p.Policy.AskAll && s.known.asked.IsZero()
 	full := !s.spec.Charge().Fits(p.pool(s.job.queue.Service).most)
-	if full && len(s.slots) == 0 && !(p.Policy.AskAll && s.known.asked.IsZero()) {
+	if full && len(s.slots) == 0 && !first {
 		return nil
 	}
-	options := p.options(s, now)
+	options := p.options(s, now, first)
 	var out []string
 	room := 0.0
-	need := askSpare * float64(wanted-p.covered(s, now))
+	need := askSpare * float64(wanted)
 	for _, o := range options {
 		if o.fit == 0 || len(out) == askMost || len(out) >= askLeast && room >= need {
 			break
@@ -150,7 +232,7 @@
 			room += float64(o.fit) * max(0.1, s.job.queue.share)
 		}
 	}
-	if p.Policy.AskAll && s.known.asked.IsZero() {
+	if first {
 		for _, o := range options[len(out):] {
 			if len(out) >= askMost || time.Duration(len(out))*s.job.queue.Advice.Worker >= s.job.queue.Advice.Call {
 				break
@@ -161,43 +243,72 @@
 	return out
 }
 
+// What a search marks workers as.
+const (
+	markDenied = iota + 1
+	markGood
+	markKnown
+)
+
+// markAsked marks the workers that are known to be allowed or not.
+func (p *Planner) markAsked(s *step, now time.Time) {
+	p.marks++
+	mark := func(w *worker, as int) { w.mark, w.markedAs = p.marks, as }
+	for _, w := range s.known.denied {
+		mark(w, markDenied)
+	}
+	for i := range s.known.allowed {
+		t := &s.known.allowed[i]
+		if t.good(now) && !s.outlasts(t.worker, *t) {
+			mark(t.worker, markGood)
+		} else {
+			mark(t.worker, markKnown)
+		}
+	}
+}
+
 // options returns the workers that could be asked about, the best first: those with
-// room before those without.
-func (p *Planner) options(s *step, now time.Time) []option {
-	var out []option
+// room, and if all are wanted, those without.
+func (p *Planner) options(s *step, now time.Time, all bool) []option {
 	answer := now.Add(s.job.queue.turnaround)
-	for _, w := range p.pool(s.job.queue.Service).workers {
-		id := w.vm.ID
-		if s.known.denied[id] || !p.suits(s, w, now) {
+	p.markAsked(s, now)
+	counts := s.perWorker()
+	workers := p.pool(s.job.queue.Service).workers
+	p.looks += len(workers)
+	out := best[option]{most: askMost, before: better}
+	for _, w := range workers {
+		as := 0
+		if w.mark == p.marks {
+			as = w.markedAs
+		}
+		if as == markDenied || as == markGood || !p.suits(s, w, now) {
 			continue
 		}
-		t, known := s.known.allowed[id]
-		if known && t.good(now) && !s.outlasts(w, t) {
+		o := option{w: w, known: as == markKnown, fit: s.fitInto(p.openRoom(s, w, now), roomFor(s.spec.MostPerVM, counts[w]))}
+		if o.known && p.Policy.Reserve && len(s.slots) > 0 {
+			o.fit = max(o.fit, s.slotsBy(w, answer))
+		}
+		if o.fit == 0 && !all {
 			continue
 		}
-		o := option{w: w, fit: p.fit(s, w), known: known, score: p.score(s, w, w.free())}
-		if known {
+		o.score = p.score(s, w, w.free())
+		if o.known {
 			o.score++
 		}
-		if known && p.Policy.Reserve {
-			o.fit = max(o.fit, s.slotsBy(w, answer))
-		}
-		out = append(out, o)
+		out.add(o)
 	}
-	slices.SortFunc(out, func(a, b option) int {
-		return cmp.Or(compareBool(b.fit > 0, a.fit > 0), cmp.Compare(b.score, a.score), cmp.Compare(a.w.vm.ID, b.w.vm.ID))
-	})
-	return out
+	return out.list
 }
 
-func compareBool(a, b bool) int {
+// better reports whether a worker is better asked about than another.
+func better(a, b option) bool {
 	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
+	case (a.fit > 0) != (b.fit > 0):
+		return a.fit > 0
+	case a.score != b.score:
+		return a.score > b.score
 	}
-	return -1
+	return a.w.order < b.w.order
 }
 
 // outlasts reports whether a place kept for the step at a worker comes free only after
@@ -223,26 +334,39 @@
 	if s == nil {
 		return
 	}
-	if s.known.allowed == nil {
-		s.known.allowed = make(map[string]permit)
-		s.known.denied = make(map[string]bool)
+	if s.job.queue != nil && valid == 0 && s.job.queue.Advice != nil {
+		valid = s.job.queue.Advice.Valid
 	}
+	p.markAsked(s, p.now())
+	const named = -1
 	fresh, allowed := 0, 0
+	var asked []*worker
 	for _, id := range a.Workers {
-		if _, known := s.known.allowed[id]; !known {
-			fresh++
-			s.known.denied[id] = true
+		w := p.workers[id]
+		if w == nil {
+			continue
+		}
+		if w.mark != p.marks || w.markedAs == markDenied {
+			w.mark, w.markedAs = p.marks, named
+			asked = append(asked, w)
 		}
 	}
-	if s.job.queue != nil && valid == 0 && s.job.queue.Advice != nil {
-		valid = s.job.queue.Advice.Valid
-	}
+	fresh = len(asked)
 	for _, t := range tickets {
-		if s.known.denied[t.Worker] {
+		w := p.workers[t.Worker]
+		if w == nil {
+			continue
+		}
+		if w.mark == p.marks && w.markedAs == named {
 			allowed++
-			delete(s.known.denied, t.Worker)
+			w.markedAs = markKnown
+		}
+		s.known.allow(permit{w, t.Value, sent.Add(valid)})
+	}
+	for _, w := range asked {
+		if w.markedAs == named && !s.known.isDenied(w) {
+			s.known.denied = append(s.known.denied, w)
 		}
-		s.known.allowed[t.Worker] = permit{t.Value, sent.Add(valid)}
 	}
 	if q := s.job.queue; q != nil {
 		q.turnaround += time.Duration(turnStep * float64(p.now().Sub(a.Asked)-q.turnaround))
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -30,9 +31,11 @@
 	urgent     demand
 	// workers are those that may be given work, by ID, as of the last Schedule.
 	workers []*worker
-	// most is the largest free room of each kind at any of them: what does not fit
-	// into it fits nowhere.
+	// most is the largest free room of each kind at any of them as of the last Schedule:
+	// what does not fit into it fits nowhere.
 	most winch.Room
+	// misses are the shapes that no worker had room for in the last Schedule.
+	misses []shape
 }
 
 func (p *Planner) pool(service string) *pool {
@@ -54,9 +57,9 @@
 	at   time.Time
 }
 
-// begin starts a new count.
+// begin starts a new count of what is wanted.
 func (d *demand) begin() {
-	d.used, d.want = winch.Room{}, winch.Room{}
+	d.want = d.used
 }
 
 // end takes the count over into the peak.
@@ -98,61 +101,100 @@
 	return j.quick() && !j.excess
 }
 
-// measure counts the urgent work of all teams.
-func (p *Planner) measure(now time.Time) {
+// measure takes the room of all workers, puts the ready steps into their order, and counts
+// the urgent work of all teams.
+func (p *Planner) measure(now time.Time, adopting bool) {
 	for _, x := range p.pools {
 		x.urgent.begin()
-		x.room, x.free, x.most, x.workers = winch.Room{}, winch.Room{}, winch.Room{}, x.workers[:0]
+		x.room, x.free, x.most = winch.Room{}, winch.Room{}, winch.Room{}
+		clear(x.workers)
+		x.workers, x.misses = x.workers[:0], x.misses[:0]
 	}
 	for _, t := range p.teams {
 		t.urgent.begin()
 	}
-	for _, w := range p.workers {
-		if w.usable() {
-			x := p.pool(w.vm.Service)
-			x.room, x.free = x.room.Add(w.vm.Room), x.free.Add(w.free())
-			x.workers = append(x.workers, w)
-			left := w.free()
-			x.most = winch.Room{
-				Milli: max(x.most.Milli, left.Milli), Memory: max(x.most.Memory, left.Memory), Accelerators: max(x.most.Accelerators, left.Accelerators),
-			}
-		}
-		for _, r := range w.runs {
-			if r.task != nil && !r.stopping && r.task.step.job.urgent() {
-				p.countUrgent(r.task.step.job, r.need, true)
-			}
+	p.measureRoom()
+	p.order(now, adopting)
+	for _, x := range p.pools {
+		x.urgent.end(now)
+	}
+	for _, t := range p.teams {
+		t.urgent.end(now)
+	}
+}
+
+// measureRoom takes the room of the workers that may be given work.
+func (p *Planner) measureRoom() {
+	if p.unsorted {
+		p.unsorted = false
+		p.byID = slices.SortedFunc(maps.Values(p.workers), func(a, b *worker) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
+		for i, w := range p.byID {
+			w.order = i
 		}
 	}
-	for id, j := range p.active {
-		if j.state.Final() {
-			delete(p.active, id)
+	var x *pool
+	service := ""
+	for _, w := range p.byID {
+		if !w.usable() {
 			continue
 		}
-		if !j.urgent() {
-			continue
+		if x == nil || w.vm.Service != service {
+			service = w.vm.Service
+			x = p.pool(service)
 		}
-		for _, s := range j.steps {
-			if s.waiting > 0 && s.ready() {
-				for range s.waiting {
-					p.countUrgent(j, s.spec.Need, false)
-				}
-			}
+		left := w.free()
+		x.room, x.free = x.room.Add(w.vm.Room), x.free.Add(left)
+		x.workers = append(x.workers, w)
+		x.most = winch.Room{
+			Milli: max(x.most.Milli, left.Milli), Memory: max(x.most.Memory, left.Memory), Accelerators: max(x.most.Accelerators, left.Accelerators),
 		}
 	}
-	for _, x := range p.pools {
-		x.urgent.end(now)
-		slices.SortFunc(x.workers, func(a, b *worker) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
+}
+
+// countWaiting adds what waits of a step to the demand of urgent work.
+func (p *Planner) countWaiting(s *step) {
+	if !s.job.urgent() {
+		return
 	}
-	for _, t := range p.teams {
-		t.urgent.end(now)
+	need := s.spec.Need.Times(s.waiting)
+	for _, d := range s.job.demands() {
+		d.want = d.want.Add(need)
 	}
 }
 
-func (p *Planner) countUrgent(j *job, need winch.Room, runs bool) {
-	for _, d := range []*demand{&p.pool(j.queue.Service).urgent, &j.team.urgent} {
-		d.want = d.want.Add(need)
-		if runs {
-			d.used = d.used.Add(need)
+// demands returns the demands that the job's work counts to.
+func (j *job) demands() [2]*demand {
+	return [2]*demand{&j.planner.pool(j.queue.Service).urgent, &j.team.urgent}
+}
+
+// countUrgent counts a run while it is one of urgent work, and takes it back else.
+func (r *run) countUrgent(on bool) {
+	on = on && r.task != nil && !r.stopping && r.task.step.job.urgent()
+	if on == r.urgent {
+		return
+	}
+	r.urgent = on
+	for _, d := range r.task.step.job.demands() {
+		if on {
+			d.used = d.used.Add(r.need)
+		} else {
+			d.used = d.used.Sub(r.need)
+		}
+	}
+}
+
+// recountUrgent counts all runs anew: a configuration may have changed what is urgent.
+func (p *Planner) recountUrgent() {
+	for _, x := range p.pools {
+		x.urgent.used = winch.Room{}
+	}
+	for _, t := range p.teams {
+		t.urgent.used = winch.Room{}
+	}
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			r.urgent = false
+			r.countUrgent(true)
 		}
 	}
 }
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -154,7 +154,7 @@
 	r.task.step.spendMost(WaitStart, p.now().Sub(r.since))
 	switch e.Result {
 	case winch.StartTicket:
-		r.task.step.known.expire(w.vm.ID)
+		r.task.step.known.expire(w)
 	case winch.StartNoRoom, winch.StartRefused, winch.StartUncertain:
 		w.health.rest(p.now(), refusedRest)
 		r.task.step.job.unanswered++
@@ -213,6 +213,9 @@
 		j := t.step.job
 		if p.settle(w, t, r, e) {
 			mark.job, mark.changes = j, j.changes
+			if !slices.Contains(j.listing, w) {
+				j.listing = append(j.listing, w)
+			}
 		}
 		j.update()
 	}
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -44,24 +44,40 @@
 	Clock func() time.Time
 	// Policy says which mechanisms are in force; New sets DefaultPolicy.
 	Policy Policy
+	// Openings is what the next Schedule may ask the advice service; New sets no bound.
+	Openings Openings
 
 	jobs map[string]*job
 	// active holds the jobs that have not ended; most that are known have.
-	active  map[string]*job
+	active map[string]*job
+	// ready holds the steps whose tasks may wait, in the order of the last Schedule.
+	ready   []waiting
 	workers map[string]*worker
-	queues  map[string]*queue
-	teams   map[string]*team
+	// byID lists the workers in the order of their IDs, unless unsorted is set.
+	byID     []*worker
+	unsorted bool
+	queues   map[string]*queue
+	teams    map[string]*team
 	// roster holds the workers that earlier planners may have used and that have
 	// not answered yet.
 	roster map[string]bool
 	runs   uint64
 	// pools holds the room and the urgent demand of each service's workers.
 	pools map[string]*pool
-	// kept is the room that is kept for steps which are looked at earlier than others,
-	// as of the last Schedule.
-	kept map[*worker]reservation
-	// planned counts the steps that it looked for places for.
-	planned int
+	// kept lists the workers with room that is kept for steps which were looked at earlier
+	// than others in the last Schedule.
+	kept []*worker
+	// planned counts the steps that it kept places for, searched those that it looked for
+	// new places for, and looks the workers that it looked at.
+	planned, searched, looks int
+	// resume is the step at which the last Schedule ended, if it did not get through.
+	resume *step
+	// marks counts the searches that mark workers.
+	marks uint64
+	// asOpened is Openings at the beginning of the last Schedule; overdue lists the steps
+	// that have waited long for a question and did not get one of them.
+	asOpened Openings
+	overdue  []waiting
 	// ending holds the workers with ends that are not forgotten yet.
 	ending map[*worker]bool
 
@@ -84,7 +100,7 @@
 	return &Planner{
 		Term: term, Policy: DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
-		ending: make(map[*worker]bool), kept: make(map[*worker]reservation), pools: make(map[string]*pool),
+		ending: make(map[*worker]bool), pools: make(map[string]*pool), Openings: unbounded,
 	}
 }
 
@@ -130,12 +146,14 @@
 	for _, t := range c.Teams {
 		p.team(t.Name).RegionTeam = t
 	}
-	for _, j := range p.jobs {
+	for _, j := range p.active {
 		if j.queue == nil {
 			j.queue = p.queues[j.rec.Queue]
-			j.chains()
 		}
+		j.chains()
+		j.consider()
 	}
+	p.recountUrgent()
 }
 
 func (p *Planner) team(name string) *team {
--- a/coord/fleet/gang.go
+++ b/coord/fleet/gang.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"time"
-
-	"plantainwinch/winch"
-)
+import "time"
 
 // gangWait bounds how long a gang may be incomplete before its members are
 // taken back; workers end a lone member after three seconds or more.
@@ -71,10 +67,10 @@
 		p.endGang(s)
 		return
 	}
-	workers := p.candidates(s, now)
+	pick := p.newPicker(s, now)
 	for _, t := range s.tasks {
 		if t.free() {
-			p.placeTask(t, workers, s.gang.number, s.gang.checkpoint)
+			p.placeTask(t, pick, s.gang.number, s.gang.checkpoint)
 		}
 	}
 }
@@ -107,43 +103,24 @@
 	}
 	s.gang = gangRun{number: p.nextRun(), checkpoint: checkpoint, begun: now}
 	for i, t := range s.tasks {
-		p.order(t, picked[i], s.gang.number, checkpoint)
+		p.start(t, picked[i], s.gang.number, checkpoint)
 	}
 }
 
 // pickGang chooses a worker for each member, or returns nil if not all fit.
 func (p *Planner) pickGang(s *step, now time.Time) []*worker {
-	charge := s.spec.Charge()
-	if !charge.Fits(p.pool(s.job.queue.Service).most) {
+	if !s.spec.Charge().Fits(p.pool(s.job.queue.Service).most) || !s.job.team.allows(s.wantsAtOnce()) {
 		return nil
 	}
-	workers := p.candidates(s, now)
-	var total winch.Room
-	taken := make(map[*worker]winch.Room)
-	count := make(map[*worker]int)
-	var out []*worker
+	pick := p.newPicker(s, now)
+	out := make([]*worker, 0, len(s.tasks))
 	for range s.tasks {
-		total = total.Add(s.spec.Need)
-		if !s.job.team.allows(total) {
-			return nil
-		}
-		var best *worker
-		var bestScore float64
-		for _, w := range workers {
-			left := p.openRoom(s, w).Sub(taken[w])
-			if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w)+count[w] >= s.spec.MostPerVM {
-				continue
-			}
-			if score := p.score(s, w, left); best == nil || score > bestScore {
-				best, bestScore = w, score
-			}
-		}
-		if best == nil {
+		i := pick.best("")
+		if i < 0 {
 			return nil
 		}
-		taken[best] = taken[best].Add(charge)
-		count[best]++
-		out = append(out, best)
+		out = append(out, pick.choices[i].w)
+		pick.took(i)
 	}
 	return out
 }
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -35,6 +35,9 @@
 	failed     map[string][]uint64 // failed lists the runs that failed, by failKey.
 	unanswered int                 // unanswered counts starts without an answer.
 	pressing   bool                // pressing says that a caller waits for the record.
+	dirty      bool                // dirty says that its record is to be written.
+	// listing holds the workers that list ends which wait for its record.
+	listing []*worker
 }
 
 // step is one phase of one run of a job's phases.
@@ -45,15 +48,21 @@
 	phase int
 	tasks []*task
 	after []*step
+	next  []*step // next holds the steps that name this one in after.
 	due   time.Time
+	// listed says that the step is among the planner's ready ones, since when it is.
+	listed bool
+	since  time.Time
 	// waiting counts the tasks that neither run nor have ended.
 	waiting int
 	done    int
 	live    int
 	// finished is when a task last ended well.
 	finished time.Time
-	// tail is the longest chain of estimates from this phase to the job's end.
+	// tail is the longest chain of estimates from this phase to the job's end, whole the
+	// longest of the step's run of the phases.
 	tail  time.Duration
+	whole time.Duration
 	known advice
 	gang  gangRun
 	// slots are the places where the tasks that wait are expected to start.
@@ -64,6 +73,10 @@
 	took    time.Duration
 	longest time.Duration
 	samples int
+	// usual is the median rate of usualOf tasks as of usualAt.
+	usual   float64
+	usualOf int
+	usualAt time.Time
 	// spent is how long tasks have waited for each reason, reason why some wait
 	// since judged.
 	spent  map[Reason]time.Duration
@@ -107,12 +120,17 @@
 
 // turn reports whether the phases before the step are done and it is due.
 func (s *step) turn() bool {
+	return s.unlocked() && (s.due.IsZero() || !s.job.planner.now().Before(s.due))
+}
+
+// unlocked reports whether the phases before the step are done.
+func (s *step) unlocked() bool {
 	for _, a := range s.after {
 		if a.done < len(a.tasks) {
 			return false
 		}
 	}
-	return s.due.IsZero() || !s.job.planner.now().Before(s.due)
+	return true
 }
 
 // Add takes an accepted job, with what is recorded of its progress. A job that
@@ -137,6 +155,26 @@
 	}
 	j.update()
 	j.shown = j.state
+	if j.state.Final() {
+		delete(p.active, rec.ID)
+	}
+	j.consider()
+}
+
+// consider lists the steps whose turn may have come.
+func (j *job) consider() {
+	for _, s := range j.steps {
+		j.planner.consider(s)
+	}
+}
+
+// consider lists a step among the ready ones if tasks of it wait and no earlier step
+// holds it back.
+func (p *Planner) consider(s *step) {
+	if !s.listed && s.waiting > 0 && s.job.queue != nil && s.unlocked() {
+		s.listed, s.since = true, time.Time{}
+		p.ready = append(p.ready, waiting{step: s})
+	}
 }
 
 func (j *job) addRun(k int) {
@@ -147,7 +185,9 @@
 			s.due = j.rec.First.Add(time.Duration(k) * j.rec.Every)
 		}
 		for _, a := range s.spec.After {
-			s.after = append(s.after, j.steps[first+a])
+			before := j.steps[first+a]
+			s.after = append(s.after, before)
+			before.next = append(before.next, s)
 		}
 		for index := range s.spec.Count {
 			s.tasks = append(s.tasks, &task{step: s, index: index})
@@ -179,6 +219,13 @@
 			}
 		}
 	}
+	whole := time.Duration(0)
+	for _, s := range steps {
+		whole = max(whole, s.tail)
+	}
+	for _, s := range steps {
+		s.whole = whole
+	}
 }
 
 // begin is when the step's run of the phases begins to count: the job's acceptance, or
@@ -190,15 +237,9 @@
 	return s.due
 }
 
-// objective is when the job should have ended.
-func (j *job) objective(s *step) time.Time {
-	var longest time.Duration
-	for _, x := range j.steps {
-		if x.k == s.k {
-			longest = max(longest, x.tail)
-		}
-	}
-	return s.begin().Add(j.allowance(longest))
+// objective is when the step's run of the phases should have ended.
+func (s *step) objective() time.Time {
+	return s.begin().Add(s.job.allowance(s.whole))
 }
 
 // allowance is how long a job may take whose longest chain of work takes a time.
@@ -259,6 +300,11 @@
 	t.step.done++
 	t.step.finished = t.step.job.planner.now()
 	t.recount()
+	if t.step.done == len(t.step.tasks) {
+		for _, s := range t.step.next {
+			s.job.planner.consider(s)
+		}
+	}
 }
 
 // recount keeps the step's numbers right after a change of the task.
@@ -272,6 +318,7 @@
 			s.waiting++
 		}
 	}
+	s.job.planner.consider(s)
 }
 
 // wanted returns the run that does the task's work, if there is one.
@@ -316,6 +363,7 @@
 	j.state = state
 	j.ended = j.planner.now()
 	j.pressing = true
+	delete(j.planner.active, j.rec.ID)
 }
 
 // Cancel stops all work of a job whose cancel is recorded.
--- /dev/null
+++ b/coord/fleet/pick.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"plantainwinch/winch"
+)
+
+// picker chooses workers for tasks of one step, the best first. It is made and used
+// within one Schedule.
+type picker struct {
+	planner *Planner
+	step    *step
+	charge  winch.Room
+	// choices is a heap by score of the workers with room for a task.
+	choices []choice
+}
+
+// choice is a worker that a task may be started at.
+type choice struct {
+	w     *worker
+	left  winch.Room // left is the room there that the step may use.
+	tasks int        // tasks is how many more of the step may run there.
+	score float64
+}
+
+// shape is what decides which workers have room for a task, where no advice is needed.
+type shape struct {
+	charge   winch.Room
+	label    string
+	estimate time.Duration
+}
+
+// covers reports whether no worker has room for a task of another shape if none has for
+// one of this.
+func (x shape) covers(other shape) bool {
+	return x.charge.Fits(other.charge) && (x.label == "" || x.label == other.label) && x.estimate <= other.estimate
+}
+
+func (s *step) shape() shape {
+	return shape{s.spec.Charge(), s.spec.Label, s.spec.Estimate}
+}
+
+// mostMisses bounds the shapes that are remembered as without room.
+const mostMisses = 16
+
+// missed reports whether it is known that no worker has room for a task of the step.
+func (p *Planner) missed(s *step) bool {
+	if s.job.queue.Advice != nil {
+		return false
+	}
+	want := s.shape()
+	for _, x := range p.pool(s.job.queue.Service).misses {
+		if x.covers(want) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteMiss remembers until the next Schedule that no worker has room for a task of the
+// step.
+func (p *Planner) noteMiss(s *step) {
+	x := p.pool(s.job.queue.Service)
+	if s.job.queue.Advice == nil && s.spec.MostPerVM == 0 && len(x.misses) < mostMisses {
+		x.misses = append(x.misses, s.shape())
+	}
+}
+
+func (p *Planner) newPicker(s *step, now time.Time) *picker {
+	k := &picker{planner: p, step: s, charge: s.spec.Charge()}
+	if p.missed(s) {
+		return k
+	}
+	counts := s.perWorker()
+	p.eachCandidate(s, now, func(w *worker) {
+		left := p.openRoom(s, w, now)
+		tasks := roomFor(s.spec.MostPerVM, counts[w])
+		if !k.charge.Fits(left) || tasks <= 0 {
+			return
+		}
+		k.choices = append(k.choices, choice{w: w, left: left, tasks: tasks, score: p.score(s, w, left)})
+	})
+	k.heapify()
+	if len(k.choices) == 0 {
+		p.noteMiss(s)
+	}
+	return k
+}
+
+// eachCandidate calls f for the workers that may run the step now, whatever their room, in
+// the order of their IDs.
+func (p *Planner) eachCandidate(s *step, now time.Time, f func(*worker)) {
+	if s.job.queue.Advice == nil {
+		workers := p.pool(s.job.queue.Service).workers
+		p.looks += len(workers)
+		for _, w := range workers {
+			if p.suits(s, w, now) {
+				f(w)
+			}
+		}
+		return
+	}
+	p.looks += len(s.known.allowed)
+	for i := range s.known.allowed {
+		t := &s.known.allowed[i]
+		if t.good(now) && p.suits(s, t.worker, now) {
+			f(t.worker)
+		}
+	}
+}
+
+// perWorker counts the runs of a step at each worker, stopping ones included, if that
+// matters.
+func (s *step) perWorker() map[*worker]int {
+	if s.spec.MostPerVM == 0 {
+		return nil
+	}
+	out := make(map[*worker]int)
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			out[r.worker]++
+		}
+	}
+	return out
+}
+
+// best returns the index of the best choice for a task that is better not started at one
+// worker, or -1 if there is none.
+func (k *picker) best(avoid string) int {
+	n := len(k.choices)
+	if n == 0 {
+		return -1
+	}
+	if avoid == "" || k.choices[0].w.vm.ID != avoid || n == 1 {
+		return 0
+	}
+	next := 1
+	if n > 2 && k.before(2, 1) {
+		next = 2
+	}
+	if k.choices[next].score >= k.choices[0].score-avoidCost {
+		return next
+	}
+	return 0
+}
+
+// took notes that a task has been given to a choice.
+func (k *picker) took(i int) {
+	c := &k.choices[i]
+	c.left = c.left.Sub(k.charge)
+	c.tasks--
+	if k.charge.Fits(c.left) && c.tasks > 0 {
+		c.score = k.planner.score(k.step, c.w, c.left)
+		k.down(i)
+		k.up(i)
+	} else {
+		k.drop(i)
+	}
+	if k.step.spec.SameRack {
+		for i := range k.choices {
+			k.choices[i].score = k.planner.score(k.step, k.choices[i].w, k.choices[i].left)
+		}
+		k.heapify()
+	}
+}
+
+func (k *picker) drop(i int) {
+	last := len(k.choices) - 1
+	k.choices[i] = k.choices[last]
+	k.choices = k.choices[:last]
+	if i < last {
+		k.down(i)
+		k.up(i)
+	}
+}
+
+// before reports whether choice i is better than choice j.
+func (k *picker) before(i, j int) bool {
+	a, b := &k.choices[i], &k.choices[j]
+	return a.score > b.score || a.score == b.score && a.w.order < b.w.order
+}
+
+func (k *picker) heapify() {
+	for i := len(k.choices)/2 - 1; i >= 0; i-- {
+		k.down(i)
+	}
+}
+
+func (k *picker) up(i int) {
+	for i > 0 && k.before(i, (i-1)/2) {
+		k.choices[i], k.choices[(i-1)/2] = k.choices[(i-1)/2], k.choices[i]
+		i = (i - 1) / 2
+	}
+}
+
+func (k *picker) down(i int) {
+	for {
+		best := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(k.choices); child++ {
+			if k.before(child, best) {
+				best = child
+			}
+		}
+		if best == i {
+			return
+		}
+		k.choices[i], k.choices[best] = k.choices[best], k.choices[i]
+		i = best
+	}
+}
+
+// roomFor returns how many more tasks of a step may run at a worker that has some.
+func roomFor(most, running int) int {
+	if most == 0 {
+		return math.MaxInt
+	}
+	return most - running
+}
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -39,6 +39,7 @@
 	rankUsual
 	rankExcess // rankExcess: beyond its team's share.
 	rankLate   // rankLate: so late that nobody waits for it any more; it still runs.
+	rankHeld   // rankHeld: it must not start yet.
 )
 
 // The parts of a step's remaining chain of estimates that must still fit before
@@ -53,7 +54,7 @@
 
 func (p *Planner) rank(s *step, now time.Time) rank {
 	j := s.job
-	objective := j.objective(s)
+	objective := s.objective()
 	left := objective.Sub(now).Seconds()
 	slack := left - s.tail.Seconds()
 	limit := s.limit(objective)
@@ -92,48 +93,105 @@
 	return chanceFresh
 }
 
+// mostLooks bounds the workers that one Schedule looks at for steps that wait, so that a
+// decision takes some milliseconds however much waits. What is left is looked at first in
+// the next one; an eighth of the looks is for it.
+const (
+	mostLooks  = 100_000
+	resumePart = 8
+)
+
+// waiting is a step whose tasks may wait, with its rank as of the last Schedule.
+type waiting struct {
+	step *step
+	rank rank
+}
+
 // Schedule starts what can start. It is called after events, at most every few
 // milliseconds.
 func (p *Planner) Schedule() {
 	now := p.now()
 	adopting := p.Adopting()
-	p.measure(now)
-	clear(p.kept)
-	p.planned = 0
-	type entry struct {
-		step *step
-		rank rank
+	p.clearKept()
+	p.planned, p.searched, p.looks, p.asOpened = 0, 0, 0, p.Openings
+	p.measure(now, adopting)
+	p.tryAll(now)
+	if p.Policy.Moves && !adopting && p.KnownBefore.IsZero() {
+		p.move(now)
 	}
-	var waiting []entry
-	for _, j := range p.active {
-		if j.state.Final() {
-			continue
+	p.askNeglected(now)
+}
+
+// tryAll starts tasks of the ready steps, in their order, and asks and keeps room for
+// those that cannot start yet.
+func (p *Planner) tryAll(now time.Time) {
+	resume := p.resume
+	p.resume = nil
+	most := mostLooks - mostLooks/resumePart
+	for _, e := range p.ready {
+		if e.rank.class == rankHeld {
+			break
 		}
-		held := p.heldBack(j, adopting)
-		for _, s := range j.steps {
-			if s.waiting == 0 || !s.ready() {
-				continue
+		if e.step == resume {
+			most, resume = mostLooks, nil
+		}
+		if p.looks >= most {
+			if resume == nil {
+				p.resume = e.step
+				break
 			}
-			if held != 0 {
-				s.account(now, held)
-			} else {
-				waiting = append(waiting, entry{s, p.rank(s, now)})
+			if p.resume == nil {
+				p.resume = e.step
 			}
+			continue // The step at which the last Schedule ended comes later.
 		}
-	}
-	slices.SortFunc(waiting, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(a.rank.class, b.rank.class), cmp.Compare(a.rank.key, b.rank.key),
-			cmp.Compare(a.step.job.rec.ID, b.step.job.rec.ID), cmp.Compare(a.step.phase, b.step.phase), cmp.Compare(a.step.k, b.step.k))
-	})
-	for _, e := range waiting {
 		p.place(e.step, now)
 		p.reserve(e.step, now, e.rank)
 		p.advise(e.step, now, e.rank, 0)
 		e.step.account(now, p.waitsFor(e.step))
 	}
-	if p.Policy.Moves && !adopting && p.KnownBefore.IsZero() {
-		p.move(now)
+}
+
+// order brings the ready steps into their order, drops those that are not ready any
+// more, and adds what waits to the demand of urgent work.
+func (p *Planner) order(now time.Time, adopting bool) {
+	kept := p.ready[:0]
+	for _, e := range p.ready {
+		s := e.step
+		if !s.ready() {
+			if s.waiting > 0 && s.unlocked() && !s.job.cancelled && !s.job.state.Final() {
+				e.rank = rank{class: rankHeld} // It is not due yet.
+				kept = append(kept, e)
+				continue
+			}
+			s.listed = false
+			continue
+		}
+		if s.since.IsZero() {
+			s.since = now
+		}
+		p.countWaiting(s)
+		if held := p.heldBack(s.job, adopting); held != 0 {
+			s.account(now, held)
+			e.rank = rank{class: rankHeld}
+		} else {
+			e.rank = p.rank(s, now)
+		}
+		kept = append(kept, e)
+	}
+	clear(p.ready[len(kept):])
+	p.ready = kept
+	slices.SortFunc(p.ready, compareWaiting)
+}
+
+func compareWaiting(a, b waiting) int {
+	if a.rank.class != b.rank.class {
+		return cmp.Compare(a.rank.class, b.rank.class)
 	}
+	if a.rank.key != b.rank.key {
+		return cmp.Compare(a.rank.key, b.rank.key)
+	}
+	return cmp.Or(cmp.Compare(a.step.job.rec.ID, b.step.job.rec.ID), cmp.Compare(a.step.phase, b.step.phase), cmp.Compare(a.step.k, b.step.k))
 }
 
 func (p *Planner) place(s *step, now time.Time) {
@@ -141,17 +199,29 @@
 		p.placeGang(s, now)
 		return
 	}
-	if !s.spec.Charge().Fits(p.pool(s.job.queue.Service).most) {
+	if p.hopeless(s) {
 		return
 	}
-	workers := p.candidates(s, now)
+	var pick *picker
 	for _, t := range s.tasks {
-		if t.free() && !p.placeTask(t, workers, 0, t.checkpoint) {
+		if !t.free() {
+			continue
+		}
+		if pick == nil {
+			pick = p.newPicker(s, now)
+		}
+		if !p.placeTask(t, pick, 0, t.checkpoint) {
 			return
 		}
 	}
 }
 
+// hopeless reports whether no task of a step can start now, as far as is known without
+// looking at workers.
+func (p *Planner) hopeless(s *step) bool {
+	return !s.job.team.allows(s.spec.Need) || !p.spare(s) || !s.spec.Charge().Fits(p.pool(s.job.queue.Service).most)
+}
+
 // allows reports whether the team may have more running.
 func (t *team) allows(more winch.Room) bool {
 	after := t.used.Add(more)
@@ -162,46 +232,33 @@
 }
 
 // placeTask starts a task at the best of some workers and reports whether there was one.
-func (p *Planner) placeTask(t *task, workers []*worker, number uint64, checkpoint string) bool {
+func (p *Planner) placeTask(t *task, pick *picker, number uint64, checkpoint string) bool {
 	s := t.step
-	charge := s.spec.Charge()
 	if !s.job.team.allows(s.spec.Need) || !p.spare(s) {
 		return false
 	}
-	var best *worker
-	var bestScore float64
-	for _, w := range workers {
-		left := p.openRoom(s, w)
-		if !charge.Fits(left) || s.spec.MostPerVM > 0 && p.onWorker(s, w) >= s.spec.MostPerVM {
-			continue
-		}
-		score := p.score(s, w, left)
-		if w.vm.ID == t.avoid {
-			score -= avoidCost
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	if best == nil {
+	i := pick.best(t.avoid)
+	if i < 0 {
+		p.noteMiss(s)
 		return false
 	}
 	if number == 0 {
 		number = p.nextRun()
 	}
-	p.order(t, best, number, checkpoint)
+	p.start(t, pick.choices[i].w, number, checkpoint)
+	pick.took(i)
 	return true
 }
 
-// order starts a task at a worker.
-func (p *Planner) order(t *task, w *worker, number uint64, checkpoint string) {
+// start orders the start of a task at a worker.
+func (p *Planner) start(t *task, w *worker, number uint64, checkpoint string) {
 	r := p.addRun(w, t, t.id(), number)
 	x := p.pool(t.step.job.queue.Service)
 	x.free = x.free.Sub(r.charge)
 	t.step.job.begun = true
 	p.orders = append(p.orders, proto.Order{
 		Kind: proto.OrderStart, Worker: w.vm.ID, Task: t.id(), Run: number,
-		Checkpoint: checkpoint, Ticket: t.step.known.ticket(w.vm.ID),
+		Checkpoint: checkpoint, Ticket: t.step.known.permit(w).value,
 	})
 }
 
@@ -221,21 +278,6 @@
 	return s.spec.Fills || kept == (winch.Room{}) || s.spec.Need.Add(kept).Fits(x.free)
 }
 
-// candidates returns the workers that may run the step now, whatever their room, by
-// ID. It is only called within Schedule.
-func (p *Planner) candidates(s *step, now time.Time) []*worker {
-	var out []*worker
-	for _, w := range p.pool(s.job.queue.Service).workers {
-		if s.job.queue.Advice != nil && !s.known.allowed[w.vm.ID].good(now) {
-			continue
-		}
-		if p.suits(s, w, now) {
-			out = append(out, w)
-		}
-	}
-	return out
-}
-
 // suits reports whether a worker may be given work and is of the kind that the
 // step needs.
 func (p *Planner) suits(s *step, w *worker, now time.Time) bool {
@@ -247,19 +289,6 @@
 	return w.vm.Service == s.job.queue.Service && (s.spec.Label == "" || slices.Contains(w.vm.Labels, s.spec.Label))
 }
 
-// onWorker counts the runs of a step at a worker, stopping ones included.
-func (p *Planner) onWorker(s *step, w *worker) int {
-	n := 0
-	for _, t := range s.tasks {
-		for _, r := range t.runs {
-			if r.worker == w {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // Weights of a worker's score; the share of free processors, 0 to 1, is the unit.
 const (
 	// avoidCost keeps a task from the worker at which it failed last, if there is another.
--- a/coord/fleet/record.go
+++ b/coord/fleet/record.go
@@ -18,7 +18,13 @@
 // change notes that a job's record is to be written.
 func (p *Planner) change(j *job) {
 	j.changes++
-	if !slices.Contains(p.dirty, j) {
+	p.note(j)
+}
+
+// note lists a job among those whose records are to be written.
+func (p *Planner) note(j *job) {
+	if !j.dirty {
+		j.dirty = true
 		p.dirty = append(p.dirty, j)
 	}
 }
@@ -52,7 +58,7 @@
 			rest = append(rest, j)
 			continue
 		}
-		j.saving = true
+		j.saving, j.dirty = true, false
 		out = append(out, Record{Job: j.rec.ID, Progress: j.progress(), Revision: j.revision, Changes: j.changes})
 	}
 	p.dirty = rest
@@ -102,9 +108,10 @@
 		j.shown = r.Progress.State
 		j.ended = p.now() // Callers are shown it from now on, and it is kept from now on.
 	}
-	for w := range p.ending {
+	for _, w := range j.listing {
 		p.forget(w)
 	}
+	j.listing = slices.DeleteFunc(j.listing, func(w *worker) bool { return !p.ending[w] })
 }
 
 // Unwritten notes that a record was not written, or not surely. The revision,
@@ -118,7 +125,5 @@
 	if revision != 0 {
 		j.revision = revision
 	}
-	if !slices.Contains(p.dirty, j) {
-		p.dirty = append(p.dirty, j)
-	}
+	p.note(j)
 }
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -14,8 +14,10 @@
 	largePart = 0.5
 	// replanTime is how long the places that were found for a step are kept.
 	replanTime = 20 * time.Millisecond
-	// mostPlanned bounds the steps that places are looked for in one Schedule.
-	mostPlanned = 64
+	// mostPlanned bounds the steps that places are kept for in one Schedule, mostSearched
+	// those that places are looked for anew.
+	mostPlanned  = 64
+	mostSearched = 6
 	// stopSoon is how long a stopped run is expected to hold its room.
 	stopSoon = 300 * time.Millisecond
 	// leastLeft is the least that a run is expected to take yet.
@@ -59,7 +61,10 @@
 	if now.Sub(s.lookedFor) < replanTime && len(s.slots) == wants {
 		return
 	}
-	s.lookedFor, s.slots = now, p.slots(s, now)
+	if p.searched < mostSearched {
+		p.searched++
+		s.lookedFor, s.slots = now, p.slots(s, now, wants)
+	}
 	if s.spec.Gang && len(s.slots) < wants {
 		s.slots = nil
 	}
@@ -74,15 +79,26 @@
 		from = until
 	}
 	for _, x := range s.slots {
-		h := p.kept[x.w]
+		h := &x.w.kept
+		if h.from.IsZero() {
+			p.kept = append(p.kept, x.w)
+		}
 		if h.from.IsZero() || from.Before(h.from) {
 			h.from = from
 		}
 		h.room = h.room.Add(s.spec.Charge())
-		p.kept[x.w] = h
 	}
 }
 
+// clearKept drops the room that was kept in the last Schedule.
+func (p *Planner) clearKept() {
+	for _, w := range p.kept {
+		w.kept = reservation{}
+	}
+	clear(p.kept)
+	p.kept = p.kept[:0]
+}
+
 // large reports whether a task of the step takes a large part of a worker.
 func (s *step) large(w *worker) bool {
 	need, room := s.spec.Charge(), w.vm.Room
@@ -91,37 +107,50 @@
 		need.Accelerators > 0 && float64(need.Accelerators) >= largePart*float64(room.Accelerators)
 }
 
-// slots returns places for the tasks of a step at workers that it is known to be
+// slots returns places for up to some tasks of a step at workers that it is known to be
 // allowed at, those that come free first first.
-func (p *Planner) slots(s *step, now time.Time) []slot {
-	var out []slot
-	for _, w := range p.pool(s.job.queue.Service).workers {
-		if _, known := s.known.allowed[w.vm.ID]; !known && s.job.queue.Advice != nil || !p.suits(s, w, now) {
-			continue
+func (p *Planner) slots(s *step, now time.Time, most int) []slot {
+	out := best[slot]{most: most, before: earlier}
+	counts := s.perWorker()
+	look := func(w *worker) {
+		if p.suits(s, w, now) {
+			s.slotsAt(&out, w, now, roomFor(s.spec.MostPerVM, counts[w]))
 		}
-		out = append(out, p.slotsAt(s, w, now)...)
 	}
-	slices.SortFunc(out, func(a, b slot) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.w.vm.ID, b.w.vm.ID))
-	})
-	return out
+	if s.job.queue.Advice == nil {
+		workers := p.pool(s.job.queue.Service).workers
+		p.looks += len(workers)
+		for _, w := range workers {
+			look(w)
+		}
+	} else {
+		p.looks += len(s.known.allowed)
+		for i := range s.known.allowed {
+			look(s.known.allowed[i].worker)
+		}
+	}
+	return out.list
+}
+
+// earlier reports whether a place comes free before another.
+func earlier(a, b slot) bool {
+	return a.at.Before(b.at) || a.at.Equal(b.at) && a.w.order < b.w.order
 }
 
-// slotsAt returns the places at one worker.
-func (p *Planner) slotsAt(s *step, w *worker, now time.Time) []slot {
-	left := w.free().Sub(p.kept[w].room)
-	var out []slot
+// slotsAt adds the places at one worker, at most some.
+func (s *step) slotsAt(out *best[slot], w *worker, now time.Time, most int) {
+	left := w.free().Sub(w.kept.room)
+	n := 0
 	add := func(at time.Time) {
-		for n := p.fitInto(s, w, left); len(out) < n; {
-			out = append(out, slot{w, at})
+		for fits := s.fitInto(left, most); n < fits; n++ {
+			out.add(slot{w, at})
 		}
 	}
 	add(now)
 	for _, e := range w.expected(now) {
 		left = left.Add(e.room)
-		add(e.at)
+		add(later(e.at, now.Add(leastLeft)))
 	}
-	return out
 }
 
 // expectedEnd is room that is expected to come free.
@@ -130,9 +159,13 @@
 	room winch.Room
 }
 
-// expected returns the ends that are expected at a worker, the first first.
+// expected returns the ends that are expected at a worker, the first first. They are
+// worked out anew when its runs have changed or after a while.
 func (w *worker) expected(now time.Time) []expectedEnd {
-	var out []expectedEnd
+	if w.endsOf == w.changes && now.Sub(w.endsAt) < replanTime {
+		return w.expects
+	}
+	out := w.expects[:0]
 	for _, r := range w.runs {
 		if at, ok := r.expectedEnd(now); ok {
 			out = append(out, expectedEnd{at, r.charge})
@@ -141,6 +174,7 @@
 	slices.SortFunc(out, func(a, b expectedEnd) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.room.Milli, b.room.Milli), cmp.Compare(a.room.Accelerators, b.room.Accelerators))
 	})
+	w.expects, w.endsOf, w.endsAt = out, w.changes, now
 	return out
 }
 
@@ -163,13 +197,12 @@
 }
 
 // openRoom returns the room of a worker that a step may use now.
-func (p *Planner) openRoom(s *step, w *worker) winch.Room {
+func (p *Planner) openRoom(s *step, w *worker, now time.Time) winch.Room {
 	left := w.free()
-	h, ok := p.kept[w]
-	if !ok || p.now().Add(s.spec.Estimate).Before(h.from) {
+	if w.kept.from.IsZero() || now.Add(s.spec.Estimate).Before(w.kept.from) {
 		return left
 	}
-	return left.Sub(h.room)
+	return left.Sub(w.kept.room)
 }
 
 // answerBy is when an answer to a question about the step is expected; the zero time
@@ -178,10 +211,8 @@
 	if q.Advice == nil {
 		return time.Time{}
 	}
-	for _, t := range a.allowed {
-		if t.good(now) {
-			return time.Time{}
-		}
+	if slices.ContainsFunc(a.allowed, func(t permit) bool { return t.good(now) }) {
+		return time.Time{}
 	}
 	if a.asking {
 		return a.asked.Add(q.turnaround)
--- a/coord/fleet/slow.go
+++ b/coord/fleet/slow.go
@@ -17,6 +17,10 @@
 	restartTime = time.Second
 	// mostRestarts bounds how often one task is moved since it was slow.
 	mostRestarts = 2
+	// usualTime is how long the usual speed of a step's tasks is taken to hold, leastRates
+	// of how many tasks it has to be known.
+	usualTime  = 200 * time.Millisecond
+	leastRates = 3
 	// slowRest is how long a worker gets no new work that is slower than others or
 	// stands still; what runs there goes on being judged.
 	slowRest = 2 * time.Second
@@ -60,7 +64,7 @@
 		return true, true
 	}
 	rate, ok := r.rate(now)
-	usual, most := r.task.step.usualRate(r, now)
+	usual, most := r.task.step.usualRate(now)
 	if !ok || !most {
 		return ok, false
 	}
@@ -76,12 +80,21 @@
 	return (r.percent - r.base) / d.Seconds(), true
 }
 
-// usualRate is the median rate of a step's other tasks, those that have ended
-// included, and whether it is known.
-func (s *step) usualRate(without *run, now time.Time) (float64, bool) {
+// usualRate is the median rate of a step's tasks, those that have ended included, and
+// whether that of enough is known. It is worked out anew after a while.
+func (s *step) usualRate(now time.Time) (float64, bool) {
+	if s.usualAt.IsZero() || now.Sub(s.usualAt) >= usualTime {
+		s.usual, s.usualOf = s.medianRate(now)
+		s.usualAt = now
+	}
+	return s.usual, s.usualOf >= leastRates
+}
+
+// medianRate returns the median rate, and of how many it is.
+func (s *step) medianRate(now time.Time) (float64, int) {
 	var rates []float64
 	for _, t := range s.tasks {
-		if r := t.wanted(); r != nil && r != without {
+		if r := t.wanted(); r != nil {
 			if rate, ok := r.rate(now); ok {
 				rates = append(rates, rate)
 			}
@@ -90,11 +103,11 @@
 	for range s.samples {
 		rates = append(rates, 100/max(0.001, s.took.Seconds()))
 	}
-	if len(rates) < 2 {
-		return 0, false
+	if len(rates) == 0 {
+		return 0, 0
 	}
 	slices.Sort(rates)
-	return rates[len(rates)/2], true
+	return rates[len(rates)/2], len(rates)
 }
 
 // restart stops a slow run, so that its task starts elsewhere, if it would end sooner
@@ -124,16 +137,15 @@
 	p.stop(r)
 }
 
-// elsewhere reports whether another worker that a step is not known to be denied has
+// elsewhere reports whether another worker that a step is known to be allowed at has
 // room for a task of it.
 func (p *Planner) elsewhere(s *step, not *worker, now time.Time) bool {
-	for id, w := range p.workers {
-		if w == not || s.known.denied[id] || !p.suits(s, w, now) {
-			continue
-		}
-		if _, known := s.known.allowed[id]; (known || s.job.queue.Advice == nil) && p.fit(s, w) > 0 {
-			return true
-		}
+	counts := s.perWorker()
+	fits := func(w *worker) bool {
+		return w != not && p.suits(s, w, now) && s.fitInto(p.openRoom(s, w, now), roomFor(s.spec.MostPerVM, counts[w])) > 0
+	}
+	if s.job.queue.Advice != nil {
+		return slices.ContainsFunc(s.known.allowed, func(t permit) bool { return fits(t.worker) })
 	}
-	return false
+	return slices.ContainsFunc(p.pool(s.job.queue.Service).workers, fits)
 }
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -265,11 +265,7 @@
 	if !s.spec.Gang {
 		return s.spec.Need
 	}
-	var out winch.Room
-	for range s.waiting {
-		out = out.Add(s.spec.Need)
-	}
-	return out
+	return s.spec.Need.Times(s.waiting)
 }
 
 // adoptingWait names one of the workers that have not been heard.
@@ -305,7 +301,8 @@
 // offer counts the workers that could run a step.
 func (p *Planner) offer(s *step, now time.Time) Offer {
 	var out Offer
-	for id, w := range p.workers {
+	counts := s.perWorker()
+	for _, w := range p.workers {
 		if !s.ofKind(w) {
 			continue
 		}
@@ -314,16 +311,16 @@
 			continue
 		}
 		out.Usable++
-		good := s.job.queue.Advice == nil || s.known.allowed[id].good(now)
+		good := s.job.queue.Advice == nil || s.known.permit(w).good(now)
 		switch {
 		case w.health.resting(now):
 			out.Resting++
 		case good:
 			out.Ticketed++
-			out.Fits += p.fit(s, w)
-		case s.known.denied[id]:
+			out.Fits += s.fitInto(p.openRoom(s, w, now), roomFor(s.spec.MostPerVM, counts[w]))
+		case s.known.isDenied(w):
 			out.Denied++
-		case p.fit(s, w) > 0:
+		case s.fitInto(p.openRoom(s, w, now), roomFor(s.spec.MostPerVM, counts[w])) > 0:
 			out.Unasked++
 		}
 	}
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -26,6 +26,7 @@
 	// started says that the worker confirmed the start.
 	started  bool
 	stopping bool
+	urgent   bool // urgent says that it counts as urgent work that runs.
 	since    time.Time
 	// until is when the run was last known to do its task's work, once it is to stop.
 	until time.Time
@@ -71,6 +72,18 @@
 	closely  bool
 	health   health
 	heldBack time.Time // heldBack is when fills here may next be given more.
+	// kept is the room that is kept for steps which were looked at earlier in the last
+	// Schedule.
+	kept reservation
+	// changes counts the changes of its runs; expects holds the ends expected at endsAt
+	// after endsOf changes,.
+	changes, endsOf uint64
+	expects         []expectedEnd
+	endsAt          time.Time
+	order           int // order is its place among the workers by ID.
+	// mark is the number of the last search that marked the worker, markedAs what for.
+	mark     uint64
+	markedAs int
 }
 
 // endMark is an end whose number may be forgotten once the job's record has
@@ -109,11 +122,13 @@
 		if w != nil && w.vm.Born != vm.Born && vm.Born != 0 {
 			p.Lost(vm.ID)
 			delete(p.workers, vm.ID)
+			p.unsorted = true
 			w = nil
 		}
 		if w == nil {
 			w = &worker{planner: p, runs: make(map[runKey]*run), empty: !p.roster[vm.ID]}
 			p.workers[vm.ID] = w
+			p.unsorted = true
 		}
 		w.over = w.over && w.vm.Born == vm.Born
 		w.vm = vm
@@ -128,6 +143,7 @@
 		w.noteSilence()
 		if len(w.runs) == 0 && (w.ready || w.empty) {
 			delete(p.workers, id)
+			p.unsorted = true
 		}
 	}
 }
@@ -144,6 +160,7 @@
 	for _, vm := range vms {
 		if p.workers[vm.ID] == nil && p.roster[vm.ID] {
 			p.workers[vm.ID] = &worker{planner: p, vm: vm, gone: true, runs: make(map[runKey]*run), silent: p.now()}
+			p.unsorted = true
 		}
 	}
 }
@@ -265,7 +282,9 @@
 	}
 	w.used = w.used.Add(r.charge)
 	w.runs[r.key] = r
+	w.changes++
 	w.empty = false
+	r.countUrgent(true)
 	p.watch(w)
 	return r
 }
@@ -301,6 +320,8 @@
 	}
 	delete(w.runs, r.key)
 	w.used = w.used.Sub(r.charge)
+	w.changes++
+	r.countUrgent(false)
 	if r.task == nil {
 		return
 	}
@@ -319,6 +340,8 @@
 	}
 	r.until = r.seen(p.now())
 	r.stopping = true
+	r.worker.changes++
+	r.countUrgent(false)
 	if r.task != nil {
 		r.task.recount()
 	}
@@ -372,5 +395,6 @@
 	w.empty = true
 	if w.gone {
 		delete(p.workers, id)
+		p.unsorted = true
 	}
 }
--- a/coord/lanes/lanes.go
+++ b/coord/lanes/lanes.go
@@ -4,7 +4,6 @@
 package lanes
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -32,15 +31,35 @@
 
 // Lanes holds the lanes and what waits for them. It is owned by one goroutine.
 type Lanes[T any] struct {
-	lanes   map[string]*lane
-	waiting []Question[T]
-	slow    int // slow counts lanes that are busy with questions that are not urgent.
-	urgent  int // urgent counts those that are busy with urgent ones.
+	lanes map[string]*lane
+	// urgentOnes and slowOnes hold what waits, the lowest rank first.
+	urgentOnes, slowOnes queue[T]
+	slow                 int // slow counts lanes that are busy with questions that are not urgent.
+	urgent               int // urgent counts those that are busy with urgent ones.
 	// use is the mean of urgent up to at.
 	use float64
 	at  time.Time
 }
 
+// queue holds questions, the lowest rank first, and of equal ranks the earliest.
+type queue[T any] []Question[T]
+
+func (q *queue[T]) add(x Question[T]) {
+	i, _ := slices.BinarySearchFunc(*q, x.Rank, func(a Question[T], rank float64) int {
+		if a.Rank <= rank {
+			return -1
+		}
+		return 1
+	})
+	*q = slices.Insert(*q, i, x)
+}
+
+func (q *queue[T]) take() Question[T] {
+	x := (*q)[0]
+	*q = slices.Delete(*q, 0, 1)
+	return x
+}
+
 type lane struct {
 	busy   bool
 	urgent bool
@@ -67,45 +86,56 @@
 
 // Add queues a question.
 func (l *Lanes[T]) Add(q Question[T]) {
-	l.waiting = append(l.waiting, q)
+	if q.Urgent {
+		l.urgentOnes.add(q)
+	} else {
+		l.slowOnes.add(q)
+	}
 }
 
 // Waiting returns the number of queued questions.
 func (l *Lanes[T]) Waiting() int {
-	return len(l.waiting)
+	return len(l.urgentOnes) + len(l.slowOnes)
+}
+
+// Openings returns how many urgent and how many other questions free lanes can take now
+// beyond those that are queued.
+func (l *Lanes[T]) Openings(now time.Time) (urgent, slow int) {
+	l.measure(now)
+	free := 0
+	for _, x := range l.lanes {
+		if !x.busy && now.After(x.rest) {
+			free++
+		}
+	}
+	free = max(0, free-l.Waiting())
+	return free, max(0, min(free, l.mostSlow()-l.slow-len(l.slowOnes)))
 }
 
 // Next returns a free lane and the question to ask there, or false if nothing
 // can be asked now.
 func (l *Lanes[T]) Next(now time.Time) (string, Question[T], bool) {
 	var none Question[T]
-	if len(l.waiting) == 0 {
+	if l.Waiting() == 0 {
 		return "", none, false
 	}
-	slices.SortStableFunc(l.waiting, func(a, b Question[T]) int {
-		switch {
-		case a.Urgent == b.Urgent:
-			return cmp.Compare(a.Rank, b.Rank)
-		case a.Urgent:
-			return -1
-		}
-		return 1
-	})
 	l.measure(now)
+	urgent := len(l.urgentOnes) > 0
+	if !urgent && l.slow >= l.mostSlow() {
+		return "", none, false
+	}
 	name := l.free(now)
-	q := l.waiting[0]
-	if name == "" || !q.Urgent && l.slow >= l.mostSlow() {
+	if name == "" {
 		return "", none, false
 	}
-	l.waiting = slices.Delete(l.waiting, 0, 1)
 	x := l.lanes[name]
-	x.busy, x.urgent = true, q.Urgent
-	if q.Urgent {
+	x.busy, x.urgent = true, urgent
+	if urgent {
 		l.urgent++
-	} else {
-		l.slow++
+		return name, l.urgentOnes.take(), true
 	}
-	return name, q, true
+	l.slow++
+	return name, l.slowOnes.take(), true
 }
 
 // mostSlow is how many lanes may be busy with slow questions.
--- a/region/lead.go
+++ b/region/lead.go
@@ -23,6 +23,9 @@
 	// gatherTime is how long events are gathered before the planner decides: it
 	// looks at all that waits each time.
 	gatherTime = 3 * time.Millisecond
+	// decidePause is how many times as long as a decision took the next one waits: events,
+	// orders and answers want the rest of the processor.
+	decidePause = 3
 	// idleTime is how often it decides without events: tickets and times run out.
 	idleTime = 100 * time.Millisecond
 	// tokensPerOffice is the room for fencing tokens below one revision of the office.
@@ -117,7 +120,8 @@
 	looked     time.Time // looked is when the standby was last compared with others.
 	armed      bool
 	closed     bool
-	decided    time.Time // decided is when the planner last looked at all that waits.
+	decided    time.Time     // decided is when the planner last looked at all that waits,
+	took       time.Duration // and took how long that took.
 	// assign says that the workers' keepers are to be worked out again, assigned
 	// when they last were.
 	assign   bool
@@ -316,7 +320,7 @@
 func (l *lead) wake() {
 	if !l.armed {
 		l.armed = true
-		l.timer.Reset(gatherTime)
+		l.timer.Reset(max(gatherTime, decidePause*l.took))
 	}
 }
 
@@ -337,8 +341,11 @@
 		l.yield(live)
 	}
 	if !l.closed && l.mayStart() {
+		l.planner.Openings = l.openings()
+		begin := time.Now()
 		l.planner.Schedule()
 		l.decided = time.Now()
+		l.took = l.decided.Sub(begin)
 	}
 	l.keepWords()
 	l.dispatch()
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -273,6 +273,13 @@
 	}
 }
 
+// openings returns the questions to the advice service that may be asked now: no more than
+// lanes are free for, so that each is asked by what is known when a lane takes it.
+func (l *lead) openings() fleet.Openings {
+	urgent, usual := l.lanes.Openings(time.Now())
+	return fleet.Openings{Urgent: urgent, Usual: usual}
+}
+
 // ask deals questions to the advice service over the lanes.
 func (l *lead) ask() {
 	for _, a := range l.planner.Asks() {
--- a/trial/region.go
+++ b/trial/region.go
@@ -182,6 +182,8 @@
 
 func (r *region) decide() {
 	r.armed = false
+	urgent, usual := r.lanes.Openings(r.now)
+	r.planner.Openings = fleet.Openings{Urgent: urgent, Usual: usual}
 	r.planner.Schedule()
 	for _, o := range r.planner.Orders() {
 		switch o.Kind {
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -20,6 +20,11 @@
 	return Room{r.Milli - o.Milli, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
 }
 
+// Times returns r n times.
+func (r Room) Times(n int) Room {
+	return Room{r.Milli * int64(n), r.Memory * Bytes(n), r.Accelerators * n}
+}
+
 // Fits reports whether r is within o in every dimension.
 func (r Room) Fits(o Room) bool {
 	return r.Milli <= o.Milli && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
