--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -20,6 +20,7 @@
 	shown     winch.JobState
 	cancelled bool
 	begun     bool
+	commanded bool // commanded says that its command is known, also if that is empty.
 	// excess says that the team handed the job in beyond its share.
 	excess bool
 	// adopted says that runs of an earlier planner were found.
@@ -393,11 +394,17 @@
 	return p.jobs[id] != nil
 }
 
-// Expired returns the jobs that ended before a time and whose end is recorded.
+// Expired returns the jobs that ended before a time and whose end is recorded. Of later
+// ones it keeps no more than what callers may ask.
 func (p *Planner) Expired(before time.Time) []string {
 	var out []string
 	for id, j := range p.jobs {
-		if j.state.Final() && j.shown == j.state && j.ended.Before(before) && !j.hasRuns() {
+		if !j.state.Final() || j.shown != j.state || j.hasRuns() {
+			continue
+		}
+		j.steps, j.listing = nil, nil
+		j.rec.Phases, j.rec.Command = nil, ""
+		if j.ended.Before(before) {
 			out = append(out, id)
 		}
 	}
--- a/coord/fleet/record.go
+++ b/coord/fleet/record.go
@@ -42,6 +42,12 @@
 // Records returns at most n records to write, those that callers wait for
 // first. None of a job is returned again before Saved or Unwritten was called for it.
 func (p *Planner) Records(n int) []Record {
+	return p.RecordsWithin(n, func(bool) int { return 1 })
+}
+
+// RecordsWithin is Records with a bound on the sum of their costs, which differ for those
+// of jobs that have ended.
+func (p *Planner) RecordsWithin(most int, cost func(final bool) int) []Record {
 	slices.SortStableFunc(p.dirty, func(a, b *job) int {
 		switch {
 		case a.pressing == b.pressing:
@@ -54,10 +60,12 @@
 	var out []Record
 	var rest []*job
 	for _, j := range p.dirty {
-		if len(out) == n || j.saving {
+		c := cost(j.state.Final())
+		if c > most || j.saving {
 			rest = append(rest, j)
 			continue
 		}
+		most -= c
 		j.saving, j.dirty = true, false
 		out = append(out, Record{Job: j.rec.ID, Progress: j.progress(), Revision: j.revision, Changes: j.changes})
 	}
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -52,8 +52,10 @@
 	// which was given later: answers on different connections overtake each other,
 	// and none is waited for longer.
 	overtaken = 3 * time.Second
-	// statusEvery bounds how often the state of runs is told to the planner.
-	statusEvery = 400 * time.Millisecond
+	// statusEvery bounds how often the state of runs is told to the planner, closeEvery
+	// while it paces them by it.
+	statusEvery = 1500 * time.Millisecond
+	closeEvery  = 400 * time.Millisecond
 	// mostListed is how many ends a worker lists at a time; with so many, runs may
 	// have ended that are not listed yet.
 	mostListed = 500
@@ -71,6 +73,10 @@
 	acked time.Time
 	// doubt says that the start was not answered and the run is being stopped.
 	doubt bool
+	// told says that its state was told to the planner, percent and checkpoint what was.
+	told       bool
+	percent    float64
+	checkpoint string
 }
 
 // command is an order with what its start needs.
@@ -196,6 +202,6 @@
 }
 
 func (h *holder) emit(e proto.KeepEvent) {
-	e.Worker, e.Token = h.vm.ID, h.token
+	e.Token = h.token
 	h.keeper.emit(h, e)
 }
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -23,6 +23,9 @@
 	mostEvents = 20_000
 	// ringSize bounds the orders that wait for one worker.
 	ringSize = 512
+	// gatherTime is how long news are gathered before they are told: the ends of a job's
+	// tasks come close together, and each message costs the planner as much as ten events.
+	gatherTime = 4 * time.Millisecond
 )
 
 // Keeper holds workers. Set the fields before Run.
@@ -40,7 +43,10 @@
 	started time.Time
 	until   time.Time // until is when the planner's authority ends.
 	holders map[string]*holder
-	events  []proto.KeepEvent
+	// byToken holds the same holders by the tokens that orders name them by.
+	byToken  map[uint64]*holder
+	commands commands
+	events   []proto.KeepEvent
 	// ended holds the holdings that have ended and of which the planner may not know
 	// yet until when what they kept may run; handed is how many of them the last
 	// answer told.
@@ -65,6 +71,7 @@
 func (k *Keeper) Prepare() {
 	k.started = time.Now()
 	k.holders = make(map[string]*holder)
+	k.byToken = make(map[uint64]*holder)
 	k.wake = make(chan struct{}, 1)
 	k.group = conc.NewWaitGroup()
 	k.ctx = context.Background()
@@ -74,9 +81,9 @@
 func (k *Keeper) Run(ctx context.Context) {
 	<-ctx.Done()
 	k.mu.Lock()
-	for id, h := range k.holders {
+	for _, h := range k.holders {
 		h.cancel()
-		delete(k.holders, id)
+		k.drop(h)
 	}
 	k.over = true
 	k.mu.Unlock()
@@ -110,17 +117,26 @@
 		}
 		if h != nil {
 			k.letGo(h)
+			k.drop(h)
 		}
 		k.hold(w)
 	}
 	for id, h := range k.holders {
 		if !wanted[id] {
 			k.letGo(h)
-			delete(k.holders, id)
+			k.drop(h)
 		}
 	}
 }
 
+// drop forgets a holder.
+func (k *Keeper) drop(h *holder) {
+	if k.holders[h.vm.ID] == h {
+		delete(k.holders, h.vm.ID)
+	}
+	delete(k.byToken, h.token)
+}
+
 // letGo ends a holding and notes until when what it kept may run: whoever holds the
 // worker next would have to assume the longest lease that could have been given.
 func (k *Keeper) letGo(h *holder) {
@@ -136,12 +152,13 @@
 func (k *Keeper) begin(s proto.Session) {
 	k.events = nil
 	k.handed = 0
+	k.commands = commands{}
 	if s.Term > k.session.Term {
 		k.ended = nil // A later planner asks for the last holding of each worker only.
 	}
 	for id, h := range k.holders {
 		k.letGo(h)
-		delete(k.holders, id)
+		k.drop(h)
 		if running, whole := h.known(); whole && s.Term > k.session.Term {
 			k.events = append(k.events, proto.KeepEvent{Kind: proto.EventKnown, Worker: id, Running: running, Turn: h.turn})
 		}
@@ -163,7 +180,7 @@
 		ring: make(chan command, ringSize), runs: make(map[runKey]*known), recorded: make(chan struct{}, 1),
 		opened: make(chan struct{}, 1),
 	}
-	k.holders[w.VM.ID] = h
+	k.holders[w.VM.ID], k.byToken[w.Token] = h, h
 	k.group.Go(func() {
 		defer cancel()
 		h.run(ctx)
@@ -172,33 +189,60 @@
 
 // Orders passes orders to the workers.
 func (k *Keeper) Orders(msg proto.KeepOrders) {
-	for i, h := range k.addressed(msg) {
-		if h != nil {
-			o := msg.Orders[i]
-			h.take(o, msg.Commands[o.Task.Job])
+	for i, to := range k.addressed(msg) {
+		if to.holder != nil {
+			to.holder.take(msg.Orders[i], to.command)
 		}
 	}
 }
 
+// address is where an order goes, with the command of its job.
+type address struct {
+	holder  *holder
+	command string
+}
+
 // addressed returns the holder of each order. Its lock is not held while a
 // holder's is taken: holders take both in the other order.
-func (k *Keeper) addressed(msg proto.KeepOrders) []*holder {
+func (k *Keeper) addressed(msg proto.KeepOrders) []address {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if msg.Session != k.session {
 		return nil
 	}
-	out := make([]*holder, len(msg.Orders))
+	for job, text := range msg.Commands {
+		k.commands.add(job, text)
+	}
+	out := make([]address, len(msg.Orders))
 	for i, o := range msg.Orders {
-		if h := k.holders[o.Worker]; h != nil && h.token == o.Token {
-			out[i] = h
-		}
+		out[i] = address{k.byToken[o.Token], k.commands.text[o.Task.Job]}
 	}
 	return out
 }
 
+// commands holds the commands that the keeper was told last.
+type commands struct {
+	text  map[string]string
+	order []string
+}
+
+func (c *commands) add(job, text string) {
+	if c.text == nil {
+		c.text = make(map[string]string)
+	}
+	if _, known := c.text[job]; known {
+		return
+	}
+	if len(c.order) == proto.KeptCommands {
+		delete(c.text, c.order[0])
+		c.order = c.order[1:]
+	}
+	c.text[job] = text
+	c.order = append(c.order, job)
+}
+
 // Poll returns what happened since the last poll of the session, and waits for
-// something to happen. A zero session in the answer says that the session of
+// something to happen, and a little longer for what happens with it. A zero session in the answer says that the session of
 // the question is not this keeper's.
 func (k *Keeper) Poll(ctx context.Context, ask proto.KeepPoll) proto.KeepNews {
 	news := k.await(ctx, ask)
@@ -221,6 +265,7 @@
 			news.Session = ask.Session
 			return news
 		case <-k.wake:
+			duty.Pause(ctx, gatherTime)
 		}
 	}
 }
--- a/coord/keep/lists.go
+++ b/coord/keep/lists.go
@@ -120,12 +120,32 @@
 	return out
 }
 
-// look tells how the runs go, not too often.
+// look tells how the runs go, not too often: all of them while the planner paces them, and
+// else those that have changed or stand still before their end.
 func (h *holder) look(running []winch.Running) []proto.KeepEvent {
 	now := time.Now()
-	if len(running) == 0 || now.Sub(h.statusAt) < statusEvery {
+	every := statusEvery
+	if h.closely {
+		every = closeEvery
+	}
+	if now.Sub(h.statusAt) < every {
+		return nil
+	}
+	var out []winch.Running
+	for _, x := range running {
+		if r := h.runs[runKey{x.Task, x.Run}]; r != nil && (h.closely || r.news(x)) {
+			r.told, r.percent, r.checkpoint = true, x.Percent, x.Checkpoint
+			out = append(out, x)
+		}
+	}
+	if len(out) == 0 {
 		return nil
 	}
 	h.statusAt = now
-	return []proto.KeepEvent{{Kind: proto.EventStatus, Running: running}}
+	return []proto.KeepEvent{{Kind: proto.EventStatus, Running: out}}
+}
+
+// news reports whether the state of a run tells the planner something.
+func (r *known) news(x winch.Running) bool {
+	return !r.told || x.Percent < 100 || x.Percent != r.percent || x.Checkpoint != r.checkpoint
 }
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -70,28 +70,35 @@
 
 // Order is one order to a worker.
 type Order struct {
-	Kind       OrderKind   `cbor:"1,keyasint"`
-	Worker     string      `cbor:"2,keyasint"`
-	Task       winch.RunID `cbor:"3,keyasint,omitzero"`
-	Run        uint64      `cbor:"4,keyasint,omitempty"`
-	Checkpoint string      `cbor:"5,keyasint,omitempty"`
-	Ticket     string      `cbor:"6,keyasint,omitempty"`
-	Percent    int         `cbor:"7,keyasint,omitempty"`
-	Forget     uint64      `cbor:"8,keyasint,omitempty"`
-	Closely    bool        `cbor:"9,keyasint,omitempty"`
+	_    struct{} `cbor:",toarray"`
+	Kind OrderKind
 	// Token is the one under which the worker was held when the order was decided.
 	// An order that waited while the worker was given to another keeper is dropped.
-	Token uint64 `cbor:"10,keyasint,omitempty"`
-	Spell uint64 `cbor:"11,keyasint,omitempty"`
+	// It names the worker on the way.
+	Token      uint64
+	Task       winch.RunID
+	Run        uint64
+	Checkpoint string
+	Ticket     string
+	Percent    int
+	Forget     uint64
+	Closely    bool
+	Spell      uint64
+	Worker     string `cbor:"-"`
 }
 
-// KeepOrders carries orders. Commands holds the command of each job named.
+// KeepOrders carries orders. Commands holds the commands of jobs that the keeper has not
+// been told in the session, and of those of which it may have forgotten them.
 type KeepOrders struct {
 	Session  Session           `cbor:"1,keyasint"`
 	Orders   []Order           `cbor:"2,keyasint"`
 	Commands map[string]string `cbor:"3,keyasint,omitempty"`
 }
 
+// KeptCommands is how many commands a keeper remembers in a session: those it was told
+// last.
+const KeptCommands = 1024
+
 // KeepPoll asks a keeper for what has happened; it answers at once if there is
 // something, and after Wait at the latest.
 type KeepPoll struct {
@@ -152,27 +159,29 @@
 
 // KeepEvent is one event at a worker.
 type KeepEvent struct {
-	Kind    EventKind         `cbor:"1,keyasint"`
-	Worker  string            `cbor:"2,keyasint"`
-	Task    winch.RunID       `cbor:"3,keyasint,omitzero"`
-	Run     uint64            `cbor:"4,keyasint,omitempty"`
-	Result  winch.StartResult `cbor:"5,keyasint,omitempty"`
-	Ended   []winch.Ended     `cbor:"6,keyasint,omitempty"`
-	Running []winch.Running   `cbor:"7,keyasint,omitempty"`
+	_    struct{} `cbor:",toarray"`
+	Kind EventKind
 	// Token is the one under which the keeper held the worker. An event of an
 	// earlier holding tells nothing of the present one.
-	Token uint64 `cbor:"8,keyasint,omitempty"`
+	Token   uint64
+	Task    winch.RunID
+	Run     uint64
+	Result  winch.StartResult
+	Ended   []winch.Ended
+	Running []winch.Running
 	// Left is, with EventSilent and EventReleased, after how long all leases at the
 	// worker have surely lapsed if nobody renews them.
-	Left time.Duration `cbor:"9,keyasint,omitempty"`
+	Left time.Duration
 	// Spell counts, with EventListed and EventBack, the worker's times of silence in
 	// this holding.
-	Spell uint64 `cbor:"10,keyasint,omitempty"`
+	Spell uint64
 	// Turn is, with EventKnown and EventReleased, that of the holding.
-	Turn uint64 `cbor:"11,keyasint,omitempty"`
+	Turn uint64
 	// Blind is, with EventEnded, for how long nothing had been heard of the worker
 	// although it was asked; zero if its last call was answered.
-	Blind time.Duration `cbor:"12,keyasint,omitempty"`
+	Blind time.Duration
+	// Worker is empty on the way with an event of a present holding: Token names it.
+	Worker string
 }
 
 // AdviseAsk asks an entry to call the advice service in its lane.
@@ -197,6 +206,8 @@
 type AcceptedJob struct {
 	Job      winch.PhasedJob `cbor:"1,keyasint"`
 	Revision uint64          `cbor:"2,keyasint"`
+	// Command is empty if the sender does not know it.
+	Command string `cbor:"3,keyasint,omitempty"`
 }
 
 // CancelJob tells the planner of a committed cancel.
@@ -264,9 +275,10 @@
 
 // MirrorRun is one run at a worker.
 type MirrorRun struct {
-	Worker string      `cbor:"1,keyasint"`
-	Task   winch.RunID `cbor:"2,keyasint"`
-	Run    uint64      `cbor:"3,keyasint"`
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	Task   winch.RunID
+	Run    uint64
 }
 
 // MirrorAck says whether the standby has taken a Mirror. It takes none of a
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -11,7 +11,7 @@
 
 // Version is the version of the protocol. Entries of different versions refuse
 // each other in the hello, before any other message.
-const Version = 1
+const Version = 2
 
 // Kinds of messages.
 const (
@@ -178,12 +178,21 @@
 	Forecast time.Duration
 }
 
-// Encode returns the CBOR form of a message.
+// mode encodes times to the microsecond, and numbers in as few bytes as hold them.
+var mode = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeUnixMicro, ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Encode returns the CBOR form of a message or a stored record.
 func Encode(v any) ([]byte, error) {
-	return cbor.Marshal(v)
+	return mode.Marshal(v)
 }
 
-// Decode reads the CBOR form of a message.
+// Decode reads the CBOR form of a message or a stored record.
 func Decode(data []byte, into any) error {
 	return cbor.Unmarshal(data, into)
 }
--- a/region/accept.go
+++ b/region/accept.go
@@ -15,8 +15,8 @@
 const (
 	// acceptRing bounds the submissions that wait to be written.
 	acceptRing = 1024
-	// acceptMost is how many one transaction may carry: a condition and a write each.
-	acceptMost = winch.TxnEntries / 2
+	// acceptMost is how many one transaction may carry: two conditions and two writes each.
+	acceptMost = winch.TxnEntries / 4
 	// acceptors is how many transactions may be on their way at once. One whose
 	// answer is lost must not hold the others up.
 	acceptors = 4
@@ -94,9 +94,10 @@
 	for len(batch) > 0 {
 		txn := winch.Txn{Expect: make(map[string]uint64)}
 		for _, s := range batch {
-			key := keyJob(s.job.ID)
-			txn.Expect[key] = 0
-			txn.Writes = append(txn.Writes, winch.Write{Key: key, Data: encode(s.job)})
+			txn.Expect[keyJob(s.job.ID)], txn.Expect[keyEnded(s.job.ID)] = 0, 0
+			txn.Writes = append(txn.Writes,
+				winch.Write{Key: keyJob(s.job.ID), Data: encode(s.job)},
+				winch.Write{Key: keyCommand(s.job.ID), Data: []byte(s.job.Command)})
 		}
 		revision, err := a.node.Table.Commit(ctx, txn)
 		var conflict *winch.ConflictError
@@ -127,7 +128,7 @@
 func (a *acceptor) known(batch []*submission, conflict *winch.ConflictError) []*submission {
 	var left []*submission
 	for _, s := range batch {
-		if conflict.Current[keyJob(s.job.ID)].Version != 0 {
+		if conflict.Current[keyJob(s.job.ID)].Version != 0 || conflict.Current[keyEnded(s.job.ID)].Version != 0 {
 			s.done <- winch.Result{Outcome: winch.Done}
 			continue
 		}
@@ -148,7 +149,7 @@
 		s.job.Revision = revision
 		s.done <- winch.Result{Outcome: winch.Done}
 		a.node.Log.Info("accepted", zap.String("job", s.job.ID), zap.String("queue", s.job.Queue), zap.String("team", s.job.Team), zap.Uint64("revision", revision))
-		msg.Jobs = append(msg.Jobs, proto.AcceptedJob{Job: *s.job, Revision: revision})
+		msg.Jobs = append(msg.Jobs, proto.AcceptedJob{Job: *s.job, Revision: revision, Command: s.job.Command})
 	}
 	a.node.tellPlanner(proto.KindAccepted, msg)
 }
--- a/region/assign.go
+++ b/region/assign.go
@@ -152,9 +152,8 @@
 			l.planner.Unready([]string{vm.ID})
 		}
 		changed[name] = true
-		l.keepers[vm.ID] = name
 		l.tokens++
-		l.kept[vm.ID] = proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens, Turn: turn, Empty: l.planner.Empty(vm.ID)}
+		l.keep(vm.ID, name, proto.Kept{VM: vm, Token: l.revision*tokensPerOffice + l.tokens, Turn: turn, Empty: l.planner.Empty(vm.ID)})
 	}
 	l.dropKept(held, changed)
 	for name := range changed {
@@ -171,8 +170,7 @@
 	for id, name := range l.keepers {
 		if !held[id] {
 			l.lapses.forget(id) // Nothing that the planner knows of runs there.
-			delete(l.keepers, id)
-			delete(l.kept, id)
+			l.unkeep(id)
 			changed[name] = true
 		}
 	}
--- a/region/cell.go
+++ b/region/cell.go
@@ -181,6 +181,8 @@
 type pacing struct {
 	wait time.Duration
 	gap  time.Duration
+	// after is the revision from which on changes are followed; zero reads all first.
+	after uint64
 	// answered, if it is set, is told after each call whether the store answered.
 	answered func(ok bool)
 }
@@ -194,7 +196,7 @@
 // follow reads a prefix and then its changes, until ctx ends. After a gap in
 // the history all is read anew.
 func (n *Node) follow(ctx context.Context, prefix string, pace pacing, all func([]winch.Value), changes func([]winch.Event)) {
-	after := uint64(0)
+	after := pace.after
 	for ctx.Err() == nil {
 		if after == 0 {
 			values, asOf, err := n.Table.Read(ctx, prefix)
--- a/region/jobs.go
+++ b/region/jobs.go
@@ -10,12 +10,13 @@
 	"plantainwinch/winch"
 )
 
-// takeJobs adds the jobs that the planner does not know yet.
-func (l *lead) takeJobs(values []winch.Value) {
+// takeJobs adds the jobs that the planner does not know yet, and returns the IDs of those
+// of which there are parts but no job.
+func (l *lead) takeJobs(values []winch.Value) (orphans []string) {
 	all := make(map[string]*stored)
 	for _, v := range values {
-		id, suffix := jobKey(v.Key)
-		if l.planner.Known(id) && suffix == "" {
+		id, what := jobKey(v.Key)
+		if what == partNone || what != partCancel && l.planner.Known(id) {
 			continue
 		}
 		s := all[id]
@@ -23,14 +24,16 @@
 			s = &stored{}
 			all[id] = s
 		}
-		if err := s.take(suffix, v); err != nil {
+		if err := s.take(what, v); err != nil {
 			l.node.Log.Error("record cannot be read", zap.String("key", v.Key), zap.Error(err))
 		}
 	}
 	var jobs []fleet.Stored
-	for _, s := range all {
+	for id, s := range all {
 		if s.job != nil {
 			jobs = append(jobs, fleet.Stored{Job: s.job, Progress: s.progress, Revision: s.revision})
+		} else if !l.planner.Known(id) {
+			orphans = append(orphans, id)
 		}
 	}
 	l.planner.AddAll(jobs)
@@ -39,8 +42,10 @@
 			l.planner.Cancel(id)
 		}
 	}
+	return orphans
 }
 
+// followJobs reads what is accepted and cancelled after a revision.
 func (l *lead) followJobs(ctx context.Context) {
 	take := func(values []winch.Value) {
 		l.post(func() {
@@ -48,7 +53,7 @@
 			l.wake()
 		})
 	}
-	l.node.follow(ctx, prefixJobs, pacing{gap: jobsGap}, take, func(events []winch.Event) {
+	l.node.follow(ctx, prefixJobs, pacing{gap: jobsGap, after: l.jobsAt}, take, func(events []winch.Event) {
 		var values []winch.Value
 		for _, e := range events {
 			if !e.Deleted {
@@ -65,8 +70,11 @@
 		switch m := body.(type) {
 		case proto.Accepted:
 			for _, a := range m.Jobs {
+				if a.Revision <= l.jobsAt {
+					continue // It was read, or had ended by then.
+				}
 				job := a.Job
-				job.Revision = a.Revision
+				job.Revision, job.Command = a.Revision, a.Command
 				l.planner.Add(&job, nil, 0)
 			}
 		case proto.CancelJob:
--- a/region/keys.go
+++ b/region/keys.go
@@ -2,10 +2,11 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 
+	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
 
@@ -18,23 +19,45 @@
 	keyTerm    = "cell/term"
 	keyStandby = "cell/standby"
 	keyRoster  = "roster"
-	prefixJobs = "job/"
-	// suffixes of the keys that lie beside a job's own.
-	suffixProgress = "/p"
+	// A job that has not ended has up to four keys. What a planner reads as it takes over
+	// is the first three; a command is read when it is needed.
+	prefixJobs     = "job/"
 	suffixCancel   = "/x"
+	prefixProgress = "progress/"
+	prefixCommands = "command/"
+	// prefixEnded is where the ends of jobs are kept for as long as callers may ask.
+	prefixEnded = "ended/"
 )
 
 func keyJob(id string) string      { return prefixJobs + id }
-func keyProgress(id string) string { return prefixJobs + id + suffixProgress }
 func keyCancel(id string) string   { return prefixJobs + id + suffixCancel }
+func keyProgress(id string) string { return prefixProgress + id }
+func keyCommand(id string) string  { return prefixCommands + id }
+func keyEnded(id string) string    { return prefixEnded + id }
 
-// jobKey splits a key under prefixJobs into the job's ID and its suffix.
-func jobKey(key string) (id, suffix string) {
-	rest := strings.TrimPrefix(key, prefixJobs)
-	if i := strings.IndexByte(rest, '/'); i >= 0 {
-		return rest[:i], rest[i:]
+// part says which part of a job a key holds.
+type part int
+
+const (
+	partNone part = iota
+	partJob
+	partCancel
+	partProgress
+)
+
+// jobKey returns the job that a key belongs to, and which part of it the key holds.
+func jobKey(key string) (id string, what part) {
+	if id, ok := strings.CutPrefix(key, prefixProgress); ok {
+		return id, partProgress
 	}
-	return rest, ""
+	rest, ok := strings.CutPrefix(key, prefixJobs)
+	if !ok {
+		return "", partNone
+	}
+	if id, ok := strings.CutSuffix(rest, suffixCancel); ok {
+		return id, partCancel
+	}
+	return rest, partJob
 }
 
 // member is what an entry writes of itself.
@@ -128,7 +151,7 @@
 
 // encode returns the stored form of a record.
 func encode(v any) []byte {
-	data, err := cbor.Marshal(v)
+	data, err := proto.Encode(v)
 	if err != nil {
 		panic(merry.Prepend(err, "record cannot be encoded"))
 	}
@@ -136,10 +159,10 @@
 }
 
 func decode(data []byte, into any) error {
-	return merry.Wrap(cbor.Unmarshal(data, into))
+	return merry.Wrap(proto.Decode(data, into))
 }
 
-// stored is all that lies under one job.
+// stored is what the store holds of one job that has not ended.
 type stored struct {
 	job       *winch.PhasedJob
 	progress  *winch.Progress
@@ -147,31 +170,29 @@
 	cancelled bool
 }
 
-// take adds one key of the job.
-func (s *stored) take(suffix string, v winch.Value) error {
-	switch suffix {
-	case "":
+// take adds one part of the job.
+func (s *stored) take(what part, v winch.Value) error {
+	switch what {
+	case partJob:
 		s.job = new(winch.PhasedJob)
 		if err := decode(v.Data, s.job); err != nil {
 			s.job = nil
 			return err
 		}
 		s.job.Revision = v.Version
-	case suffixProgress:
+	case partProgress:
 		s.progress = new(winch.Progress)
 		s.revision = v.Version
 		return decode(v.Data, s.progress)
-	case suffixCancel:
+	case partCancel:
 		s.cancelled = true
 	}
 	return nil
 }
 
-// state is what a caller may be told of a job.
+// state is what a caller may be told of a job that has not ended.
 func (s *stored) state() winch.JobState {
 	switch {
-	case s.progress != nil && s.progress.State.Final():
-		return s.progress.State
 	case s.cancelled:
 		return winch.JobCancelled
 	case s.progress != nil:
@@ -179,3 +200,9 @@
 	}
 	return winch.JobQueued
 }
+
+// endedRecord is what is kept of a job that has ended.
+type endedRecord struct {
+	State winch.JobState `cbor:"1,keyasint"`
+	At    time.Time      `cbor:"2,keyasint"`
+}
--- a/region/lead.go
+++ b/region/lead.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/fleet"
@@ -71,22 +72,30 @@
 	timer    *time.Timer
 
 	// All below is owned by the duty.
-	planner  *fleet.Planner
-	lanes    lanes.Lanes[fleet.Ask]
-	proxies  map[string]*proxy
-	keepers  map[string]string     // keepers names the keeper of each worker.
-	kept     map[string]proto.Kept // kept holds the token of each worker.
-	workers  map[string]winch.WorkerVM
-	missing  map[string]time.Time
-	resting  map[string]bool     // resting holds keepers that get no session for a moment.
-	wanted   map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
-	roster   map[string]rostered
-	before   map[string]rostered // before is the roster of the earlier planner.
-	settled  map[string]bool     // settled names the workers that the store may hold as settled.
-	rosterAt uint64              // rosterAt is the revision of the roster's record.
-	tokens   uint64
-	turns    uint64
-	sessions uint64
+	// shadow is what this entry has read as standby; jobsAt is the revision up to which
+	// jobs have been read, and orphans those of which there are parts but no job.
+	shadow  *shadowed
+	jobsAt  uint64
+	orphans []string
+	planner *fleet.Planner
+	lanes   lanes.Lanes[fleet.Ask]
+	proxies map[string]*proxy
+	keepers map[string]string     // keepers names the keeper of each worker.
+	kept    map[string]proto.Kept // kept holds the token of each worker.
+	byToken map[uint64]string     // byToken names the worker of each token.
+	// commandless holds the starts that wait for the command of their job.
+	commandless map[string][]proto.Order
+	workers     map[string]winch.WorkerVM
+	missing     map[string]time.Time
+	resting     map[string]bool     // resting holds keepers that get no session for a moment.
+	wanted      map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
+	roster      map[string]rostered
+	before      map[string]rostered // before is the roster of the earlier planner.
+	settled     map[string]bool     // settled names the workers that the store may hold as settled.
+	rosterAt    uint64              // rosterAt is the revision of the roster's record.
+	tokens      uint64
+	turns       uint64
+	sessions    uint64
 	// queued holds the starts that the standby has not heard of yet, told those
 	// that it has, removed the runs that have ended since it was last told;
 	// mirroring says that an answer of its is awaited. named is the standby that
@@ -141,7 +150,7 @@
 	l := &lead{
 		node: n, term: term, revision: revision, lease: lease,
 		duty: duty.New("Planner", leadRing, nil), planner: fleet.New(term),
-		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept),
+		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept), byToken: make(map[uint64]string), commandless: make(map[string][]proto.Order),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
 		wanted: make(map[string]rostered), settled: make(map[string]bool),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
@@ -235,35 +244,55 @@
 	return false
 }
 
+// readAll reads the roster and the jobs that have not ended, side by side: a slow store
+// takes a third of a second for each answer, and nothing starts before.
 func (l *lead) readAll(ctx context.Context) error {
-	values, _, err := l.node.Table.Read(ctx, keyRoster)
-	if err != nil {
+	var jobs, progress copied
+	if l.shadow != nil {
+		jobs, progress = l.shadow.jobs, l.shadow.progress
+		l.shadow = nil // What a failed try leaves is not used again.
+	}
+	var rosters []winch.Value
+	group := pool.New().WithErrors()
+	group.Go(func() (err error) {
+		rosters, _, err = l.node.Table.Read(ctx, keyRoster)
+		return err
+	})
+	group.Go(func() error { return jobs.catchUp(ctx, l.node.Table, prefixJobs) })
+	group.Go(func() error { return progress.catchUp(ctx, l.node.Table, prefixProgress) })
+	if err := group.Wait(); err != nil {
 		return err
 	}
-	for _, v := range values {
-		var r roster
-		if err := decode(v.Data, &r); err != nil {
+	for _, v := range rosters {
+		if err := l.takeRoster(v); err != nil {
 			return err
 		}
-		var ids []string
-		for _, w := range r.list() {
-			l.before[w.VM.ID] = w
-			l.roster[w.VM.ID] = w
-			l.wanted[w.VM.ID] = rostered{VM: w.VM, Keeper: w.Keeper, Turn: w.Turn}
-			if w.Settled {
-				l.settled[w.VM.ID] = true
-			}
-			ids = append(ids, w.VM.ID)
-		}
-		l.planner.SetRoster(ids)
-		l.rosterAt = v.Version
 	}
-	values, _, err = l.node.Table.Read(ctx, prefixJobs)
-	if err != nil {
+	l.jobsAt = jobs.at
+	l.orphans = l.takeJobs(append(jobs.list(), progress.list()...))
+	l.node.Log.Info("jobs read", zap.Int("jobs", len(jobs.values)), zap.Int("progress", len(progress.values)), zap.Int("orphans", len(l.orphans)))
+	l.settle()
+	return nil
+}
+
+// takeRoster takes the roster that the earlier planner left.
+func (l *lead) takeRoster(v winch.Value) error {
+	var r roster
+	if err := decode(v.Data, &r); err != nil {
 		return err
 	}
-	l.takeJobs(values)
-	l.settle()
+	var ids []string
+	for _, w := range r.list() {
+		l.before[w.VM.ID] = w
+		l.roster[w.VM.ID] = w
+		l.wanted[w.VM.ID] = rostered{VM: w.VM, Keeper: w.Keeper, Turn: w.Turn}
+		if w.Settled {
+			l.settled[w.VM.ID] = true
+		}
+		ids = append(ids, w.VM.ID)
+	}
+	l.planner.SetRoster(ids)
+	l.rosterAt = v.Version
 	return nil
 }
 
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -39,6 +39,7 @@
 	session uint64
 	runs    map[proto.MirrorRun]bool
 	lapses  map[string][]holding // lapses holds those that may have leases at silent workers.
+	heard   time.Time            // heard is when the planner's last message was taken.
 	// started is the zero of the stamps, until is how long lapses are good.
 	started time.Time
 	until   time.Time
@@ -73,6 +74,7 @@
 	if msg.Term != m.term || msg.Session != m.session || m.runs == nil {
 		return false
 	}
+	m.heard = time.Now()
 	for _, r := range msg.Add {
 		m.runs[r] = true
 	}
@@ -90,6 +92,13 @@
 	return true
 }
 
+// fresh reports whether this entry is the standby of a planner that has lately said so.
+func (m *mirror) fresh() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runs != nil && time.Since(m.heard) < shadowTime
+}
+
 // claim ends the copy, since this entry has taken the office for a term, and
 // returns the runs by worker if the copy is of the term before. No message of an
 // earlier planner is taken any more: it can start nothing unseen.
--- a/region/node.go
+++ b/region/node.go
@@ -82,6 +82,7 @@
 	accept   acceptor
 	keeper   *keep.Keeper
 	mirror   mirror
+	shadow   shadow
 	lead     atomic.Pointer[lead]
 	waiting  atomic.Pointer[waitingView]
 	heard    atomic.Int64 // heard is when the store last answered, in nanoseconds of started.
@@ -149,13 +150,15 @@
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, run := range []func(context.Context){
-		n.keeper.Run, n.runNode, n.runCell, n.settings.run, n.settings.runAsk, n.accept.run, n.runOffice,
+		n.keeper.Run, n.runNode, n.runCell, n.settings.run, n.settings.runAsk, n.accept.run, n.runOffice, n.runShadow,
 	} {
 		group.Go(func() { run(ctx) })
 	}
 	group.Wait()
 }
 
+func (n *Node) runShadow(ctx context.Context) { n.shadow.run(ctx, n) }
+
 // Stop gives up the office and the workers kept, without a gap: another entry
 // takes them over while this one goes on answering its callers.
 func (n *Node) Stop(ctx context.Context) {
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -35,6 +35,7 @@
 	session proto.Session
 	stamp   time.Duration // stamp is that of the keeper's last answer.
 	local   bool
+	sent    sentCommands
 	ctx     context.Context
 	cancel  context.CancelFunc
 }
@@ -147,8 +148,7 @@
 		if name == p.name {
 			ids = append(ids, id)
 			l.lapses.moved(id, name, l.kept[id].Token, l.authority())
-			delete(l.keepers, id)
-			delete(l.kept, id)
+			l.unkeep(id)
 		}
 	}
 	l.planner.Unready(ids)
@@ -161,6 +161,9 @@
 	}
 	changed := false
 	for _, e := range events {
+		if e.Worker == "" {
+			e.Worker = l.byToken[e.Token]
+		}
 		switch e.Kind {
 		case proto.EventKnown:
 			l.known(p.name, e)
@@ -218,9 +221,21 @@
 // is still listed.
 func (l *lead) lostWorker(id string) {
 	l.lapses.forget(id)
+	l.unkeep(id)
+	l.reassignSoon()
+}
+
+// keep notes that a keeper has a worker under a token.
+func (l *lead) keep(id, keeper string, kept proto.Kept) {
+	delete(l.byToken, l.kept[id].Token)
+	l.keepers[id], l.kept[id], l.byToken[kept.Token] = keeper, kept, id
+}
+
+// unkeep notes that no keeper has a worker.
+func (l *lead) unkeep(id string) {
+	delete(l.byToken, l.kept[id].Token)
 	delete(l.keepers, id)
 	delete(l.kept, id)
-	l.reassignSoon()
 }
 
 // dispatch passes the planner's orders on: starts once the standby has heard of
@@ -248,22 +263,22 @@
 		name := l.keepers[o.Worker]
 		p := l.proxies[name]
 		if p == nil || o.Token != l.kept[o.Worker].Token {
-			// The worker's lists come anew. If the start went out all the same, it could
-			// take effect after them and be taken for one that never was.
-			if o.Kind == proto.OrderStart {
-				l.planner.Event(proto.KeepEvent{
-					Kind: proto.EventNotStarted, Worker: o.Worker, Task: o.Task, Run: o.Run, Result: winch.StartRefused,
-				})
-			}
+			l.unsent(o)
 			continue
 		}
+		if o.Kind == proto.OrderStart && !l.commanded(o) {
+			continue // It is sent once the job's command has been read.
+		}
 		msg := byKeeper[name]
 		if msg == nil {
-			msg = &proto.KeepOrders{Session: p.session, Commands: make(map[string]string)}
+			msg = &proto.KeepOrders{Session: p.session}
 			byKeeper[name] = msg
 		}
-		if o.Kind == proto.OrderStart {
-			msg.Commands[o.Task.Job] = l.planner.Command(o.Task.Job)
+		if o.Kind == proto.OrderStart && p.sent.add(o.Task.Job) {
+			if msg.Commands == nil {
+				msg.Commands = make(map[string]string)
+			}
+			msg.Commands[o.Task.Job], _ = l.planner.Command(o.Task.Job)
 		}
 		l.logOrder(o)
 		msg.Orders = append(msg.Orders, o)
@@ -273,6 +288,16 @@
 	}
 }
 
+// unsent takes back a start that did not go out: the worker's lists come anew. If it had
+// gone out all the same, it could take effect after them and be taken for one that never was.
+func (l *lead) unsent(o proto.Order) {
+	if o.Kind == proto.OrderStart {
+		l.planner.Event(proto.KeepEvent{
+			Kind: proto.EventNotStarted, Worker: o.Worker, Task: o.Task, Run: o.Run, Result: winch.StartRefused,
+		})
+	}
+}
+
 // openings returns the questions to the advice service that may be asked now: no more than
 // lanes are free for, so that each is asked by what is known when a lane takes it.
 func (l *lead) openings() fleet.Openings {
--- a/region/record.go
+++ b/region/record.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -20,15 +22,23 @@
 	commitGap = 100 * time.Millisecond
 	// committers is how many transactions may be on their way at once: while the store
 	// is slow, an end that comes just after one was sent need not wait for its answer.
-	committers = 3
-	// commitMost is how many records one transaction carries, with a condition and
-	// a write each, and the condition on the office.
-	commitMost = (winch.TxnEntries - 1) / 2
+	committers = 4
+	// commitMost is how many entries of a transaction are left beside the condition on the
+	// office. A record takes a condition and a write; that of an end a write and the removal
+	// of the three parts that a takeover would read.
+	commitMost   = winch.TxnEntries - 1
+	progressCost = 2
+	endCost      = 4
 	// keepMargin is added to how long an ended job is known: callers count from when
 	// they are shown its end, which the record tells no sooner than it was known here.
 	keepMargin = 30 * time.Second
-	// sweepMost is how many jobs one transaction removes, of three keys each.
-	sweepMost = (winch.TxnEntries - 1) / 3
+	// endedPause is how long after the takeover the ends that earlier planners recorded are
+	// read.
+	endedPause = 20 * time.Second
+	// sweepMost is how many jobs one transaction removes, of two keys each, and sweepGap the
+	// pause between two.
+	sweepMost = (winch.TxnEntries - 1) / 2
+	sweepGap  = 50 * time.Millisecond
 )
 
 // runCommits writes changed records until ctx ends.
@@ -59,20 +69,40 @@
 	}
 }
 
-// commit writes one batch of records under the office and reports whether more
-// may be waiting.
-func (l *lead) commit(ctx context.Context) bool {
-	var batch []fleet.Record
-	if l.duty.Do(ctx, func() { batch = l.planner.Records(commitMost) }) != nil || len(batch) == 0 {
-		return false
+// recordCost is how many entries of a transaction a record takes.
+func recordCost(final bool) int {
+	if final {
+		return endCost
 	}
+	return progressCost
+}
+
+// recordTxn is the transaction that writes records. What is left of a job that has ended
+// is its end: a planner that takes over need not read it.
+func (l *lead) recordTxn(batch []fleet.Record) winch.Txn {
 	txn := winch.Txn{Expect: map[string]uint64{keyOffice: l.revision}}
 	for _, r := range batch {
+		if r.Progress.State.Final() {
+			end := endedRecord{State: r.Progress.State, At: r.Progress.Ended}
+			txn.Writes = append(txn.Writes, winch.Write{Key: keyEnded(r.Job), Data: encode(end)})
+			txn.Remove = append(txn.Remove, keyJob(r.Job), keyCancel(r.Job), keyProgress(r.Job))
+			continue
+		}
 		key := keyProgress(r.Job)
 		txn.Expect[key] = r.Revision
 		txn.Writes = append(txn.Writes, winch.Write{Key: key, Data: encode(r.Progress)})
 	}
-	revision, err := l.node.Table.Commit(ctx, txn)
+	return txn
+}
+
+// commit writes one batch of records under the office and reports whether more
+// may be waiting.
+func (l *lead) commit(ctx context.Context) bool {
+	var batch []fleet.Record
+	if l.duty.Do(ctx, func() { batch = l.planner.RecordsWithin(commitMost, recordCost) }) != nil || len(batch) == 0 {
+		return false
+	}
+	revision, err := l.node.Table.Commit(ctx, l.recordTxn(batch))
 	var conflict *winch.ConflictError
 	if errors.As(err, &conflict) && conflict.Current[keyOffice].Version != l.revision {
 		l.node.Log.Info("office is another's", zap.Uint64("term", l.term))
@@ -101,29 +131,78 @@
 	return err == nil
 }
 
-// runSweep removes the records of jobs that ended long ago.
+// runSweep removes what is kept of jobs that ended long ago.
 func (l *lead) runSweep(ctx context.Context) {
+	old := l.readEnded(ctx)
 	for ctx.Err() == nil {
 		duty.Pause(ctx, sweepEvery)
+		before := time.Now().Add(-l.node.Timing.Keep - keepMargin)
 		var ids []string
-		if l.duty.Do(ctx, func() { ids = l.planner.Expired(time.Now().Add(-l.node.Timing.Keep - keepMargin)) }) != nil || len(ids) == 0 {
-			continue
+		if l.duty.Do(ctx, func() { ids = l.planner.Expired(before) }) != nil {
+			return
 		}
-		ids = ids[:min(len(ids), sweepMost)]
-		txn := winch.Txn{Expect: map[string]uint64{keyOffice: l.revision}}
-		for _, id := range ids {
-			txn.Remove = append(txn.Remove, keyJob(id), keyProgress(id), keyCancel(id))
+		for id, at := range old {
+			if at.Before(before) {
+				ids = append(ids, id)
+				delete(old, id)
+			}
 		}
-		if _, err := l.node.Table.Commit(ctx, txn); err != nil {
-			l.node.Log.Info("old records not removed", zap.Error(err))
+		for batch := range slices.Chunk(ids, sweepMost) {
+			l.sweep(ctx, batch)
+			duty.Pause(ctx, sweepGap)
+		}
+		l.sweepOrphans(ctx)
+	}
+}
+
+// readEnded reads the ends that earlier planners recorded. Nobody waits for it.
+func (l *lead) readEnded(ctx context.Context) map[string]time.Time {
+	old := make(map[string]time.Time)
+	for ctx.Err() == nil {
+		duty.Pause(ctx, endedPause)
+		values, _, err := l.node.Table.Read(ctx, prefixEnded)
+		if err != nil {
+			l.node.Log.Info("ended jobs not read", zap.Error(err))
 			continue
 		}
-		l.post(func() {
-			for _, id := range ids {
-				l.planner.Forget(id)
+		for _, v := range values {
+			var r endedRecord
+			if err := decode(v.Data, &r); err != nil {
+				l.node.Log.Error("record cannot be read", zap.String("key", v.Key), zap.Error(err))
 			}
+			old[strings.TrimPrefix(v.Key, prefixEnded)] = r.At
+		}
+		break
+	}
+	return old
+}
+
+func (l *lead) sweep(ctx context.Context, ids []string) {
+	txn := winch.Txn{Expect: map[string]uint64{keyOffice: l.revision}}
+	for _, id := range ids {
+		txn.Remove = append(txn.Remove, keyEnded(id), keyCommand(id))
+	}
+	if _, err := l.node.Table.Commit(ctx, txn); err != nil {
+		l.node.Log.Info("old records not removed", zap.Error(err))
+		return
+	}
+	l.post(func() {
+		for _, id := range ids {
+			l.planner.Forget(id)
+		}
+	})
+}
+
+// sweepOrphans removes parts of jobs that are not there any more: a write without an answer
+// may have taken effect after the job's end.
+func (l *lead) sweepOrphans(ctx context.Context) {
+	for _, id := range l.orphans {
+		_, err := l.node.Table.Commit(ctx, winch.Txn{
+			Expect: map[string]uint64{keyOffice: l.revision, keyJob(id): 0}, Remove: []string{keyCancel(id), keyProgress(id)},
 		})
+		l.node.Log.Info("parts of a job that is gone", zap.String("job", id), zap.Error(err))
 	}
+	l.orphans = nil
 }
 
 // runRoster records which workers may be given work, and through which keeper,
--- a/region/serve.go
+++ b/region/serve.go
@@ -34,11 +34,13 @@
 	if give := n.askState(ctx, id); give.Known {
 		return give.State, winch.Result{}
 	}
-	s, err := n.readJob(ctx, id)
-	if err != nil {
+	s, ended, err := n.readJob(ctx, id)
+	switch {
+	case err != nil:
 		return "", winch.RefuseFor(winch.StoreUnavailable, "neither planner nor store answer", retryAfter)
-	}
-	if s.job == nil {
+	case ended != nil:
+		return ended.State, winch.Result{}
+	case s.job == nil:
 		return "", winch.Refuse(winch.UnknownJob, "no such submission")
 	}
 	n.tellPlanner(proto.KindAccepted, proto.Accepted{Jobs: []proto.AcceptedJob{{Job: *s.job, Revision: s.job.Revision}}})
@@ -58,23 +60,49 @@
 	return give
 }
 
-func (n *Node) readJob(ctx context.Context, id string) (stored, error) {
+// readJob reads what the store holds of a job, or its end. The end is read after the job:
+// both change in one transaction.
+func (n *Node) readJob(ctx context.Context, id string) (stored, *endedRecord, error) {
 	var s stored
-	values, _, err := n.Table.Read(ctx, keyJob(id))
+	for _, prefix := range []string{keyJob(id), keyProgress(id)} {
+		values, _, err := n.Table.Read(ctx, prefix)
+		if err != nil {
+			return s, nil, err
+		}
+		for _, v := range values {
+			got, what := jobKey(v.Key)
+			if got != id {
+				continue
+			}
+			if err := s.take(what, v); err != nil {
+				n.Log.Error("record cannot be read", zap.String("key", v.Key), zap.Error(err))
+				return s, nil, err
+			}
+		}
+		if s.job == nil {
+			break
+		}
+	}
+	if s.job != nil {
+		return s, nil, nil
+	}
+	ended, err := n.readEnd(ctx, id)
+	return s, ended, err
+}
+
+// readEnd reads the end of a job; nil if none is recorded.
+func (n *Node) readEnd(ctx context.Context, id string) (*endedRecord, error) {
+	values, _, err := n.Table.Read(ctx, keyEnded(id))
 	if err != nil {
-		return s, err
+		return nil, err
 	}
 	for _, v := range values {
-		got, suffix := jobKey(v.Key)
-		if got != id {
-			continue
-		}
-		if err := s.take(suffix, v); err != nil {
-			n.Log.Error("record cannot be read", zap.String("key", v.Key), zap.Error(err))
-			return s, err
+		if v.Key == keyEnded(id) {
+			out := new(endedRecord)
+			return out, decode(v.Data, out)
 		}
 	}
-	return s, nil
+	return nil, nil
 }
 
 // Cancel implements winch.Region. It is answered when the cancel is stored.
@@ -82,19 +110,20 @@
 	if !n.healthy() {
 		return winch.RefuseFor(winch.StoreUnavailable, "the store does not answer", retryAfter)
 	}
-	s, err := n.readJob(ctx, id)
+	s, ended, err := n.readJob(ctx, id)
 	switch {
 	case err != nil:
 		return winch.RefuseFor(winch.StoreUnavailable, "the store did not answer", retryAfter)
+	case ended != nil, s.cancelled:
+		return winch.Result{Outcome: winch.Done}
 	case s.job == nil:
 		return winch.Refuse(winch.UnknownJob, "no such submission")
-	case s.cancelled || s.progress != nil && s.progress.State.Final():
-		return winch.Result{Outcome: winch.Done}
 	}
 	key := keyCancel(id)
 	_, err = n.Table.Commit(ctx, winch.Txn{
-		Expect: map[string]uint64{key: 0}, Writes: []winch.Write{{Key: key, Data: encode(time.Now())}},
+		Expect: map[string]uint64{key: 0, keyJob(id): s.job.Revision}, Writes: []winch.Write{{Key: key, Data: encode(time.Now())}},
 	})
+	// A conflict says that it is cancelled already, or has ended.
 	if err != nil && !errors.Is(err, winch.ErrConflict) {
 		if errors.Is(err, winch.ErrUnavailable) {
 			return winch.RefuseFor(winch.StoreUnavailable, "the store did not take the cancel", retryAfter)
--- /dev/null
+++ b/region/shadow.go
@@ -0,0 +1,137 @@
+package region
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"plantainwinch/duty"
+	"plantainwinch/winch"
+)
+
+const (
+	// shadowTime is how long after the planner's last message a standby goes on following
+	// the jobs, and shadowLook how often it is looked whether to.
+	shadowTime = 30 * time.Second
+	shadowLook = 200 * time.Millisecond
+)
+
+// copied is what was read under a prefix, up to a revision; zero is nothing.
+type copied struct {
+	values map[string]winch.Value
+	at     uint64
+}
+
+func (c *copied) list() []winch.Value {
+	return slices.Collect(maps.Values(c.values))
+}
+
+func (c *copied) reset(values []winch.Value, at uint64) {
+	c.values, c.at = make(map[string]winch.Value, len(values)), at
+	for _, v := range values {
+		c.values[v.Key] = v
+	}
+}
+
+func (c *copied) apply(events []winch.Event, at uint64) {
+	for _, e := range events {
+		if e.Deleted {
+			delete(c.values, e.Key)
+		} else {
+			c.values[e.Key] = e.Value
+		}
+	}
+	c.at = max(c.at, at)
+}
+
+// catchUp reads what has changed since, or all if that is not to be had any more.
+func (c *copied) catchUp(ctx context.Context, table winch.Table, prefix string) error {
+	if c.at != 0 {
+		events, at, err := table.Follow(ctx, prefix, c.at, 0)
+		if err == nil {
+			c.apply(events, at)
+			return nil
+		}
+		if !errors.Is(err, winch.ErrCompacted) {
+			return err
+		}
+	}
+	values, at, err := table.Read(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	c.reset(values, at)
+	return nil
+}
+
+// shadowed is what a standby has read of the jobs that have not ended.
+type shadowed struct {
+	jobs, progress copied
+}
+
+// shadow follows the jobs while this entry is standby, so that it need not read all of
+// them as it takes over.
+type shadow struct {
+	mu   sync.Mutex
+	have shadowed
+}
+
+// run follows the jobs whenever this entry is standby, until ctx ends.
+func (s *shadow) run(ctx context.Context, n *Node) {
+	for ctx.Err() == nil {
+		if n.mirror.fresh() {
+			s.follow(ctx, n)
+		}
+		duty.Pause(ctx, shadowLook)
+	}
+}
+
+// follow follows the jobs until this entry is standby no more.
+func (s *shadow) follow(ctx context.Context, n *Node) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group conc.WaitGroup
+	defer group.Wait()
+	for prefix, into := range map[string]*copied{prefixJobs: &s.have.jobs, prefixProgress: &s.have.progress} {
+		group.Go(func() { s.followPrefix(ctx, n, prefix, into) })
+	}
+	for ctx.Err() == nil && n.mirror.fresh() {
+		duty.Pause(ctx, shadowLook)
+	}
+	cancel()
+	group.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.have = shadowed{}
+}
+
+func (s *shadow) followPrefix(ctx context.Context, n *Node, prefix string, into *copied) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		now := copied{values: maps.Clone(into.values), at: into.at}
+		s.mu.Unlock()
+		if now.catchUp(ctx, n.Table, prefix) == nil && ctx.Err() == nil {
+			s.mu.Lock()
+			*into = now
+			s.mu.Unlock()
+		}
+		duty.Pause(ctx, jobsGap)
+	}
+}
+
+// take returns what was read, or nil if it was not all.
+func (s *shadow) take() *shadowed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.have.jobs.at == 0 || s.have.progress.at == 0 {
+		return nil
+	}
+	out := s.have
+	out.jobs.values, out.progress.values = maps.Clone(out.jobs.values), maps.Clone(out.progress.values)
+	return &out
+}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -352,7 +351,7 @@
 }
 
 func (p *simPeers) Ask(ctx context.Context, to string, kind winch.Kind, body, reply any) error {
-	data, err := cbor.Marshal(body)
+	data, err := proto.Encode(body)
 	if err != nil {
 		return err
 	}
@@ -362,7 +361,7 @@
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
-	take := func(into any) error { return cbor.Unmarshal(data, into) }
+	take := func(into any) error { return proto.Decode(data, into) }
 	if p.world.keeps(n, false, func() { n.Handle(context.Background(), p.node.Name, kind, take) }) {
 		<-ctx.Done()
 		return winch.ErrPeerLost
@@ -383,11 +382,11 @@
 		p.world.copies++
 		p.world.mu.Unlock()
 	}
-	data, err = cbor.Marshal(answer)
+	data, err = proto.Encode(answer)
 	if err != nil {
 		return err
 	}
-	return cbor.Unmarshal(data, reply)
+	return proto.Decode(data, reply)
 }
 
 func (p *simPeers) Tell(to string, kind winch.Kind, body any) error {
@@ -395,7 +394,7 @@
 	if n == nil {
 		return winch.ErrNoPeer
 	}
-	data, err := cbor.Marshal(body)
+	data, err := proto.Encode(body)
 	if err != nil {
 		return err
 	}
@@ -403,7 +402,7 @@
 		return nil // It is lost with the link, which ends for it a moment later.
 	}
 	take := func() {
-		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return cbor.Unmarshal(data, into) })
+		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return proto.Decode(data, into) })
 	}
 	if !p.world.keeps(n, true, take) {
 		take()
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -5,9 +5,9 @@
 // Room is what a task of a phased job needs, what a worker VM has, or what a
 // team may have running at once.
 type Room struct {
-	Milli        int64 // Milli is in thousandths of a processor.
-	Memory       Bytes
-	Accelerators int
+	Milli        int64 `cbor:"1,keyasint,omitempty"` // Milli is in thousandths of a processor.
+	Memory       Bytes `cbor:"2,keyasint,omitempty"`
+	Accelerators int   `cbor:"3,keyasint,omitempty"`
 }
 
 // Add returns the sum of both.
@@ -33,32 +33,32 @@
 // Phase is a step of a phased job: Count alike tasks that may start once all
 // tasks of the phases in After have ended well.
 type Phase struct {
-	Count    int
-	Need     Room
-	Estimate time.Duration `cbor:",omitempty"` // Estimate is the caller's guess of a task's run time, often wrong.
-	After    []int         `cbor:",omitempty"`
+	Count    int           `cbor:"1,keyasint,omitempty"`
+	Need     Room          `cbor:"2,keyasint,omitzero"`
+	Estimate time.Duration `cbor:"3,keyasint,omitempty"` // Estimate is the caller's guess of a task's run time, often wrong.
+	After    []int         `cbor:"4,keyasint,omitempty"`
 	// Checkpoints says that tasks save their progress and can resume from it.
-	Checkpoints bool `cbor:",omitempty"`
+	Checkpoints bool `cbor:"5,keyasint,omitempty"`
 	// Gang says that the tasks work only while all of them run.
-	Gang     bool   `cbor:",omitempty"`
-	SameRack bool   `cbor:",omitempty"`
-	Label    string `cbor:",omitempty"` // Label is one that the worker VM must have.
-	Rack     string `cbor:",omitempty"` // Rack is where the data is; tasks elsewhere are slower.
+	Gang     bool   `cbor:"6,keyasint,omitempty"`
+	SameRack bool   `cbor:"7,keyasint,omitempty"`
+	Label    string `cbor:"8,keyasint,omitempty"` // Label is one that the worker VM must have.
+	Rack     string `cbor:"9,keyasint,omitempty"` // Rack is where the data is; tasks elsewhere are slower.
 	// MostPerVM bounds the tasks of the phase on one worker VM; zero is no bound.
-	MostPerVM int `cbor:",omitempty"`
+	MostPerVM int `cbor:"10,keyasint,omitempty"`
 	// Copies says that several runs of one task may overlap.
-	Copies bool `cbor:",omitempty"`
+	Copies bool `cbor:"11,keyasint,omitempty"`
 	// Lasting says that the tasks run until the job is cancelled and are started
 	// again however they end. MayMiss of them may be away at a time through
 	// actions of the scheduler.
-	Lasting bool   `cbor:",omitempty"`
-	MayMiss int    `cbor:",omitempty"`
-	Image   string `cbor:",omitempty"`
+	Lasting bool   `cbor:"12,keyasint,omitempty"`
+	MayMiss int    `cbor:"13,keyasint,omitempty"`
+	Image   string `cbor:"14,keyasint,omitempty"`
 	// Target is the tail response time that a lasting task must stay below.
-	Target time.Duration `cbor:",omitempty"`
+	Target time.Duration `cbor:"15,keyasint,omitempty"`
 	// Fills says that the tasks use processors that the others leave idle; their
 	// Need.Milli does not count against a worker VM.
-	Fills bool `cbor:",omitempty"`
+	Fills bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Charge returns the room that a task of the phase takes from a worker VM.
@@ -73,17 +73,17 @@
 // PhasedJob is an accepted job made of phases. All of it but Revision is
 // written once, when the job is accepted.
 type PhasedJob struct {
-	ID       string // ID is chosen by the caller and makes resubmission idempotent.
-	Queue    string
-	Team     string
-	Command  string
-	Phases   []Phase
-	Accepted time.Time
+	ID       string    `cbor:"1,keyasint,omitempty"` // ID is chosen by the caller and makes resubmission idempotent.
+	Queue    string    `cbor:"2,keyasint,omitempty"`
+	Team     string    `cbor:"3,keyasint,omitempty"`
+	Command  string    `cbor:"-"` // Command is stored and sent beside the rest.
+	Phases   []Phase   `cbor:"5,keyasint,omitempty"`
+	Accepted time.Time `cbor:"6,keyasint,omitzero"`
 	// Times is how often the phases are to run; zero stands for once, at once.
 	// Run k is due at First + k * Every.
-	Times int           `cbor:",omitempty"`
-	First time.Time     `cbor:",omitzero"`
-	Every time.Duration `cbor:",omitempty"`
+	Times int           `cbor:"7,keyasint,omitempty"`
+	First time.Time     `cbor:"8,keyasint,omitzero"`
+	Every time.Duration `cbor:"9,keyasint,omitempty"`
 	// Revision is the store's revision at which the job was accepted.
 	Revision uint64 `cbor:"-"`
 }
@@ -91,18 +91,19 @@
 // Progress is what is recorded of a phased job while it runs. Only the holder
 // of the region's office writes it.
 type Progress struct {
-	State JobState `cbor:",omitempty"` // State is empty until it is final.
+	State JobState `cbor:"1,keyasint,omitempty"` // State is empty until it is final.
 	// Done lists the tasks that ended well, by run and phase, as bit sets.
-	Done map[int][][]byte `cbor:",omitempty"`
+	Done map[int][][]byte `cbor:"2,keyasint,omitempty"`
 	// Failed lists the runs that ended in failure, by task or whole gang. They are
 	// named and not just counted, since a worker lists an end again to the next
 	// planner if it was not told in time that the end is recorded.
-	Failed map[string][]uint64 `cbor:",omitempty"`
-	Ended  time.Time           `cbor:",omitzero"`
+	Failed map[string][]uint64 `cbor:"3,keyasint,omitempty"`
+	Ended  time.Time           `cbor:"4,keyasint,omitzero"`
 }
 
 // RunID names a task of a phased job: run K of its phases, phase and index.
 type RunID struct {
+	_     struct{} `cbor:",toarray"`
 	Job   string
 	K     int
 	Phase int
@@ -159,6 +160,7 @@
 
 // WorkerVM is one boot of a worker VM.
 type WorkerVM struct {
+	_        struct{} `cbor:",toarray"`
 	ID       string
 	Address  string
 	Service  string
--- a/winch/region.go
+++ b/winch/region.go
@@ -83,6 +83,7 @@
 
 // Running is a run that a worker lists.
 type Running struct {
+	_          struct{} `cbor:",toarray"`
 	Task       RunID
 	Run        uint64
 	Checkpoint string
@@ -95,6 +96,7 @@
 
 // Ended is the end of a run that a worker lists until it is told to forget it.
 type Ended struct {
+	_          struct{} `cbor:",toarray"`
 	Number     uint64
 	Task       RunID
 	Run        uint64
@@ -172,6 +174,7 @@
 
 // Ticket allows a worker to run the tasks of a phase.
 type Ticket struct {
+	_      struct{} `cbor:",toarray"`
 	Worker string
 	Value  string
 }
