Keepers get commands from the entry that accepted the job; as many keepers as needed

Cause: with short messages a job's command, told by the planner to each keeper that starts a task of it, was the most that went over the planner's link (1 kB to nine keepers a job). Each of 17 entries kept seven workers, so that hardly two events shared a message.

Now the planner names the entry that accepted the job, which a keeper asks once; where that entry is gone the keeper reads the store. A failure domain has a keeper for each 32 workers, two at least; planner and standby are none where others are. The planner logs the bytes over its links by kind of message, and counters show them.

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -191,20 +191,12 @@
 	return c
 }
 
-// Command returns the command of a job, and whether it is known.
-func (p *Planner) Command(id string) (string, bool) {
-	j := p.jobs[id]
-	if j == nil {
-		return "", true // Nothing of it is to be started any more.
-	}
-	return j.rec.Command, j.commanded || j.rec.Command != ""
-}
-
-// SetCommand takes the command of a job.
-func (p *Planner) SetCommand(id, command string) {
+// Origin names the entry that accepted a job.
+func (p *Planner) Origin(id string) string {
 	if j := p.jobs[id]; j != nil {
-		j.rec.Command, j.commanded = command, true
+		return j.rec.Origin
 	}
+	return ""
 }
 
 // State returns the state of a job that a caller may be shown, and whether the
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -20,7 +20,6 @@
 	shown     winch.JobState
 	cancelled bool
 	begun     bool
-	commanded bool // commanded says that its command is known, also if that is empty.
 	// excess says that the team handed the job in beyond its share.
 	excess bool
 	// adopted says that runs of an earlier planner were found.
@@ -403,7 +402,7 @@
 			continue
 		}
 		j.steps, j.listing = nil, nil
-		j.rec.Phases, j.rec.Command = nil, ""
+		j.rec.Phases = nil
 		if j.ended.Before(before) {
 			out = append(out, id)
 		}
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -196,11 +196,16 @@
 	default:
 		h.keeper.count("Keep.RingFull")
 		if o.Kind == proto.OrderStart {
-			h.emit(proto.KeepEvent{Kind: proto.EventNotStarted, Task: o.Task, Run: o.Run, Result: winch.StartRefused})
+			h.refuse(o)
 		}
 	}
 }
 
+// refuse tells the planner of a start that was not sent.
+func (h *holder) refuse(o proto.Order) {
+	h.emit(proto.KeepEvent{Kind: proto.EventNotStarted, Task: o.Task, Run: o.Run, Result: winch.StartRefused})
+}
+
 func (h *holder) emit(e proto.KeepEvent) {
 	e.Token = h.token
 	h.keeper.emit(h, e)
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -35,6 +35,8 @@
 	Metrics metrics.Registry
 	// Lease is how long workers go on without hearing of a keeper.
 	Lease time.Duration
+	// Command gets the command of a job, which the entry named accepted.
+	Command func(ctx context.Context, job, origin string) (string, error)
 
 	trips trips
 
@@ -45,7 +47,7 @@
 	holders map[string]*holder
 	// byToken holds the same holders by the tokens that orders name them by.
 	byToken  map[uint64]*holder
-	commands commands
+	commands Commands
 	events   []proto.KeepEvent
 	// ended holds the holdings that have ended and of which the planner may not know
 	// yet until when what they kept may run; handed is how many of them the last
@@ -152,7 +154,6 @@
 func (k *Keeper) begin(s proto.Session) {
 	k.events = nil
 	k.handed = 0
-	k.commands = commands{}
 	if s.Term > k.session.Term {
 		k.ended = nil // A later planner asks for the last holding of each worker only.
 	}
@@ -187,60 +188,72 @@
 	})
 }
 
-// Orders passes orders to the workers.
+// Orders passes orders to the workers: those that start tasks of a job once its command is
+// known, the others at once.
 func (k *Keeper) Orders(msg proto.KeepOrders) {
-	for i, to := range k.addressed(msg) {
-		if to.holder != nil {
-			to.holder.take(msg.Orders[i], to.command)
+	starts := make(map[string][]pending)
+	for i, h := range k.addressed(msg) {
+		o := msg.Orders[i]
+		switch {
+		case h == nil:
+		case o.Kind == proto.OrderStart:
+			starts[o.Task.Job] = append(starts[o.Task.Job], pending{h, o})
+		default:
+			h.take(o, "")
 		}
 	}
+	for job, list := range starts {
+		if text, known := k.commands.Get(job); known || k.Command == nil {
+			startAll(list, text)
+			continue
+		}
+		k.group.Go(func() { k.fetch(job, msg.Origins[job], list) })
+	}
+}
+
+// pending is a start that waits for its job's command.
+type pending struct {
+	holder *holder
+	order  proto.Order
 }
 
-// address is where an order goes, with the command of its job.
-type address struct {
-	holder  *holder
-	command string
+func startAll(list []pending, text string) {
+	for _, x := range list {
+		x.holder.take(x.order, text)
+	}
+}
+
+// fetch gets the command of a job and passes on the starts that wait for it. They surely
+// have no effect if it cannot be had.
+func (k *Keeper) fetch(job, origin string, list []pending) {
+	text, err := k.Command(k.ctx, job, origin)
+	if err == nil {
+		k.commands.Add(job, text)
+		startAll(list, text)
+		return
+	}
+	k.count("Keep.NoCommand")
+	k.Log.Info("command not known", zap.String("job", job), zap.String("origin", origin), zap.Error(err))
+	for _, x := range list {
+		x.holder.refuse(x.order)
+	}
 }
 
 // addressed returns the holder of each order. Its lock is not held while a
 // holder's is taken: holders take both in the other order.
-func (k *Keeper) addressed(msg proto.KeepOrders) []address {
+func (k *Keeper) addressed(msg proto.KeepOrders) []*holder {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if msg.Session != k.session {
 		return nil
 	}
-	for job, text := range msg.Commands {
-		k.commands.add(job, text)
-	}
-	out := make([]address, len(msg.Orders))
+	out := make([]*holder, len(msg.Orders))
 	for i, o := range msg.Orders {
-		out[i] = address{k.byToken[o.Token], k.commands.text[o.Task.Job]}
+		out[i] = k.byToken[o.Token]
 	}
 	return out
 }
 
-// commands holds the commands that the keeper was told last.
-type commands struct {
-	text  map[string]string
-	order []string
-}
-
-func (c *commands) add(job, text string) {
-	if c.text == nil {
-		c.text = make(map[string]string)
-	}
-	if _, known := c.text[job]; known {
-		return
-	}
-	if len(c.order) == proto.KeptCommands {
-		delete(c.text, c.order[0])
-		c.order = c.order[1:]
-	}
-	c.text[job] = text
-	c.order = append(c.order, job)
-}
-
 // Poll returns what happened since the last poll of the session, and waits for
 // something to happen, and a little longer for what happens with it. A zero session in the answer says that the session of
 // the question is not this keeper's.
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -19,6 +19,7 @@
 	KindSettings   winch.Kind = "Settings"
 	KindSettingAsk winch.Kind = "SettingsAsk"
 	KindMirror     winch.Kind = "Mirror"
+	KindCommand    winch.Kind = "Command"
 )
 
 // Session names one uninterrupted relation of a planner with a keeper. A
@@ -87,17 +88,24 @@
 	Worker     string `cbor:"-"`
 }
 
-// KeepOrders carries orders. Commands holds the commands of jobs that the keeper has not
-// been told in the session, and of those of which it may have forgotten them.
+// KeepOrders carries orders. Origins names, for each job that is started, the entry that
+// accepted it and still has its command.
 type KeepOrders struct {
-	Session  Session           `cbor:"1,keyasint"`
-	Orders   []Order           `cbor:"2,keyasint"`
-	Commands map[string]string `cbor:"3,keyasint,omitempty"`
+	Session Session           `cbor:"1,keyasint"`
+	Orders  []Order           `cbor:"2,keyasint"`
+	Origins map[string]string `cbor:"3,keyasint,omitempty"`
 }
 
-// KeptCommands is how many commands a keeper remembers in a session: those it was told
-// last.
-const KeptCommands = 1024
+// CommandAsk asks the entry that accepted a job for its command.
+type CommandAsk struct {
+	Job string `cbor:"1,keyasint"`
+}
+
+// CommandGive is the answer; Known is false if the entry does not have it any more.
+type CommandGive struct {
+	Known   bool   `cbor:"1,keyasint,omitempty"`
+	Command string `cbor:"2,keyasint,omitempty"`
+}
 
 // KeepPoll asks a keeper for what has happened; it answers at once if there is
 // something, and after Wait at the latest.
@@ -206,8 +214,6 @@
 type AcceptedJob struct {
 	Job      winch.PhasedJob `cbor:"1,keyasint"`
 	Revision uint64          `cbor:"2,keyasint"`
-	// Command is empty if the sender does not know it.
-	Command string `cbor:"3,keyasint,omitempty"`
 }
 
 // CancelJob tells the planner of a committed cancel.
--- a/region/accept.go
+++ b/region/accept.go
@@ -147,9 +147,10 @@
 	var msg proto.Accepted
 	for _, s := range batch {
 		s.job.Revision = revision
+		a.node.commands.Add(s.job.ID, s.job.Command)
 		s.done <- winch.Result{Outcome: winch.Done}
 		a.node.Log.Info("accepted", zap.String("job", s.job.ID), zap.String("queue", s.job.Queue), zap.String("team", s.job.Team), zap.Uint64("revision", revision))
-		msg.Jobs = append(msg.Jobs, proto.AcceptedJob{Job: *s.job, Revision: revision, Command: s.job.Command})
+		msg.Jobs = append(msg.Jobs, proto.AcceptedJob{Job: *s.job, Revision: revision})
 	}
 	a.node.tellPlanner(proto.KindAccepted, msg)
 }
@@ -160,6 +161,7 @@
 	if !n.healthy() {
 		return winch.RefuseFor(winch.StoreUnavailable, "the store does not answer", retryAfter)
 	}
+	job.Origin = n.Name
 	s := &submission{job: job, done: make(chan winch.Result, 1)}
 	n.accept.put(s)
 	select {
--- a/region/assign.go
+++ b/region/assign.go
@@ -81,11 +81,14 @@
 
 // want chooses the keepers, and has them recorded where they differ from the roster.
 func (l *lead) want(held []winch.WorkerVM, live map[string]member) {
-	byDomain := newPools(live)
+	byDomain := newPools(live, l.busy()...)
 	wanted := make(map[string]rostered, len(held))
+	workers := make(map[string]int)
 	for _, vm := range held {
 		byDomain.add(l.wanted[vm.ID].Keeper)
+		workers[vm.Domain]++
 	}
+	byDomain.limit(workers)
 	for _, vm := range held {
 		if now := byDomain.choose(vm.Domain, l.wanted[vm.ID].Keeper); now != "" {
 			wanted[vm.ID] = l.entryOf(vm, now, l.turnOf(vm.ID, now))
@@ -97,6 +100,15 @@
 	}
 }
 
+// busy names the entries that have more to do than others: the planner's and its standby's.
+func (l *lead) busy() []string {
+	out := []string{l.node.Name}
+	if l.standby != nil {
+		out = append(out, l.standby.name)
+	}
+	return out
+}
+
 func sameEntry(a, b rostered) bool {
 	return a.Keeper == b.Keeper && a.Turn == b.Turn && a.VM.Born == b.VM.Born && a.Settled == b.Settled
 }
--- a/region/command.go
+++ b/region/command.go
@@ -1,74 +1,55 @@
 package region
 
 import (
-	"slices"
+	"context"
+	"time"
 
 	"github.com/ansel1/merry/v2"
-	"go.uber.org/zap"
 
 	"plantainwinch/proto"
-	"plantainwinch/winch"
 )
 
+// commandTime bounds the question to the entry that accepted a job for its command; the
+// store is read after it.
+const commandTime = 250 * time.Millisecond
+
 var errNoCommand = merry.New("the store holds no command of the job")
 
-// sentCommands names the jobs whose commands a keeper has been told in a session, those
-// of the last half of what it remembers.
-type sentCommands struct {
-	known map[string]bool
-	order []string
+// giveCommand answers a keeper that asks for the command of a job that this entry accepted.
+func (n *Node) giveCommand(ask proto.CommandAsk) proto.CommandGive {
+	text, known := n.commands.Get(ask.Job)
+	return proto.CommandGive{Known: known, Command: text}
 }
 
-// add notes that a job's command is told, and reports whether it has to be.
-func (s *sentCommands) add(job string) bool {
-	if s.known[job] {
-		return false
-	}
-	if s.known == nil {
-		s.known = make(map[string]bool)
+// command gets the command of a job for this entry's keeper: from the entry that accepted
+// the job, so that the planner's link is not filled with what most keepers need, and from
+// the store if that entry does not have it any more.
+func (n *Node) command(ctx context.Context, job, origin string) (string, error) {
+	if text, known := n.commands.Get(job); known {
+		return text, nil
 	}
-	if len(s.order) == proto.KeptCommands/2 {
-		delete(s.known, s.order[0])
-		s.order = s.order[1:]
+	if text, known := n.askCommand(ctx, job, origin); known {
+		return text, nil
 	}
-	s.known[job] = true
-	s.order = append(s.order, job)
-	return true
-}
-
-// commanded reports whether the command of a start's job is known here. If it is not, as
-// after a takeover, it is read from the store, and the start is sent after that.
-func (l *lead) commanded(o proto.Order) bool {
-	job := o.Task.Job
-	if _, known := l.planner.Command(job); known {
-		return true
+	values, _, err := n.Table.Read(ctx, keyCommand(job))
+	if err != nil {
+		return "", err
 	}
-	waiting, reading := l.commandless[job]
-	l.commandless[job] = append(waiting, o)
-	if !reading {
-		l.group.Go(func() { l.readCommand(job) })
+	for _, v := range values {
+		if v.Key == keyCommand(job) {
+			return string(v.Data), nil
+		}
 	}
-	return false
+	return "", errNoCommand
 }
 
-// readCommand reads the command of a job and sends the starts that wait for it.
-func (l *lead) readCommand(job string) {
-	values, _, err := l.node.Table.Read(l.ctx, keyCommand(job))
-	i := slices.IndexFunc(values, func(v winch.Value) bool { return v.Key == keyCommand(job) })
-	if err == nil && i < 0 {
-		err = errNoCommand
+func (n *Node) askCommand(ctx context.Context, job, origin string) (string, bool) {
+	if origin == "" || origin == n.Name {
+		return "", false
 	}
-	l.post(func() {
-		waiting := l.commandless[job]
-		delete(l.commandless, job)
-		if err != nil {
-			l.node.Log.Info("command not read", zap.String("job", job), zap.Error(err))
-			for _, o := range waiting {
-				l.unsent(o)
-			}
-			return
-		}
-		l.planner.SetCommand(job, string(values[i].Data))
-		l.send(waiting)
-	})
+	ctx, cancel := context.WithTimeout(ctx, commandTime)
+	defer cancel()
+	var give proto.CommandGive
+	err := n.Peers.Ask(ctx, origin, proto.KindCommand, proto.CommandAsk{Job: job}, &give)
+	return give.Command, err == nil && give.Known
 }
--- a/region/jobs.go
+++ b/region/jobs.go
@@ -74,7 +74,7 @@
 					continue // It was read, or had ended by then.
 				}
 				job := a.Job
-				job.Revision, job.Command = a.Revision, a.Command
+				job.Revision = a.Revision
 				l.planner.Add(&job, nil, 0)
 			}
 		case proto.CancelJob:
--- a/region/lead.go
+++ b/region/lead.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"math"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
@@ -74,28 +76,26 @@
 	// All below is owned by the duty.
 	// shadow is what this entry has read as standby; jobsAt is the revision up to which
 	// jobs have been read, and orphans those of which there are parts but no job.
-	shadow  *shadowed
-	jobsAt  uint64
-	orphans []string
-	planner *fleet.Planner
-	lanes   lanes.Lanes[fleet.Ask]
-	proxies map[string]*proxy
-	keepers map[string]string     // keepers names the keeper of each worker.
-	kept    map[string]proto.Kept // kept holds the token of each worker.
-	byToken map[uint64]string     // byToken names the worker of each token.
-	// commandless holds the starts that wait for the command of their job.
-	commandless map[string][]proto.Order
-	workers     map[string]winch.WorkerVM
-	missing     map[string]time.Time
-	resting     map[string]bool     // resting holds keepers that get no session for a moment.
-	wanted      map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
-	roster      map[string]rostered
-	before      map[string]rostered // before is the roster of the earlier planner.
-	settled     map[string]bool     // settled names the workers that the store may hold as settled.
-	rosterAt    uint64              // rosterAt is the revision of the roster's record.
-	tokens      uint64
-	turns       uint64
-	sessions    uint64
+	shadow   *shadowed
+	jobsAt   uint64
+	orphans  []string
+	planner  *fleet.Planner
+	lanes    lanes.Lanes[fleet.Ask]
+	proxies  map[string]*proxy
+	keepers  map[string]string     // keepers names the keeper of each worker.
+	kept     map[string]proto.Kept // kept holds the token of each worker.
+	byToken  map[uint64]string     // byToken names the worker of each token.
+	workers  map[string]winch.WorkerVM
+	missing  map[string]time.Time
+	resting  map[string]bool     // resting holds keepers that get no session for a moment.
+	wanted   map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
+	roster   map[string]rostered
+	before   map[string]rostered // before is the roster of the earlier planner.
+	settled  map[string]bool     // settled names the workers that the store may hold as settled.
+	rosterAt uint64              // rosterAt is the revision of the roster's record.
+	tokens   uint64
+	turns    uint64
+	sessions uint64
 	// queued holds the starts that the standby has not heard of yet, told those
 	// that it has, removed the runs that have ended since it was last told;
 	// mirroring says that an answer of its is awaited. named is the standby that
@@ -150,7 +150,7 @@
 	l := &lead{
 		node: n, term: term, revision: revision, lease: lease,
 		duty: duty.New("Planner", leadRing, nil), planner: fleet.New(term),
-		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept), byToken: make(map[uint64]string), commandless: make(map[string][]proto.Order),
+		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept), byToken: make(map[uint64]string),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
 		wanted: make(map[string]rostered), settled: make(map[string]bool),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
@@ -437,6 +437,19 @@
 	}
 }
 
+// linkBytes returns the bytes that have gone over this entry's links by kind of message.
+func (n *Node) linkBytes() map[string]int64 {
+	out := make(map[string]int64)
+	n.Metrics.Each(func(name string, x any) {
+		if kind, ok := strings.CutPrefix(name, "Peer."); ok {
+			if c, ok := x.(metrics.Counter); ok {
+				out[kind] = c.Count()
+			}
+		}
+	})
+	return out
+}
+
 // runLoad logs once a second how full the region is.
 func (l *lead) runLoad(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -448,7 +461,8 @@
 		l.node.Log.Info("load", zap.Int64("milli", load.Room.Milli), zap.Int64("used", load.Used.Milli), zap.Int64("stopping", load.Stopping.Milli),
 			zap.Int64("memory", int64(load.Room.Memory>>20)), zap.Int64("memoryUsed", int64(load.Used.Memory>>20)),
 			zap.Int("workers", load.Workers), zap.Int("usable", load.Usable), zap.Int("running", load.Running),
-			zap.Any("waiting", load.Waiting), zap.Int("capped", load.Capped), zap.Int64("filling", load.Filling), zap.Int("asks", asks))
+			zap.Any("waiting", load.Waiting), zap.Int("capped", load.Capped), zap.Int64("filling", load.Filling), zap.Int("asks", asks),
+			zap.Any("bytes", l.node.linkBytes()))
 		duty.Pause(ctx, loadEvery)
 	}
 }
--- a/region/node.go
+++ b/region/node.go
@@ -80,6 +80,7 @@
 	cell     cellView
 	settings settings
 	accept   acceptor
+	commands keep.Commands // commands holds those of the jobs that this entry accepted last.
 	keeper   *keep.Keeper
 	mirror   mirror
 	shadow   shadow
@@ -101,7 +102,7 @@
 func (n *Node) Prepare() {
 	n.started = time.Now()
 	n.changed = make(chan struct{}, 1)
-	n.keeper = &keep.Keeper{Runner: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, leaseMost)}
+	n.keeper = &keep.Keeper{Runner: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, leaseMost), Command: n.command}
 	n.keeper.Prepare()
 	n.accept.prepare(n)
 	n.settings.prepare(n)
--- a/region/pools.go
+++ b/region/pools.go
@@ -1,21 +1,45 @@
 package region
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// keeperWorkers is how many workers a keeper has before the failure domain gets another
+	// one: each costs the planner a session, and news of many workers share messages.
+	keeperWorkers = 32
+	// leastKeepers is how many keepers a failure domain has at least, so that the loss of
+	// one leaves others that the workers can go to at once.
+	leastKeepers = 2
+)
 
 // pools chooses keepers: in each failure domain the entry with the fewest workers
-// for its processor share. A choice looks at the entries of one domain, and only
-// for a worker that needs another keeper.
+// for its processor share, among as many as its workers need. A choice looks at the
+// keepers of one domain, and only for a worker that needs another keeper.
 type pools struct {
 	live  map[string]member
-	names map[string][]string // names lists the entries of a domain.
+	names map[string][]string // names lists the entries of a domain that may be keepers.
 	count map[string]int      // count is how many workers each entry has.
 	least map[string]string   // least is the entry of a domain with the least load; "" is not known.
 }
 
-func newPools(live map[string]member) *pools {
+// newPools returns pools of the live entries. Busy entries are keepers only where a failure
+// domain has too few others.
+func newPools(live map[string]member, busy ...string) *pools {
 	p := &pools{live: live, names: make(map[string][]string), count: make(map[string]int), least: make(map[string]string)}
+	spare := make(map[string][]string)
 	for name, m := range live {
-		p.names[m.Domain] = append(p.names[m.Domain], name)
+		if slices.Contains(busy, name) {
+			spare[m.Domain] = append(spare[m.Domain], name)
+		} else {
+			p.names[m.Domain] = append(p.names[m.Domain], name)
+		}
+	}
+	for domain, names := range spare {
+		if len(p.names[domain]) < leastKeepers {
+			p.names[domain] = append(p.names[domain], names...)
+		}
 	}
 	return p
 }
@@ -27,6 +51,18 @@
 	}
 }
 
+// limit leaves as many keepers in each failure domain as its workers need: those that have
+// most of them now, then those with most processor.
+func (p *pools) limit(workers map[string]int) {
+	for domain, names := range p.names {
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Or(cmp.Compare(p.count[b], p.count[a]), cmp.Compare(p.live[b].Share, p.live[a].Share), cmp.Compare(a, b))
+		})
+		need := max(leastKeepers, (workers[domain]+keeperWorkers-1)/keeperWorkers)
+		p.names[domain] = names[:min(need, len(names))]
+	}
+}
+
 // choose returns the keeper for a worker that has one now, or had one, or "" if
 // there is no entry.
 func (p *pools) choose(domain, now string) string {
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -35,7 +35,6 @@
 	session proto.Session
 	stamp   time.Duration // stamp is that of the keeper's last answer.
 	local   bool
-	sent    sentCommands
 	ctx     context.Context
 	cancel  context.CancelFunc
 }
@@ -266,19 +265,13 @@
 			l.unsent(o)
 			continue
 		}
-		if o.Kind == proto.OrderStart && !l.commanded(o) {
-			continue // It is sent once the job's command has been read.
-		}
 		msg := byKeeper[name]
 		if msg == nil {
-			msg = &proto.KeepOrders{Session: p.session}
+			msg = &proto.KeepOrders{Session: p.session, Origins: make(map[string]string)}
 			byKeeper[name] = msg
 		}
-		if o.Kind == proto.OrderStart && p.sent.add(o.Task.Job) {
-			if msg.Commands == nil {
-				msg.Commands = make(map[string]string)
-			}
-			msg.Commands[o.Task.Job], _ = l.planner.Command(o.Task.Job)
+		if o.Kind == proto.OrderStart {
+			msg.Origins[o.Task.Job] = l.planner.Origin(o.Task.Job)
 		}
 		l.logOrder(o)
 		msg.Orders = append(msg.Orders, o)
--- a/region/serve.go
+++ b/region/serve.go
@@ -160,6 +160,8 @@
 		return got(read, func(m proto.KeepOrders) any { n.keeper.Orders(m); return nil })
 	case proto.KindKeepPoll:
 		return got(read, func(m proto.KeepPoll) any { return n.keeper.Poll(ctx, m) })
+	case proto.KindCommand:
+		return got(read, func(m proto.CommandAsk) any { return n.giveCommand(m) })
 	case proto.KindMirror:
 		return got(read, func(m proto.Mirror) any { return n.mirror.answer(m) })
 	case proto.KindAdvise:
--- a/trans/peer/peer.go
+++ b/trans/peer/peer.go
@@ -316,8 +316,7 @@
 
 func (m *Mesh) write(ctx context.Context, conn *websocket.Conn, frames ...proto.Frame) error {
 	data := encode(frames)
-	m.frames.Add(int64(len(frames)))
-	m.bytes.Add(int64(len(data)))
+	m.count("Peer.Sent.", frames, len(data))
 	return merry.Wrap(conn.Write(ctx, websocket.MessageBinary, data))
 }
 
@@ -326,12 +325,20 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	m.bytes.Add(int64(len(data)))
 	err = proto.Decode(data, &frames)
-	m.frames.Add(int64(len(frames)))
+	m.count("Peer.Received.", frames, len(data))
 	return frames, merry.Wrap(err)
 }
 
+// count counts frames and bytes, in all and by kind.
+func (m *Mesh) count(name string, frames []proto.Frame, bytes int) {
+	m.frames.Add(int64(len(frames)))
+	m.bytes.Add(int64(bytes))
+	for _, f := range frames {
+		metrics.GetOrRegisterCounter(name+string(f.Kind), m.Metrics).Inc(int64(len(f.Body)))
+	}
+}
+
 // Tell implements winch.Peers. A full ring refuses the message.
 func (m *Mesh) Tell(to string, kind winch.Kind, body any) error {
 	l := m.link(to)
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -76,7 +76,8 @@
 	ID       string    `cbor:"1,keyasint,omitempty"` // ID is chosen by the caller and makes resubmission idempotent.
 	Queue    string    `cbor:"2,keyasint,omitempty"`
 	Team     string    `cbor:"3,keyasint,omitempty"`
-	Command  string    `cbor:"-"` // Command is stored and sent beside the rest.
+	Command  string    `cbor:"-"`                    // Command is stored and sent beside the rest.
+	Origin   string    `cbor:"4,keyasint,omitempty"` // Origin names the entry that accepted the job.
 	Phases   []Phase   `cbor:"5,keyasint,omitempty"`
 	Accepted time.Time `cbor:"6,keyasint,omitzero"`
 	// Times is how often the phases are to run; zero stands for once, at once.
