A planner that hands the office over while it waits tells until when

A planner that still waits has no standby, and recorded nothing as it stopped.

Now it records at its planned stop, for each worker, what runs there where it has heard that, and until when leases run where nobody may renew them; from then on it allows no renewal. The next planner counts from its own beginning, so never too little.

--- a/region/keys.go
+++ b/region/keys.go
@@ -91,6 +91,9 @@
 	// does not answer and gets no work: Runs is then all that may run there.
 	Settled bool
 	Runs    []winch.Running
+	// Left is set when the planner handed the office over and nobody may renew the leases at
+	// the worker: after that time, from when it was recorded, all work there has ended.
+	Left time.Duration
 	// Turn is new whenever the worker gets another keeper. What a keeper tells of an
 	// earlier turn is not all: others may have had the worker in between.
 	Turn uint64
@@ -113,6 +116,7 @@
 	Keeper  int // Keeper is an index into the roster's Keepers.
 	Settled bool
 	Runs    []winch.Running
+	Left    time.Duration
 }
 
 func newRoster(workers map[string]rostered) roster {
@@ -126,7 +130,7 @@
 			out.Keepers = append(out.Keepers, w.Keeper)
 		}
 		out.Workers = append(out.Workers, rosterRow{
-			ID: w.VM.ID, Address: w.VM.Address, Domain: w.VM.Domain, Born: w.VM.Born, Keeper: at, Settled: w.Settled, Runs: w.Runs,
+			ID: w.VM.ID, Address: w.VM.Address, Domain: w.VM.Domain, Born: w.VM.Born, Keeper: at, Settled: w.Settled, Runs: w.Runs, Left: w.Left,
 		})
 		out.Turns = append(out.Turns, w.Turn)
 	}
@@ -137,7 +141,7 @@
 func (r *roster) list() []rostered {
 	out := make([]rostered, 0, len(r.Workers))
 	for i, w := range r.Workers {
-		x := rostered{VM: winch.WorkerVM{ID: w.ID, Address: w.Address, Domain: w.Domain, Born: w.Born}, Settled: w.Settled, Runs: w.Runs}
+		x := rostered{VM: winch.WorkerVM{ID: w.ID, Address: w.Address, Domain: w.Domain, Born: w.Born}, Settled: w.Settled, Runs: w.Runs, Left: w.Left}
 		if w.Keeper >= 0 && w.Keeper < len(r.Keepers) {
 			x.Keeper = r.Keepers[w.Keeper]
 		}
--- a/region/lapse.go
+++ b/region/lapse.go
@@ -123,6 +123,19 @@
 	return left
 }
 
+// ends returns after how long all leases at a worker have ended if nobody may renew them at
+// present, and zero if its keeper may.
+func (s *lapses) ends(worker string) time.Duration {
+	if s.open[worker] {
+		return 0
+	}
+	left := s.left(worker)
+	if at, shut := s.shut[worker]; shut {
+		left = max(left, time.Until(at))
+	}
+	return max(left, time.Millisecond)
+}
+
 // told returns until when work may run at the workers that do not answer and whose
 // leases nobody may renew at present; with unheard, also at those that have not
 // answered their present keeper yet.
@@ -150,8 +163,12 @@
 func (l *lead) inheritLapses() {
 	longest := l.began.Add(barrier())
 	for id, w := range l.before {
+		lapse := longest
+		if w.Left > 0 {
+			lapse = l.began.Add(w.Left)
+		}
 		if l.copiedLapses[id] == nil {
-			l.lapses.inherit(id, w.Keeper, w.Turn, longest)
+			l.lapses.inherit(id, w.Keeper, w.Turn, lapse)
 		}
 		l.lapses.past[id] = append(l.lapses.past[id], l.copiedLapses[id]...)
 	}
@@ -200,6 +217,9 @@
 // work there ends, it hears first that it does not: taking over, it would start the
 // work a second time.
 func (l *lead) allowRenewal(e proto.KeepEvent) {
+	if l.recorded {
+		return // It is recorded when the leases there end.
+	}
 	o := proto.Order{Kind: proto.OrderRenew, Worker: e.Worker, Token: e.Token, Spell: e.Spell}
 	if l.words[e.Worker] {
 		l.queued = append(l.queued, o)
--- a/region/lead.go
+++ b/region/lead.go
@@ -129,6 +129,7 @@
 	looked     time.Time // looked is when the standby was last compared with others.
 	armed      bool
 	closed     bool
+	recorded   bool          // recorded says that what runs has been written down for the next planner.
 	decided    time.Time     // decided is when the planner last looked at all that waits,
 	took       time.Duration // and took how long that took.
 	// assign says that the workers' keepers are to be worked out again, assigned
@@ -293,9 +294,29 @@
 	}
 	l.planner.SetRoster(ids)
 	l.rosterAt = v.Version
+	if left, all := l.handedLeft(); all {
+		l.planner.Barrier = l.began.Add(left)
+	}
 	return nil
 }
 
+// handedLeft returns after how long all work has ended at the workers that the planner
+// before had not heard as it handed the office over, and whether it told that of all
+// others than those whose runs it told.
+func (l *lead) handedLeft() (time.Duration, bool) {
+	left := time.Duration(0)
+	for _, w := range l.before {
+		if w.Settled {
+			continue
+		}
+		if w.Left == 0 {
+			return 0, false
+		}
+		left = max(left, w.Left)
+	}
+	return left, left > 0
+}
+
 // runFresh learns the revision after which no earlier planner can have started
 // an accepted job: one whose lease the store has ended may believe for a whole
 // lease more that it holds the office, unless its process is known to have ended.
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -17,6 +17,9 @@
 	// mirrorTime bounds the standby's answer. Starts wait for it, so a standby that
 	// is slow is given up early.
 	mirrorTime = 400 * time.Millisecond
+	// mirrorRunTime is how much longer it may take for each run that is told: the copy of
+	// all runs takes its time on a thin link.
+	mirrorRunTime = 300 * time.Microsecond
 	// standbyRest is how long an entry that failed as standby is not tried again.
 	standbyRest = time.Second
 	// standbyLook is how often the standby is compared with other entries.
@@ -258,7 +261,7 @@
 }
 
 func (l *lead) tellMirror(s *standby, msg proto.Mirror, starts []proto.Order) {
-	ctx, cancel := context.WithTimeout(l.ctx, mirrorTime)
+	ctx, cancel := context.WithTimeout(l.ctx, mirrorTime+time.Duration(len(msg.Add))*mirrorRunTime)
 	defer cancel()
 	var ack proto.MirrorAck
 	err := l.node.Peers.Ask(ctx, s.name, proto.KindMirror, msg, &ack)
--- a/region/record.go
+++ b/region/record.go
@@ -266,15 +266,20 @@
 }
 
 // recordRuns writes down all that may run at each worker, once nothing more is
-// started, so that the next planner need not wait for a worker that does not answer.
+// started, so that the next planner need not wait for a worker that does not answer. Of
+// workers that have not been heard it is not known what runs there, but until when: no
+// lease is renewed there any more, and the next planner need not count the longest anew.
 func (l *lead) recordRuns(ctx context.Context) {
 	workers := make(map[string]rostered)
 	if l.duty.Do(ctx, func() {
-		if l.planner.Adopting() {
-			return // What runs at some workers is not known here either.
-		}
+		l.recorded = true
 		for id, w := range l.roster {
-			w.Settled, w.Runs = true, l.planner.RunsAt(id)
+			w.Settled, w.Runs, w.Left = l.planner.Heard(id), nil, l.lapses.ends(id)
+			if w.Settled {
+				w.Runs = l.planner.RunsAt(id)
+			} else {
+				w.Left = max(w.Left, time.Until(l.planner.Barrier), time.Millisecond)
+			}
 			workers[id] = w
 		}
 	}) != nil || len(workers) == 0 {
