Tests of size: bounded decisions, keepers, records, commands, short messages

trial plays a burst on a large region whose planner's VM is charged for each worker that a decision looks at (pattern slow-planner).

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -92,7 +92,9 @@
 // Counts are totals since the planner took over.
 type Counts struct {
 	Started, NotStarted, Done, Failed, Stopped, Lost, Asked, Restarted int64
-	Running                                                            int
+	// Looks counts the workers that decisions looked at: most of what they cost.
+	Looks   int64
+	Running int
 }
 
 // New returns an empty planner.
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -120,6 +120,7 @@
 		p.move(now)
 	}
 	p.askNeglected(now)
+	p.counts.Looks += int64(p.looks)
 }
 
 // tryAll starts tasks of the ready steps, in their order, and asks and keeps room for
--- /dev/null
+++ b/proto/keep_test.go
@@ -0,0 +1,39 @@
+package proto
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/winch"
+)
+
+// Times lose their fractions of a second on the way, and a job counts from up to a second
+// before it was accepted.
+func TestTimesKeepTheirFractions(t *testing.T) {
+	is := is.New(t)
+	accepted := time.Unix(1_790_000_000, 987_654_000)
+	data, err := Encode(AcceptedJob{Job: winch.PhasedJob{ID: "a", Accepted: accepted}})
+	is.NoErr(err)
+	var got AcceptedJob
+	is.NoErr(Decode(data, &got))
+	is.True(got.Job.Accepted.Sub(accepted).Abs() < time.Microsecond)
+}
+
+// Each start is told to a keeper, a standby and, as it begins and ends, to the planner. On a
+// thin link what that takes bounds how many there can be.
+func TestMessagesOfAStartAreShort(t *testing.T) {
+	is := is.New(t)
+	size := func(v any) int {
+		data, err := Encode(v)
+		is.NoErr(err)
+		return len(data)
+	}
+	task := winch.RunID{Job: "0123456789abcdef", Phase: 1, Index: 12}
+	const token, run = 4711 << 20, 10_000_123
+	is.True(size(Order{Kind: OrderStart, Token: token, Task: task, Run: run, Worker: "i-0123456789"}) <= 48)
+	is.True(size(MirrorRun{Worker: "i-0123456789", Task: task, Run: run}) <= 42)
+	is.True(size(KeepEvent{Kind: EventStarted, Token: token, Task: task, Run: run}) <= 50)
+	is.True(size(KeepEvent{Kind: EventEnded, Token: token, Ended: []winch.Ended{{Number: 300, Task: task, Run: run, Kind: winch.EndDone}}}) <= 70)
+}
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -26,7 +26,8 @@
 	slow time.Duration
 	// swallow leaves calls without an answer for as long as a real client waits.
 	swallow bool
-	refused map[string]bool // refused holds the entries that are turned away.
+	onRead  func(host, prefix string) // onRead is told of each reading.
+	refused map[string]bool           // refused holds the entries that are turned away.
 }
 
 type simLease struct {
@@ -125,6 +126,9 @@
 
 func (t *simTable) Read(ctx context.Context, prefix string) (out []winch.Value, asOf uint64, err error) {
 	err = t.call(ctx, func() {
+		if t.store.onRead != nil {
+			t.store.onRead(t.node.Host, prefix)
+		}
 		for key, v := range t.store.items {
 			if strings.HasPrefix(key, prefix) {
 				out = append(out, v)
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -21,6 +21,9 @@
 	Queues   []winch.Queue
 	Teams    []winch.RegionTeam
 	Streams  []Stream
+	// Look is how long the planner's VM takes for each worker that a decision looks at;
+	// decisions take no time if it is zero.
+	Look time.Duration
 	// Loss is the part of orders, and of lists of ends, whose answer is lost.
 	Loss float64
 	// Allowed is the part of the workers that the advice service allows for a step.
@@ -131,6 +134,7 @@
 	general     = Service{Name: "general", Workers: 35, Room: winch.Room{Milli: 64_000, Memory: 256 * gigabyte}}
 	accelerated = Service{Name: "accelerated", Workers: 13, Room: winch.Room{Milli: 128_000, Memory: 256 * gigabyte, Accelerators: 8}}
 	allowed     = map[string]float64{"lookup": 0.7, "batch": 0.45, "gang": 0.3, "small": 0.45}
+	wide        = Service{Name: "general", Workers: 220, Room: winch.Room{Milli: 16_000, Memory: 32 * gigabyte}}
 	teams       = []winch.RegionTeam{{Name: "north"}, {Name: "south"}}
 )
 
@@ -162,6 +166,21 @@
 	}
 }
 
+// previews are lookups of a large region with small workers, renders its batches.
+func previews(perSecond float64) Stream {
+	return Stream{
+		Queue: "lookup", Team: "north", PerSecond: perSecond, Phases: 2, Width: 13,
+		Need: winch.Room{Milli: 3500, Memory: 5 * gigabyte}, Work: 640 * time.Millisecond, Off: 0.5,
+	}
+}
+
+func renders(perSecond float64) Stream {
+	return Stream{
+		Queue: "batch", Team: "south", PerSecond: perSecond, Phases: 2, Width: 41,
+		Need: winch.Room{Milli: 4500, Memory: 4600 << 20}, Work: 3800 * time.Millisecond, Off: 0.5, Saves: true,
+	}
+}
+
 // between bounds a stream to a span of time.
 func (s Stream) between(from, to time.Duration) Stream {
 	s.From, s.To = from, to
@@ -206,6 +225,13 @@
 			p.Teams = []winch.RegionTeam{{Name: "north", Weight: 14}, {Name: "south", Weight: 8}}
 			p.Streams = []Stream{lookups(10), lookups(40).of("south").between(15*time.Second, 35*time.Second), batches(0.5)}
 		}),
+		pattern("slow-planner", "a burst on a large region, planned on a weak VM: decisions cost what waits, and the backlog grows", func(p *Pattern) {
+			p.Services, p.Lanes, p.Look = []Service{wide}, 30, 2*time.Microsecond
+			p.Streams = []Stream{
+				previews(11), previews(20).between(8*time.Second, 12*time.Second),
+				renders(1.3), renders(1.6).between(8*time.Second, 12*time.Second),
+			}
+		}),
 		pattern("overload", "more than fits for twenty seconds: what is late already, or beyond help, takes the room", func(p *Pattern) {
 			p.Streams = []Stream{gangs(1.5), gangs(1.8).between(10*time.Second, 30*time.Second), smalls(1.4)}
 		}),
--- a/trial/region.go
+++ b/trial/region.go
@@ -25,7 +25,9 @@
 	// gatherTime and idleTime are how soon after an event, and how often without one,
 	// the planner decides.
 	gatherTime = 10 * time.Millisecond
-	idleTime   = 100 * time.Millisecond
+	// decidePause is how many times as long as a decision took the next one waits.
+	decidePause = 3
+	idleTime    = 100 * time.Millisecond
 	// reportEvery is how often workers tell how their runs go.
 	reportEvery = 500 * time.Millisecond
 	// lostTime is how long an order without an answer takes until its run is known not
@@ -101,6 +103,7 @@
 	saved  map[winch.RunID]time.Duration
 	ends   map[string]uint64
 	armed  bool
+	lag    time.Duration // lag is how long the last decision took.
 	use    use
 	ended  []fleet.Ending
 	record bool
@@ -176,7 +179,7 @@
 func (r *region) wake() {
 	if !r.armed {
 		r.armed = true
-		r.at(gatherTime, r.decide)
+		r.at(gatherTime+decidePause*r.lag, r.decide)
 	}
 }
 
@@ -184,13 +187,15 @@
 	r.armed = false
 	urgent, usual := r.lanes.Openings(r.now)
 	r.planner.Openings = fleet.Openings{Urgent: urgent, Usual: usual}
+	before := r.planner.Counts().Looks
 	r.planner.Schedule()
+	r.lag = time.Duration(r.planner.Counts().Looks-before) * r.pattern.Look
 	for _, o := range r.planner.Orders() {
 		switch o.Kind {
 		case proto.OrderStart:
-			r.at(tripTime, func() { r.start(o) })
+			r.at(r.lag+tripTime, func() { r.start(o) })
 		case proto.OrderStop:
-			r.at(tripTime, func() { r.stop(o) })
+			r.at(r.lag+tripTime, func() { r.stop(o) })
 		}
 	}
 	for _, a := range r.planner.Asks() {
--- a/trial/region_test.go
+++ b/trial/region_test.go
@@ -93,6 +93,15 @@
 	is.True(served(t, "overload", "gang", "LastCall").Lateness > gangs.Lateness)
 }
 
+// A burst comes to a large region whose planner runs on a weak VM. Decisions that cost what
+// waits come ever later, and the backlog grows beside free workers.
+func TestBurstIsWorkedOffByASlowPlanner(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	is.True(served(t, "slow-planner", "lookup").Within >= 0.97)
+	is.True(served(t, "slow-planner", "batch").Within >= 0.97)
+}
+
 // Answers are lost for ten seconds; lookups are on time nevertheless.
 func TestLookupsAreOnTimeWhileAnswersAreLost(t *testing.T) {
 	t.Parallel()
