--- a/region/records_test.go
+++ b/region/records_test.go
@@ -74,15 +74,18 @@
 		is.NoErr(err)
 		is.True(s.job != nil && ended == nil)
 		is.Equal(w.await(id, 20*time.Second), winch.JobDone)
-		w.stopsAsPlanned(w.planner(), 2*time.Second, 300*time.Millisecond)
-		for w.planner() == nil {
+		first := w.planner()
+		w.stopsAsPlanned(first, 2*time.Second, 300*time.Millisecond)
+		for w.planner() == nil || w.planner() == first {
 			time.Sleep(5 * time.Millisecond)
 		}
+		starts := w.log.count("start\t{\"job\": \"" + id)
 		w.planner().node.forLead(proto.Accepted{Jobs: []proto.AcceptedJob{{Job: *s.job, Revision: s.job.Revision}}})
 		time.Sleep(3 * time.Second)
 		state, result := w.planner().node.State(w.ctx, id)
 		is.True(result.OK())
 		is.Equal(state, winch.JobDone)
+		is.Equal(w.log.count("start\t{\"job\": \""+id), starts)
 		w.end()
 	})
 }
@@ -122,8 +125,9 @@
 		w.store.mu.Lock()
 		w.store.onRead = func(host, prefix string) { read[host] = read[host] || prefix == prefixJobs }
 		w.store.mu.Unlock()
-		w.stopsAsPlanned(w.planner(), 2*time.Second, 300*time.Millisecond)
-		for w.planner() == nil {
+		first := w.planner()
+		w.stopsAsPlanned(first, 2*time.Second, 300*time.Millisecond)
+		for w.planner() == nil || w.planner() == first {
 			time.Sleep(5 * time.Millisecond)
 		}
 		w.store.mu.Lock()
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -232,6 +232,18 @@
 // Sync implements zapcore.WriteSyncer.
 func (l *simLog) Sync() error { return nil }
 
+// count returns the number of lines that hold a text.
+func (l *simLog) count(text string) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.lines {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *simLog) show(t *testing.T) {
 	for _, line := range l.lines {
 		t.Log(strings.TrimSpace(line))
