A standby catches up by as many answers as it takes

The standby's copy of jobs and progress fell behind by what was left out, and as it took over one answer was taken for all: it started again what had ended and was recorded. Seen as 87 orphans in the planner's line of jobs read.

Now changes are read until there are none, or up to the revision of the office; the planner's own reading does not pause after a long answer. The simulated store tells three changes at a time in the new test, which failed with the old code.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -266,6 +266,8 @@
 	// from a planner that is about to stop also of those that have not answered yet.
 	// None of their leases is renewed before a message without the worker is taken.
 	Lapses []MirrorLapse `cbor:"6,keyasint,omitempty"`
+	// Same says that the lapses are those of the session's last message that told them.
+	Same bool `cbor:"8,keyasint,omitempty"`
 	// Stamp is that of the standby's last answer. Lapses are good for a short time from
 	// then: the planner may renew the leases after it without being heard.
 	Stamp time.Duration `cbor:"7,keyasint,omitempty"`
@@ -274,9 +276,10 @@
 // MirrorLapse tells after how long the leases that a keeper gave at a worker have
 // surely lapsed. A worker that had several keepers has several.
 type MirrorLapse struct {
-	Worker string        `cbor:"1,keyasint"`
-	Left   time.Duration `cbor:"2,keyasint"`
-	Keeper string        `cbor:"3,keyasint,omitempty"`
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	Left   time.Duration
+	Keeper string
 }
 
 // MirrorRun is one run at a worker.
--- a/region/assign.go
+++ b/region/assign.go
@@ -161,6 +161,7 @@
 		if old := l.keepers[vm.ID]; old != "" {
 			changed[old] = true
 			l.lapses.moved(vm.ID, old, l.kept[vm.ID].Token, l.authority())
+			l.lapseNews = true
 			l.planner.Unready([]string{vm.ID})
 		}
 		changed[name] = true
--- a/region/cell.go
+++ b/region/cell.go
@@ -176,6 +176,9 @@
 	}
 }
 
+// manyEvents is how many changes in one answer may mean that there are more.
+const manyEvents = 100
+
 // pacing says how changes are followed: each call waits for a change, or calls
 // are some time apart and take all changes since the last.
 type pacing struct {
@@ -223,7 +226,7 @@
 			if len(events) > 0 {
 				changes(events)
 			}
-			if pace.gap > 0 {
+			if pace.gap > 0 && len(events) < manyEvents {
 				duty.Pause(ctx, pace.gap)
 			}
 		}
--- a/region/lapse.go
+++ b/region/lapse.go
@@ -223,6 +223,7 @@
 	o := proto.Order{Kind: proto.OrderRenew, Worker: e.Worker, Token: e.Token, Spell: e.Spell}
 	if l.words[e.Worker] {
 		l.queued = append(l.queued, o)
+		l.lapseNews = true
 		return
 	}
 	l.send([]proto.Order{o})
@@ -239,7 +240,7 @@
 	if len(l.words) == 0 || time.Since(l.wordsHeard) < wordTime+wordMargin {
 		return
 	}
-	l.words, l.acked = make(map[string]bool), nil
+	l.words, l.acked, l.lapseNews = make(map[string]bool), nil, true
 	waiting := slices.Concat(l.queued, l.told)
 	renews := func(o proto.Order) bool { return o.Kind == proto.OrderRenew }
 	starts := func(o proto.Order) bool { return !renews(o) }
--- a/region/lead.go
+++ b/region/lead.go
@@ -259,8 +259,8 @@
 		rosters, _, err = l.node.Table.Read(ctx, keyRoster)
 		return err
 	})
-	group.Go(func() error { return jobs.catchUp(ctx, l.node.Table, prefixJobs) })
-	group.Go(func() error { return progress.catchUp(ctx, l.node.Table, prefixProgress) })
+	group.Go(func() error { return jobs.catchUp(ctx, l.node.Table, prefixJobs, l.revision) })
+	group.Go(func() error { return progress.catchUp(ctx, l.node.Table, prefixProgress, l.revision) })
 	if err := group.Wait(); err != nil {
 		return err
 	}
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -84,7 +84,9 @@
 	for _, r := range msg.Remove {
 		delete(m.runs, r)
 	}
-	m.lapses = make(map[string][]holding, len(msg.Lapses))
+	if !msg.Same {
+		m.lapses = make(map[string][]holding, len(msg.Lapses))
+	}
 	for _, x := range msg.Lapses {
 		m.lapses[x.Worker] = append(m.lapses[x.Worker], holding{keeper: x.Keeper, lapse: time.Now().Add(x.Left)})
 	}
@@ -242,7 +244,10 @@
 	if s.synced && len(l.queued) == 0 && !l.lapseNews {
 		return // What ended is told with the next starts.
 	}
-	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed, Lapses: l.lapses.told(l.keepers, l.closed), Stamp: s.stamp}
+	msg := proto.Mirror{Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removed, Same: s.synced && !l.lapseNews, Stamp: s.stamp}
+	if !msg.Same {
+		msg.Lapses = l.lapses.told(l.keepers, l.closed)
+	}
 	if msg.Full {
 		msg.Add, msg.Remove = l.allRuns(), nil
 	} else {
@@ -282,7 +287,9 @@
 			s.synced = true
 			duty.Signal(l.standbyCh)
 		}
-		l.acked = make(map[string]bool, len(msg.Lapses))
+		if !msg.Same {
+			l.acked = make(map[string]bool, len(msg.Lapses))
+		}
 		for _, x := range msg.Lapses {
 			l.acked[x.Worker] = true
 		}
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -150,6 +150,7 @@
 			l.unkeep(id)
 		}
 	}
+	l.lapseNews = true
 	l.planner.Unready(ids)
 }
 
--- a/region/records_test.go
+++ b/region/records_test.go
@@ -138,3 +138,31 @@
 		w.end()
 	})
 }
+
+// The store tells but some of the changes in an answer. A standby that takes the first answer
+// for all of them takes over with old progress, and runs a second time what has ended.
+func TestStandbyCatchesUpByAllAnswers(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			w := newWorld(t, 70+seed, 3, 9)
+			settle()
+			w.store.mu.Lock()
+			w.store.most = 3
+			w.store.mu.Unlock()
+			var ids []string
+			for i := range 30 {
+				ids = append(ids, w.jobs(i, i+1)...)
+				time.Sleep(100 * time.Millisecond)
+				if i%10 == 9 {
+					w.stopsAsPlanned(w.planner(), 2*time.Second, 300*time.Millisecond)
+				}
+			}
+			for _, id := range ids {
+				is.True(w.await(id, 60*time.Second).Final())
+			}
+			w.end()
+		})
+	}
+}
--- a/region/shadow.go
+++ b/region/shadow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -49,17 +50,21 @@
 	c.at = max(c.at, at)
 }
 
-// catchUp reads what has changed since, or all if that is not to be had any more.
-func (c *copied) catchUp(ctx context.Context, table winch.Table, prefix string) error {
-	if c.at != 0 {
+// catchUp reads what has changed since, up to a revision, or all if that is not to be had
+// any more. One answer of the store may tell but a part of the changes.
+func (c *copied) catchUp(ctx context.Context, table winch.Table, prefix string, until uint64) error {
+	for c.at != 0 {
 		events, at, err := table.Follow(ctx, prefix, c.at, 0)
-		if err == nil {
-			c.apply(events, at)
-			return nil
+		if errors.Is(err, winch.ErrCompacted) {
+			break
 		}
-		if !errors.Is(err, winch.ErrCompacted) {
+		if err != nil {
 			return err
 		}
+		c.apply(events, at)
+		if len(events) == 0 || c.at >= until {
+			return nil
+		}
 	}
 	values, at, err := table.Read(ctx, prefix)
 	if err != nil {
@@ -115,7 +120,7 @@
 		s.mu.Lock()
 		now := copied{values: maps.Clone(into.values), at: into.at}
 		s.mu.Unlock()
-		if now.catchUp(ctx, n.Table, prefix) == nil && ctx.Err() == nil {
+		if now.catchUp(ctx, n.Table, prefix, math.MaxUint64) == nil && ctx.Err() == nil {
 			s.mu.Lock()
 			*into = now
 			s.mu.Unlock()
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -26,6 +26,7 @@
 	slow time.Duration
 	// swallow leaves calls without an answer for as long as a real client waits.
 	swallow bool
+	most    int                       // most bounds the changes that one answer tells, if it is not zero.
 	onRead  func(host, prefix string) // onRead is told of each reading.
 	refused map[string]bool           // refused holds the entries that are turned away.
 }
@@ -146,6 +147,10 @@
 			next = t.store.revision
 			for _, e := range t.store.events {
 				if e.Version > after && strings.HasPrefix(e.Key, prefix) {
+					if most := t.store.most; most > 0 && len(out) >= most && e.Version != out[len(out)-1].Version {
+						next = out[len(out)-1].Version
+						break
+					}
 					out = append(out, e)
 				}
 			}
