A planner that decides late gives the office to its standby

Cause: on a VM that turns slow the office's lease is renewed in time, and the planner decides late for as long as that lasts. TestSlowPlannerGivesTheOfficeToItsStandby.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -54,7 +54,7 @@
 	overtaken = 3 * time.Second
 	// statusEvery bounds how often the state of runs is told to the planner, closeEvery
 	// while it paces them by it.
-	statusEvery = 1500 * time.Millisecond
+	statusEvery = time.Second
 	closeEvery  = 400 * time.Millisecond
 	// mostListed is how many ends a worker lists at a time; with so many, runs may
 	// have ended that are not listed yet.
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -214,6 +214,8 @@
 type AcceptedJob struct {
 	Job      winch.PhasedJob `cbor:"1,keyasint"`
 	Revision uint64          `cbor:"2,keyasint"`
+	// Command is told by the entry that accepted the job.
+	Command string `cbor:"3,keyasint,omitempty"`
 }
 
 // CancelJob tells the planner of a committed cancel.
--- a/region/accept.go
+++ b/region/accept.go
@@ -150,7 +150,7 @@
 		a.node.commands.Add(s.job.ID, s.job.Command)
 		s.done <- winch.Result{Outcome: winch.Done}
 		a.node.Log.Info("accepted", zap.String("job", s.job.ID), zap.String("queue", s.job.Queue), zap.String("team", s.job.Team), zap.Uint64("revision", revision))
-		msg.Jobs = append(msg.Jobs, proto.AcceptedJob{Job: *s.job, Revision: revision})
+		msg.Jobs = append(msg.Jobs, proto.AcceptedJob{Job: *s.job, Revision: revision, Command: s.job.Command})
 	}
 	a.node.tellPlanner(proto.KindAccepted, msg)
 }
--- a/region/command.go
+++ b/region/command.go
@@ -22,14 +22,16 @@
 }
 
 // command gets the command of a job for this entry's keeper: from the entry that accepted
-// the job, so that the planner's link is not filled with what most keepers need, and from
-// the store if that entry does not have it any more.
+// the job, so that the planner's link is not filled with what most keepers need. If that
+// entry does not have it any more, the planner may, and the store has it.
 func (n *Node) command(ctx context.Context, job, origin string) (string, error) {
 	if text, known := n.commands.Get(job); known {
 		return text, nil
 	}
-	if text, known := n.askCommand(ctx, job, origin); known {
-		return text, nil
+	for _, name := range []string{origin, n.cell.holder()} {
+		if text, known := n.askCommand(ctx, job, name); known {
+			return text, nil
+		}
 	}
 	values, _, err := n.Table.Read(ctx, keyCommand(job))
 	if err != nil {
@@ -43,13 +45,13 @@
 	return "", errNoCommand
 }
 
-func (n *Node) askCommand(ctx context.Context, job, origin string) (string, bool) {
-	if origin == "" || origin == n.Name {
+func (n *Node) askCommand(ctx context.Context, job, name string) (string, bool) {
+	if name == "" || name == n.Name {
 		return "", false
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTime)
 	defer cancel()
 	var give proto.CommandGive
-	err := n.Peers.Ask(ctx, origin, proto.KindCommand, proto.CommandAsk{Job: job}, &give)
+	err := n.Peers.Ask(ctx, name, proto.KindCommand, proto.CommandAsk{Job: job}, &give)
 	return give.Command, err == nil && give.Known
 }
--- a/region/jobs.go
+++ b/region/jobs.go
@@ -73,6 +73,9 @@
 				if a.Revision <= l.jobsAt {
 					continue // It was read, or had ended by then.
 				}
+				if a.Command != "" {
+					l.node.commands.Add(a.Job.ID, a.Command)
+				}
 				job := a.Job
 				job.Revision = a.Revision
 				l.planner.Add(&job, nil, 0)
--- /dev/null
+++ b/region/lag_test.go
@@ -0,0 +1,35 @@
+package region
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The planner's VM turns slow without stopping. Its lease is renewed all the while, and it
+// decides a third of a second late for as long as that lasts.
+func TestSlowPlannerGivesTheOfficeToItsStandby(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 71, 3, 9)
+		settle()
+		w.last("00000000000000a1", 12)
+		time.Sleep(5 * time.Second)
+		first := w.planner()
+		l := first.node.lead.Load()
+		for range 20 {
+			if w.planner() != first {
+				break
+			}
+			l.post(func() { time.Sleep(300 * time.Millisecond) })
+			time.Sleep(310 * time.Millisecond)
+		}
+		is.True(w.planner() != first)
+		time.Sleep(3 * time.Second)
+		is.Equal(w.lastingUp(), 12)
+		w.end()
+	})
+}
--- a/region/lead.go
+++ b/region/lead.go
@@ -106,6 +106,7 @@
 	removed   []proto.MirrorRun
 	mirroring bool
 	mirrors   uint64
+	answered  time.Duration // answered is how long the standby's last answer took.
 	tired     map[string]time.Time
 	named     string
 	naming    bool
@@ -132,6 +133,7 @@
 	recorded   bool          // recorded says that what runs has been written down for the next planner.
 	decided    time.Time     // decided is when the planner last looked at all that waits,
 	took       time.Duration // and took how long that took.
+	lag        lag
 	// assign says that the workers' keepers are to be worked out again, assigned
 	// when they last were.
 	assign   bool
@@ -370,19 +372,26 @@
 func (l *lead) wake() {
 	if !l.armed {
 		l.armed = true
-		l.timer.Reset(max(gatherTime, decidePause*l.took))
+		l.arm(max(gatherTime, decidePause*l.took))
 	}
 }
 
+// arm has the planner decide after a time.
+func (l *lead) arm(d time.Duration) {
+	l.lag.due = time.Now().Add(d)
+	l.timer.Reset(d)
+}
+
 // decide starts what can start, if the office surely is still held.
 func (l *lead) decide() {
 	l.armed = false
-	l.timer.Reset(idleTime)
+	l.lag.note(time.Now())
+	l.arm(idleTime)
 	l.dropMissing()
 	if l.assign && time.Since(l.assigned) >= assignGap {
 		l.reassign()
 	} else if l.assign {
-		l.timer.Reset(assignGap)
+		l.arm(assignGap)
 	}
 	if !l.closed && (l.standby == nil || time.Since(l.looked) > standbyLook) {
 		l.looked = time.Now()
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -269,9 +269,11 @@
 	ctx, cancel := context.WithTimeout(l.ctx, mirrorTime+time.Duration(len(msg.Add))*mirrorRunTime)
 	defer cancel()
 	var ack proto.MirrorAck
+	sent := time.Now()
 	err := l.node.Peers.Ask(ctx, s.name, proto.KindMirror, msg, &ack)
+	took := time.Since(sent)
 	l.post(func() {
-		l.mirroring = false
+		l.mirroring, l.answered = false, took
 		if err == nil {
 			l.wordsHeard, s.stamp = time.Now(), ack.Stamp
 		}
--- a/region/yield.go
+++ b/region/yield.go
@@ -101,21 +101,21 @@
 	return most
 }
 
-// yield gives the office up if this entry is weak and a strong one lives: to the
+// yield gives the office up if this entry has turned slow and its standby has not, or if
+// this entry is weak and a strong one lives: to the
 // standby if that is strong and knows all runs, and else to whoever takes it, if
 // this entry does not even get to know what runs. It is not done in the first
 // moments, in which the keepers' sessions begin.
 func (l *lead) yield(live map[string]member) {
 	most := mostShare(maps.Values(live))
-	if time.Since(l.began) < yieldAfter || strong(l.node.Share, most) {
-		return
-	}
+	weak := time.Since(l.began) >= yieldAfter && !strong(l.node.Share, most)
 	ready := l.covered() && strong(live[l.standby.name].Share, most)
 	stuck := l.planner.Adopting() && time.Since(l.began) > stuckAfter
-	if !ready && !stuck {
+	slow := ready && l.slow()
+	if !slow && !(weak && (ready || stuck)) {
 		return
 	}
-	l.node.Log.Info("office goes to a stronger entry", zap.Bool("standby", ready))
+	l.node.Log.Info("office goes to a stronger entry", zap.Bool("standby", ready), zap.Duration("lag", l.lag.mean), zap.Duration("answered", l.answered))
 	now := time.Now()
 	l.node.yielded.Store(&now)
 	l.closed = true
