--- a/cause/cause.go
+++ b/cause/cause.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,12 +26,17 @@
 	messageAccepted = "accepted"
 	messageEnded    = "job ended"
 	messageRefused  = "answered otherwise"
+	messageAnswered = "answered"
 )
 
+// methodShow is that of a request for a job's state.
+const methodShow = "GET"
+
 // line is what is read of a line of a log. Times are as zap writes them: ts in
 // RFC 3339, durations in seconds.
 type line struct {
 	Message   string             `json:"msg"`
+	Method    string             `json:"method"`
 	At        time.Time          `json:"ts"`
 	Job       string             `json:"job"`
 	Queue     string             `json:"queue"`
@@ -94,6 +100,8 @@
 	accepted map[string]line
 	ended    map[string]line
 	refused  map[Refusal]int
+	// shown holds when callers were told of each job's state.
+	shown map[string][]time.Time
 }
 
 // Read takes a log: one JSON object a line, whatever stands before it. Lines
@@ -101,6 +109,7 @@
 func (r *Reader) Read(in io.Reader) error {
 	if r.accepted == nil {
 		r.accepted, r.ended, r.refused = make(map[string]line), make(map[string]line), make(map[Refusal]int)
+		r.shown = make(map[string][]time.Time)
 	}
 	scan := bufio.NewScanner(in)
 	scan.Buffer(nil, longestLine)
@@ -125,11 +134,39 @@
 		if first, known := r.ended[l.Job]; !known || l.At.Before(first.At) {
 			r.ended[l.Job] = l
 		}
+	case messageAnswered:
+		if l.Method == methodShow {
+			r.shown[l.Job] = append(r.shown[l.Job], l.At)
+		}
 	case messageRefused:
 		r.refused[Refusal{Status: l.Status, Reason: l.Reason}]++
 	}
 }
 
+// untilShown returns an end with the time until a caller was shown it, which is what a
+// caller waits: from the job's acceptance to the first answer after its end was recorded.
+func (r *Reader) untilShown(job string, end line) line {
+	first := time.Time{}
+	for _, at := range r.shown[job] {
+		if !at.Before(end.At) && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	if !first.IsZero() {
+		wait := first.Sub(end.At).Seconds()
+		end.Took += wait
+		end.Waited = maps.Clone(end.Waited)
+		if end.Waited == nil {
+			end.Waited = make(map[string]float64)
+		}
+		end.Waited[reasonShown] = wait
+	}
+	return end
+}
+
+// reasonShown is the wait of a job that has ended until its caller asks for its state.
+const reasonShown = "not asked for"
+
 // tally sums up jobs.
 type tally struct {
 	Class
@@ -159,7 +196,7 @@
 		t.Late++
 	}
 	longest, most := "work", 0.0
-	for _, reason := range sortedKeys(l.Waited) {
+	for _, reason := range slices.Sorted(maps.Keys(l.Waited)) {
 		d := l.Waited[reason]
 		t.loss(reason).Time += seconds(d)
 		if d > most {
@@ -202,6 +239,7 @@
 		if a, known := r.accepted[job]; known {
 			at = a.At
 		}
+		l = r.untilShown(job, l)
 		count(l.Queue, at, func(t *tally) { t.add(l) })
 	}
 	for job, a := range r.accepted {
@@ -230,12 +268,3 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func sortedKeys(m map[string]float64) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -39,3 +39,19 @@
 	is.NoErr(r.Read(strings.NewReader("")))
 	is.Equal(len(r.Report().Queues), 0)
 }
+
+// A job whose end is recorded in time counts as on time although its caller was shown the end
+// only when it asked again, too late.
+func TestTimeCountsUntilTheCallerIsShownTheEnd(t *testing.T) {
+	is := is.New(t)
+	r := &Reader{Every: time.Second}
+	is.NoErr(r.Read(strings.NewReader(`{"ts":"2026-01-01T00:00:00Z","msg":"accepted","job":"a","queue":"q"}
+{"ts":"2026-01-01T00:00:00.5Z","msg":"answered","job":"a","method":"GET"}
+{"ts":"2026-01-01T00:00:01Z","msg":"job ended","job":"a","queue":"q","state":"Done","took":1,"objective":1.2}
+{"ts":"2026-01-01T00:00:01.4Z","msg":"answered","job":"a","method":"GET"}
+{"ts":"2026-01-01T00:00:01.5Z","msg":"answered","job":"a","method":"GET"}
+`)))
+	queue := r.Report().Queues[0]
+	is.Equal(queue.Late, 1)
+	is.Equal(queue.Losses[0].Reason, reasonShown)
+}
