A caller that asks as its job ends is told the end

Cause: callers often ask just as the last task ends.

Now the answer for a job of which nothing is left to start waits for its end, 60 ms at most; answers for other jobs come at once. An end that a caller waits for is written when it is heard, not with the next decision. Ruled out: a longer wait (a job's remaining run time is not known that well, and a question should not stand for long).

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -214,6 +214,24 @@
 	return j.shown, true
 }
 
+// Ending reports whether a job may end soon: all tasks that are left run, or have ended and
+// that is not recorded yet.
+func (p *Planner) Ending(id string) bool {
+	j := p.jobs[id]
+	if j == nil || j.cancelled || j.shown.Final() {
+		return false
+	}
+	if j.state.Final() {
+		return true
+	}
+	for _, s := range j.steps {
+		if s.spec.Lasting || s.done+s.live < len(s.tasks) {
+			return false
+		}
+	}
+	return len(j.steps) > 0
+}
+
 // Waiting returns, by queue, how many jobs have not begun.
 func (p *Planner) Waiting() map[string]int {
 	out := make(map[string]int)
--- a/region/jobs.go
+++ b/region/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -10,6 +11,14 @@
 	"plantainwinch/winch"
 )
 
+const (
+	// endingWait is how long the answer for a job that may end soon waits for the end: from a
+	// task's end until it is recorded it takes some 20 ms, more under load.
+	endingWait = 60 * time.Millisecond
+	// endingForget is how often those that have waited in vain are forgotten.
+	endingForget = 10 * time.Second
+)
+
 // takeJobs adds the jobs that the planner does not know yet, and returns the IDs of those
 // of which there are parts but no job.
 func (l *lead) takeJobs(values []winch.Value) (orphans []string) {
@@ -87,13 +96,53 @@
 	})
 }
 
-// state answers what is known of a job.
+// state answers what is known of a job. Callers often ask just as the last task ends, a
+// moment before that is recorded and may be told; answered at once they would learn of it
+// only when they ask again. So the answer for a job that may end soon waits a little.
 func (l *lead) state(ctx context.Context, id string) proto.StateGive {
 	var give proto.StateGive
-	_ = l.duty.Do(ctx, func() {
-		if l.valid.Load().left() > -staleTime {
-			give.State, give.Known = l.planner.State(id)
+	var ended chan struct{}
+	if l.duty.Do(ctx, func() {
+		if l.valid.Load().left() <= -staleTime {
+			return
 		}
-	}) // Without an answer the store is asked.
+		give.State, give.Known = l.planner.State(id)
+		if l.planner.Ending(id) {
+			ended = make(chan struct{})
+			l.asking[id] = append(l.asking[id], ended)
+		}
+	}) != nil || ended == nil {
+		return give // Without an answer the store is asked.
+	}
+	timer := time.NewTimer(endingWait)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		give.State, give.Known = l.stateNow(ctx, id)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	return give
 }
+
+// stateNow returns the state that the planner has of a job.
+func (l *lead) stateNow(ctx context.Context, id string) (state winch.JobState, known bool) {
+	_ = l.duty.Do(ctx, func() { state, known = l.planner.State(id) })
+	return state, known
+}
+
+// tellAsking answers those that wait for the end of a job.
+func (l *lead) tellAsking(id string) {
+	for _, ended := range l.asking[id] {
+		close(ended)
+	}
+	delete(l.asking, id)
+}
+
+// dropAsking forgets those that have waited in vain for jobs that did not end.
+func (l *lead) dropAsking() {
+	if time.Since(l.askingAt) > endingForget {
+		l.askingAt = time.Now()
+		clear(l.asking)
+	}
+}
--- /dev/null
+++ b/region/jobs_test.go
@@ -0,0 +1,55 @@
+package region
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A caller asks for its job just as the last task ends, a few milliseconds before that is
+// recorded. It was told that the job runs, and asked again a quarter of a second later.
+func TestCallerThatAsksAsItsJobEndsIsToldTheEnd(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 81, 3, 9)
+		settle()
+		const id = "00000000000000c1"
+		w.submit(id, simPhase(1))
+		entry := w.nodes["d0-0"].node
+		for w.ctx.Err() == nil {
+			begin := time.Now()
+			state, result := entry.State(w.ctx, id)
+			is.True(result.OK())
+			is.True(time.Since(begin) < 100*time.Millisecond) // It does not wait for long.
+			if state.Final() {
+				break
+			}
+			l := w.planner().node.lead.Load()
+			ended := false
+			_ = l.duty.Do(w.ctx, func() { ended = l.planner.Unsaved() || l.planner.Counts().Done+l.planner.Counts().Failed > 0 })
+			is.True(!ended) // Whoever asks when it has ended is told so.
+			time.Sleep(time.Millisecond)
+		}
+		w.end()
+	})
+}
+
+// A job that has phases to come, or tasks that last, is answered for at once.
+func TestStateOfAJobThatGoesOnIsToldAtOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 82, 3, 9)
+		settle()
+		w.last("00000000000000c2", 3)
+		begin := time.Now()
+		state, result := w.nodes["d0-0"].node.State(w.ctx, "00000000000000c2")
+		is.True(result.OK())
+		is.True(!state.Final())
+		is.True(time.Since(begin) < endingWait/2)
+		w.end()
+	})
+}
--- a/region/lag.go
+++ b/region/lag.go
@@ -26,6 +26,9 @@
 
 // note takes that a decision begins.
 func (l *lag) note(now time.Time) {
+	if l.due.IsZero() {
+		return // It was not to decide at a time.
+	}
 	late := max(0, now.Sub(l.due))
 	kept := 0.0
 	if !l.at.IsZero() {
--- a/region/lag_test.go
+++ b/region/lag_test.go
@@ -33,3 +33,12 @@
 		w.end()
 	})
 }
+
+// A planner that decides in time gives the office away, since its first decision was due at no
+// time.
+func TestFirstDecisionIsNotLate(t *testing.T) {
+	is := is.New(t)
+	var l lag
+	l.note(time.Now())
+	is.Equal(l.mean, time.Duration(0))
+}
--- a/region/lead.go
+++ b/region/lead.go
@@ -134,6 +134,9 @@
 	decided    time.Time     // decided is when the planner last looked at all that waits,
 	took       time.Duration // and took how long that took.
 	lag        lag
+	// asking holds those that wait for the end of a job, by its ID.
+	asking   map[string][]chan struct{}
+	askingAt time.Time
 	// assign says that the workers' keepers are to be worked out again, assigned
 	// when they last were.
 	assign   bool
@@ -153,7 +156,7 @@
 	l := &lead{
 		node: n, term: term, revision: revision, lease: lease,
 		duty: duty.New("Planner", leadRing, nil), planner: fleet.New(term),
-		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept), byToken: make(map[uint64]string),
+		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept), byToken: make(map[uint64]string), asking: make(map[string][]chan struct{}),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
 		wanted: make(map[string]rostered), settled: make(map[string]bool),
 		pressing: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
@@ -415,7 +418,9 @@
 
 // logEndings tells of each job that has ended what its time went into.
 func (l *lead) logEndings() {
+	l.dropAsking()
 	for _, e := range l.planner.Endings() {
+		l.tellAsking(e.Job)
 		waited := make(map[string]float64, len(e.Waited))
 		for reason, d := range e.Waited {
 			waited[reason.String()] = d.Seconds()
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -203,6 +203,7 @@
 		}
 	}
 	l.tellLapses()
+	l.save()
 	if changed {
 		l.reassignSoon()
 	}
--- a/region/record.go
+++ b/region/record.go
@@ -122,6 +122,7 @@
 			}
 			l.planner.Unwritten(r, now)
 		}
+		l.logEndings()
 		l.wake()
 	})
 	if err != nil {
