--- a/cause/cause.go
+++ b/cause/cause.go
@@ -13,10 +13,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-)
 
-// lateFactor is how many objectives a job may take until nobody waits for it.
-const lateFactor = 3
+	"plantainwinch/winch"
+)
 
 // longestLine bounds a line of a log.
 const longestLine = 4 << 20
@@ -187,7 +186,7 @@
 func (t *tally) add(l line) {
 	t.Jobs++
 	switch {
-	case l.State == "Failed" || l.Took > lateFactor*l.Objective:
+	case l.State == "Failed" || l.Took > winch.LateFactor*l.Objective:
 		t.Missed++
 	case l.Took <= l.Objective:
 		t.OnTime++
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -247,7 +247,7 @@
 	if j.queue == nil {
 		return chain
 	}
-	return j.queue.Target + time.Duration(j.queue.Stretch*float64(chain))
+	return j.queue.Objective(chain)
 }
 
 func (j *job) step(k, phase int) *step {
@@ -365,64 +365,3 @@
 	j.pressing = true
 	delete(j.planner.active, j.rec.ID)
 }
-
-// Cancel stops all work of a job whose cancel is recorded.
-func (p *Planner) Cancel(id string) {
-	j := p.jobs[id]
-	if j == nil || j.cancelled || j.state.Final() {
-		return
-	}
-	j.cancelled = true
-	j.finish(winch.JobCancelled)
-	p.change(j)
-	p.stopJob(j)
-}
-
-func (p *Planner) stopJob(j *job) {
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			for _, r := range slices.Clone(t.runs) {
-				p.stop(r)
-			}
-		}
-	}
-}
-
-// Known reports whether the planner has the job.
-func (p *Planner) Known(id string) bool {
-	return p.jobs[id] != nil
-}
-
-// Expired returns the jobs that ended before a time and whose end is recorded. Of later
-// ones it keeps no more than what callers may ask.
-func (p *Planner) Expired(before time.Time) []string {
-	var out []string
-	for id, j := range p.jobs {
-		if !j.state.Final() || j.shown != j.state || j.hasRuns() {
-			continue
-		}
-		j.steps, j.listing = nil, nil
-		j.rec.Phases = nil
-		if j.ended.Before(before) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// Forget drops a job.
-func (p *Planner) Forget(id string) {
-	delete(p.jobs, id)
-	delete(p.active, id)
-}
-
-func (j *job) hasRuns() bool {
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			if len(t.runs) > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -12,9 +12,6 @@
 const (
 	// runsPerTerm is the room for run numbers in the term of one planner.
 	runsPerTerm = 10_000_000
-	// lateFactor is how many objectives a job may take until it is worth nothing;
-	// it then comes after all others, but still runs.
-	lateFactor = 3
 	// ticketMargin is how long a ticket must still be good when a start is
 	// ordered: the way to the worker takes a few milliseconds, more under load.
 	ticketMargin = 60 * time.Millisecond
@@ -82,7 +79,7 @@
 // limit is when nobody waits for the job any more, for an objective of the step's run.
 func (s *step) limit(objective time.Time) time.Time {
 	begin := s.begin()
-	return begin.Add(lateFactor * objective.Sub(begin))
+	return begin.Add(winch.LateFactor * objective.Sub(begin))
 }
 
 // chance returns the part of the remaining chain that must fit.
--- a/coord/fleet/policy_test.go
+++ b/coord/fleet/policy_test.go
@@ -72,7 +72,7 @@
 			c.planner.jobs["held"].rec.Accepted = time.Now().Add(-3100 * time.Millisecond)
 			objective := 3400 * time.Millisecond
 			took := c.playUntil(20*time.Second, come, c.begun("held"))
-			is.Equal(took+3100*time.Millisecond < lateFactor*objective-time.Second, lastCall)
+			is.Equal(took+3100*time.Millisecond < winch.LateFactor*objective-time.Second, lastCall)
 		})
 	}
 }
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -246,13 +246,14 @@
 // stepWait returns why tasks of a step are not started that have no run.
 func (p *Planner) stepWait(s *step, now time.Time) Wait {
 	j := s.job
+	held := p.heldBack(j, p.awaitsEarlier(now))
 	switch {
 	case j.queue == nil:
 		return Wait{Reason: WaitQueue}
-	case p.awaitsEarlier(now) && j.rec.Revision <= p.Fresh:
+	case held == WaitAdopting:
 		return p.adoptingWait(j)
-	case !p.KnownBefore.IsZero() && j.heard.After(p.KnownBefore):
-		return Wait{Reason: WaitOffice}
+	case held != 0:
+		return Wait{Reason: held}
 	case !j.team.allows(s.wantsAtOnce()):
 		return Wait{Reason: WaitLimit, Used: j.team.used, Limit: j.team.Cap, Doubtful: p.doubtful(j.team)}
 	}
--- /dev/null
+++ b/region/report.go
@@ -0,0 +1,59 @@
+package region
+
+import (
+	"context"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"plantainwinch/coord/fleet"
+	"plantainwinch/duty"
+	"plantainwinch/proto"
+)
+
+// runWaiting tells all entries how many jobs have not begun.
+func (l *lead) runWaiting(ctx context.Context) {
+	for ctx.Err() == nil {
+		var msg proto.Waiting
+		if l.duty.Do(ctx, func() {
+			msg = proto.Waiting{Term: l.term, Queues: l.planner.Waiting(), Settings: l.node.settings.version()}
+		}) == nil && l.valid.Load().left() > 0 {
+			l.node.takeWaiting(msg)
+			for _, name := range l.node.Peers.Names() {
+				_ = l.node.Peers.Tell(name, proto.KindWaiting, msg) // A peer that hears nothing says that it does not know.
+			}
+		}
+		duty.Pause(ctx, waitingEvery)
+	}
+}
+
+// linkBytes returns the bytes that have gone over this entry's links by kind of message.
+func (n *Node) linkBytes() map[string]int64 {
+	out := make(map[string]int64)
+	n.Metrics.Each(func(name string, x any) {
+		if kind, ok := strings.CutPrefix(name, "Peer."); ok {
+			if c, ok := x.(metrics.Counter); ok {
+				out[kind] = c.Count()
+			}
+		}
+	})
+	return out
+}
+
+// runLoad logs once a second how full the region is.
+func (l *lead) runLoad(ctx context.Context) {
+	for ctx.Err() == nil {
+		var load fleet.Load
+		var asks int
+		if l.duty.Do(ctx, func() { load, asks = l.planner.Load(), l.lanes.Waiting() }) != nil {
+			return
+		}
+		l.node.Log.Info("load", zap.Int64("milli", load.Room.Milli), zap.Int64("used", load.Used.Milli), zap.Int64("stopping", load.Stopping.Milli),
+			zap.Int64("memory", int64(load.Room.Memory>>20)), zap.Int64("memoryUsed", int64(load.Used.Memory>>20)),
+			zap.Int("workers", load.Workers), zap.Int("usable", load.Usable), zap.Int("running", load.Running),
+			zap.Any("waiting", load.Waiting), zap.Int("capped", load.Capped), zap.Int64("filling", load.Filling), zap.Int("asks", asks),
+			zap.Any("bytes", l.node.linkBytes()))
+		duty.Pause(ctx, loadEvery)
+	}
+}
--- a/trial/outcome.go
+++ b/trial/outcome.go
@@ -12,9 +12,6 @@
 	"plantainwinch/winch"
 )
 
-// lateFactor is how many objectives a job may take until nobody waits for it.
-const lateFactor = 3
-
 // adviceWorkers is the number of workers in the question that an objective allows for.
 const adviceWorkers = 30
 
@@ -66,7 +63,7 @@
 				chain += q.Advice.Call + adviceWorkers*q.Advice.Worker
 			}
 		}
-		return q.Target + time.Duration(q.Stretch*float64(chain))
+		return q.Objective(chain)
 	}
 	return 0
 }
@@ -115,7 +112,7 @@
 		n, _ := slices.BinarySearch(s.Ratios, limit)
 		return float64(n) / float64(max(1, s.Jobs))
 	}
-	s.OnTime, s.Within = within(1), within(lateFactor)
+	s.OnTime, s.Within = within(1), within(winch.LateFactor)
 	s.Lateness /= time.Duration(max(1, s.Jobs))
 	if n := len(took); n > 0 {
 		s.P50, s.P99 = took[n/2], took[n*99/100]
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -133,6 +133,14 @@
 	Advice *AdviceCost
 }
 
+// LateFactor is how many objectives a job may take until nobody waits for it any more.
+const LateFactor = 3
+
+// Objective is how long a job of the queue may take whose longest chain of work takes a time.
+func (q *Queue) Objective(chain time.Duration) time.Duration {
+	return q.Target + time.Duration(q.Stretch*float64(chain))
+}
+
 // AdviceCost is what a call of the advice service takes and how long its
 // tickets are good for.
 type AdviceCost struct {
