Urgent next phases are asked about while the ones before run; smaller rings

Hypothesis: the next phase of an urgent job waits some 60 ms for an answer that could be there. Now a step is asked about, with openings that are left, once all tasks of the steps before run and are expected to end within half a ticket's time.

Rings of 4,096 messages took 229 kB for each of some 300 links of an entry: 512 now, and 128 orders for a worker.

--- /dev/null
+++ b/coord/fleet/ahead_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/winch"
+)
+
+// A job's second phase asks the advice service only when the first has ended, and its caller
+// waits for the answer. The tickets could have been there.
+func TestNextPhaseIsAskedAboutWhileTheFirstRuns(t *testing.T) {
+	for _, ahead := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			queue := urgentQueue()
+			queue.Advice = &winch.AdviceCost{Call: 20 * time.Millisecond, Worker: time.Millisecond, Valid: 2500 * time.Millisecond}
+			c := newCell(t, 4, queue)
+			c.planner.Policy.Ahead = ahead
+			second := tasks(1, 1000)
+			second.After = []int{0}
+			c.add("a", "preview", "choir", tasks(2, 1000), second)
+			c.planner.Schedule()
+			answerWith(c, 0)
+			first := c.step()
+			is.Equal(len(first), 2)
+			c.step()
+			answerWith(c, 1)
+			time.Sleep(time.Second)
+			for _, o := range first {
+				c.end(o, winch.EndDone)
+			}
+			is.Equal(len(c.step()) == 1, ahead)
+		})
+	}
+}
+
+// answerWith allows all workers that are asked about for a phase.
+func answerWith(c *cell, phase int) {
+	for _, a := range c.planner.Asks() {
+		if a.Phase.Phase != phase {
+			continue
+		}
+		var tickets []winch.Ticket
+		for _, id := range a.Workers {
+			tickets = append(tickets, winch.Ticket{Worker: id, Value: "t"})
+		}
+		c.planner.Advice(a, tickets, 0, time.Now())
+	}
+}
+
+// A phase that takes long is not asked about until its end is near: the tickets would be
+// over.
+func TestNextPhaseIsNotAskedAboutTooSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue := urgentQueue()
+		queue.Advice = &winch.AdviceCost{Call: 20 * time.Millisecond, Worker: time.Millisecond, Valid: 2500 * time.Millisecond}
+		c := newCell(t, 4, queue)
+		long, second := tasks(2, 1000), tasks(1, 1000)
+		long.Estimate = 10 * time.Second
+		second.After = []int{0}
+		c.add("a", "preview", "choir", long, second)
+		c.planner.Schedule()
+		answerWith(c, 0)
+		c.step()
+		time.Sleep(8 * time.Second)
+		c.step()
+		is.Equal(len(c.planner.Asks()), 0)
+		time.Sleep(time.Second)
+		c.step()
+		is.Equal(len(c.planner.Asks()), 1)
+	})
+}
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -51,7 +51,9 @@
 	// active holds the jobs that have not ended; most that are known have.
 	active map[string]*job
 	// ready holds the steps whose tasks may wait, in the order of the last Schedule.
-	ready   []waiting
+	ready []waiting
+	// ahead holds the steps that may be asked about before their turn has come.
+	ahead   []*step
 	workers map[string]*worker
 	// byID lists the workers in the order of their IDs, unless unsorted is set.
 	byID     []*worker
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -53,6 +53,7 @@
 	// listed says that the step is among the planner's ready ones, since when it is.
 	listed bool
 	since  time.Time
+	ahead  bool // ahead says that it is among those that may be asked about before their turn.
 	// waiting counts the tasks that neither run nor have ended.
 	waiting int
 	done    int
@@ -319,6 +320,9 @@
 		}
 	}
 	s.job.planner.consider(s)
+	if s.waiting == 0 {
+		s.anticipate()
+	}
 }
 
 // wanted returns the run that does the task's work, if there is one.
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -117,6 +117,9 @@
 		p.move(now)
 	}
 	p.askNeglected(now)
+	if p.Policy.Ahead && !adopting {
+		p.askAhead(now)
+	}
 	p.counts.Looks += int64(p.looks)
 }
 
--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -31,6 +31,8 @@
 	Chance bool
 	// LateLast ranks jobs that nobody waits for any more behind all others.
 	LateLast bool
+	// Ahead asks about a step while the steps before it run.
+	Ahead bool
 	// Moves moves lasting tasks from workers that are about to leave.
 	Moves bool
 }
@@ -39,7 +41,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true,
-		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true,
+		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true, Ahead: true,
 	}
 }
 
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -22,7 +22,7 @@
 	// for so long has lost the session, and a new one lists everything anyway.
 	mostEvents = 20_000
 	// ringSize bounds the orders that wait for one worker.
-	ringSize = 512
+	ringSize = 128
 	// gatherTime is how long news are gathered before they are told: the ends of a job's
 	// tasks come close together, and each message costs the planner as much as ten events.
 	gatherTime = 4 * time.Millisecond
--- a/trans/peer/peer.go
+++ b/trans/peer/peer.go
@@ -27,8 +27,9 @@
 const Path = "/Peer"
 
 const (
-	// ringSize bounds the messages that wait to be sent on one link.
-	ringSize = 4096
+	// ringSize bounds the messages that wait to be sent on one link. An entry has a link each
+	// way to hundreds of others, and each ring takes its memory at once.
+	ringSize = 512
 	// handlers bounds the questions of one link that are answered at once.
 	handlers = 4096
 	// frameLimit bounds one frame; a configuration document is the largest.
