--- a/coord/fleet/forget.go
+++ b/coord/fleet/forget.go
@@ -42,6 +42,13 @@
 		if !j.state.Final() || j.shown != j.state || j.hasRuns() {
 			continue
 		}
+		if j.rest {
+			if len(p.roster) > 0 {
+				continue
+			}
+			p.note(j) // Nothing of it runs any more, so the store need not hold it.
+			continue
+		}
 		j.steps, j.listing = nil, nil
 		j.rec.Phases = nil
 		if j.ended.Before(before) {
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -36,6 +36,7 @@
 	unanswered int                 // unanswered counts starts without an answer.
 	pressing   bool                // pressing says that a caller waits for the record.
 	dirty      bool                // dirty says that its record is to be written.
+	rest       bool                // rest says that it has ended and the store still holds the job.
 	// listing holds the workers that list ends which wait for its record.
 	listing []*worker
 }
@@ -157,6 +158,7 @@
 	j.update()
 	j.shown = j.state
 	if j.state.Final() {
+		j.rest = true
 		delete(p.active, rec.ID)
 	}
 	j.consider()
--- a/coord/fleet/record.go
+++ b/coord/fleet/record.go
@@ -13,6 +13,10 @@
 	Progress winch.Progress
 	Revision uint64
 	Changes  uint64
+	// Rest says, of a job that has ended, that runs of it may still exist, here or at workers
+	// that have not been heard. The next planner has to know what they take, so the job is
+	// kept until they have ended.
+	Rest bool
 }
 
 // change notes that a job's record is to be written.
@@ -67,7 +71,7 @@
 		}
 		most -= c
 		j.saving, j.dirty = true, false
-		out = append(out, Record{Job: j.rec.ID, Progress: j.progress(), Revision: j.revision, Changes: j.changes})
+		out = append(out, Record{Job: j.rec.ID, Progress: j.progress(), Revision: j.revision, Changes: j.changes, Rest: j.hasRuns() || len(p.roster) > 0})
 	}
 	p.dirty = rest
 	return out
@@ -112,9 +116,9 @@
 		j.pressing = false
 		if j.shown != j.state {
 			p.endings = append(p.endings, j.ending(p.now()))
+			j.ended = p.now() // Callers are shown it from now on, and it is kept from now on.
 		}
-		j.shown = r.Progress.State
-		j.ended = p.now() // Callers are shown it from now on, and it is kept from now on.
+		j.shown, j.rest = r.Progress.State, r.Rest
 	}
 	for _, w := range j.listing {
 		p.forget(w)
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -279,6 +279,9 @@
 		t.runs = append(t.runs, r)
 		t.recount()
 		w.count(spec, 1)
+	} else {
+		// Nobody knows what a run of an unknown job takes.
+		r.charge = w.free().Positive()
 	}
 	w.used = w.used.Add(r.charge)
 	w.runs[r.key] = r
--- a/region/keys.go
+++ b/region/keys.go
@@ -166,7 +166,8 @@
 	return merry.Wrap(proto.Decode(data, into))
 }
 
-// stored is what the store holds of one job that has not ended.
+// stored is what the store holds of one job that has not ended, or of which runs were left
+// when it did.
 type stored struct {
 	job       *winch.PhasedJob
 	progress  *winch.Progress
@@ -194,9 +195,11 @@
 	return nil
 }
 
-// state is what a caller may be told of a job that has not ended.
+// state is what a caller may be told of a job.
 func (s *stored) state() winch.JobState {
 	switch {
+	case s.progress != nil && s.progress.State.Final():
+		return s.progress.State
 	case s.cancelled:
 		return winch.JobCancelled
 	case s.progress != nil:
--- a/region/lead.go
+++ b/region/lead.go
@@ -96,7 +96,8 @@
 	// queued holds the starts that the standby has not heard of yet, told those
 	// that it has, removed the runs that have ended since it was last told;
 	// mirroring says that an answer of its is awaited. named is the standby that
-	// the store names, or namingTo while naming is set.
+	// the store names as of namedAt, or one of mayName: their records were written after it,
+	// and it is not known what became of them.
 	standby   *standby
 	queued    []proto.Order
 	told      []proto.Order
@@ -106,8 +107,8 @@
 	answered  time.Duration // answered is how long the standby's last answer took.
 	tired     map[string]time.Time
 	named     string
-	naming    bool
-	namingTo  string
+	namedAt   uint64
+	mayName   map[string]bool
 	copied    map[string][]winch.Running // copied is what this entry knew as standby.
 	// copiedLapses is until when, as it was told, work may run at silent workers.
 	copiedLapses map[string][]holding
@@ -151,7 +152,7 @@
 
 func newLead(n *Node, term, revision, lease uint64, until time.Time) *lead {
 	l := &lead{
-		node: n, term: term, revision: revision, lease: lease,
+		node: n, term: term, revision: revision, lease: lease, namedAt: revision, mayName: make(map[string]bool),
 		duty: duty.New("Planner", leadRing, nil), planner: fleet.New(term),
 		proxies: make(map[string]*proxy), keepers: make(map[string]string), kept: make(map[string]proto.Kept), byToken: make(map[uint64]string), asking: make(map[string][]chan struct{}),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), resting: make(map[string]bool), before: make(map[string]rostered), roster: make(map[string]rostered),
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -203,7 +204,12 @@
 	mine := func(name string) bool {
 		return name == "" || l.standby != nil && l.standby.synced && name == l.standby.name
 	}
-	return mine(l.named) && (!l.naming || mine(l.namingTo))
+	for name := range l.mayName {
+		if !mine(name) {
+			return false
+		}
+	}
+	return mine(l.named)
 }
 
 // release sends the orders that the standby has heard of. What other standbys were
@@ -333,31 +339,54 @@
 	}
 }
 
-// nameStandby writes the record if it differs, and reports whether it is true now.
+// nameStandby writes the record if it differs, and reports whether it is true now. A write
+// that is not answered may take effect until the record's revision has changed.
 func (l *lead) nameStandby(ctx context.Context) (bool, error) {
 	want := ""
 	same := true
+	at := uint64(0)
 	if err := l.duty.Do(ctx, func() {
 		if l.standby != nil && l.standby.synced {
 			want = l.standby.name
 		}
-		same = want == l.named && !l.naming
+		same = want == l.named && len(l.mayName) == 0
 		if !same {
-			l.naming, l.namingTo = true, want
+			l.mayName[want] = true
 		}
+		at = l.namedAt
 	}); err != nil || same {
 		return true, nil // The lead is over, or nothing is to be written.
 	}
-	_, err := l.node.Table.Commit(ctx, winch.Txn{
-		Expect: map[string]uint64{keyOffice: l.revision},
+	revision, err := l.node.Table.Commit(ctx, winch.Txn{
+		Expect: map[string]uint64{keyOffice: l.revision, keyStandby: at},
 		Writes: []winch.Write{{Key: keyStandby, Data: encode(standbyRecord{Term: l.term, Name: want})}},
 	})
+	var conflict *winch.ConflictError
+	if errors.As(err, &conflict) && conflict.Current[keyOffice].Version == l.revision {
+		return false, l.learnStandby(ctx, conflict.Current[keyStandby])
+	}
 	if err != nil {
 		return false, err
 	}
 	l.node.Log.Info("standby recorded", zap.String("standby", want))
-	return false, l.duty.Do(ctx, func() {
-		l.named, l.naming = want, false
+	return false, l.nowNamed(ctx, want, revision)
+}
+
+// learnStandby takes the record that an unanswered write has left.
+func (l *lead) learnStandby(ctx context.Context, v winch.Value) error {
+	var r standbyRecord
+	if err := decode(v.Data, &r); err != nil {
+		return err
+	}
+	l.node.Log.Info("standby recorded before", zap.String("standby", r.Name))
+	return l.nowNamed(ctx, r.Name, v.Version)
+}
+
+// nowNamed notes which standby the store names. No earlier write can change that any more.
+func (l *lead) nowNamed(ctx context.Context, name string, revision uint64) error {
+	return l.duty.Do(ctx, func() {
+		l.named, l.namedAt = name, revision
+		clear(l.mayName)
 		l.release()
 		l.pump()
 	})
--- a/region/record.go
+++ b/region/record.go
@@ -25,7 +25,7 @@
 	committers = 4
 	// commitMost is how many entries of a transaction are left beside the condition on the
 	// office. A record takes a condition and a write; that of an end a write and the removal
-	// of the three parts that a takeover would read.
+	// of the three parts that a takeover would read, or, while runs are left, both.
 	commitMost   = winch.TxnEntries - 1
 	progressCost = 2
 	endCost      = 4
@@ -78,15 +78,17 @@
 }
 
 // recordTxn is the transaction that writes records. What is left of a job that has ended
-// is its end: a planner that takes over need not read it.
+// is its end, once nothing of it runs: a planner that takes over need not read it.
 func (l *lead) recordTxn(batch []fleet.Record) winch.Txn {
 	txn := winch.Txn{Expect: map[string]uint64{keyOffice: l.revision}}
 	for _, r := range batch {
 		if r.Progress.State.Final() {
 			end := endedRecord{State: r.Progress.State, At: r.Progress.Ended}
 			txn.Writes = append(txn.Writes, winch.Write{Key: keyEnded(r.Job), Data: encode(end)})
-			txn.Remove = append(txn.Remove, keyJob(r.Job), keyCancel(r.Job), keyProgress(r.Job))
-			continue
+			if !r.Rest {
+				txn.Remove = append(txn.Remove, keyJob(r.Job), keyCancel(r.Job), keyProgress(r.Job))
+				continue
+			}
 		}
 		key := keyProgress(r.Job)
 		txn.Expect[key] = r.Revision
--- a/region/serve.go
+++ b/region/serve.go
@@ -114,7 +114,7 @@
 	switch {
 	case err != nil:
 		return winch.RefuseFor(winch.StoreUnavailable, "the store did not answer", retryAfter)
-	case ended != nil, s.cancelled:
+	case ended != nil, s.cancelled, s.progress != nil && s.progress.State.Final():
 		return winch.Result{Outcome: winch.Done}
 	case s.job == nil:
 		return winch.Refuse(winch.UnknownJob, "no such submission")
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -26,7 +26,9 @@
 	slow time.Duration
 	// swallow leaves calls without an answer for as long as a real client waits.
 	swallow bool
-	most    int                       // most bounds the changes that one answer tells, if it is not zero.
+	most    int // most bounds the changes that one answer tells, if it is not zero.
+	// fate says whether a transaction takes effect and is answered.
+	fate    func(txn winch.Txn) (applied, answered bool)
 	onRead  func(host, prefix string) // onRead is told of each reading.
 	refused map[string]bool           // refused holds the entries that are turned away.
 }
@@ -169,6 +171,14 @@
 	var result error
 	lost := false
 	err = t.call(ctx, func() {
+		applied, answered := true, true
+		if t.store.fate != nil {
+			applied, answered = t.store.fate(txn)
+		}
+		lost = !answered
+		if !applied {
+			return
+		}
 		conflict := &winch.ConflictError{Current: make(map[string]winch.Value)}
 		for key, at := range txn.Expect {
 			conflict.Current[key] = t.store.items[key]
@@ -201,7 +211,7 @@
 			t.store.events[len(t.store.events)-len(txn.Writes)+i].Version = t.store.revision
 		}
 		revision = t.store.revision
-		lost = t.store.lossy && t.store.world.intn(2) == 0
+		lost = lost || t.store.lossy && t.store.world.intn(2) == 0
 	})
 	if err == nil && lost {
 		time.Sleep(300 * time.Millisecond)
--- a/region/yield.go
+++ b/region/yield.go
@@ -84,7 +84,7 @@
 // store names it.
 func (l *lead) covered() bool {
 	s := l.standby
-	return s != nil && s.synced && l.named == s.name && !l.naming
+	return s != nil && s.synced && l.named == s.name && len(l.mayName) == 0
 }
 
 // strong reports whether an entry with a processor share has about as much as any.
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -25,6 +25,11 @@
 	return Room{r.Milli * int64(n), r.Memory * Bytes(n), r.Accelerators * n}
 }
 
+// Positive returns r with zero for what is below it.
+func (r Room) Positive() Room {
+	return Room{max(0, r.Milli), max(0, r.Memory), max(0, r.Accelerators)}
+}
+
 // Fits reports whether r is within o in every dimension.
 func (r Room) Fits(o Room) bool {
 	return r.Milli <= o.Milli && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
