--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -28,10 +28,10 @@
 	adviceWorkers = 30
 	// askAgain is the pause after a question that failed.
 	askAgain = 100 * time.Millisecond
-	// neglected is after how long without a question a step counts as waiting long for
-	// one. One in neglectedShare of the openings is left to such steps.
-	neglected      = 3 * time.Second
-	neglectedShare = 8
+	// starvingAfter is after how long without a question a step counts as waiting long for
+	// one. One in starvingShare of the openings is left to such steps.
+	starvingAfter = 3 * time.Second
+	starvingShare = 8
 )
 
 // Openings is how many questions may be asked, urgent and others.
@@ -110,10 +110,10 @@
 	if !p.wantsAdvice(s, now, moving) {
 		return
 	}
-	if left := *p.Openings.of(s); left > p.neglectedPart(s) || moving > 0 && left > 0 {
+	if left := *p.Openings.of(s); left > p.starvingPart(s) || moving > 0 && left > 0 {
 		p.askFor(s, now, r, moving)
-	} else if now.Sub(later(s.since, s.known.asked)) > neglected {
-		p.overdue = append(p.overdue, waiting{s, r})
+	} else if now.Sub(later(s.since, s.known.asked)) > starvingAfter {
+		p.starving = append(p.starving, waiting{s, r})
 	}
 }
 
@@ -126,28 +126,28 @@
 	return (moving > 0 || s.job.team.allows(s.spec.Need)) && p.spare(s)
 }
 
-// neglectedPart is how many of the openings are left to steps that have waited long for
+// starvingPart is how many of the openings are left to steps that have waited long for
 // a question.
-func (p *Planner) neglectedPart(s *step) int {
+func (p *Planner) starvingPart(s *step) int {
 	if *p.asOpened.of(s) == math.MaxInt {
 		return 0
 	}
-	return *p.asOpened.of(s) / neglectedShare
+	return *p.asOpened.of(s) / starvingShare
 }
 
-// askNeglected asks for steps that have waited long for a question, the longest first:
+// askStarving asks for steps that have waited long for a question, the longest first:
 // by rank alone those with the lowest would never be asked about while lanes are few.
-func (p *Planner) askNeglected(now time.Time) {
-	slices.SortFunc(p.overdue, func(a, b waiting) int {
+func (p *Planner) askStarving(now time.Time) {
+	slices.SortFunc(p.starving, func(a, b waiting) int {
 		return cmp.Or(later(a.step.since, a.step.known.asked).Compare(later(b.step.since, b.step.known.asked)), compareWaiting(a, b))
 	})
-	for _, e := range p.overdue {
+	for _, e := range p.starving {
 		if *p.Openings.of(e.step) > 0 {
 			p.askFor(e.step, now, e.rank, 0)
 		}
 	}
-	clear(p.overdue)
-	p.overdue = p.overdue[:0]
+	clear(p.starving)
+	p.starving = p.starving[:0]
 }
 
 // askFor asks about a step, unless workers with room and good tickets suffice.
@@ -275,7 +275,7 @@
 	counts := s.perWorker()
 	workers := p.pool(s.job.queue.Service).workers
 	p.looks += len(workers)
-	out := best[option]{most: askMost, before: better}
+	out := topK[option]{most: askMost, before: better}
 	for _, w := range workers {
 		as := 0
 		if w.mark == p.marks {
--- a/coord/fleet/ahead.go
+++ b/coord/fleet/ahead.go
@@ -34,7 +34,7 @@
 		if !soon || left > time.Duration(aheadPart*float64(s.job.queue.Advice.Valid)) {
 			continue
 		}
-		if p.wantsAdvice(s, now, 0) && *p.Openings.of(s) > p.neglectedPart(s) {
+		if p.wantsAdvice(s, now, 0) && *p.Openings.of(s) > p.starvingPart(s) {
 			p.askFor(s, now, p.rank(s, now), 0)
 		}
 	}
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -76,10 +76,10 @@
 	resume *step
 	// marks counts the searches that mark workers.
 	marks uint64
-	// asOpened is Openings at the beginning of the last Schedule; overdue lists the steps
+	// asOpened is Openings at the beginning of the last Schedule; starving lists the steps
 	// that have waited long for a question and did not get one of them.
 	asOpened Openings
-	overdue  []waiting
+	starving []waiting
 	// ending holds the workers with ends that are not forgotten yet.
 	ending map[*worker]bool
 
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -116,7 +116,7 @@
 	if p.Policy.Moves && !adopting && p.KnownBefore.IsZero() {
 		p.move(now)
 	}
-	p.askNeglected(now)
+	p.askStarving(now)
 	if p.Policy.Ahead && !adopting {
 		p.askAhead(now)
 	}
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -110,7 +110,7 @@
 // slots returns places for up to some tasks of a step at workers that it is known to be
 // allowed at, those that come free first first.
 func (p *Planner) slots(s *step, now time.Time, most int) []slot {
-	out := best[slot]{most: most, before: earlier}
+	out := topK[slot]{most: most, before: earlier}
 	counts := s.perWorker()
 	look := func(w *worker) {
 		if p.suits(s, w, now) {
@@ -138,7 +138,7 @@
 }
 
 // slotsAt adds the places at one worker, at most some.
-func (s *step) slotsAt(out *best[slot], w *worker, now time.Time, most int) {
+func (s *step) slotsAt(out *topK[slot], w *worker, now time.Time, most int) {
 	left := w.free().Sub(w.kept.room)
 	n := 0
 	add := func(at time.Time) {
--- a/region/inherit.go
+++ b/region/inherit.go
@@ -28,10 +28,10 @@
 // readAll reads the roster and the jobs that have not ended, side by side: a slow store
 // takes a third of a second for each answer, and nothing starts before.
 func (l *lead) readAll(ctx context.Context) error {
-	if l.shadow == nil {
-		l.shadow = &shadowed{}
+	if l.prefetched == nil {
+		l.prefetched = &prefetched{}
 	}
-	jobs, progress := &l.shadow.jobs, &l.shadow.progress // A try that fails leaves what it has read.
+	jobs, progress := &l.prefetched.jobs, &l.prefetched.progress // A try that fails leaves what it has read.
 	var rosters []winch.Value
 	group := pool.New().WithErrors()
 	group.Go(func() (err error) {
@@ -50,7 +50,7 @@
 	}
 	l.jobsAt = jobs.at
 	l.orphans = l.takeJobs(append(jobs.list(), progress.list()...))
-	l.shadow = nil
+	l.prefetched = nil
 	l.node.Log.Info("jobs read", zap.Int("jobs", len(jobs.values)), zap.Int("progress", len(progress.values)), zap.Int("orphans", len(l.orphans)))
 	l.settle()
 	return nil
--- a/region/lead.go
+++ b/region/lead.go
@@ -71,28 +71,28 @@
 	timer    *time.Timer
 
 	// All below is owned by the duty.
-	// shadow is what this entry has read as standby; jobsAt is the revision up to which
+	// prefetched is what this entry has read as standby; jobsAt is the revision up to which
 	// jobs have been read, and orphans those of which there are parts but no job.
-	shadow   *shadowed
-	jobsAt   uint64
-	orphans  []string
-	planner  *fleet.Planner
-	lanes    lanes.Lanes[fleet.Ask]
-	proxies  map[string]*proxy
-	keepers  map[string]string     // keepers names the keeper of each worker.
-	kept     map[string]proto.Kept // kept holds the token of each worker.
-	byToken  map[uint64]string     // byToken names the worker of each token.
-	workers  map[string]winch.WorkerVM
-	missing  map[string]time.Time
-	resting  map[string]bool     // resting holds keepers that get no session for a moment.
-	wanted   map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
-	roster   map[string]rostered
-	before   map[string]rostered // before is the roster of the earlier planner.
-	settled  map[string]bool     // settled names the workers that the store may hold as settled.
-	rosterAt uint64              // rosterAt is the revision of the roster's record.
-	tokens   uint64
-	turns    uint64
-	sessions uint64
+	prefetched *prefetched
+	jobsAt     uint64
+	orphans    []string
+	planner    *fleet.Planner
+	lanes      lanes.Lanes[fleet.Ask]
+	proxies    map[string]*proxy
+	keepers    map[string]string     // keepers names the keeper of each worker.
+	kept       map[string]proto.Kept // kept holds the token of each worker.
+	byToken    map[uint64]string     // byToken names the worker of each token.
+	workers    map[string]winch.WorkerVM
+	missing    map[string]time.Time
+	resting    map[string]bool     // resting holds keepers that get no session for a moment.
+	wanted     map[string]rostered // wanted is what is to be recorded of the workers, roster what is.
+	roster     map[string]rostered
+	before     map[string]rostered // before is the roster of the earlier planner.
+	settled    map[string]bool     // settled names the workers that the store may hold as settled.
+	rosterAt   uint64              // rosterAt is the revision of the roster's record.
+	tokens     uint64
+	turns      uint64
+	sessions   uint64
 	// queued holds the starts that the standby has not heard of yet, told those
 	// that it has, removed the runs that have ended since it was last told;
 	// mirroring says that an answer of its is awaited. named is the standby that
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -102,7 +102,7 @@
 func (m *mirror) fresh() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.runs != nil && time.Since(m.heard) < shadowTime
+	return m.runs != nil && time.Since(m.heard) < prefetchTime
 }
 
 // claim ends the copy, since this entry has taken the office for a term, and
--- a/region/node.go
+++ b/region/node.go
@@ -83,7 +83,7 @@
 	commands keep.Commands // commands holds those of the jobs that this entry accepted last.
 	keeper   *keep.Keeper
 	mirror   mirror
-	shadow   shadow
+	prefetch prefetch
 	lead     atomic.Pointer[lead]
 	waiting  atomic.Pointer[waitingView]
 	heard    atomic.Int64 // heard is when the store last answered, in nanoseconds of started.
@@ -151,14 +151,14 @@
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, run := range []func(context.Context){
-		n.keeper.Run, n.runNode, n.runCell, n.settings.run, n.settings.runAsk, n.accept.run, n.runOffice, n.runShadow,
+		n.keeper.Run, n.runNode, n.runCell, n.settings.run, n.settings.runAsk, n.accept.run, n.runOffice, n.runPrefetch,
 	} {
 		group.Go(func() { run(ctx) })
 	}
 	group.Wait()
 }
 
-func (n *Node) runShadow(ctx context.Context) { n.shadow.run(ctx, n) }
+func (n *Node) runPrefetch(ctx context.Context) { n.prefetch.run(ctx, n) }
 
 // Stop gives up the office and the workers kept, without a gap: another entry
 // takes them over while this one goes on answering its callers.
--- a/region/office.go
+++ b/region/office.go
@@ -139,7 +139,7 @@
 	n.cell.take(winch.Event{Value: winch.Value{Key: keyTerm, Data: encode(mine), Version: revision}})
 	l := newLead(n, mine.Term, revision, lease, sent.Add(officeTTL))
 	l.last = last.Holder
-	l.shadow = n.shadow.take()
+	l.prefetched = n.prefetch.take()
 	copied, whole := n.mirror.claim(mine.Term)
 	if whole && second.Term == last.Term && second.Name == n.Name {
 		n.Log.Info("taking over as standby", zap.Uint64("term", mine.Term), zap.Int("workers", len(copied.runs)), zap.Int("silent", len(copied.lapses)))
--- a/region/shadow.go
+++ b/region/prefetch.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// shadowTime is how long after the planner's last message a standby goes on following
-	// the jobs, and shadowLook how often it is looked whether to.
-	shadowTime = 30 * time.Second
-	shadowLook = 200 * time.Millisecond
+	// prefetchTime is how long after the planner's last message a standby goes on following
+	// the jobs, and prefetchLook how often it is looked whether to.
+	prefetchTime = 30 * time.Second
+	prefetchLook = 200 * time.Millisecond
 )
 
 // copied is what was read under a prefix, up to a revision; zero is nothing.
@@ -74,69 +74,69 @@
 	return nil
 }
 
-// shadowed is what a standby has read of the jobs that have not ended.
-type shadowed struct {
+// prefetched is what a standby has read of the jobs that have not ended.
+type prefetched struct {
 	jobs, progress copied
 }
 
-// shadow follows the jobs while this entry is standby, so that it need not read all of
+// prefetch follows the jobs while this entry is standby, so that it need not read all of
 // them as it takes over.
-type shadow struct {
+type prefetch struct {
 	mu   sync.Mutex
-	have shadowed
+	have prefetched
 }
 
 // run follows the jobs whenever this entry is standby, until ctx ends.
-func (s *shadow) run(ctx context.Context, n *Node) {
+func (p *prefetch) run(ctx context.Context, n *Node) {
 	for ctx.Err() == nil {
 		if n.mirror.fresh() {
-			s.follow(ctx, n)
+			p.follow(ctx, n)
 		}
-		duty.Pause(ctx, shadowLook)
+		duty.Pause(ctx, prefetchLook)
 	}
 }
 
 // follow follows the jobs until this entry is standby no more.
-func (s *shadow) follow(ctx context.Context, n *Node) {
+func (p *prefetch) follow(ctx context.Context, n *Node) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group conc.WaitGroup
 	defer group.Wait()
-	for prefix, into := range map[string]*copied{prefixJobs: &s.have.jobs, prefixProgress: &s.have.progress} {
-		group.Go(func() { s.followPrefix(ctx, n, prefix, into) })
+	for prefix, into := range map[string]*copied{prefixJobs: &p.have.jobs, prefixProgress: &p.have.progress} {
+		group.Go(func() { p.followPrefix(ctx, n, prefix, into) })
 	}
 	for ctx.Err() == nil && n.mirror.fresh() {
-		duty.Pause(ctx, shadowLook)
+		duty.Pause(ctx, prefetchLook)
 	}
 	cancel()
 	group.Wait()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.have = shadowed{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.have = prefetched{}
 }
 
-func (s *shadow) followPrefix(ctx context.Context, n *Node, prefix string, into *copied) {
+func (p *prefetch) followPrefix(ctx context.Context, n *Node, prefix string, into *copied) {
 	for ctx.Err() == nil {
-		s.mu.Lock()
+		p.mu.Lock()
 		now := copied{values: maps.Clone(into.values), at: into.at}
-		s.mu.Unlock()
+		p.mu.Unlock()
 		if now.catchUp(ctx, n.Table, prefix, math.MaxUint64) == nil && ctx.Err() == nil {
-			s.mu.Lock()
+			p.mu.Lock()
 			*into = now
-			s.mu.Unlock()
+			p.mu.Unlock()
 		}
 		duty.Pause(ctx, jobsGap)
 	}
 }
 
 // take returns what was read, or nil if it was not all.
-func (s *shadow) take() *shadowed {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.have.jobs.at == 0 || s.have.progress.at == 0 {
+func (p *prefetch) take() *prefetched {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.have.jobs.at == 0 || p.have.progress.at == 0 {
 		return nil
 	}
-	out := s.have
+	out := p.have
 	out.jobs.values, out.progress.values = maps.Clone(out.jobs.values), maps.Clone(out.progress.values)
 	return &out
 }
