A standby reads changes once a second, not without a pause

As long as jobs come, each answer tells some; it asked again at once, some hundred calls a second. Only a long answer is followed at once, and a takeover reads on up to the revision of its office, as before.

--- a/region/prefetch.go
+++ b/region/prefetch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -53,25 +52,31 @@
 // catchUp reads what has changed since, up to a revision, or all if that is not to be had
 // any more. One answer of the store may tell but a part of the changes.
 func (c *copied) catchUp(ctx context.Context, table winch.Table, prefix string, until uint64) error {
-	for c.at != 0 {
-		events, at, err := table.Follow(ctx, prefix, c.at, 0)
-		if errors.Is(err, winch.ErrCompacted) {
-			break
-		}
-		if err != nil {
+	for {
+		changes, err := c.advance(ctx, table, prefix)
+		if err != nil || changes == 0 || c.at >= until {
 			return err
 		}
-		c.apply(events, at)
-		if len(events) == 0 || c.at >= until {
-			return nil
+	}
+}
+
+// advance takes one answer of the store, and returns how many changes it told.
+func (c *copied) advance(ctx context.Context, table winch.Table, prefix string) (int, error) {
+	if c.at != 0 {
+		events, at, err := table.Follow(ctx, prefix, c.at, 0)
+		if err == nil {
+			c.apply(events, at)
+			return len(events), nil
+		}
+		if !errors.Is(err, winch.ErrCompacted) {
+			return 0, err
 		}
 	}
 	values, at, err := table.Read(ctx, prefix)
-	if err != nil {
-		return err
+	if err == nil {
+		c.reset(values, at)
 	}
-	c.reset(values, at)
-	return nil
+	return 0, err
 }
 
 // prefetched is what a standby has read of the jobs that have not ended.
@@ -120,12 +125,15 @@
 		p.mu.Lock()
 		now := copied{values: maps.Clone(into.values), at: into.at}
 		p.mu.Unlock()
-		if now.catchUp(ctx, n.Table, prefix, math.MaxUint64) == nil && ctx.Err() == nil {
+		changes, err := now.advance(ctx, n.Table, prefix)
+		if err == nil && ctx.Err() == nil {
 			p.mu.Lock()
 			*into = now
 			p.mu.Unlock()
 		}
-		duty.Pause(ctx, jobsGap)
+		if changes < manyEvents {
+			duty.Pause(ctx, jobsGap)
+		}
 	}
 }
 
