A planner reads the commands of live jobs after its takeover

A job's command is removed at its end now, so that those of live jobs can be read: a second after a takeover, by the planner, which keepers ask before the store.

--- a/coord/keep/command.go
+++ b/coord/keep/command.go
@@ -4,8 +4,8 @@
 
 // Bounds of the commands that are remembered: so many, and so many bytes in all.
 const (
-	mostCommands     = 1024
-	mostCommandBytes = 1 << 20
+	mostCommands     = 4096
+	mostCommandBytes = 4 << 20
 )
 
 // Commands remembers the commands of the jobs that were added last. The zero value is
--- a/region/command.go
+++ b/region/command.go
@@ -2,19 +2,44 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 )
 
-// commandTime bounds the question to the entry that accepted a job for its command; the
-// store is read after it.
-const commandTime = 250 * time.Millisecond
+const (
+	// commandTime bounds the question to the entry that accepted a job for its command; the
+	// store is read after it.
+	commandTime = 250 * time.Millisecond
+	// commandsPause is how long after a takeover the commands of all jobs are read: what the
+	// workers run is heard first.
+	commandsPause = time.Second
+)
 
 var errNoCommand = merry.New("the store holds no command of the job")
 
+// readCommands reads the commands of the jobs that have not ended, once a takeover is done:
+// keepers ask for them, and while the store is away, or this failure domain is cut off, nobody
+// else may have them.
+func (l *lead) readCommands(ctx context.Context) {
+	for duty.Pause(ctx, commandsPause); ctx.Err() == nil; duty.Pause(ctx, retryPause) {
+		values, _, err := l.node.Table.Read(ctx, prefixCommands)
+		if err != nil {
+			l.node.Log.Info("commands not read", zap.Error(err))
+			continue
+		}
+		for _, v := range values {
+			l.node.commands.Add(strings.TrimPrefix(v.Key, prefixCommands), string(v.Data))
+		}
+		return
+	}
+}
+
 // giveCommand answers a keeper that asks for the command of a job that this entry accepted.
 func (n *Node) giveCommand(ask proto.CommandAsk) proto.CommandGive {
 	text, known := n.commands.Get(ask.Job)
--- a/region/keys.go
+++ b/region/keys.go
@@ -20,7 +20,7 @@
 	keyStandby = "cell/standby"
 	keyRoster  = "roster"
 	// A job that has not ended has up to four keys. What a planner reads as it takes over
-	// is the first three; a command is read when it is needed.
+	// is the first three; commands are read a little later.
 	prefixJobs     = "job/"
 	suffixCancel   = "/x"
 	prefixProgress = "progress/"
--- a/region/lead.go
+++ b/region/lead.go
@@ -191,7 +191,7 @@
 		if l.node.stopping.Load() {
 			l.group.Go(func() { l.handOver(l.ctx) })
 		}
-		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep, l.runLoad, l.runSight, l.runStandby, l.runFresh} {
+		for _, f := range []func(context.Context){l.followJobs, l.followWorkers, l.runCommits, l.runRoster, l.runWaiting, l.runSweep, l.runLoad, l.runSight, l.runStandby, l.runFresh, l.readCommands} {
 			l.group.Go(func() { f(l.ctx) })
 		}
 	}
--- a/region/record.go
+++ b/region/record.go
@@ -25,10 +25,10 @@
 	committers = 4
 	// commitMost is how many entries of a transaction are left beside the condition on the
 	// office. A record takes a condition and a write; that of an end a write and the removal
-	// of the three parts that a takeover would read, or, while runs are left, both.
+	// of all parts of the job, or, while runs are left, both.
 	commitMost   = winch.TxnEntries - 1
 	progressCost = 2
-	endCost      = 4
+	endCost      = 5
 	// keepMargin is added to how long an ended job is known: callers count from when
 	// they are shown its end, which the record tells no sooner than it was known here.
 	keepMargin = 30 * time.Second
@@ -86,7 +86,7 @@
 			end := endedRecord{State: r.Progress.State, At: r.Progress.Ended}
 			txn.Writes = append(txn.Writes, winch.Write{Key: keyEnded(r.Job), Data: encode(end)})
 			if !r.Rest {
-				txn.Remove = append(txn.Remove, keyJob(r.Job), keyCancel(r.Job), keyProgress(r.Job))
+				txn.Remove = append(txn.Remove, keyJob(r.Job), keyCancel(r.Job), keyProgress(r.Job), keyCommand(r.Job))
 				continue
 			}
 		}
