--- a/region/records_test.go
+++ b/region/records_test.go
@@ -99,12 +99,7 @@
 		w := newWorld(t, 64, 3, 9)
 		settle()
 		ids := w.jobs(0, 8)
-		for _, n := range w.nodes {
-			n.kill()
-		}
-		for _, n := range w.nodes {
-			n.start()
-		}
+		w.restartAll()
 		for _, id := range ids {
 			is.True(w.await(id, 40*time.Second).Final())
 		}
@@ -121,12 +116,7 @@
 		w := newWorld(t, 66, 3, 9)
 		settle()
 		ids := w.jobs(0, 8)
-		for _, n := range w.nodes {
-			n.kill()
-		}
-		for _, n := range w.nodes {
-			n.start()
-		}
+		w.restartAll()
 		for w.planner() == nil {
 			time.Sleep(5 * time.Millisecond)
 		}
@@ -168,6 +158,16 @@
 	})
 }
 
+// restartAll kills all entries and starts them again.
+func (w *world) restartAll() {
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+}
+
 // The store tells but some of the changes in an answer. A standby that takes the first answer
 // for all of them takes over with old progress, and runs a second time what has ended.
 func TestStandbyCatchesUpByAllAnswers(t *testing.T) {
