--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -55,6 +55,8 @@
 	// WaitProbe means that a worker crashed under a task of the phase, and no such task may be
 	// started beside others until a probe has shown that it is not the cause.
 	WaitProbe
+	// WaitEvacuated means that all workers that could run the task are in evacuated failure domains.
+	WaitEvacuated
 )
 
 // String returns the text of the reason that is written to the log.
@@ -64,6 +66,7 @@
 		"office may have lapsed", "team's limit", "no worker", "workers set aside", "next decision", "advice asked",
 		"advice failed", "no ticket", "not allowed", "no room",
 		"room kept for urgent work", "not recorded", "end not heard", "suspected of crashing workers",
+		"failure domain evacuated",
 	}
 	if r < 0 || int(r) >= len(names) {
 		return ""
@@ -86,13 +89,14 @@
 // Offer counts the workers of the kind that a phase needs, by what prevents them from running it.
 // The field names are written to the log.
 type Offer struct {
-	Workers  int // Workers counts those with the service and the label.
-	Usable   int // Usable counts those of Workers that respond, are listed and are not draining.
-	Resting  int // Resting counts those of Usable that are in quarantine.
-	Denied   int // Denied counts usable workers that the advice service does not allow.
-	Unasked  int // Unasked counts usable workers with free capacity but without a valid ticket.
-	Ticketed int // Ticketed counts usable workers with a valid ticket, or where none is needed.
-	Fits     int // Fits is the number of tasks that fit into the ticketed workers.
+	Workers   int // Workers counts those with the service and the label.
+	Usable    int // Usable counts those of Workers that respond, are listed and are not draining.
+	Evacuated int // Evacuated counts those of Workers that would be usable if their domain were not evacuated.
+	Resting   int // Resting counts those of Usable that are in quarantine.
+	Denied    int // Denied counts usable workers that the advice service does not allow.
+	Unasked   int // Unasked counts usable workers with free capacity but without a valid ticket.
+	Ticketed  int // Ticketed counts usable workers with a valid ticket, or where none is needed.
+	Fits      int // Fits is the number of tasks that fit into the ticketed workers.
 }
 
 // WaitingTask is a lasting task that, as far as the planner knows, does not run.
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -41,6 +41,9 @@
 	Metrics metrics.Registry
 	// Lease is how long workers continue to run their tasks without contact to a keeper.
 	Lease time.Duration
+	// Evacuated reports whether a failure domain is evacuated, so that nothing may be started there;
+	// nil means that none is.
+	Evacuated func(domain string) bool
 	// FetchCommand fetches the command of a job from the entry that accepted it, its origin.
 	FetchCommand func(ctx context.Context, job, origin string) (string, error)
 
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -263,6 +263,8 @@
 	Queues map[string]int `cbor:"2,keyasint,omitempty"`
 	// Settings is the version of the planner's configuration.
 	Settings uint64 `cbor:"3,keyasint,omitempty"`
+	// Evacuations is what the planner knows of evacuated failure domains.
+	Evacuations *winch.Evacuations `cbor:"4,keyasint,omitempty"`
 }
 
 // Settings announces the version of the operator's configuration at an entry. As the
@@ -270,11 +272,17 @@
 type Settings struct {
 	Version uint64 `cbor:"1,keyasint"`
 	Data    []byte `cbor:"2,keyasint,omitempty"`
+	// Evacuations is what the sender knows of evacuated failure domains; a response omits it if it
+	// is not newer than what the receiver knows.
+	Evacuations *winch.Evacuations `cbor:"3,keyasint,omitempty"`
 }
 
-// SettingsRequest asks for the configuration, which is sent only if it is newer than Have.
+// SettingsRequest asks for the configuration, which is sent only if it is newer than Have, and for the
+// evacuated failure domains, which are sent only if they are known as of a later revision of the store
+// than EvacuationsAsOf.
 type SettingsRequest struct {
-	Have uint64 `cbor:"1,keyasint,omitempty"`
+	Have            uint64 `cbor:"1,keyasint,omitempty"`
+	EvacuationsAsOf uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Mirror replicates the set of possible runs to the planner's standby: runs are added
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -31,6 +31,10 @@
 	commitOutcome func(txn winch.Txn) (applied, responded bool)
 	onRead        func(host, prefix string) // onRead is called on each read.
 	refusedHosts  map[string]bool           // refusedHosts holds the entries whose calls are refused.
+	// silentWatches makes watches report no changes. compactedAt is the revision up to which the change
+	// history was removed.
+	silentWatches bool
+	compactedAt   uint64
 }
 
 // simLease is a lease in the store.
@@ -39,6 +43,11 @@
 	until time.Time
 }
 
+// compact removes the change history. The store's mutex is held.
+func (s *simStore) compact() {
+	s.events, s.compactedAt = nil, s.revision
+}
+
 // put writes a key, which is removed when its lease ends, if it has one. The store's mutex is held.
 func (s *simStore) put(key string, data []byte, lease uint64) {
 	s.revision++
@@ -151,8 +160,16 @@
 func (t *simTable) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (out []winch.Event, next uint64, err error) {
 	begin := time.Now()
 	for {
+		compacted := false
 		err = t.call(ctx, func() {
+			if compacted = after < t.store.compactedAt; compacted {
+				return
+			}
 			next = t.store.revision
+			if t.store.silentWatches {
+				next = after
+				return
+			}
 			for _, e := range t.store.events {
 				if e.Version > after && strings.HasPrefix(e.Key, prefix) {
 					if limit := t.store.maxChanges; limit > 0 && len(out) >= limit && e.Version != out[len(out)-1].Version {
@@ -163,6 +180,9 @@
 				}
 			}
 		})
+		if err == nil && compacted {
+			return nil, after, winch.ErrCompacted
+		}
 		if err != nil || len(out) > 0 || time.Since(begin) >= wait {
 			return out, next, err
 		}
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -23,6 +23,7 @@
 	highestRun   map[winch.RunID]uint64 // highestRun is the highest run that has ended or was stopped, by task.
 	ended        []winch.Completion     // ended holds the completions that no entry has acknowledged.
 	lastEnded    uint64                 // lastEnded is the number of the last completion.
+	starts       int                    // starts counts the runs that were started.
 	usedMilli    int64                  // usedMilli is the part of Room.Milli that the runs use.
 	unresponsive bool                   // unresponsive makes calls time out without being carried out.
 	// losesResponses makes calls time out though they are carried out.
@@ -280,6 +281,7 @@
 			result = winch.StartOutdated
 		default:
 			x.leaseUntil = max(x.leaseUntil, c.Until)
+			r.world.checkEvacuated(x, key, r.node)
 			x.startRun(r.world, key, c)
 		}
 		return nil
@@ -338,6 +340,7 @@
 		w.reportViolation("%v: run started beyond the capacity of %s", time.Since(w.log.startedAt), x.vm.ID)
 	}
 	w.running[c.Task]++
+	x.starts++
 	x.usedMilli += milli
 	r := &simRun{end: time.Now().Add(taskDuration), milli: milli}
 	x.runs[key] = r
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -51,6 +51,7 @@
 	completed    map[winch.RunID][]*completedRun // completed holds the successful runs by task.
 	failed       map[winch.RunID]int             // failed counts the failed runs by task.
 	lasting      lastingStatus
+	evacuatedAt  map[string]time.Time // evacuatedAt holds when each evacuated failure domain was evacuated.
 	gangs        map[runKey]*simGang
 	crashes      crashCounter
 	// downtimeChecks checks lasting tasks in the random tests; it is nil in all others.
@@ -89,6 +90,7 @@
 		partitioned: make(map[string]bool), blockedPaths: make(map[simPath]int), brokenLinks: make(map[simPath]int),
 		paused: make(map[string]*pausedEntry), gangs: make(map[runKey]*simGang), running: make(map[winch.RunID]int),
 		acknowledged: make(map[winch.RunID]bool), completed: make(map[winch.RunID][]*completedRun), failed: make(map[winch.RunID]int),
+		evacuatedAt: make(map[string]time.Time),
 	}
 	w.log = &simLog{startedAt: time.Now()}
 	w.ctx, w.cancel = context.WithCancel(t.Context())
@@ -127,8 +129,10 @@
 // simCodec decodes the records that the simulated store holds.
 type simCodec struct{}
 
-func (simCodec) ConfigKey() string    { return "op/config" }
-func (simCodec) WorkerPrefix() string { return "workers/" }
+func (simCodec) OperatorPrefix() string   { return "op/" }
+func (simCodec) ConfigKey() string        { return "op/config" }
+func (simCodec) EvacuationPrefix() string { return "op/evacuate/" }
+func (simCodec) WorkerPrefix() string     { return "workers/" }
 
 func (simCodec) Config(data []byte) (*winch.RegionConfig, error) {
 	c := new(winch.RegionConfig)
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -1,6 +1,9 @@
 package winch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Capacity is an amount of processors, memory and accelerators: the need of a task of a phased
 // job, the size of a worker VM, or the limit on what a team may have running at once.
@@ -198,6 +201,19 @@
 	MaxHeader int
 }
 
+// Evacuations lists the failure domains that the operator has evacuated: nothing may be started
+// there until they are restored. What runs there may go on.
+type Evacuations struct {
+	Domains []string `cbor:"1,keyasint,omitempty"` // Domains is sorted.
+	// AsOf is a revision of the store that the list is at least as new as.
+	AsOf uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Contains reports whether a failure domain is evacuated.
+func (e Evacuations) Contains(domain string) bool {
+	return slices.Contains(e.Domains, domain)
+}
+
 // WorkerVM is one boot of a worker VM.
 type WorkerVM struct {
 	_        struct{} `cbor:",toarray"`
--- a/winch/region.go
+++ b/winch/region.go
@@ -192,8 +192,13 @@
 
 // Codec decodes what the platform's operator and workers write into the store.
 type Codec interface {
+	// OperatorPrefix returns the prefix of all keys that the operator writes.
+	OperatorPrefix() string
 	// ConfigKey returns the key of the operator's configuration.
 	ConfigKey() string
+	// EvacuationPrefix returns the prefix of the keys that mark failure domains as evacuated. The
+	// rest of such a key is the name of the domain.
+	EvacuationPrefix() string
 	// WorkerPrefix returns the prefix of the keys under which worker VMs register.
 	WorkerPrefix() string
 	Config(data []byte) (*RegionConfig, error)
