Nothing is started in an evacuated failure domain

Each entry now watches all that the operator writes in the one call that watched the configuration, so no call is added. A state carries the revision of the store as of which it is known and only replaces an older one; entries that the store turns away get it from peers with the settings, and from the planner's report twice a second. The planner uses no worker of an evacuated domain (choices, gangs, advice, reservations, probes and the sizes of pools all go through worker.usable), reads the state afresh in a takeover before its first start, and the keeper refuses a start that was ordered before. What runs there goes on. A change of the configuration or of evacuations that arrived while a planner read its records was lost to that planner; it is now applied once it serves.

Weighed: a version number as for the configuration (the operator's keys have none); a watch of its own (another waiting call per entry).

--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -71,6 +71,8 @@
 		return WaitRun
 	case s.suspected():
 		return WaitProbe
+	case len(p.evacuated) > 0 && len(p.pool(s.job.queue.Service).workers) == 0:
+		return WaitEvacuated
 	case !s.job.team.allows(s.nextStartNeed()):
 		return WaitLimit
 	case !p.sparesUrgent(s):
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -67,6 +67,8 @@
 	roster map[string]bool
 	// assignedRuns counts the run numbers that this planner has assigned.
 	assignedRuns uint64
+	// evacuated holds the evacuated failure domains.
+	evacuated map[string]bool
 	// pools holds the capacity and the urgent demand of the workers of each service.
 	pools map[string]*pool
 	// reservedWorkers lists the workers with capacity that the last Schedule reserved for phases
@@ -116,7 +118,7 @@
 func New(term uint64) *Planner {
 	return &Planner{
 		Term: term, Policy: DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
-		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool),
+		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool), evacuated: make(map[string]bool),
 		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), Quota: unlimitedQuota,
 	}
 }
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -328,6 +328,9 @@
 		}
 		out.Workers++
 		if !w.usable() {
+			if w.available() {
+				out.Evacuated++
+			}
 			continue
 		}
 		out.Usable++
@@ -356,6 +359,8 @@
 		wants = s.waiting
 	}
 	switch {
+	case o.Usable == 0 && o.Evacuated > 0:
+		w.Reason = WaitEvacuated
 	case o.Usable == 0:
 		w.Reason = WaitWorker
 	case o.Usable == o.Resting:
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -122,6 +122,11 @@
 
 // usable reports whether the worker may be given work.
 func (w *worker) usable() bool {
+	return w.available() && !w.evacuated()
+}
+
+// available reports whether the worker may be given work as far as it depends on the worker itself.
+func (w *worker) available() bool {
 	return w.ready && !w.unresponsive && !w.removed && !w.vm.Draining
 }
 
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -45,9 +45,16 @@
 func (h *holder) start(ctx context.Context, c queuedOrder) {
 	key := runKey{c.Task, c.Run}
 	now := time.Now()
+	if k := h.keeper; k.Evacuated != nil && k.Evacuated(h.vm.Domain) {
+		k.count("Keep.Evacuated")
+		k.Log.Info("start not sent: the worker's failure domain is evacuated", zap.String("job", c.Task.Job), zap.Any("task", c.Task),
+			zap.Uint64("run", c.Run), zap.String("worker", h.vm.ID), zap.String("domain", h.vm.Domain))
+		h.reportNotStarted(c.Order)
+		return
+	}
 	until, ok := h.prepareStart(key, now)
 	if !ok {
-		h.emit(proto.KeeperEvent{Kind: proto.EventNotStarted, Task: c.Task, Run: c.Run, Result: winch.StartRefused})
+		h.reportNotStarted(c.Order)
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
--- a/region/cell.go
+++ b/region/cell.go
@@ -223,10 +223,10 @@
 
 // watchCell watches the cell's records until ctx ends.
 func (n *Node) watchCell(ctx context.Context) {
-	n.watch(ctx, prefixCell, watchOptions{wait: maxWatchWait}, func(values []winch.Value) {
+	n.watch(ctx, prefixCell, watchOptions{wait: maxWatchWait}, func(values []winch.Value, _ uint64) {
 		n.cell.reset(values)
 		n.cellChanged()
-	}, func(events []winch.Event) {
+	}, func(events []winch.Event, _ uint64) {
 		for _, e := range events {
 			n.cell.apply(e)
 		}
@@ -268,8 +268,11 @@
 }
 
 // watch passes all values under a prefix to onValues and then their changes to onChanges, until
-// ctx ends. If the store has compacted changes that were not read yet, all values are read again.
-func (n *Node) watch(ctx context.Context, prefix string, options watchOptions, onValues func([]winch.Value), onChanges func([]winch.Event)) {
+// ctx ends, each with the revision of the store as of which they are known. If the store has
+// compacted changes that were not read yet, all values are read again.
+func (n *Node) watch(ctx context.Context, prefix string, options watchOptions,
+	onValues func([]winch.Value, uint64), onChanges func([]winch.Event, uint64),
+) {
 	after := options.after
 	for ctx.Err() == nil {
 		sent := time.Now()
@@ -280,7 +283,7 @@
 				duty.Sleep(ctx, retryDelay)
 				continue
 			}
-			onValues(values)
+			onValues(values, asOf)
 			after = asOf
 			options.notify(sent, true)
 		}
@@ -295,7 +298,7 @@
 		default:
 			after = max(after, next)
 			if len(events) > 0 {
-				onChanges(events)
+				onChanges(events, after)
 			}
 			options.notify(sent, true)
 			if options.delay > 0 && len(events) < fullBatch {
--- a/region/jobs.go
+++ b/region/jobs.go
@@ -56,20 +56,20 @@
 
 // followJobs watches the store for jobs that are accepted or cancelled after the revision that was read.
 func (l *leadership) followJobs(ctx context.Context) {
-	add := func(values []winch.Value) {
+	add := func(values []winch.Value, _ uint64) {
 		l.post(func() {
 			l.addJobs(values)
 			l.decideSoon()
 		})
 	}
-	l.node.watch(ctx, prefixJobs, watchOptions{delay: jobsPollInterval, after: l.jobsRevision}, add, func(events []winch.Event) {
+	l.node.watch(ctx, prefixJobs, watchOptions{delay: jobsPollInterval, after: l.jobsRevision}, add, func(events []winch.Event, asOf uint64) {
 		var values []winch.Value
 		for _, e := range events {
 			if !e.Deleted {
 				values = append(values, e.Value)
 			}
 		}
-		add(values)
+		add(values, asOf)
 	})
 }
 
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -217,6 +217,7 @@
 		// Requests are served only from here on: one that came while the records are read would have
 		// to wait until that is done.
 		l.node.leadership.Store(l)
+		l.post(l.applyOperatorState)
 		if l.node.stopping.Load() {
 			l.group.Go(func() { l.handOver(l.ctx) })
 		}
--- a/region/node.go
+++ b/region/node.go
@@ -106,7 +106,10 @@
 func (n *Node) Prepare() {
 	n.started = time.Now()
 	n.officeWake = make(chan struct{}, 1)
-	n.keeper = &keep.Keeper{Client: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, maxLease), FetchCommand: n.command}
+	n.keeper = &keep.Keeper{
+		Client: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, maxLease), FetchCommand: n.command,
+		Evacuated: func(domain string) bool { return n.evacuations.load().Contains(domain) },
+	}
 	n.keeper.Prepare()
 	n.accept.prepare(n)
 	n.settings.prepare(n)
@@ -196,7 +199,7 @@
 
 // First returns the message to send first on a new link to a peer.
 func (n *Node) First(string) (winch.Kind, any) {
-	return proto.KindSettings, proto.Settings{Version: n.settings.version()}
+	return proto.KindSettings, proto.Settings{Version: n.settings.version(), Evacuations: n.knownEvacuations()}
 }
 
 // LinkChanged notifies the entry that a link to a peer was established or has broken.
--- a/region/report.go
+++ b/region/report.go
@@ -18,7 +18,7 @@
 	for ctx.Err() == nil {
 		var msg proto.WaitingJobs
 		if l.duty.Do(ctx, func() {
-			msg = proto.WaitingJobs{Term: l.term, Queues: l.planner.Waiting(), Settings: l.node.settings.version()}
+			msg = proto.WaitingJobs{Term: l.term, Queues: l.planner.Waiting(), Settings: l.node.settings.version(), Evacuations: l.node.knownEvacuations()}
 		}) == nil && l.validity.Load().remaining() > 0 {
 			l.node.updateWaiting(msg)
 			for _, name := range l.node.Peers.Names() {
--- a/region/serve.go
+++ b/region/serve.go
@@ -170,12 +170,17 @@
 	case proto.KindAdvise:
 		return handleMessage(read, func(m proto.AdviseRequest) any { return n.advise(ctx, m) })
 	case proto.KindSettings:
-		return handleMessage(read, func(m proto.Settings) any { n.settings.noteVersion(from, m.Version); return nil })
+		return handleMessage(read, func(m proto.Settings) any {
+			n.settings.noteVersion(from, m.Version)
+			n.applyReceived(m.Evacuations, from)
+			return nil
+		})
 	case proto.KindSettingsRequest:
 		return handleMessage(read, func(m proto.SettingsRequest) any { return n.settings.respond(m) })
 	case proto.KindWaitingJobs:
 		return handleMessage(read, func(m proto.WaitingJobs) any {
 			n.settings.noteVersion(from, m.Settings)
+			n.applyReceived(m.Evacuations, from)
 			n.updateWaiting(m)
 			return nil
 		})
--- a/region/settings.go
+++ b/region/settings.go
@@ -25,7 +25,8 @@
 	settingsTimeout = 500 * time.Millisecond
 )
 
-// settings holds the operator's configuration. Each entry reads it from the store. An entry that
+// settings holds the operator's configuration, and follows all that the operator writes into the
+// store. Each entry reads it from the store. An entry that
 // the store does not answer asks its peers, so that it is current if it reaches either. The
 // version never decreases during a boot, and the configuration stays in force while the store is
 // unresponsive.
@@ -45,13 +46,18 @@
 	s.newerPeer = make(chan string, 1)
 }
 
-// run watches the configuration in the store until ctx ends.
+// run watches what the operator writes into the store, the configuration and the evacuated failure
+// domains, until ctx ends.
 func (s *settings) run(ctx context.Context) {
-	s.node.watch(ctx, s.node.Codec.ConfigKey(), watchOptions{wait: maxWatchWait, onResponse: func(ok bool) { s.watchFailed.Store(!ok) }}, func(values []winch.Value) {
+	codec := s.node.Codec
+	options := watchOptions{wait: maxWatchWait, onResponse: func(ok bool) { s.watchFailed.Store(!ok) }}
+	s.node.watch(ctx, codec.OperatorPrefix(), options, func(values []winch.Value, asOf uint64) {
+		s.node.applyEvacuations(readEvacuations(codec.EvacuationPrefix(), values, asOf), "store")
 		for _, v := range values {
 			s.apply(v.Key, v.Data, "store")
 		}
-	}, func(events []winch.Event) {
+	}, func(events []winch.Event, asOf uint64) {
+		s.node.applyEvacuations(s.node.evacuations.changed(codec.EvacuationPrefix(), events, asOf), "store")
 		for _, e := range events {
 			if !e.Deleted {
 				s.apply(e.Key, e.Data, "store")
@@ -98,12 +104,17 @@
 	}
 }
 
-// fetch asks a peer for a configuration that is newer than this entry's.
+// fetch asks a peer for what the operator has written, as far as it is newer than what this entry has.
 func (s *settings) fetch(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
 	var response proto.Settings
-	if s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, proto.SettingsRequest{Have: s.version()}, &response) == nil && len(response.Data) > 0 {
+	request := proto.SettingsRequest{Have: s.version(), EvacuationsAsOf: s.node.evacuations.load().AsOf}
+	if s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, request, &response) != nil {
+		return
+	}
+	s.node.applyReceived(response.Evacuations, name)
+	if len(response.Data) > 0 {
 		s.apply(s.node.Codec.ConfigKey(), response.Data, name)
 	}
 }
@@ -119,15 +130,18 @@
 	}
 }
 
-// respond answers a peer's request with the configuration, if it is newer than the peer's.
+// respond answers a peer's request with what is newer than the peer's.
 func (s *settings) respond(request proto.SettingsRequest) proto.Settings {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.config.Load()
-	if c == nil || c.Version <= request.Have {
-		return proto.Settings{}
+	var out proto.Settings
+	if e := s.node.knownEvacuations(); e != nil && e.AsOf > request.EvacuationsAsOf {
+		out.Evacuations = e
+	}
+	if c := s.config.Load(); c != nil && c.Version > request.Have {
+		out.Version, out.Data = c.Version, s.data
 	}
-	return proto.Settings{Version: c.Version, Data: s.data}
+	return out
 }
 
 // version returns the version of the configuration in force, or zero if there is none.
--- a/region/takeover.go
+++ b/region/takeover.go
@@ -25,8 +25,9 @@
 	return false
 }
 
-// readAll reads the roster and the jobs that have not ended, concurrently: a slow store takes a third
-// of a second for each response, and nothing is started before all are read.
+// readAll reads the roster, the jobs that have not ended and the evacuated failure domains,
+// concurrently: a slow store takes a third of a second for each response, and nothing is started before
+// all are read.
 func (l *leadership) readAll(ctx context.Context) error {
 	if l.prefetched == nil {
 		l.prefetched = &prefetched{}
@@ -35,6 +36,14 @@
 	jobs, progress := &l.prefetched.jobs, &l.prefetched.progress
 	var rosters []winch.Value
 	group := pool.New().WithErrors()
+	group.Go(func() error {
+		prefix := l.node.Codec.EvacuationPrefix()
+		values, asOf, err := l.node.Table.Read(ctx, prefix)
+		if err == nil {
+			l.node.applyEvacuations(readEvacuations(prefix, values, asOf), "store")
+		}
+		return err
+	})
 	group.Go(func() (err error) {
 		rosters, _, err = l.node.Table.Read(ctx, keyRoster)
 		return err
@@ -52,6 +61,7 @@
 	l.jobsRevision = jobs.revision
 	l.orphans = l.addJobs(append(jobs.list(), progress.list()...))
 	l.prefetched = nil
+	l.planner.SetEvacuated(l.node.evacuations.load().Domains)
 	l.node.Log.Info("jobs read from the store", zap.Int("jobs", len(jobs.values)),
 		zap.Int("progress", len(progress.values)), zap.Int("orphans", len(l.orphans)))
 	l.applyInherited()
--- a/region/workerlist.go
+++ b/region/workerlist.go
@@ -10,7 +10,7 @@
 // followWorkers watches the platform's list of workers in the store and passes its changes to the planner.
 func (l *leadership) followWorkers(ctx context.Context) {
 	codec := l.node.Codec
-	l.node.watch(ctx, codec.WorkerPrefix(), watchOptions{delay: workersPollInterval, onSuccess: l.noteListAsOf}, func(values []winch.Value) {
+	l.node.watch(ctx, codec.WorkerPrefix(), watchOptions{delay: workersPollInterval, onSuccess: l.noteListAsOf}, func(values []winch.Value, _ uint64) {
 		l.post(func() {
 			listed := make(map[string]bool)
 			for _, v := range values {
@@ -26,7 +26,7 @@
 			}
 			l.setWorkers()
 		})
-	}, func(events []winch.Event) {
+	}, func(events []winch.Event, _ uint64) {
 		l.post(func() {
 			for _, e := range events {
 				vm, ok := codec.Worker(e.Key, e.Data)
