--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -71,7 +71,7 @@
 		return WaitRun
 	case s.suspected():
 		return WaitProbe
-	case len(p.evacuated) > 0 && len(p.pool(s.job.queue.Service).workers) == 0:
+	case p.pool(s.job.queue.Service).allEvacuated():
 		return WaitEvacuated
 	case !s.job.team.allows(s.nextStartNeed()):
 		return WaitLimit
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -32,6 +32,8 @@
 	urgent         demand
 	// workers are those that may be given work, by ID, as of the last Schedule.
 	workers []*worker
+	// evacuated counts those that could be given work if their failure domain were not evacuated.
+	evacuated int
 	// maxFree is the largest free capacity of each kind at any one worker as of the last Schedule:
 	// a task that exceeds it fits nowhere.
 	maxFree winch.Capacity
@@ -108,7 +110,7 @@
 func (p *Planner) measure(now time.Time, adopting bool) {
 	for _, x := range p.pools {
 		x.urgent.beginCount()
-		x.capacity, x.free, x.maxFree = winch.Capacity{}, winch.Capacity{}, winch.Capacity{}
+		x.capacity, x.free, x.maxFree, x.evacuated = winch.Capacity{}, winch.Capacity{}, winch.Capacity{}, 0
 		clear(x.workers)
 		x.workers, x.misses = x.workers[:0], x.misses[:0]
 	}
@@ -137,13 +139,17 @@
 	var x *pool
 	service := ""
 	for _, w := range p.byID {
-		if !w.usable() {
+		if !w.available() {
 			continue
 		}
 		if x == nil || w.vm.Service != service {
 			service = w.vm.Service
 			x = p.pool(service)
 		}
+		if w.evacuated() {
+			x.evacuated++
+			continue
+		}
 		free := w.free()
 		x.capacity, x.free = x.capacity.Add(w.vm.Room), x.free.Add(free)
 		x.workers = append(x.workers, w)
--- a/coord/fleet/evacuate.go
+++ b/coord/fleet/evacuate.go
@@ -13,3 +13,9 @@
 func (w *worker) evacuated() bool {
 	return w.planner.evacuated[w.vm.Domain]
 }
+
+// allEvacuated reports whether the service has workers that could be given work, but all of them are in
+// evacuated failure domains.
+func (x *pool) allEvacuated() bool {
+	return x.evacuated > 0 && len(x.workers) == 0
+}
--- a/region/evacuate_test.go
+++ b/region/evacuate_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -226,20 +225,47 @@
 	change(w.store)
 }
 
-// evacuateRandomly evacuates a failure domain for a time, unless one is evacuated already: with two of
-// them gone the rest has too little capacity for the lasting tasks.
-func (r *randomScenario) evacuateRandomly() {
+// evacuateDomains evacuates failure domains one after the other, each for a time, until the world's
+// time is over. Lasting tasks that fail meanwhile must find capacity in the other domains.
+func (r *randomScenario) evacuateDomains(until <-chan struct{}) {
 	w := r.world
-	domain, length := fmt.Sprintf("d%d", r.rand.IntN(3)), r.randomDuration(2*time.Second, 14*time.Second)
-	w.mu.Lock()
-	ongoing := slices.Collect(maps.Keys(w.evacuatedAt))
-	w.mu.Unlock()
-	if len(ongoing) > 0 {
-		return
-	}
-	w.evacuate(domain)
-	w.group.Go(func() {
+	for {
+		domain, length := fmt.Sprintf("d%d", r.rand.IntN(3)), r.randomDuration(2*time.Second, 14*time.Second)
+		w.evacuate(domain)
 		time.Sleep(length)
 		w.restore(domain)
-	})
+		select {
+		case <-until:
+			return
+		case <-time.After(r.randomDuration(500*time.Millisecond, 6*time.Second)):
+		}
+	}
+}
+
+// Guards against starts in evacuated failure domains, and against the failures of TestRandomLasting,
+// while domains are evacuated and restored during faults of all kinds.
+func TestRandomEvacuations(t *testing.T) {
+	t.Parallel()
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, seed, 3, 12)
+				settle()
+				w.startDowntimeChecks()
+				w.submitLasting("00000000000000a1", 7)
+				r := &randomScenario{world: w, rand: rand.New(rand.NewPCG(seed, 6)), partialFaultWeight: int(seed % 2 * 7)}
+				evacuating := &randomScenario{world: w, rand: rand.New(rand.NewPCG(seed, 7))}
+				over := make(chan struct{})
+				w.group.Go(func() { evacuating.evacuateDomains(over) })
+				jobs := w.startBackgroundJobs(24)
+				r.play(3)
+				close(over)
+				r.awaitRecovery()
+				jobs.Wait()
+				w.checkAllLasting(7)
+				w.end()
+			})
+		})
+	}
 }
--- a/region/lastrand_test.go
+++ b/region/lastrand_test.go
@@ -91,7 +91,8 @@
 func (v *downtimeChecker) updateSpare(w *world) {
 	slots := int64(0)
 	for _, x := range w.workers {
-		if !x.terminated && !x.unresponsive && x.drainingSince.IsZero() && !w.partitioned[x.vm.Domain] {
+		_, evacuated := w.evacuatedAt[x.vm.Domain]
+		if !x.terminated && !x.unresponsive && x.drainingSince.IsZero() && !w.partitioned[x.vm.Domain] && !evacuated {
 			slots += (x.vm.Room.Milli - x.usedMilli) / taskMilli
 		}
 	}
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -47,12 +47,14 @@
 }
 
 // startPlannedOperations starts the operations that operators plan: the entries are restarted
-// one after the other while, at the same time, the workers are replaced one after the other.
+// one after the other while, at the same time, the workers are replaced one after the other and a
+// failure domain is evacuated.
 // The crash of one worker at the beginning is the only unplanned disturbance.
 func (s *Soak) startPlannedOperations(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(s.Seed, 3))
 	lost := rnd.IntN(s.platform.Size())
 	s.group.Go(func() { s.crashWorker(ctx, lost) })
+	s.group.Go(func() { s.evacuate(ctx, s.platform.Domains[lost%len(s.platform.Domains)], plannedEvacuationTime) })
 	first, order := rnd.IntN(len(s.procs)), rnd.Perm(s.platform.Size())
 	s.group.Go(func() {
 		for i := range min(len(s.procs), maxStops) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -98,6 +98,7 @@
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.shrinkWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.injectPartitions(activeCtx) })
+	s.group.Go(func() { s.evacuateDomains(ctx, activeCtx) })
 	for activeCtx.Err() == nil {
 		s.injectFault(activeCtx)
 		duty.Sleep(activeCtx, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
