A submission that the store does not take from an entry is passed to one that it serves

An entry now asks three peers at once whether the store answers them, for at most 100 ms, and passes the submission to the first that says so. In a failure domain that is cut off nobody answers in that time, so callers there are refused as soon as before. A first attempt with an unknown result stays unknown unless the peer confirms that the job is stored; the ID makes the second attempt safe.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -21,6 +21,7 @@
 	KindMirror          winch.Kind = "Mirror"
 	KindCommand         winch.Kind = "Command"
 	KindTerm            winch.Kind = "Term"
+	KindSubmit          winch.Kind = "Submit"
 )
 
 // Session identifies one uninterrupted planner-keeper connection. A planner that
@@ -240,6 +241,17 @@
 	Command string `cbor:"3,keyasint,omitempty"`
 }
 
+// SubmitRequest asks an entry to store a job on behalf of one that the store does not answer.
+type SubmitRequest struct {
+	Job     winch.PhasedJob `cbor:"1,keyasint"`
+	Command string          `cbor:"2,keyasint,omitempty"`
+}
+
+// SubmitResponse is the response to a SubmitRequest.
+type SubmitResponse struct {
+	Result winch.Result `cbor:"1,keyasint"`
+}
+
 // CancelJob notifies the planner of a committed cancellation.
 type CancelJob struct {
 	ID string `cbor:"1,keyasint"`
@@ -275,6 +287,8 @@
 	// Evacuations is what the sender knows of evacuated failure domains; a response omits it if it
 	// is not newer than what the receiver knows.
 	Evacuations *winch.Evacuations `cbor:"3,keyasint,omitempty"`
+	// Unserved is set in a response if the store does not answer the sender.
+	Unserved bool `cbor:"4,keyasint,omitempty"`
 }
 
 // SettingsRequest asks for the configuration, which is sent only if it is newer than Have, and for the
--- a/region/accept.go
+++ b/region/accept.go
@@ -162,8 +162,18 @@
 }
 
 // Submit implements winch.Region. It returns when the job is stored, when storing it has failed or
-// its outcome is unknown, or when ctx ends.
+// its outcome is unknown, or when ctx ends. If the store does not take the job from this entry, other
+// entries try.
 func (n *Node) Submit(ctx context.Context, job *winch.PhasedJob) winch.Result {
+	result := n.store(ctx, job)
+	if result.Reason == winch.StoreUnavailable {
+		return n.forward(ctx, job, result)
+	}
+	return result
+}
+
+// store stores a job through this entry.
+func (n *Node) store(ctx context.Context, job *winch.PhasedJob) winch.Result {
 	if !n.storeResponsive() {
 		return winch.RefuseFor(winch.StoreUnavailable, "the store does not answer", retryAfter)
 	}
--- /dev/null
+++ b/region/forward_test.go
@@ -0,0 +1,70 @@
+package region
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/winch"
+)
+
+// submitTo submits a job to one entry.
+func (w *world) submitTo(n *Node, id string) winch.Result {
+	return n.Submit(w.ctx, &winch.PhasedJob{
+		ID: id, Queue: "preview", Team: "choir", Command: "work", Accepted: time.Now(), Phases: []winch.Phase{simPhase(2)},
+	})
+}
+
+// Guards against submissions that are refused although the store would take them from another entry: the
+// store turns two entries away, and what their callers submit must be accepted at once.
+func TestSubmissionIsPassedOnWhileTheStoreRefusesTheEntry(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 61, 3, 9)
+		settle()
+		n := w.nodes["d1-0"]
+		w.setStore(func(s *simStore) { s.refusedHosts = map[string]bool{n.host: true, "d2-0": true} })
+		for i := range 8 { // At first the entry does not know that the store refuses it, then it does.
+			id := fmt.Sprintf("%016x", i)
+			sent := time.Now()
+			is.True(w.submitTo(n.node, id).OK())
+			is.True(time.Since(sent) < 250*time.Millisecond)
+			is.Equal(w.await(id, 10*time.Second), winch.JobDone)
+			time.Sleep(400 * time.Millisecond)
+		}
+		w.end()
+	})
+}
+
+// Guards against callers of a partitioned failure domain who wait for an unknown result: no other entry
+// can take their submissions, so they must be refused soon and told to come back.
+func TestSubmissionIsRefusedSoonInAPartitionedDomain(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 62, 3, 9)
+		settle()
+		w.partition("d1", true)
+		time.Sleep(1500 * time.Millisecond)
+		for i := range 3 {
+			sent := time.Now()
+			result := w.submitTo(w.nodes["d1-0"].node, fmt.Sprintf("%016x", i))
+			is.Equal(result.Outcome, winch.NotRun)
+			is.True(result.RetryAfter > 0)
+			is.True(time.Since(sent) < 250*time.Millisecond)
+		}
+		w.partition("d1", false)
+		w.end()
+	})
+}
+
+// partition separates a failure domain from the store and the other domains, or ends that.
+func (w *world) partition(domain string, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.partitioned[domain] = on
+}
--- a/region/node.go
+++ b/region/node.go
@@ -83,6 +83,7 @@
 	cell        cellView
 	settings    settings
 	evacuations evacuations
+	served      servedPeer
 	accept      acceptor
 	commands    keep.Commands // commands holds the commands of the jobs that this entry accepted last.
 	keeper      *keep.Keeper
--- a/region/serve.go
+++ b/region/serve.go
@@ -175,6 +175,8 @@
 			n.applyReceived(m.Evacuations, from)
 			return nil
 		})
+	case proto.KindSubmit:
+		return handleMessage(read, func(m proto.SubmitRequest) any { return n.submitForPeer(ctx, m) })
 	case proto.KindSettingsRequest:
 		return handleMessage(read, func(m proto.SettingsRequest) any { return n.settings.respond(m) })
 	case proto.KindWaitingJobs:
--- a/region/settings.go
+++ b/region/settings.go
@@ -134,7 +134,7 @@
 func (s *settings) respond(request proto.SettingsRequest) proto.Settings {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out proto.Settings
+	out := proto.Settings{Unserved: !s.node.storeResponsive()}
 	if e := s.node.knownEvacuations(); e != nil && e.AsOf > request.EvacuationsAsOf {
 		out.Evacuations = e
 	}
