An entry judges the store by the calls without an answer, and sends nothing into a silence

Cause: an entry learnt after 1.1 s without an answer that the store is away.

An entry now looks at its calls without an answer: from 0.1 s on (more where round trips are long) the store is suspected and submissions wait unsent; after 0.6 s it counts as unresponsive, and what was not sent is refused or passed on. A store that only refuses is unresponsive after 0.3 s.

Two ways: last answer 1.1 s ago (before), calls without an answer (kept). Kept for the callers: what was not sent is said not to have run.

--- a/region/accept.go
+++ b/region/accept.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -35,8 +38,14 @@
 type submission struct {
 	job  *winch.PhasedJob
 	done chan winch.Result
+	// taken is set by whoever decides its fate: the goroutine that is about to write it, or the one that
+	// withdraws it before that.
+	taken atomic.Bool
 }
 
+// take reports whether the submission was neither written nor withdrawn before.
+func (s *submission) take() bool { return s.taken.CompareAndSwap(false, true) }
+
 func (a *acceptor) prepare(n *Node) {
 	a.node = n
 	a.queue = make(chan *submission, acceptQueueSize)
@@ -57,11 +66,38 @@
 		case <-ctx.Done():
 			return
 		case first := <-a.queue:
-			a.commit(ctx, a.gather(first))
+			if batch := a.gather(first); a.storeAnswers(ctx) {
+				a.commit(ctx, takeAll(batch))
+			} else {
+				a.answerAll(takeAll(batch), refuseUnstored())
+			}
 		}
 	}
 }
 
+// takeAll returns the submissions of a batch that have not been withdrawn.
+func takeAll(batch []*submission) []*submission {
+	return slices.DeleteFunc(batch, func(s *submission) bool { return !s.take() })
+}
+
+// suspectPollInterval is how often a suspicion about the store is checked.
+const suspectPollInterval = 10 * time.Millisecond
+
+// storeAnswers waits while the store is suspected of being unresponsive, and reports whether it is
+// responsive then. What is sent to an unresponsive store has an unknown result, while a submission that
+// was not sent can be refused or passed on.
+func (a *acceptor) storeAnswers(ctx context.Context) bool {
+	for ctx.Err() == nil && a.node.storeResponsive() && a.node.health.suspect(time.Now()) {
+		duty.Sleep(ctx, suspectPollInterval)
+	}
+	return a.node.storeResponsive()
+}
+
+// refuseUnstored returns the result of a submission that was not sent to the store.
+func refuseUnstored() winch.Result {
+	return winch.RefuseFor(winch.StoreUnavailable, "the store does not answer", retryAfter)
+}
+
 // gather returns a batch of the first and other queued submissions, each ID once. A second submission
 // of an ID waits for the next transaction, which finds the first one stored.
 func (a *acceptor) gather(first *submission) []*submission {
@@ -174,13 +210,23 @@
 
 // store stores a job through this entry.
 func (n *Node) store(ctx context.Context, job *winch.PhasedJob) winch.Result {
+	lost := n.storeLost.wait()
 	if !n.storeResponsive() {
-		return winch.RefuseFor(winch.StoreUnavailable, "the store does not answer", retryAfter)
+		return refuseUnstored()
 	}
 	job.Origin = n.Name
 	s := &submission{job: job, done: make(chan winch.Result, 1)}
 	n.accept.enqueue(s)
 	select {
+	case result := <-s.done:
+		return result
+	case <-ctx.Done():
+	case <-lost:
+	}
+	if s.take() {
+		return refuseUnstored()
+	}
+	select {
 	case result := <-s.done:
 		return result
 	case <-ctx.Done():
--- a/region/cell.go
+++ b/region/cell.go
@@ -322,18 +322,13 @@
 // store is responsive.
 func (n *Node) runRegistration(ctx context.Context) {
 	lease := uint64(0)
-	responsive := false
 	for ctx.Err() == nil {
 		if !n.leaving.Load() {
 			lease = n.renewWithTimeout(ctx, lease)
 		} else if lease != 0 && n.Table.RevokeLease(ctx, lease) == nil {
 			lease = 0
 		}
-		if now := n.storeResponsive(); now != responsive {
-			responsive = now
-			n.Log.Info("store responsiveness changed", zap.Bool("answers", now))
-		}
-		if responsive {
+		if n.storeResponsive() {
 			duty.Sleep(ctx, nodeRenewInterval)
 		} else {
 			duty.Sleep(ctx, outageRenewDelay)
--- a/region/node.go
+++ b/region/node.go
@@ -47,10 +47,9 @@
 	// nodeTTL is the duration of the lease on an entry's own record, and nodeRenewInterval how
 	// often it is renewed. The renewals also show whether the store is responsive.
 	nodeTTL           = 4 * time.Second
-	nodeRenewInterval = 500 * time.Millisecond
-	// storeUnresponsiveAfter is how long the store may leave calls unanswered before the entry
-	// considers it unresponsive: two renewals.
-	storeUnresponsiveAfter = 1100 * time.Millisecond
+	nodeRenewInterval = 250 * time.Millisecond
+	// healthCheckInterval is how often it is checked whether the store answers.
+	healthCheckInterval = 50 * time.Millisecond
 	// outageRenewTimeout bounds a renewal while the store is unresponsive, and outageRenewDelay
 	// is the pause before the next. A call sent during an outage is not answered after it
 	// either, so only the next call shows that the store is back. A slow store takes about
@@ -91,8 +90,9 @@
 	prefetch    prefetcher
 	leadership  atomic.Pointer[leadership]
 	waiting     atomic.Pointer[waitingView]
-	lastContact atomic.Int64 // lastContact is when the store last answered, in nanoseconds after started.
-	storeBack   broadcast    // storeBack is sent when the store answers again.
+	health      storeHealth
+	storeBack   broadcast // storeBack is sent when the store answers again.
+	storeLost   broadcast // storeLost is sent when the store has become unresponsive.
 	started     time.Time
 	yielded     atomic.Pointer[time.Time] // yielded is when this entry last yielded the office to a stronger one.
 	stopping    atomic.Bool               // stopping is set when Stop begins.
@@ -114,13 +114,13 @@
 	n.keeper.Prepare()
 	n.accept.prepare(n)
 	n.settings.prepare(n)
-	n.lastContact.Store(-int64(time.Hour))
+	n.Table = observedTable{n.Table, &n.health}
 }
 
 // NoteStoreResponse records that the store has just answered.
 func (n *Node) NoteStoreResponse() {
 	wasResponsive := n.storeResponsive()
-	n.lastContact.Store(int64(time.Since(n.started)))
+	n.health.answered(time.Now())
 	if !wasResponsive {
 		n.storeBack.send()
 	}
@@ -150,16 +150,31 @@
 	}
 }
 
-// storeResponsive reports whether the store has answered a call lately.
+// storeResponsive reports whether the store answers this entry.
 func (n *Node) storeResponsive() bool {
-	return time.Since(n.started)-time.Duration(n.lastContact.Load()) < storeUnresponsiveAfter
+	return n.health.responsive(time.Now())
+}
+
+// runHealth watches whether the store answers this entry, until ctx ends.
+func (n *Node) runHealth(ctx context.Context) {
+	responsive := false
+	for ctx.Err() == nil {
+		if now := n.storeResponsive(); now != responsive {
+			responsive = now
+			n.Log.Info("store responsiveness changed", zap.Bool("answers", now))
+			if !now {
+				n.storeLost.send()
+			}
+		}
+		duty.Sleep(ctx, healthCheckInterval)
+	}
 }
 
 // Run runs the entry until ctx ends. Stop should have been called before that.
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, run := range []func(context.Context){
-		n.keeper.Run, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runPrefetch,
+		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runPrefetch,
 	} {
 		group.Go(func() { run(ctx) })
 	}
--- /dev/null
+++ b/region/storehealth_test.go
@@ -0,0 +1,82 @@
+package region
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// clockAt returns times relative to an arbitrary moment.
+func clockAt() func(ms int) time.Time {
+	begin := time.Now()
+	return func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+}
+
+// Guards against an entry that goes on sending submissions to a store that has become silent: after a
+// tenth of a second without an answer it must suspect that, and after silenceTimeout count on it.
+func TestSilentStoreIsSuspectedAndThenUnresponsive(t *testing.T) {
+	is := is.New(t)
+	at := clockAt()
+	var h storeHealth
+	is.True(!h.responsive(at(0))) // It was never called.
+	for i := range 20 {
+		id := h.begin(at(10 * i))
+		h.end(id, at(10*i+4), true, false)
+		h.answered(at(10*i + 4))
+	}
+	h.begin(at(1000))
+	is.True(!h.suspect(at(1090)))
+	is.True(h.suspect(at(1110)))
+	is.True(h.responsive(at(1590)))
+	is.True(!h.responsive(at(1610)))
+	h.answered(at(1620))
+	is.True(h.responsive(at(1630)))
+	is.True(!h.suspect(at(1630)))
+}
+
+// Guards against a slow store that counts as silent: once its round trips are known, a call that takes as
+// long as others must not hold submissions up.
+func TestSlowStoreIsNotSuspected(t *testing.T) {
+	is := is.New(t)
+	at := clockAt()
+	var h storeHealth
+	for i := range 20 {
+		id := h.begin(at(400 * i))
+		h.end(id, at(400*i+280), true, false)
+		h.answered(at(400*i + 280))
+	}
+	h.begin(at(9000))
+	is.True(!h.suspect(at(9280)))
+	is.True(h.suspect(at(9610)))
+}
+
+// Guards against an entry that goes on trying a store that turns it away, and against one that gives up
+// because of a single refusal.
+func TestStoreThatRefusesIsUnresponsive(t *testing.T) {
+	is := is.New(t)
+	at := clockAt()
+	var h storeHealth
+	h.answered(at(0))
+	h.end(h.begin(at(100)), at(104), false, true)
+	is.True(h.responsive(at(200)))
+	h.answered(at(210))
+	is.True(h.responsive(at(600)))
+	h.end(h.begin(at(700)), at(704), false, true)
+	h.end(h.begin(at(900)), at(904), false, true)
+	is.True(!h.responsive(at(1010)))
+}
+
+// Guards against a store whose answers are lost now and then and that counts as silent: an answer to a
+// later call shows that it is there.
+func TestLostAnswerIsForgottenWithTheNextAnswer(t *testing.T) {
+	is := is.New(t)
+	at := clockAt()
+	var h storeHealth
+	h.answered(at(0))
+	h.begin(at(100)) // Its answer is lost.
+	h.end(h.begin(at(400)), at(404), true, false)
+	h.answered(at(404))
+	is.True(h.responsive(at(900)))
+	is.True(!h.suspect(at(900)))
+}
