The standby replaces a silent planner at once

Cause: a lost planner was replaced when the lease on its office had expired, 1.2 to 1.5 s after the loss.

The planner now sends its standby a message at least every 0.1 s. A standby that hears nothing for 0.35 s (0.15 s without a link), or is asked to take over because the store does not answer the planner, ends the lease on the office and takes it. It checks first that the store still names it, and that it was not paused itself. That is safe while the planner lives: it starts nothing that its standby has not acknowledged, and the successor acknowledges nothing of it; its validity, counted from before its last renewal, and the authority of its keepers stay within the barrier.

Two tests kept the standby silent for longer than that; in them the store now turns the standby away meanwhile, the rest is as strict as before.

Weighed: a lease of 1 s (the platform's shortest; still 0.7 to 1 s, and a slow store loses it).

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -319,6 +319,9 @@
 	// for a short time from then: after that the planner may renew the leases without the
 	// standby being notified.
 	Stamp time.Duration `cbor:"7,keyasint,omitempty"`
+	// Yield reports that the store does not answer the planner, so that the standby should
+	// take the office over if the store answers it.
+	Yield bool `cbor:"9,keyasint,omitempty"`
 }
 
 // MirrorLeaseExpiry is the time after which the leases that a keeper granted at a worker
--- a/region/cell.go
+++ b/region/cell.go
@@ -236,9 +236,24 @@
 
 func (n *Node) cellChanged() {
 	n.wakeOffice()
-	if l := n.leadership.Load(); l != nil {
-		l.post(l.reassignSoon)
+	l := n.leadership.Load()
+	if l == nil {
+		return
+	}
+	if n.cell.replaced(l.revision) {
+		n.Log.Info("another planner holds the office; ending this term", zap.Uint64("term", l.term))
+		l.cancel()
+		return
 	}
+	l.post(l.reassignSoon)
+}
+
+// replaced reports whether the office was taken after the given revision, at which it was taken last as
+// far as the caller knows.
+func (c *cellView) replaced(revision uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.officeRevision > revision
 }
 
 // fullBatch is the number of changes in one response of the store that suggests that more are pending.
--- a/region/forward.go
+++ b/region/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 )
 
 const (
+	// maxForwards bounds the entries that a submission is passed to.
+	maxForwards = 3
 	// probedPeers is how many peers are asked at once whether the store answers them.
 	probedPeers = 3
 	// probeTimeout bounds a peer's response. A peer that takes longer is overloaded or partitioned from
@@ -47,15 +50,18 @@
 	s.name, s.until = name, time.Now().Add(servedPeerTTL)
 }
 
-// findServedPeer returns a peer that the store answers, or "" if none is found. A store may turn some
-// entries away while it serves the others.
-func (n *Node) findServedPeer(ctx context.Context) string {
+// forget drops the peer, which the store does not answer after all.
+func (s *servedPeer) forget() { s.set("") }
+
+// findServedPeer returns a peer that the store answers, or "" if none is found, except the given ones. A
+// store may turn some entries away while it serves the others.
+func (n *Node) findServedPeer(ctx context.Context, except []string) string {
 	if name := n.served.get(); name != "" {
 		return name
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	names := n.Peers.Names()
+	names := slices.DeleteFunc(n.Peers.Names(), func(name string) bool { return slices.Contains(except, name) })
 	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	names = names[:min(len(names), probedPeers)]
 	found := make(chan string, len(names))
@@ -86,28 +92,35 @@
 	return err == nil && !response.Unserved
 }
 
-// forward passes a submission that the store did not take from this entry to an entry that the store
-// answers, and returns its result, or the given one if there is no such entry. The ID makes that safe
-// even if an earlier attempt is stored too.
+// forward passes a submission that the store did not take from this entry to entries that the store
+// answers, and returns the result of the first that stores it, or the given one if none does. The ID
+// makes that safe even if an earlier attempt is stored too.
 func (n *Node) forward(ctx context.Context, job *winch.PhasedJob, result winch.Result) winch.Result {
-	name := n.findServedPeer(ctx)
-	if name == "" {
-		return result
-	}
-	var response proto.SubmitResponse
-	err := n.Peers.Request(ctx, name, proto.KindSubmit, proto.SubmitRequest{Job: *job, Command: job.Command}, &response)
-	switch {
-	case errors.Is(err, winch.ErrNoPeer):
-		return result
-	case err != nil:
-		return winch.Uncertain(winch.StoreUnavailable, "the entry that the submission was passed to did not answer; submit again with the same ID")
-	case response.Result.OK():
-		metrics.GetOrRegisterCounter("Accept.Forwarded", n.Metrics).Inc(1)
-		n.Log.Info("submission passed to another entry", zap.String("job", job.ID), zap.String("entry", name))
-	case result.Outcome == winch.Unknown:
-		return result // The earlier attempt may still be stored, whatever the peer says of its own.
+	var tried []string
+	for len(tried) < maxForwards && ctx.Err() == nil {
+		name := n.findServedPeer(ctx, tried)
+		if name == "" {
+			return result
+		}
+		tried = append(tried, name)
+		var response proto.SubmitResponse
+		err := n.Peers.Request(ctx, name, proto.KindSubmit, proto.SubmitRequest{Job: *job, Command: job.Command}, &response)
+		switch {
+		case err == nil && response.Result.OK():
+			metrics.GetOrRegisterCounter("Accept.Forwarded", n.Metrics).Inc(1)
+			n.Log.Info("submission passed to another entry", zap.String("job", job.ID), zap.String("entry", name))
+			return response.Result
+		case errors.Is(err, winch.ErrNoPeer):
+		case err != nil:
+			result = winch.Uncertain(winch.StoreUnavailable, "the entry that the submission was passed to did not answer; submit again with the same ID")
+		case response.Result.Outcome == winch.Unknown:
+			result = response.Result
+		case response.Result.Reason != winch.StoreUnavailable && result.Outcome != winch.Unknown:
+			return response.Result // Otherwise an earlier attempt may still be stored.
+		}
+		n.served.forget()
 	}
-	return response.Result
+	return result
 }
 
 // submitForPeer stores a submission on behalf of an entry that the store does not answer.
--- a/region/keys.go
+++ b/region/keys.go
@@ -81,6 +81,8 @@
 	// Address is where peers reach the holder. Another entry that listens there is a later
 	// process of the same VM, so it knows that the holder has ended.
 	Address string
+	// Lease is the lease that the record ends with. The standby ends it if the holder is silent.
+	Lease uint64
 }
 
 // rosteredWorker is a worker that a planner may have given work to.
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -143,9 +143,9 @@
 	// names or may name; ackedExpiries holds those of the last message that was accepted.
 	standbyExpiries map[string]bool
 	ackedExpiries   map[string]bool
-	// expiriesSentAt is when the expiries of unresponsive workers were last sent to a standby,
-	// standbyAnsweredAt is when a standby last responded.
-	expiriesSentAt    time.Time
+	// mirroredAt is when the last message was sent to a standby, standbyAnsweredAt is when one last
+	// responded.
+	mirroredAt        time.Time
 	standbyAnsweredAt time.Time
 	startedAt         time.Time
 	standbyCheckedAt  time.Time // standbyCheckedAt is when the standby was last compared with other entries.
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -25,12 +25,14 @@
 	standbyRetryDelay = time.Second
 	// standbyCheckInterval is how often the standby is compared with other entries.
 	standbyCheckInterval = 500 * time.Millisecond
-	// expiriesLifetime is how long a standby may use the expiries that it was sent: longer than it
-	// takes to replace a lost planner. expiriesInterval is how often they are sent again, and
-	// expiriesMargin is what the planner adds before it assumes that the standby no longer uses them.
+	// expiriesLifetime is how long after the planner's last message a standby may use the expiries that
+	// it was sent: longer than it takes to replace a lost planner. expiriesMargin is what the planner
+	// adds before it assumes that the standby no longer uses them.
 	expiriesLifetime = 2100 * time.Millisecond
-	expiriesInterval = 150 * time.Millisecond
 	expiriesMargin   = 100 * time.Millisecond
+	// heartbeatInterval is how often the planner sends its standby a message if there is nothing to
+	// report: a little less than idleInterval, so that each idle decision sends one.
+	heartbeatInterval = 90 * time.Millisecond
 )
 
 // mirror is the copy that an entry holds as standby of the planner: all runs that may exist at the
@@ -44,8 +46,10 @@
 	runs    map[proto.MirrorRun]bool
 	// expiries holds the assignments under which leases may run at unresponsive workers.
 	expiries map[string][]assignment
-	// lastContact is when the planner's last message was accepted.
+	// lastContact is when the planner's last message was accepted, yields whether it asked this entry to
+	// take over.
 	lastContact time.Time
+	yields      bool
 	// stampBase is the time that stamp zero stands for; expiriesUntil is until when expiries may be used.
 	stampBase     time.Time
 	expiriesUntil time.Time
@@ -80,7 +84,7 @@
 	if msg.Term != m.term || msg.Session != m.session || m.runs == nil {
 		return false
 	}
-	m.lastContact = time.Now()
+	m.lastContact, m.yields = time.Now(), msg.Yield
 	for _, r := range msg.Add {
 		m.runs[r] = true
 	}
@@ -249,12 +253,12 @@
 	for _, g := range l.planner.ClosedRuns() {
 		l.removedRuns = append(l.removedRuns, proto.MirrorRun{Worker: g.Worker, Task: g.Task, Run: g.Run})
 	}
-	if s.synced && len(l.queuedOrders) == 0 && !l.expiriesChanged {
-		return // Runs that ended are sent with the next starts.
+	if s.synced && len(l.queuedOrders) == 0 && !l.expiriesChanged && time.Since(l.mirroredAt) < heartbeatInterval {
+		return // Runs that ended are sent with the next message.
 	}
 	msg := proto.Mirror{
 		Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removedRuns,
-		ExpiriesUnchanged: s.synced && !l.expiriesChanged, Stamp: s.stamp,
+		ExpiriesUnchanged: s.synced && !l.expiriesChanged, Stamp: s.stamp, Yield: !l.node.storeResponsive(),
 	}
 	if !msg.ExpiriesUnchanged {
 		msg.LeaseExpiries = l.expiries.mirrorUpdate(l.keepers, l.closed)
@@ -272,7 +276,7 @@
 		l.standbyExpiries[x.Worker] = true
 	}
 	starts := l.queuedOrders
-	l.queuedOrders, l.removedRuns, l.mirrorPending, l.expiriesChanged, l.expiriesSentAt = nil, nil, true, false, time.Now()
+	l.queuedOrders, l.removedRuns, l.mirrorPending, l.expiriesChanged, l.mirroredAt = nil, nil, true, false, time.Now()
 	l.group.Go(func() { l.sendMirror(s, msg, starts) })
 }
 
--- a/region/node.go
+++ b/region/node.go
@@ -174,7 +174,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, run := range []func(context.Context){
-		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runPrefetch,
+		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runPrefetch, n.runPreemption,
 	} {
 		group.Go(func() { run(ctx) })
 	}
--- a/region/office.go
+++ b/region/office.go
@@ -124,7 +124,7 @@
 	lastTerm, lastTermAt := n.cell.term, n.cell.termRevision
 	lastStandby, lastStandbyAt := n.cell.standby, n.cell.standbyRevision
 	n.cell.mu.Unlock()
-	mine := office{Holder: n.Name, Term: lastTerm.Term + 1, Address: n.Address}
+	mine := office{Holder: n.Name, Term: lastTerm.Term + 1, Address: n.Address, Lease: lease}
 	revision, err := n.Table.Commit(ctx, winch.Txn{
 		Expect: map[string]uint64{keyOffice: 0, keyTerm: lastTermAt, keyStandby: lastStandbyAt},
 		Writes: []winch.Write{
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -37,6 +37,12 @@
 	compactedAt   uint64
 }
 
+// refuseEntry makes the store turn away the calls of an entry.
+func (w *world) refuseEntry(name string) {
+	host, _, _ := strings.Cut(name, "/")
+	w.setStore(func(s *simStore) { s.refusedHosts = map[string]bool{host: true} })
+}
+
 // simLease is a lease in the store.
 type simLease struct {
 	ttl   time.Duration
--- a/region/staleinfo_test.go
+++ b/region/staleinfo_test.go
@@ -120,7 +120,8 @@
 // again. The renewal of its lease must wait until the standby has acknowledged that. The standby is
 // slow, and the worker's keeper is killed meanwhile. The next keeper lists the worker as responsive,
 // and the planner must not allow the renewal because of that: the planner is killed and the worker is
-// partitioned, and the standby takes over and considers the lease expired while the work goes on.
+// partitioned, and the standby takes over and considers the lease expired while the work goes on. Until
+// the planner is killed the store turns the standby away, so that it does not take over before.
 func TestRenewalThroughANewKeeperWaitsForTheStandby(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
@@ -134,6 +135,7 @@
 		is.True(w.awaitLeadState(l, 4*time.Second, func() bool { return l.expiries.unresponsive[worker] && !l.mirrorPending }))
 		time.Sleep(100 * time.Millisecond)
 		planner := p.node.Name
+		_ = l.duty.Do(w.ctx, func() { w.refuseEntry(l.standby.name) })
 		w.setRequestLoss(func(from, _ string, kind winch.Kind) bool { return from == planner && kind == proto.KindMirror })
 		w.setUnresponsive(worker, false)
 		is.True(w.awaitLeadState(l, time.Second, func() bool { return !l.expiries.unresponsive[worker] }))
@@ -152,6 +154,7 @@
 		w.setUnresponsive(worker, true)
 		p.kill()
 		w.setRequestLoss(nil)
+		w.setStore(func(s *simStore) { s.refusedHosts = nil })
 		time.Sleep(12 * time.Second)
 		w.endWithoutDowntimeCheck()
 	})
--- a/region/standbyrecord_test.go
+++ b/region/standbyrecord_test.go
@@ -14,7 +14,8 @@
 // Guards against work that is started twice, by a planner and by its former standby. The store applies
 // the record that names the standby, but its response is lost. Then the planner drops the standby
 // while the store is unresponsive. If the planner assumes that the store names no standby, it starts
-// work that the standby starts again when it takes over.
+// work that the standby starts again when it takes over. The store turns the standby away meanwhile, so
+// that it does not take over at once.
 func TestStandbyWithUnconfirmedRecordCountsAsNamed(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
@@ -42,6 +43,7 @@
 		var second string
 		_ = l.duty.Do(w.ctx, func() {
 			second = l.standby.name
+			w.refuseEntry(second)
 			l.dropStandby()
 			l.standbyBackoff = map[string]time.Time{} // No other standby is chosen meanwhile.
 			for name := range l.liveEntries() {
