Changed addresses of peers are dialled at once

Cause: an entry looked every 0.5 s for peers that it has no link to.

The mesh now looks as soon as the entries' records change, 20 ms gathered.

--- a/region/cell.go
+++ b/region/cell.go
@@ -236,6 +236,9 @@
 
 func (n *Node) cellChanged() {
 	n.wakeOffice()
+	if n.OnCellChange != nil {
+		n.OnCellChange()
+	}
 	l := n.leadership.Load()
 	if l == nil {
 		return
--- a/region/node.go
+++ b/region/node.go
@@ -78,6 +78,8 @@
 	Peers   winch.Peers
 	Log     *zap.Logger
 	Metrics metrics.Registry
+	// OnCellChange, if set, is called after changes of the other entries' records.
+	OnCellChange func()
 
 	cell        cellView
 	settings    settings
--- a/server/region.go
+++ b/server/region.go
@@ -80,6 +80,7 @@
 	s.Mesh.Handler = s.Node.Handle
 	s.Mesh.FirstMessage = s.Node.First
 	s.Mesh.Addresses = s.Node.PeerAddresses
+	s.Node.OnCellChange = s.Mesh.DialSoon
 	s.Mesh.OnLinkChange = func(hello proto.Hello, up bool) {
 		s.Log.Info("peer connection changed", zap.String("peer", hello.Entry), zap.String("domain", hello.Domain), zap.Bool("up", up))
 		s.Node.LinkChanged()
--- a/trans/peer/peer.go
+++ b/trans/peer/peer.go
@@ -38,6 +38,9 @@
 	maxFrameSize = 4 << 20
 	// redialInterval is the delay between attempts to connect to a peer.
 	redialInterval = 500 * time.Millisecond
+	// dialGatherDelay is how long DialSoon waits for further changes: hundreds of peers may start at
+	// once, and each look goes over all of them.
+	dialGatherDelay = 20 * time.Millisecond
 	// sendTimeout limits a write; it ends a link whose peer no longer reads.
 	sendTimeout = 5 * time.Second
 	// maxBatchFrames and maxBatchBytes limit the frames sent in one WebSocket message.
@@ -66,6 +69,7 @@
 	OnLinkChange func(hello proto.Hello, up bool)
 
 	mu      sync.Mutex
+	dialNow chan struct{} // dialNow is closed by DialSoon; nil if nothing waits for that.
 	links   map[string]*link
 	claimed map[string]bool // claimed holds the addresses that a goroutine dials or has a link to.
 	blocked map[string]bool // blocked holds the peers named by Partition.
@@ -115,14 +119,41 @@
 	return out
 }
 
+// DialSoon makes the mesh dial at once the peers that it has no link to, for example because the set of
+// addresses has changed.
+func (m *Mesh) DialSoon() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dialNow != nil {
+		close(m.dialNow)
+		m.dialNow = nil
+	}
+}
+
+// pause waits for redialInterval, or until DialSoon is called or ctx ends.
+func (m *Mesh) pause(ctx context.Context) {
+	m.mu.Lock()
+	if m.dialNow == nil {
+		m.dialNow = make(chan struct{})
+	}
+	wake := m.dialNow
+	m.mu.Unlock()
+	timer := time.NewTimer(redialInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-wake:
+		sleep(ctx, dialGatherDelay)
+	}
+}
+
 // Run connects to peers until ctx ends.
 func (m *Mesh) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer m.closeAccepted()
-	tick := time.NewTicker(redialInterval)
-	defer tick.Stop()
-	for {
+	for ctx.Err() == nil {
 		for _, address := range m.Addresses() {
 			if m.claim(address) {
 				group.Go(func() {
@@ -131,11 +162,7 @@
 				})
 			}
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+		m.pause(ctx)
 	}
 }
 
@@ -159,12 +186,12 @@
 	delete(m.claimed, address)
 }
 
-// connect dials an address once and runs the link until it breaks.
+// connect dials an address once and runs the link until it breaks. Run dials it again with its next look
+// at the addresses.
 func (m *Mesh) connect(ctx context.Context, address string) {
 	l, err := m.dial(ctx, address)
 	if err != nil {
 		metrics.GetOrRegisterCounter("Peer.DialFailed", m.Metrics).Inc(1)
-		sleep(ctx, redialInterval)
 		return
 	}
 	if m.FirstMessage != nil {
