A free office is taken soon: rank by VM, bounded delay

Cause: an entry waits 25 ms for each entry ranked before it.

The rank is now that of the VM, and the delay of the ranks from the ninth on is bounded: 0.2 s and up to 0.3 s more at random, so that some ten of 300 entries try in the 10 ms until the office is seen as taken.

Ruled out: no rank at all (300 calls at once, weak entries take it).

Tests with fake records, no network: bound, spread, rank.

--- a/region/office.go
+++ b/region/office.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -16,6 +17,11 @@
 	// rankDelay is how much later each entry tries to take a free office than the entry ranked before
 	// it: the time of two calls to the store.
 	rankDelay = 25 * time.Millisecond
+	// maxRanks bounds the entries that each have a delay of their own. The others wait a little longer
+	// than these, spread over spreadDelay: of hundreds of entries only some then try before they see that
+	// the office is taken.
+	maxRanks    = 8
+	spreadDelay = 300 * time.Millisecond
 	// weakDelay is how much longer an entry on a weak VM waits. When all entries start at once, the
 	// strong ones are known from their last records and may be slower.
 	weakDelay = 600 * time.Millisecond
@@ -77,13 +83,16 @@
 }
 
 // electionDelay returns how long this entry leaves a free office to others: to those ranked before it,
-// and longer to those that can plan better.
+// and longer to those that can plan better. It is bounded, since those before it may all be lost.
 func (n *Node) electionDelay() time.Duration {
 	rank := n.rank()
-	wait := time.Duration(rank) * rankDelay
+	wait := time.Duration(min(rank, maxRanks)) * rankDelay
 	if rank == 0 {
 		return wait
 	}
+	if rank > maxRanks {
+		wait += rand.N(spreadDelay)
+	}
 	if !strong(n.Share, maxShare(slices.Values(n.cell.list()))) {
 		wait += weakDelay
 	}
@@ -104,7 +113,7 @@
 	}
 	list := n.cell.list()
 	for i, m := range list {
-		if m.Name == n.Name {
+		if m.Node == n.Host { // The record may still be that of an earlier boot.
 			return i + 1
 		}
 	}
