Tasks of a job start in one failure domain while it has capacity

A job now has a home domain by its ID; other domains score lower by more than free shares can differ, so they get what does not fit there. Lasting tasks and tasks with data in a rack have no home.

--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -118,6 +118,7 @@
 		t.urgent.beginCount()
 	}
 	p.measurePools()
+	p.updateDomains()
 	p.sortReady(now, adopting)
 	for _, x := range p.pools {
 		x.urgent.endCount(now)
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -69,6 +69,7 @@
 	assignedRuns uint64
 	// evacuated holds the evacuated failure domains.
 	evacuated map[string]bool
+	domains   []string // domains holds the failure domains with usable workers, as of the last Schedule.
 	// pools holds the capacity and the urgent demand of the workers of each service.
 	pools map[string]*pool
 	// reservedWorkers lists the workers with capacity that the last Schedule reserved for phases
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -21,6 +21,7 @@
 	visibleState winch.JobState
 	cancelled    bool
 	begun        bool
+	home         string // home is the failure domain that tasks prefer, see homeDomain.
 	// excess is set if the job exceeded its team's share when it was accepted.
 	excess bool
 	// adopted is set if runs of an earlier planner were found.
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -297,6 +297,9 @@
 	retryPenalty = 2.0
 	// remotePenalty keeps a task near its data: elsewhere it takes several times as long.
 	remotePenalty = 4.0
+	// awayPenalty keeps a task in its job's home domain while that has capacity: shares of free
+	// processors differ by less.
+	awayPenalty = 1.0
 	// interferencePenalty keeps filling tasks off workers with tasks that have a latency target
 	// and vice versa, because they slow each other down.
 	interferencePenalty = 3.0
@@ -315,6 +318,9 @@
 	if s.spec.Rack != "" && s.spec.Rack != w.vm.Rack {
 		score -= remotePenalty
 	}
+	if home := p.homeDomain(s); home != "" && home != w.vm.Domain {
+		score -= awayPenalty
+	}
 	if s.spec.SameRack && s.usesOtherRack(w.vm.Rack) {
 		score -= remotePenalty
 	}
--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -33,6 +33,8 @@
 	LateLast bool
 	// Ahead requests advice about a phase while the preceding phases run.
 	Ahead bool
+	// HomeDomain starts the tasks of a job in one failure domain while it has capacity.
+	HomeDomain bool
 	// Moves moves lasting tasks away from workers that are about to leave.
 	Moves bool
 	// Isolate starts tasks under which a worker crashed separately from others, and gives up those
@@ -45,7 +47,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true,
-		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true, Ahead: true, Isolate: true,
+		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true, Ahead: true, Isolate: true, HomeDomain: true,
 	}
 }
 
