Fewer looks at workers that show nothing

Pauses between failed holds now grow from 0.1 to 0.8 s, not beyond the lease, and end when another worker of the domain responds; a hold waits 0.2 s for a record (0.14) and 0.7 s while answers are lost (0.3).

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -15,6 +15,7 @@
 // renewLoop sends holds to the worker until the worker's lease is guaranteed to have expired, the
 // worker knows a newer token, another boot responds, or the assignment ends.
 func (h *holder) renewLoop(ctx context.Context) {
+	failures := 0 // failures counts the failed holds in a row.
 	for ctx.Err() == nil {
 		if h.keeper.authorityLeft() <= 0 {
 			// No lease may be renewed without the planner's authority. A new planner
@@ -31,6 +32,7 @@
 			err = winch.ErrOtherBoot
 		}
 		if err == nil {
+			failures = 0
 			h.handleResponse(sent, resp)
 			h.waitForRenewal(ctx)
 			h.waitForRecording(ctx)
@@ -42,7 +44,50 @@
 		if h.handleFailure(err) {
 			return
 		}
-		duty.Sleep(ctx, retryDelay)
+		failures++
+		h.waitForRetry(ctx, failures)
+	}
+}
+
+// waitForRetry waits before the next hold at an unresponsive worker: longer with each failure, but not
+// beyond the expiry of its lease, and not once another worker of its failure domain responds again.
+func (h *holder) waitForRetry(ctx context.Context, failures int) {
+	delay := min(retryDelay<<min(failures-1, maxRetryDoublings), maxRetryDelay)
+	h.mu.Lock()
+	if left := time.Until(h.leaseExpiry()); left > 0 {
+		delay = min(delay, left+time.Millisecond)
+	}
+	h.mu.Unlock()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-h.keeper.domainBack(h.vm.Domain):
+	}
+}
+
+// maxRetryDoublings bounds how often retryDelay is doubled.
+const maxRetryDoublings = 5
+
+// domainBack returns a channel that is closed when an unresponsive worker of a failure domain responds
+// again: the domain may have been partitioned, and then all its workers respond again.
+func (k *Keeper) domainBack(domain string) <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.back[domain] == nil {
+		k.back[domain] = make(chan struct{})
+	}
+	return k.back[domain]
+}
+
+// notifyDomainBack wakes the holders that wait for a failure domain.
+func (k *Keeper) notifyDomainBack(domain string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if ch := k.back[domain]; ch != nil {
+		close(ch)
+		delete(k.back, domain)
 	}
 }
 
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -26,16 +26,18 @@
 	// recordTimeout bounds how long the next hold is delayed until the listed completions
 	// are recorded. A worker responds at once as long as it lists completions, so a hold
 	// sent earlier would only return the same ones again.
-	recordTimeout = 140 * time.Millisecond
+	recordTimeout = 200 * time.Millisecond
 	// lossyHoldWait replaces holdWait while responses are being lost: after a lost response
 	// the keeper learns of the worker's completions only with the next hold.
-	lossyHoldWait = 300 * time.Millisecond
+	lossyHoldWait = 700 * time.Millisecond
 	// noRenewalHoldWait replaces holdWait while the lease may not be renewed yet, and
 	// renewalTimeout bounds how long the next hold is delayed for that permission.
 	noRenewalHoldWait = 300 * time.Millisecond
 	renewalTimeout    = 150 * time.Millisecond
-	// retryDelay is the delay after a failed call.
-	retryDelay = 100 * time.Millisecond
+	// retryDelay is the delay after a failed call. It doubles with each further failed hold in a row, up
+	// to maxRetryDelay: each hold is a look at the worker.
+	retryDelay    = 100 * time.Millisecond
+	maxRetryDelay = 800 * time.Millisecond
 	// startTimeout is how long after it was sent a worker accepts a start. It is short, so
 	// that a start delayed in the network is refused on arrival.
 	startTimeout = 1200 * time.Millisecond
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -66,10 +66,12 @@
 	// already: a later planner starts from a stored record that may be older than what the
 	// earlier planner knew.
 	lastEnded map[string]endedAssignment
-	wake      chan struct{}
-	group     *conc.WaitGroup
-	ctx       context.Context
-	stopped   bool // stopped reports that Run has ended and no worker is managed anymore.
+	// back holds, by failure domain, the channel that domainBack has returned.
+	back    map[string]chan struct{}
+	wake    chan struct{}
+	group   *conc.WaitGroup
+	ctx     context.Context
+	stopped bool // stopped reports that Run has ended and no worker is managed anymore.
 }
 
 // endedAssignment is an assignment that has ended. At leaseExpiry the leases granted under
@@ -87,6 +89,7 @@
 	k.holders = make(map[string]*holder)
 	k.byToken = make(map[uint64]*holder)
 	k.lastEnded = make(map[string]endedAssignment)
+	k.back = make(map[string]chan struct{})
 	k.wake = make(chan struct{}, 1)
 	k.group = conc.NewWaitGroup()
 	k.ctx = context.Background()
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -32,6 +32,7 @@
 	// maxForget is the largest Forget of the holds since the last boot.
 	maxForget uint64
 	stops     int
+	tries     int // tries counts the holds, also those without a response.
 }
 
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.begin) }
@@ -43,6 +44,7 @@
 
 func (w *fakeWorker) Hold(ctx context.Context, _ winch.WorkerVM, c winch.HoldRequest) (winch.HoldResponse, error) {
 	w.mu.Lock()
+	w.tries++
 	if w.unresponsive {
 		w.mu.Unlock()
 		return w.wait(ctx)
--- a/coord/keep/lists.go
+++ b/coord/keep/lists.go
@@ -13,6 +13,9 @@
 func (h *holder) handleResponse(sent time.Time, resp winch.HoldResponse) {
 	for _, e := range h.applyLists(sent, resp) {
 		h.emit(e)
+		if e.Kind == proto.EventResponsive {
+			h.keeper.notifyDomainBack(h.vm.Domain)
+		}
 	}
 }
 
