The test of woken holders reads their pause from a channel

Ruled out: a race in the keeper (both accesses of the report are in the test file).

The assertion is the same.

--- a/coord/keep/retry_test.go
+++ b/coord/keep/retry_test.go
@@ -43,17 +43,16 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		r := newFixture(ctx)
 		time.Sleep(time.Second)
-		woken := time.Duration(-1)
+		woken := make(chan time.Duration, 1)
 		begin := time.Now()
 		h := r.keeper.holders["w"]
 		r.keeper.group.Go(func() {
 			h.waitForRetry(ctx, 4)
-			woken = time.Since(begin)
+			woken <- time.Since(begin)
 		})
 		time.Sleep(100 * time.Millisecond)
 		r.keeper.notifyDomainBack(h.vm.Domain)
-		time.Sleep(time.Second)
-		is.Equal(woken, 100*time.Millisecond)
+		is.Equal(<-woken, 100*time.Millisecond)
 		r.end(cancel)
 	})
 }
