place: the report of an earlier attempt ends no later one

Cause: TaskEnded compared the worker only. A task that is stopped and started again at the same worker has two attempts there; a second report of the first one ended the run of the second, and the task was started a third time beside it. Callers would have seen a task run twice. The office drops reports that it has handled already, so none was seen in a run; after the ledger has confirmed a completion that memory is gone.

Ruled out: the same for foreign tasks (released by attempt) and for missing ones (compared already).

Before: TestReportOfAnEarlierAttemptAtTheSameWorkerIsIgnored fails, 3 starts for 2. After: passes. The rig of the tests now passes attempt numbers, as workers do; no assertion changed.

--- a/coord/place/ended.go
+++ b/coord/place/ended.go
@@ -61,15 +61,15 @@
 }
 
 // TaskEnded handles a task that has ended at its worker or was lost with it. A worker
-// that was considered lost may report the completion of a task that has since been
-// started elsewhere. Such a report must not end the new attempt.
+// may report the completion of an attempt that was considered lost after the task was
+// started again, there or elsewhere. Such a report must not end the new attempt.
 func (p *Planner) TaskEnded(vmID string, task winch.Task, now time.Time) []Decision {
 	p.releaseForeign(vmID, task.Ref())
 	t := p.findTask(task.ID)
 	if t == nil {
 		return p.adoptEnded(vmID, task, now)
 	}
-	if t.node.vm.ID != vmID {
+	if t.node.vm.ID != vmID || t.attempt != task.Attempt {
 		return nil
 	}
 	j := t.job
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -62,6 +62,7 @@
 	limits  *fakeLimits
 	now     time.Time
 	running map[winch.TaskID]string
+	attempt map[winch.TaskID]int
 	starts  map[winch.TaskID]int
 	results map[string]Completion
 }
@@ -69,7 +70,7 @@
 func newRig(workers int, size winch.Resources) *rig {
 	r := &rig{
 		limits: &fakeLimits{limit: make(map[string]int), used: make(map[string]int)}, now: startTime,
-		running: make(map[winch.TaskID]string), starts: make(map[winch.TaskID]int), results: make(map[string]Completion),
+		running: make(map[winch.TaskID]string), attempt: make(map[winch.TaskID]int), starts: make(map[winch.TaskID]int), results: make(map[string]Completion),
 	}
 	r.Planner = NewPlanner(r.limits, func(name string) winch.Team { return winch.Team{Name: name, Share: 1} })
 	for i := range workers {
@@ -117,7 +118,7 @@
 
 func (r *rig) do(d Decision) {
 	if d.Action == Start {
-		r.running[d.Task.ID] = d.VM.ID
+		r.running[d.Task.ID], r.attempt[d.Task.ID] = d.VM.ID, d.Task.Attempt
 		r.starts[d.Task.ID]++
 		r.StartConfirmed(d.Task.Ref())
 		return
@@ -131,7 +132,7 @@
 		return
 	}
 	delete(r.running, id)
-	for _, d := range r.TaskEnded(vm, winch.Task{ID: id, State: state}, r.now) {
+	for _, d := range r.TaskEnded(vm, winch.Task{ID: id, Attempt: r.attempt[id], State: state}, r.now) {
 		r.do(d)
 	}
 	r.collect()
@@ -215,7 +216,7 @@
 	out := r.Plan(r.now, 10)
 	is.Equal(len(out), 2)
 	r.StartRefused(out[0].Task.Ref(), r.now)
-	r.TaskEnded(out[1].VM.ID, winch.Task{ID: out[1].Task.ID, State: winch.TaskStopped}, r.now)
+	r.TaskEnded(out[1].VM.ID, winch.Task{ID: out[1].Task.ID, Attempt: out[1].Task.Attempt, State: winch.TaskStopped}, r.now)
 	r.collect()
 	is.Equal(r.results["gang"].State, winch.JobUnknown)
 }
@@ -303,7 +304,7 @@
 			if end == "cancelled" {
 				r.Cancel("gang")
 			} else {
-				r.TaskEnded(out[1].VM.ID, winch.Task{ID: out[1].Task.ID, State: winch.TaskFailed}, r.now)
+				r.TaskEnded(out[1].VM.ID, winch.Task{ID: out[1].Task.ID, Attempt: out[1].Task.Attempt, State: winch.TaskFailed}, r.now)
 			}
 			r.StartRefused(out[0].Task.Ref(), r.now)
 			if end == "cancelled" {
@@ -499,13 +500,13 @@
 	r.submit("j", "choir", deferred, winch.Batch, 1, 1, time.Minute)
 	r.plan()
 	id := winch.TaskID{Job: "j"}
-	first := r.running[id]
+	first, attempt := r.running[id], r.attempt[id]
 	r.RemoveWorker(first, r.now)
 	r.plan()
 	is.True(r.running[id] != first)
 	r.SetVM(winch.VM{ID: first, Size: size8})
 	r.Reconcile(first, nil, r.now)
-	r.TaskEnded(first, winch.Task{ID: id, State: winch.TaskStopped}, r.now)
+	r.TaskEnded(first, winch.Task{ID: id, Attempt: attempt, State: winch.TaskStopped}, r.now)
 	r.plan()
 	is.Equal(r.starts[id], 2)
 	r.end(id, winch.TaskDone)
@@ -603,3 +604,22 @@
 		is.Equal(vm, "w1")
 	}
 }
+
+// Guards against a late report of an earlier attempt that ends the attempt running now at the same
+// worker: the task would start again beside its own run.
+func TestReportOfAnEarlierAttemptAtTheSameWorkerIsIgnored(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, size8)
+	r.submit("j", "choir", deferred, winch.Batch, 1, 1, time.Minute)
+	r.plan()
+	id := winch.TaskID{Job: "j"}
+	earlier := winch.Task{ID: id, Attempt: r.attempt[id], State: winch.TaskStopped}
+	r.end(id, winch.TaskStopped)
+	r.plan()
+	is.Equal(r.starts[id], 2)
+	r.TaskEnded("w0", earlier, r.now)
+	r.plan()
+	is.Equal(r.starts[id], 2)
+	r.end(id, winch.TaskDone)
+	is.Equal(r.results["j"].State, winch.JobDone)
+}
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -145,7 +145,7 @@
 		p.releaseForeign(vmID, a)
 	}
 	for _, t := range sortedTasks(n) {
-		p.TaskEnded(vmID, winch.Task{ID: t.id, State: winch.TaskStopped}, now)
+		p.TaskEnded(vmID, winch.Task{ID: t.id, Attempt: t.attempt, State: winch.TaskStopped}, now)
 	}
 	p.index.remove(n)
 	p.size = p.size.Sub(n.vm.Size)
