lanes: the lane of an entry that has left is gone with its last request

Cause: SetLanes keeps a lane with a pending request and deleted it only at the next change of the entries; between the two, requests for advice went to an entry that had left, and each waited for its timeout. Seen in the code, not in a run.

Before: TestRemovedLaneIsNotUsedAfterItsRequest fails (a request goes to the removed lane); after: passes. TestReturnedLaneIsUsedAfterItsRequest guards the case that the entry comes back first; it passed before, too.

--- a/coord/lanes/lanes.go
+++ b/coord/lanes/lanes.go
@@ -65,17 +65,19 @@
 type lane struct {
 	busy         bool
 	urgent       bool
+	removed      bool // removed is set on a busy lane whose entry has left; Done deletes it.
 	backoffUntil time.Time
 }
 
 // SetLanes sets the names of the lanes. A lane that is removed while a request is pending
-// there still needs a Done for it, and is deleted by the first SetLanes after that.
+// there still needs a Done for it.
 func (l *Lanes[T]) SetLanes(names []string) {
 	if l.lanes == nil {
 		l.lanes = make(map[string]*lane)
 	}
 	for name, x := range l.lanes {
-		if !slices.Contains(names, name) && !x.busy {
+		x.removed = !slices.Contains(names, name)
+		if x.removed && !x.busy {
 			delete(l.lanes, name)
 		}
 	}
@@ -185,4 +187,7 @@
 	if !ok {
 		x.backoffUntil = now.Add(failureBackoff)
 	}
+	if x.removed {
+		delete(l.lanes, name)
+	}
 }
--- a/coord/lanes/lanes_test.go
+++ b/coord/lanes/lanes_test.go
@@ -93,3 +93,41 @@
 	_, _, ok = l.Next(now.Add(failureBackoff + time.Millisecond))
 	is.True(ok)
 }
+
+// Guards against a request to an entry that has left: its lane must not be used again after the request
+// that was pending there.
+func TestRemovedLaneIsNotUsedAfterItsRequest(t *testing.T) {
+	is := is.New(t)
+	var l Lanes[int]
+	l.SetLanes([]string{"a"})
+	now := time.Unix(0, 0)
+	l.Add(Request[int]{Body: 1})
+	name, _, ok := l.Next(now)
+	is.True(ok)
+	l.SetLanes([]string{"b"})
+	l.Done(name, true, now)
+	now = now.Add(time.Millisecond)
+	l.Add(Request[int]{Body: 2})
+	name, _, ok = l.Next(now)
+	is.True(ok)
+	is.Equal(name, "b")
+}
+
+// Guards against a lane lost for good: an entry that leaves and comes back while its request is pending
+// has one lane, used again after that request.
+func TestReturnedLaneIsUsedAfterItsRequest(t *testing.T) {
+	is := is.New(t)
+	var l Lanes[int]
+	l.SetLanes([]string{"a"})
+	now := time.Unix(0, 0)
+	l.Add(Request[int]{Body: 1})
+	name, _, _ := l.Next(now)
+	l.SetLanes(nil)
+	l.SetLanes([]string{"a"})
+	l.Add(Request[int]{Body: 2})
+	_, _, ok := l.Next(now.Add(time.Millisecond))
+	is.True(!ok)
+	l.Done(name, true, now)
+	_, _, ok = l.Next(now.Add(time.Millisecond))
+	is.True(ok)
+}
