swap: a write overtaken by many others is uncertain, not applied again

Cause: a value keeps the marks of its newest 64 writes. If that many others came between a lost response and the read that looks for the mark, Update took the write for lost and applied it again: a team's limit would have been charged twice. Documented so far, not prevented.

Ways: more marks (moves the bound only); a counter per writer in each value (grows with the entries); kept: the mark of the base value tells whether any mark can have been dropped, and if so, and ours isn't there, the outcome is ErrUncertain, which all callers handle.

Before: TestUpdateIsNotAppliedTwiceAfterManyOtherWrites fails for 64 and 128 others (65 + 1 applied); after: passes for 1, 63, 64, 128.

--- a/state/swap/swap.go
+++ b/state/swap/swap.go
@@ -15,9 +15,9 @@
 	"plantainwinch/winch"
 )
 
-// maxMarks is the number of marks that a value keeps. If more than this many other
-// writes come between a lost response and the read that looks for its mark, the mark
-// is no longer found and the change is applied a second time.
+// maxMarks is the number of marks that a value keeps. If this many other writes come
+// between a lost response and the read that looks for its mark, the outcome is
+// reported as uncertain.
 const maxMarks = 64
 
 // MaxAttempts limits the attempts of one update.
@@ -41,6 +41,10 @@
 	marks   []string
 }
 
+// errResponseLost is the outcome of a write whose response was lost and that has not taken
+// effect yet.
+var errResponseLost = errors.New("lost response")
+
 // ErrUnchanged is returned by a mutate function that has nothing to write.
 var ErrUnchanged = errors.New("unchanged")
 
@@ -68,8 +72,9 @@
 // Update reads a value, lets mutate change its body and writes it back; if another
 // writer changed the value in between, it tries again. It returns the value that it
 // wrote. If mutate returns an error, nothing is written and that error is returned.
-// winch.ErrUncertain is returned only if ctx ended before the outcome of a write
-// with a lost response was known; winch.ErrUnavailable means that nothing was written.
+// winch.ErrUncertain is returned only if the outcome of a write with a lost response is
+// not known: ctx ended before, or maxMarks others have written since.
+// winch.ErrUnavailable means that nothing was written.
 func Update[T any](ctx context.Context, store winch.Store, key string, mutate func(*T) error) (Value[T], error) {
 	mark := rand.Text()
 	var lastErr error
@@ -82,6 +87,9 @@
 		if slices.Contains(cur.marks, mark) {
 			return written, nil // The previous attempt's write took effect after resolve had read the value.
 		}
+		if errors.Is(lastErr, errResponseLost) && overtaken(written.marks, cur.marks) {
+			return Value[T]{}, merry.Prependf(winch.ErrUncertain, "key %s is contended", key)
+		}
 		if err := mutate(&cur.Body); err != nil {
 			return cur, err
 		}
@@ -138,7 +146,10 @@
 			if slices.Contains(cur.marks, mark) {
 				return Value[T]{Body: written.Body, Version: cur.Version, marks: cur.marks}, true, nil
 			}
-			return cur, false, merry.Prependf(winch.ErrConflict, "base version %d", written.Version)
+			if overtaken(written.marks, cur.marks) {
+				return Value[T]{}, true, merry.Prependf(winch.ErrUncertain, "key %s is contended", key)
+			}
+			return cur, false, merry.Prependf(errResponseLost, "base version %d", written.Version)
 		}
 		select {
 		case <-ctx.Done():
@@ -147,3 +158,12 @@
 		}
 	}
 }
+
+// overtaken reports whether so many writes followed a value with the marks base that the mark of a
+// write based on it may be gone from cur, the marks read later.
+func overtaken(base, cur []string) bool {
+	if len(cur) < maxMarks {
+		return false
+	}
+	return len(base) == 0 || !slices.Contains(cur, base[len(base)-1])
+}
--- a/state/swap/swap_test.go
+++ b/state/swap/swap_test.go
@@ -119,3 +119,37 @@
 	s.SetFaults(stand.Faults{Down: true})
 	return 0, winch.ErrUncertain
 }
+
+// overtakenStore applies the first write, loses its response and lets many other writers go first.
+type overtakenStore struct {
+	*stand.Platform
+	others int
+}
+
+func (s *overtakenStore) Put(ctx context.Context, key string, data []byte, version uint64, lease string) (uint64, error) {
+	if _, err := s.Platform.Put(ctx, key, data, version, lease); err != nil || s.others == 0 {
+		return version, err
+	}
+	for ; s.others > 0; s.others-- {
+		if _, err := Update(ctx, s.Platform, key, increment); err != nil {
+			return 0, err
+		}
+	}
+	return 0, winch.ErrUncertain
+}
+
+// Guards against a change that is applied twice: more writes than the value keeps marks of come between a
+// lost response and the read that looks for its mark.
+func TestUpdateIsNotAppliedTwiceAfterManyOtherWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, others := range []int{1, maxMarks - 1, maxMarks, 2 * maxMarks} {
+			is := is.New(t)
+			s := &overtakenStore{Platform: &stand.Platform{}, others: others}
+			_, err := Update(context.Background(), s, "k", increment)
+			is.Equal(errors.Is(err, winch.ErrUncertain), others >= maxMarks)
+			v, err := Read[counter](context.Background(), s, "k")
+			is.NoErr(err)
+			is.Equal(v.Body.N, others+1)
+		}
+	})
+}
