region: only state requests that have timed out are forgotten

Cause: each ten seconds all waiting state requests were dropped, those of the last 60 ms too; such a request was answered after its wait with the state of before, and its caller asked again only a quarter of a second later.

Way not taken: a request that times out removes itself (another turn of the planner for each).

Before (with the old body): TestOnlyTimedOutStateRequestsAreForgotten fails, 0 waiters for 1; after: passes.

--- a/region/jobs.go
+++ b/region/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -101,15 +102,14 @@
 // when they ask again. So the response for a job that may end soon waits briefly.
 func (l *leadership) state(ctx context.Context, id string) proto.StateResponse {
 	var resp proto.StateResponse
-	var ended chan struct{}
+	var ended <-chan struct{}
 	if l.duty.Do(ctx, func() {
 		if l.validity.Load().remaining() <= -maxOfficeOverrun {
 			return
 		}
 		resp.State, resp.Known = l.planner.State(id)
 		if l.planner.EndsSoon(id) {
-			ended = make(chan struct{})
-			l.stateWaiters[id] = append(l.stateWaiters[id], ended)
+			ended = l.addWaiter(id)
 		}
 	}) != nil || ended == nil {
 		return resp // Without a response the caller reads the store.
@@ -131,18 +131,39 @@
 	return state, known
 }
 
+// stateWaiter is a request that waits since a moment for the end of a job; ended is closed at the end.
+type stateWaiter struct {
+	since time.Time
+	ended chan struct{}
+}
+
+// addWaiter registers a request that waits for the end of a job.
+func (l *leadership) addWaiter(id string) <-chan struct{} {
+	ended := make(chan struct{})
+	l.stateWaiters[id] = append(l.stateWaiters[id], stateWaiter{time.Now(), ended})
+	return ended
+}
+
 // notifyWaiters wakes the requests that wait for the end of a job.
 func (l *leadership) notifyWaiters(id string) {
-	for _, ended := range l.stateWaiters[id] {
-		close(ended)
+	for _, w := range l.stateWaiters[id] {
+		close(w.ended)
 	}
 	delete(l.stateWaiters, id)
 }
 
 // dropWaiters forgets requests that timed out waiting for jobs that did not end.
 func (l *leadership) dropWaiters() {
-	if time.Since(l.waitersClearedAt) > waitersCleanupInterval {
-		l.waitersClearedAt = time.Now()
-		clear(l.stateWaiters)
+	if time.Since(l.waitersClearedAt) <= waitersCleanupInterval {
+		return
+	}
+	l.waitersClearedAt = time.Now()
+	for id, waiters := range l.stateWaiters {
+		waiters = slices.DeleteFunc(waiters, func(w stateWaiter) bool { return time.Since(w.since) > completionWait })
+		if len(waiters) == 0 {
+			delete(l.stateWaiters, id)
+			continue
+		}
+		l.stateWaiters[id] = waiters
 	}
 }
--- a/region/jobs_test.go
+++ b/region/jobs_test.go
@@ -55,3 +55,23 @@
 		w.end()
 	})
 }
+
+// Guards against state requests that are forgotten as they begin: only those that have timed out are
+// dropped, so that a caller that asks right before is still told of the end.
+func TestOnlyTimedOutStateRequestsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &leadership{stateWaiters: make(map[string][]stateWaiter)}
+		l.addWaiter("old")
+		time.Sleep(waitersCleanupInterval)
+		fresh := l.addWaiter("fresh")
+		l.dropWaiters()
+		is.Equal(len(l.stateWaiters), 1)
+		l.notifyWaiters("fresh")
+		select {
+		case <-fresh:
+		default:
+			is.Fail() // The request is told of the end.
+		}
+	})
+}
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -157,7 +157,7 @@
 	decisionTime time.Duration
 	lag          lag
 	// stateWaiters holds the requests that wait for the end of a job, by job ID.
-	stateWaiters     map[string][]chan struct{}
+	stateWaiters     map[string][]stateWaiter
 	waitersClearedAt time.Time
 	// reassignPending says that the workers' keepers are to be recomputed; reassignedAt is when they
 	// last were.
@@ -180,7 +180,7 @@
 		node: n, term: term, revision: revision, lease: lease, namedRevision: revision, maybeNamed: make(map[string]bool),
 		duty: duty.New("Planner", eventQueueSize, nil), planner: fleet.New(term),
 		proxies: make(map[string]*proxy), keepers: make(map[string]string), assignments: make(map[string]proto.Assignment),
-		byToken: make(map[uint64]string), stateWaiters: make(map[string][]chan struct{}),
+		byToken: make(map[uint64]string), stateWaiters: make(map[string][]stateWaiter),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time),
 		keeperBackoff: make(map[string]bool), previousRoster: make(map[string]rosteredWorker), roster: make(map[string]rosteredWorker),
 		desired: make(map[string]rosteredWorker), pendingRenewals: make(map[string]proto.Order),
