soak: crashing jobs have a random stream of their own

Cause: partitions and crashing jobs drew the same numbers (PCG stream 4 of the seed), so a cut and a crash came at proportional moments in every seed and most combinations were never tried.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -24,7 +24,7 @@
 // within a few seconds, until activeCtx ends. The region must fail each of these jobs instead of
 // restarting its tasks forever.
 func (s *Soak) runCrashingJobs(ctx, activeCtx context.Context) {
-	rnd := rand.New(rand.NewPCG(s.Seed, 4))
+	rnd := rand.New(rand.NewPCG(s.Seed, 7))
 	c := &fake.Caller{HTTP: http.Client{Timeout: 4 * time.Second}}
 	var group conc.WaitGroup
 	defer group.Wait()
