check: the settings of an entry of a region are tried, too

Cause: plantainwinch check decoded any settings as a cell's, so a sound file of an entry of a region was refused with a wrong mend (key Name is missing in [Cell]), and a faulty one was not tried.

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -26,7 +26,7 @@
 			kind := "declarations"
 			if isSettings(text) {
 				kind = "settings"
-				_, err = conf.Decode(path, text)
+				err = checkSettings(path, text)
 			} else {
 				_, err = conf.DecodeDeclarations(path, text)
 			}
@@ -42,6 +42,20 @@
 	return cmd
 }
 
+// checkSettings decodes the settings of an entry of the platform that they select.
+func checkSettings(path string, text []byte) error {
+	adapter, err := conf.DecodeAdapter(path, text)
+	if err != nil {
+		return err
+	}
+	if adapter == conf.AdapterRegion {
+		_, err = conf.DecodeRegion(path, text)
+	} else {
+		_, err = conf.Decode(path, text)
+	}
+	return err
+}
+
 // isSettings reports whether text is an entry's settings rather than declarations. Only settings have one of the
 // sections [Entry], [Listen] and [Cell].
 func isSettings(text []byte) bool {
--- a/conf/region.go
+++ b/conf/region.go
@@ -76,7 +76,12 @@
 	if err != nil {
 		return "", merry.Errorf("cannot read settings: %v", err)
 	}
-	f, err := Parse(path, text)
+	return DecodeAdapter(path, text)
+}
+
+// DecodeAdapter returns the value of [Platform] Adapter, or its default. Name is used in errors.
+func DecodeAdapter(name string, text []byte) (string, error) {
+	f, err := Parse(name, text)
 	if err != nil {
 		return "", err
 	}
@@ -85,11 +90,11 @@
 	if err != nil || !section.HasKey("Adapter") {
 		return AdapterCell, nil
 	}
-	name := section.Key("Adapter").String()
-	if !slices.Contains(known, name) {
-		return "", f.Errorf("Platform", "Adapter", "Adapter = %s: write one of %s", name, strings.Join(known, ", "))
+	adapter := section.Key("Adapter").String()
+	if !slices.Contains(known, adapter) {
+		return "", f.Errorf("Platform", "Adapter", "Adapter = %s: write one of %s", adapter, strings.Join(known, ", "))
 	}
-	return name, nil
+	return adapter, nil
 }
 
 // LoadRegion reads the settings of an entry of a region from a file.
