place: adopted tasks of a job that ends at the barrier are stopped

Cause: a job that can't be repeated and has a task that may have run under an earlier planner ends as unknown when the barrier opens. Those of its tasks that were found running ran on: their result went nowhere and their capacity was held until they ended by themselves.

Ruled out: the other ends of a job (cancelled, failed, lost), which all order the stops.

Before: TestAdoptedTasksOfAJobThatEndsAtTheBarrierAreStopped fails without the stops (tried with the line out: none ordered for one task); after: passes.

--- a/coord/office/planner.go
+++ b/coord/office/planner.go
@@ -290,7 +290,8 @@
 	if unresponsive && (s.FenceAtVM || time.Since(s.startTime) < s.TaskLease+2*clockDriftMargin) {
 		return
 	}
-	if s.Planner.OpenBarrier() {
+	if stops, opened := s.Planner.OpenBarrier(); opened {
+		s.execute(stops)
 		s.Quota.CompleteTakeover()
 		s.PlanSoon()
 	}
--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -112,14 +112,16 @@
 	return adopted
 }
 
-// OpenBarrier releases the held jobs and reports whether the barrier was closed before.
+// OpenBarrier releases the held jobs. It returns the stops of the adopted tasks of jobs that it
+// ends, and reports whether the barrier was closed before.
 // It must be called only once every worker has responded under the current epoch or its
 // leases are guaranteed to have expired. If a task of a non-repeatable job has a recorded
 // start intent but was found at no worker, it may have run, so its job ends as unknown.
-func (p *Planner) OpenBarrier() bool {
+func (p *Planner) OpenBarrier() ([]Decision, bool) {
 	if p.barrierOpen {
-		return false
+		return nil, false
 	}
+	var out []Decision
 	p.barrierOpen = true
 	for _, j := range p.sortedJobs() {
 		if !j.held {
@@ -127,12 +129,13 @@
 		}
 		j.held = false
 		if i := unresolvedIntent(j); i >= 0 {
+			out = append(out, p.stopRunning(j)...)
 			p.finish(j, winch.JobUnknown, winch.ExecutorFailed, fmt.Sprintf("task %d may have run under an earlier placer", i))
 			continue
 		}
 		p.queue.push(j)
 	}
-	return true
+	return out, true
 }
 
 // unresolvedIntent returns the index of a pending task that has a recorded start
--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -623,3 +623,26 @@
 	r.end(id, winch.TaskDone)
 	is.Equal(r.results["j"].State, winch.JobDone)
 }
+
+// Guards against tasks that run on for a job that has ended as unknown when the barrier opens: nobody
+// waits for their result, and they hold their capacity.
+func TestAdoptedTasksOfAJobThatEndsAtTheBarrierAreStopped(t *testing.T) {
+	is := is.New(t)
+	r := newRig(0, size8)
+	r.Planner = NewPlanner(r.limits, r.Team)
+	r.limits.limit["choir"] = 2
+	r.SetVM(winch.VM{ID: "w0", Size: size8})
+	r.Submit(winch.Job{
+		ID: "j", Team: "choir", State: winch.JobRunning, Submitted: r.now, Intent: []int{0, 1},
+		Spec: winch.JobSpec{Kind: winch.Batch, Tasks: 2, Need: winch.Resources{Processors: 1, Memory: 1}},
+	}, nonRepeatable, true, r.now)
+	found := winch.Task{ID: winch.TaskID{Job: "j"}, Team: "choir", Attempt: 1, Need: winch.Resources{Processors: 1, Memory: 1}, State: winch.TaskRunning}
+	r.Reconcile("w0", []winch.Task{found}, r.now)
+	out, opened := r.OpenBarrier()
+	r.collect()
+	is.True(opened)
+	is.Equal(r.results["j"].State, winch.JobUnknown)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Action, Stop)
+	is.Equal(out[0].Task.Ref(), found.Ref())
+}
