--- a/coord/place/place_test.go
+++ b/coord/place/place_test.go
@@ -1,11 +1,7 @@
 package place
 
 import (
-	"flag"
 	"fmt"
-	"maps"
-	"os"
-	"slices"
 	"testing"
 	"time"
 
@@ -14,152 +10,6 @@
 	"plantainwinch/winch"
 )
 
-// TestMain fixes the seed of the randomized tests, so that their result is
-// reproducible. The flag -rapid.seed=0 selects a new seed for each run.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "400")
-	_ = flag.Set("rapid.steps", "150")
-	flag.Parse()
-	os.Exit(m.Run())
-}
-
-var startTime = time.Date(2026, 3, 1, 20, 0, 0, 0, time.UTC)
-
-var (
-	urgent        = winch.Class{Name: "preview", Wait: 4 * time.Second, Repeatable: true, MaxRun: time.Minute}
-	deferred      = winch.Class{Name: "mix", By: "06:00", Repeatable: true, Preemptible: true, MaxRun: time.Hour}
-	nonRepeatable = winch.Class{Name: "billed", By: "06:00", MaxRun: time.Hour}
-	longRunning   = winch.Class{Name: "room", Wait: 30 * time.Second, Repeatable: true, MaxRun: 24 * time.Hour}
-)
-
-// fakeLimits implements Limits with fixed limits and no checks in Charge.
-type fakeLimits struct {
-	limit map[string]int
-	used  map[string]int
-	// returned counts the units that were returned.
-	returned int
-}
-
-func (l *fakeLimits) TryTake(team string, n int) bool {
-	if l.used[team]+n > l.limit[team] {
-		return false
-	}
-	l.used[team] += n
-	return true
-}
-
-func (l *fakeLimits) Charge(team string, n int) { l.used[team] += n }
-
-func (l *fakeLimits) Return(team string, n int) {
-	l.used[team] -= n
-	l.returned += n
-}
-
-// rig drives a planner with simulated workers that carry out each decision at once.
-type rig struct {
-	*Planner
-	limits  *fakeLimits
-	now     time.Time
-	running map[winch.TaskID]string
-	attempt map[winch.TaskID]int
-	starts  map[winch.TaskID]int
-	results map[string]Completion
-}
-
-func newRig(workers int, size winch.Resources) *rig {
-	r := &rig{
-		limits: &fakeLimits{limit: make(map[string]int), used: make(map[string]int)}, now: startTime,
-		running: make(map[winch.TaskID]string), attempt: make(map[winch.TaskID]int), starts: make(map[winch.TaskID]int), results: make(map[string]Completion),
-	}
-	r.Planner = NewPlanner(r.limits, func(name string) winch.Team { return winch.Team{Name: name, Share: 1} })
-	for i := range workers {
-		r.addWorker(i, size)
-	}
-	r.OpenBarrier()
-	return r
-}
-
-func (r *rig) addWorker(i int, size winch.Resources) {
-	id := fmt.Sprint("w", i)
-	r.SetVM(winch.VM{ID: id, Rack: fmt.Sprint("r", i%3), Size: size})
-	r.Reconcile(id, nil, r.now)
-}
-
-func (r *rig) submit(id, team string, class winch.Class, kind winch.JobKind, tasks, cpu int, run time.Duration) {
-	if _, ok := r.limits.limit[team]; !ok {
-		r.limits.limit[team] = 1000
-	}
-	r.Submit(winch.Job{
-		ID: id, Team: team, Class: class.Name, Submitted: r.now, State: winch.JobQueued,
-		Spec: winch.JobSpec{Kind: kind, Tasks: tasks, Need: winch.Resources{Processors: cpu, Memory: winch.Bytes(cpu)}, RunTime: run},
-	}, class, false, r.now)
-}
-
-// plan calls Plan and carries the decisions out until there are no more.
-func (r *rig) plan() (started []winch.TaskID, evicted int) {
-	for {
-		out := r.Plan(r.now, 100)
-		if len(out) == 0 {
-			r.collect()
-			return started, evicted
-		}
-		for _, d := range out {
-			r.do(d)
-			switch d.Action {
-			case Start:
-				started = append(started, d.Task.ID)
-			case Evict:
-				evicted++
-			}
-		}
-	}
-}
-
-func (r *rig) do(d Decision) {
-	if d.Action == Start {
-		r.running[d.Task.ID], r.attempt[d.Task.ID] = d.VM.ID, d.Task.Attempt
-		r.starts[d.Task.ID]++
-		r.StartConfirmed(d.Task.Ref())
-		return
-	}
-	r.end(d.Task.ID, winch.TaskStopped)
-}
-
-func (r *rig) end(id winch.TaskID, state winch.TaskState) {
-	vm, ok := r.running[id]
-	if !ok {
-		return
-	}
-	delete(r.running, id)
-	for _, d := range r.TaskEnded(vm, winch.Task{ID: id, Attempt: r.attempt[id], State: state}, r.now) {
-		r.do(d)
-	}
-	r.collect()
-}
-
-func (r *rig) collect() {
-	for _, f := range r.TakeCompletions() {
-		r.results[f.Job] = f
-	}
-}
-
-// ids lists the running tasks in a reproducible order.
-func (r *rig) ids() []winch.TaskID {
-	return slices.SortedFunc(maps.Keys(r.running), compareIDs)
-}
-
-func (r *rig) count(job string) (n int) {
-	for id := range r.running {
-		if id.Job == job {
-			n++
-		}
-	}
-	return n
-}
-
-var size8 = winch.Resources{Processors: 8, Memory: 8}
-
 // A stream of small tasks that always takes the free capacity could starve a waiting
 // gang. A reservation must let the gang start at its forecast time. Only small tasks
 // that end before that time are backfilled.
@@ -221,54 +71,6 @@
 	is.Equal(r.results["gang"].State, winch.JobUnknown)
 }
 
-// A worker still runs a task of an ended job when a new planner contacts it. The task is
-// stopped. Its capacity must not be used for other tasks before it has ended.
-func TestForeignTaskKeepsItsCapacity(t *testing.T) {
-	is := is.New(t)
-	r := newRig(0, size8)
-	r.SetVM(winch.VM{ID: "w0", Size: size8})
-	old := winch.Task{ID: winch.TaskID{Job: "gone"}, Team: "choir", Attempt: 3, Need: winch.Resources{Processors: 6, Memory: 6}, State: winch.TaskRunning}
-	out := r.Reconcile("w0", []winch.Task{old}, r.now)
-	is.Equal(out[0].Action, Stop)
-	is.Equal(r.limits.used["choir"], 1)
-	r.submit("j", "choir", deferred, winch.Batch, 1, 4, time.Minute)
-	r.plan()
-	is.Equal(r.count("j"), 0)
-	old.State = winch.TaskStopped
-	r.TaskEnded("w0", old, r.now)
-	r.plan()
-	is.Equal(r.count("j"), 1)
-}
-
-// An earlier planner handled a task's completion, returned its unit and used the unit
-// for another task. It crashed before the completion was recorded, so the worker reports
-// it again to the successor. If the successor returned the unit once more, the team
-// would exceed its limit by one task.
-func TestCompletionUnderEarlierPlannerReturnsNoUnit(t *testing.T) {
-	is := is.New(t)
-	r := newRig(0, size8)
-	r.SetVM(winch.VM{ID: "w0", Size: size8})
-	r.Submit(winch.Job{
-		ID: "j", Team: "choir", State: winch.JobQueued, Submitted: r.now,
-		Spec: winch.JobSpec{Kind: winch.Batch, Tasks: 3, Need: winch.Resources{Processors: 1, Memory: 1}},
-	}, deferred, true, r.now)
-	task := func(index int, state winch.TaskState) winch.Task {
-		return winch.Task{ID: winch.TaskID{Job: "j", Index: index}, Team: "choir", Attempt: 1, Need: winch.Resources{Processors: 1, Memory: 1}, State: state}
-	}
-	r.limits.limit["choir"] = 1
-	r.TaskEnded("w0", task(0, winch.TaskDone), r.now)
-	is.Equal(r.limits.returned, 0)
-	r.Reconcile("w0", []winch.Task{task(1, winch.TaskRunning)}, r.now)
-	is.Equal(r.limits.used["choir"], 1)
-	r.OpenBarrier()
-	r.plan()
-	is.Equal(r.count("j"), 0) // the running task uses the whole limit
-	r.TaskEnded("w0", task(1, winch.TaskDone), r.now)
-	is.Equal(r.limits.returned, 1)
-	r.plan()
-	is.Equal(r.count("j"), 1)
-}
-
 // A start is delayed for so long that its worker is considered lost and the task is
 // placed elsewhere. The delayed start must no longer be sent, and a report about it must
 // not affect the new run. Otherwise the task would run twice.
@@ -492,58 +294,6 @@
 	is.Equal(r.LostRunTime, 2*time.Minute)
 }
 
-// A worker is lost and returns after its task was started elsewhere. Its late report that
-// the old attempt ended must not end the new run.
-func TestLateReportOfALostWorkerIsIgnored(t *testing.T) {
-	is := is.New(t)
-	r := newRig(2, size8)
-	r.submit("j", "choir", deferred, winch.Batch, 1, 1, time.Minute)
-	r.plan()
-	id := winch.TaskID{Job: "j"}
-	first, attempt := r.running[id], r.attempt[id]
-	r.RemoveWorker(first, r.now)
-	r.plan()
-	is.True(r.running[id] != first)
-	r.SetVM(winch.VM{ID: first, Size: size8})
-	r.Reconcile(first, nil, r.now)
-	r.TaskEnded(first, winch.Task{ID: id, Attempt: attempt, State: winch.TaskStopped}, r.now)
-	r.plan()
-	is.Equal(r.starts[id], 2)
-	r.end(id, winch.TaskDone)
-	is.Equal(r.results["j"].State, winch.JobDone)
-}
-
-// A new planner loads jobs that an earlier planner may have started. They must wait until
-// all workers have responded, or tasks could run twice. Running tasks are adopted, and a
-// non-repeatable job with a start intent for a task that no worker runs ends as unknown.
-func TestBarrierHoldsJobsOfAnEarlierPlanner(t *testing.T) {
-	is := is.New(t)
-	r := newRig(0, size8)
-	r.Planner = NewPlanner(r.limits, r.Team)
-	r.limits.limit["choir"] = 100
-	r.SetVM(winch.VM{ID: "w0", Size: size8})
-	r.SetVM(winch.VM{ID: "w1", Size: size8})
-	load := func(id string, class winch.Class, intent ...int) {
-		r.Submit(winch.Job{
-			ID: id, Team: "choir", Class: class.Name, Submitted: r.now, Intent: intent, State: winch.JobQueued,
-			Spec: winch.JobSpec{Kind: winch.Batch, Tasks: 2, Need: winch.Resources{Processors: 1, Memory: 1}, RunTime: time.Minute},
-		}, class, true, r.now)
-	}
-	load("mix", deferred)
-	load("lost", nonRepeatable, 0)
-	load("fresh", nonRepeatable)
-	task := winch.Task{ID: winch.TaskID{Job: "mix", Index: 1}, Need: winch.Resources{Processors: 1, Memory: 1}, State: winch.TaskRunning, Attempt: 1}
-	r.Reconcile("w0", []winch.Task{task}, r.now)
-	started, _ := r.plan()
-	is.Equal(len(started), 0)
-	r.Reconcile("w1", nil, r.now)
-	r.OpenBarrier()
-	started, _ = r.plan()
-	is.Equal(len(started), 3) // the other task of mix and both tasks of fresh
-	is.Equal(r.starts[task.ID], 0)
-	is.Equal(r.results["lost"].State, winch.JobUnknown)
-}
-
 // The tasks of a long-running job must be spread over the racks, and a task that ends must
 // be started again.
 func TestLongRunningTasksAreSpreadAndRestarted(t *testing.T) {
@@ -604,45 +354,3 @@
 		is.Equal(vm, "w1")
 	}
 }
-
-// Guards against a late report of an earlier attempt that ends the attempt running now at the same
-// worker: the task would start again beside its own run.
-func TestReportOfAnEarlierAttemptAtTheSameWorkerIsIgnored(t *testing.T) {
-	is := is.New(t)
-	r := newRig(1, size8)
-	r.submit("j", "choir", deferred, winch.Batch, 1, 1, time.Minute)
-	r.plan()
-	id := winch.TaskID{Job: "j"}
-	earlier := winch.Task{ID: id, Attempt: r.attempt[id], State: winch.TaskStopped}
-	r.end(id, winch.TaskStopped)
-	r.plan()
-	is.Equal(r.starts[id], 2)
-	r.TaskEnded("w0", earlier, r.now)
-	r.plan()
-	is.Equal(r.starts[id], 2)
-	r.end(id, winch.TaskDone)
-	is.Equal(r.results["j"].State, winch.JobDone)
-}
-
-// Guards against tasks that run on for a job that has ended as unknown when the barrier opens: nobody
-// waits for their result, and they hold their capacity.
-func TestAdoptedTasksOfAJobThatEndsAtTheBarrierAreStopped(t *testing.T) {
-	is := is.New(t)
-	r := newRig(0, size8)
-	r.Planner = NewPlanner(r.limits, r.Team)
-	r.limits.limit["choir"] = 2
-	r.SetVM(winch.VM{ID: "w0", Size: size8})
-	r.Submit(winch.Job{
-		ID: "j", Team: "choir", State: winch.JobRunning, Submitted: r.now, Intent: []int{0, 1},
-		Spec: winch.JobSpec{Kind: winch.Batch, Tasks: 2, Need: winch.Resources{Processors: 1, Memory: 1}},
-	}, nonRepeatable, true, r.now)
-	found := winch.Task{ID: winch.TaskID{Job: "j"}, Team: "choir", Attempt: 1, Need: winch.Resources{Processors: 1, Memory: 1}, State: winch.TaskRunning}
-	r.Reconcile("w0", []winch.Task{found}, r.now)
-	out, opened := r.OpenBarrier()
-	r.collect()
-	is.True(opened)
-	is.Equal(r.results["j"].State, winch.JobUnknown)
-	is.Equal(len(out), 1)
-	is.Equal(out[0].Action, Stop)
-	is.Equal(out[0].Task.Ref(), found.Ref())
-}
--- /dev/null
+++ b/region/simpeers_test.go
@@ -0,0 +1,165 @@
+package region
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// simPath is one direction of the network path between two hosts.
+type simPath struct{ from, to string }
+
+// linked reports whether the link between two entries is up.
+func (w *world) linked(a, b string) bool {
+	return w.brokenLinks[simPath{a, b}] == 0 && w.brokenLinks[simPath{b, a}] == 0
+}
+
+// simPeers carries the messages of one entry to the others.
+type simPeers struct {
+	world *world
+	node  *Node
+}
+
+// networkDelay is how long a message takes in one direction.
+const networkDelay = time.Millisecond
+
+func (p *simPeers) Names() []string {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	var out []string
+	for name, n := range p.world.liveNodes() {
+		if n != p.node && p.world.canReach(p.node.Domain, n.Domain) && p.world.linked(p.node.Host, n.Host) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// target returns the process named to if it is linked to this entry, else nil.
+func (p *simPeers) target(to string) *Node {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	n := p.world.liveNodes()[to]
+	if n == nil || !p.world.canReach(p.node.Domain, n.Domain) || !p.world.linked(p.node.Host, n.Host) || p.world.liveNodes()[p.node.Name] == nil {
+		return nil
+	}
+	return n
+}
+
+// delivers reports whether a message from one host to another arrives.
+func (p *simPeers) delivers(from, to string) bool {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	return p.world.blockedPaths[simPath{from, to}] == 0 && p.world.paused[from] == nil
+}
+
+// pausedEntry holds the messages that were sent to a paused entry. The process handles them when
+// it is resumed, even if the sender has given up waiting by then.
+type pausedEntry struct {
+	notifications, requests []func()
+}
+
+// queueIfPaused keeps a message for a paused entry until it is resumed, and reports whether the
+// entry is paused.
+func (w *world) queueIfPaused(to *Node, isNotification bool, handle func()) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	held := w.paused[to.Host]
+	switch {
+	case held == nil:
+		return false
+	case isNotification:
+		held.notifications = append(held.notifications, handle)
+	default:
+		held.requests = append(held.requests, handle)
+	}
+	return true
+}
+
+// drops reports whether a request is lost on its way.
+func (p *simPeers) drops(to string, kind winch.Kind) bool {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	return p.world.dropsRequest != nil && p.world.dropsRequest(p.node.Name, to, kind)
+}
+
+// delay returns how long a request waits at its receiver before it is handled.
+func (p *simPeers) delay(to string, kind winch.Kind) time.Duration {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	if p.world.requestDelay == nil {
+		return 0
+	}
+	return p.world.requestDelay(p.node.Name, to, kind)
+}
+
+// setRequestLoss sets which requests between entries are lost; nil means none.
+func (w *world) setRequestLoss(drops func(from, to string, kind winch.Kind) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dropsRequest = drops
+}
+
+func (p *simPeers) Request(ctx context.Context, to string, kind winch.Kind, body, reply any) error {
+	data, err := proto.Encode(body)
+	if err != nil {
+		return err
+	}
+	time.Sleep(networkDelay)
+	n := p.target(to)
+	if n == nil || p.drops(to, kind) || !p.delivers(p.node.Host, n.Host) {
+		<-ctx.Done()
+		return winch.ErrPeerLost
+	}
+	decode := func(into any) error { return proto.Decode(data, into) }
+	if p.world.queueIfPaused(n, false, func() { n.Handle(context.Background(), p.node.Name, kind, decode) }) {
+		<-ctx.Done()
+		return winch.ErrPeerLost
+	}
+	if delay := p.delay(to, kind); delay > 0 {
+		time.Sleep(delay)
+		n.Handle(context.Background(), p.node.Name, kind, decode)
+		return winch.ErrPeerLost
+	}
+	response := n.Handle(ctx, p.node.Name, kind, decode)
+	time.Sleep(networkDelay)
+	if p.target(to) == nil || !p.delivers(n.Host, p.node.Host) {
+		<-ctx.Done()
+		return winch.ErrPeerLost
+	}
+	if settings, ok := response.(proto.Settings); ok && len(settings.Data) > 0 {
+		p.world.mu.Lock()
+		p.world.configCopies++
+		p.world.mu.Unlock()
+	}
+	data, err = proto.Encode(response)
+	if err != nil {
+		return err
+	}
+	return proto.Decode(data, reply)
+}
+
+func (p *simPeers) Notify(to string, kind winch.Kind, body any) error {
+	n := p.target(to)
+	if n == nil {
+		return winch.ErrNoPeer
+	}
+	data, err := proto.Encode(body)
+	if err != nil {
+		return err
+	}
+	if !p.delivers(p.node.Host, n.Host) {
+		return nil // The message is lost. The blocked path breaks the link a moment later.
+	}
+	handle := func() {
+		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return proto.Decode(data, into) })
+	}
+	if !p.world.queueIfPaused(n, true, handle) {
+		handle()
+	}
+	return nil
+}
