--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -1,51 +1,12 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
 
-// runKey identifies a run at a worker.
-type runKey struct {
-	task winch.RunID
-	run  uint64
-}
-
-// run is one attempt of a task at a worker, from the start order until it is guaranteed to have
-// ended.
-type run struct {
-	key    runKey
-	task   *task // task is nil for a run of an unknown job.
-	team   *team
-	worker *worker
-	need   winch.Capacity // need is charged to the team, charge to the worker.
-	charge winch.Capacity
-	// started is set once the worker has confirmed the start.
-	started  bool
-	stopping bool
-	urgent   bool // urgent is set while the run counts as running urgent work.
-	adopted  bool // adopted is set if an earlier planner started the run.
-	// probe is set if the run is a probe, which tests whether a suspect task crashes its worker.
-	probe *suspicion
-	// since is when the start was ordered or, once started is set, when it was confirmed.
-	since time.Time
-	// workedUntil is when a run that is being stopped was last known to do its task's work.
-	workedUntil time.Time
-	// percent is the progress last reported, progressedAt when it last changed.
-	percent      float64
-	progressedAt time.Time
-	// basePercent is the first progress reported, at baseAt.
-	basePercent float64
-	baseAt      time.Time
-	// load is the load last reported, see winch.Running.
-	load        float64
-	throttle    int // throttle is the percentage in force, 100 at the start; negative if it is not known.
-	throttledAt time.Time
-}
-
 // worker is one boot of a worker VM.
 type worker struct {
 	planner *Planner
@@ -99,23 +60,6 @@
 	markedAs    int
 }
 
-// pendingCompletion is a completion that the worker may forget once the job's record includes the
-// given number of changes.
-type pendingCompletion struct {
-	number  uint64
-	key     runKey
-	job     *job
-	changes uint64
-}
-
-// ClosedRun is a run that no longer exists and whose result, if it must be recorded, is in the
-// store. Another planner need not know of it.
-type ClosedRun struct {
-	Worker string
-	Task   winch.RunID
-	Run    uint64
-}
-
 func (w *worker) free() winch.Capacity {
 	return w.vm.Room.Sub(w.used)
 }
@@ -210,31 +154,6 @@
 	return len(p.roster) > 0 && (now.Before(p.Barrier) || !p.LeaseExpiry.IsZero())
 }
 
-// RunsAt returns the runs that may exist at a worker, and those whose completions are not recorded
-// yet: until then only the worker knows their result.
-func (p *Planner) RunsAt(id string) []winch.Running {
-	var out []winch.Running
-	if w := p.workers[id]; w != nil {
-		for key := range w.runs {
-			out = append(out, winch.Running{Task: key.task, Run: key.run})
-		}
-		for _, e := range w.completions {
-			out = append(out, winch.Running{Task: e.key.task, Run: e.key.run})
-		}
-	}
-	return out
-}
-
-// RunsKnown reports whether all runs that may exist at a worker are known.
-func (p *Planner) RunsKnown(id string) bool {
-	return !p.roster[id]
-}
-
-// AllRunsKnown reports whether all runs that may exist at any worker are known.
-func (p *Planner) AllRunsKnown() bool {
-	return len(p.roster) == 0
-}
-
 // Unresponsive reports whether a worker gets no work because it does not respond, and whether it
 // responds again.
 func (p *Planner) Unresponsive(id string) (unresponsive, respondsAgain bool) {
@@ -260,22 +179,6 @@
 	}
 }
 
-// ClosedRuns returns the runs closed since the last call.
-func (p *Planner) ClosedRuns() []ClosedRun {
-	p.closeRecorded()
-	out := p.closedRuns
-	p.closedRuns = nil
-	return out
-}
-
-// closeRun closes a run, unless it crashed its worker and the crash is not recorded yet.
-func (p *Planner) closeRun(w *worker, key runKey) {
-	if p.crashUnrecorded(w, key) {
-		return
-	}
-	p.closedRuns = append(p.closedRuns, ClosedRun{w.vm.ID, key.task, key.run})
-}
-
 // WorkersToHold returns the VMs of the workers whose leases must be renewed by the call hold.
 func (p *Planner) WorkersToHold() []winch.WorkerVM {
 	out := make([]winch.WorkerVM, 0, len(p.workers))
@@ -298,30 +201,6 @@
 	}
 }
 
-// addRun charges a run to the worker and the team.
-func (p *Planner) addRun(w *worker, t *task, id winch.RunID, number uint64) *run {
-	r := &run{key: runKey{id, number}, task: t, worker: w, since: p.now(), progressedAt: p.now(), throttle: 100}
-	if t != nil {
-		spec := t.phase.spec
-		r.need, r.charge, r.team = spec.Need, spec.Charge(), t.phase.job.team
-		r.team.used = r.team.used.Add(r.need)
-		t.runs = append(t.runs, r)
-		t.updateCounts()
-		w.countRun(spec, 1)
-	} else {
-		// The needs of a run of an unknown job are not known, so it takes all free capacity.
-		r.charge = w.free().Positive()
-	}
-	w.used = w.used.Add(r.charge)
-	w.runs[r.key] = r
-	w.changes++
-	w.empty = false
-	r.countUrgent(true)
-	p.beginProbe(r)
-	p.updateReporting(w)
-	return r
-}
-
 // updateReporting makes a worker report more often while it has runs of filling tasks beside runs with
 // a latency target, and while a probe runs.
 func (p *Planner) updateReporting(w *worker) {
@@ -345,66 +224,6 @@
 	}
 }
 
-// endRun releases the charges of a run that is guaranteed to have ended.
-func (p *Planner) endRun(r *run) {
-	w := r.worker
-	if w.runs[r.key] != r {
-		return
-	}
-	delete(w.runs, r.key)
-	w.used = w.used.Sub(r.charge)
-	w.changes++
-	r.countUrgent(false)
-	if r.task == nil {
-		return
-	}
-	w.countRun(r.task.phase.spec, -1)
-	p.updateReporting(w)
-	r.team.used = r.team.used.Sub(r.need)
-	r.task.lastWorkedAt = later(r.task.lastWorkedAt, r.lastActive(p.now()))
-	r.task.runs = slices.DeleteFunc(r.task.runs, func(x *run) bool { return x == r })
-	p.probeEnded(r)
-	r.task.updateCounts()
-}
-
-// stopRun sends the order to end a run. Its capacity stays charged until the worker reports the
-// completion.
-func (p *Planner) stopRun(r *run) {
-	if r.stopping {
-		return
-	}
-	r.workedUntil = r.lastActive(p.now())
-	r.stopping = true
-	r.worker.changes++
-	r.countUrgent(false)
-	if r.task != nil {
-		r.task.updateCounts()
-	}
-	p.counts.Stopped++
-	p.orders = append(p.orders, proto.Order{Kind: proto.OrderStop, Worker: r.worker.vm.ID, Task: r.key.task, Run: r.key.run})
-}
-
-// forgetRecorded lets a worker drop the completions that are recorded.
-func (p *Planner) forgetRecorded(w *worker) {
-	upTo := w.forgottenUpTo
-	for len(w.completions) > 0 {
-		e := w.completions[0]
-		if e.job != nil && e.job.savedChanges < e.changes && p.jobs[e.job.rec.ID] == e.job {
-			break
-		}
-		upTo = e.number
-		p.closeRun(w, e.key)
-		w.completions = w.completions[1:]
-	}
-	if len(w.completions) == 0 {
-		delete(p.pendingWorkers, w)
-	}
-	if upTo > w.forgottenUpTo {
-		w.forgottenUpTo = upTo
-		p.orders = append(p.orders, proto.Order{Kind: proto.OrderForget, Worker: w.vm.ID, Forget: upTo})
-	}
-}
-
 // WorkerLost notes that all runs at a worker are guaranteed to have ended. crashed means that its
 // boot is known to have ended.
 func (p *Planner) WorkerLost(id string, crashed bool) {
