The entry no longer imports the transport to executors

winch.Response carries the ID of the request that the executor says it answers; the header's name stays in trans/exec. The arrow from entry back up to trans is gone.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -13,7 +13,6 @@
 
 	"plantainwinch/proto"
 	"plantainwinch/state/ledger"
-	"plantainwinch/trans/exec"
 	"plantainwinch/winch"
 )
 
@@ -95,7 +94,7 @@
 		defer cancel()
 		return p.handleSendError(ctx, g, sent, err), sent
 	}
-	if echo := response.Header.Get(exec.RequestIDHeader); echo != "" && echo != req.ID {
+	if response.RequestID != "" && response.RequestID != req.ID {
 		cancel()
 		_ = response.Body.Close()
 		p.release(g, proto.Failed, p.maxRun)
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -13,7 +13,6 @@
 	"github.com/sourcegraph/conc"
 
 	"plantainwinch/stand"
-	"plantainwinch/trans/exec"
 	"plantainwinch/winch"
 )
 
@@ -397,7 +396,7 @@
 	if f.truncateAt > 0 {
 		reader = io.MultiReader(strings.NewReader(string(body[:f.truncateAt])), brokenReader{})
 	}
-	return &winch.Response{Status: http.StatusOK, Header: http.Header{exec.RequestIDHeader: {echo}}, Body: io.NopCloser(reader)}, true, nil
+	return &winch.Response{Status: http.StatusOK, Header: make(http.Header), Body: io.NopCloser(reader), RequestID: echo}, true, nil
 }
 
 type brokenReader struct{}
--- a/trans/exec/exec.go
+++ b/trans/exec/exec.go
@@ -68,5 +68,5 @@
 	if err != nil {
 		return nil, sent.Load(), merry.Wrap(err)
 	}
-	return &winch.Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, true, nil
+	return &winch.Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, RequestID: resp.Header.Get(RequestIDHeader)}, true, nil
 }
--- a/trans/exec/exec_test.go
+++ b/trans/exec/exec_test.go
@@ -85,4 +85,5 @@
 	is.NoErr(err)
 	is.Equal(string(body), "/x choir body")
 	is.Equal(resp.Header.Get(RequestIDHeader), "r1")
+	is.Equal(resp.RequestID, "r1")
 }
--- a/winch/iface.go
+++ b/winch/iface.go
@@ -112,6 +112,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// RequestID is the ID of the request that the executor says it answers; empty if it says none.
+	RequestID string
 }
 
 // Executor sends one request to one executor. The bool reports whether any byte of the
