--- a/cause/cause.go
+++ b/cause/cause.go
@@ -149,6 +149,7 @@
 			r.accepted[l.Job] = l
 		}
 	case messageEnded:
+		l.Waited = renameReasons(l.Waited)
 		if first, known := r.completed[l.Job]; !known || l.At.Before(first.At) {
 			r.completed[l.Job] = l
 		}
@@ -186,7 +187,7 @@
 }
 
 // reasonNotRequested is the reason of the wait of a completed job until its caller requests its state.
-const reasonNotRequested = "not asked for"
+const reasonNotRequested = "state not requested"
 
 // tally accumulates job counts and causes of delay.
 type tally struct {
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -62,10 +62,11 @@
 // String returns the text of the reason that is written to the log.
 func (r Reason) String() string {
 	names := []string{
-		"", "run not known as ended", "start not confirmed", "queue not configured", "earlier planner's workers not heard",
-		"office may have lapsed", "team's limit", "no worker", "workers set aside", "next decision", "advice asked",
-		"advice failed", "no ticket", "not allowed", "no room",
-		"room kept for urgent work", "not recorded", "end not heard", "suspected of crashing workers",
+		"", "run state unknown", "start unconfirmed", "queue not configured", "takeover: workers unresponsive",
+		"office may have expired", "team limit reached", "no eligible worker", "workers quarantined",
+		"next scheduling pass", "advice request pending", "advice request failed", "no valid ticket",
+		"denied by advice", "insufficient capacity", "capacity reserved for urgent work",
+		"completion not recorded", "worker response lost", "suspected of crashing workers",
 		"failure domain evacuated",
 	}
 	if r < 0 || int(r) >= len(names) {
