Round trips of the store are measured although the answer is noted first

Cause: the adapter notes each answer before its call returns, which clears the calls without an answer; the end of the call then found no time at which it was sent and took a round trip of 292 years.

Before: TestRoundTripIsMeasuredThoughTheAnswerIsNotedFirst fails (suspected after 0.29 s, with round trips of 0.3 s); after: passes.

--- a/region/storehealth.go
+++ b/region/storehealth.go
@@ -32,8 +32,7 @@
 // for a store that has never been called.
 type storeHealth struct {
 	mu      sync.Mutex
-	pending map[uint64]time.Time // pending holds when the calls without an answer were sent, except long polls.
-	lastID  uint64
+	pending map[*storeCall]bool // pending holds the calls without an answer, except long polls.
 	// answeredAt is when the store last answered a call, refusedSince when it first refused one after
 	// that.
 	answeredAt   time.Time
@@ -42,29 +41,31 @@
 	mean, deviation time.Duration
 }
 
-// begin records that a call is sent, and returns its number.
-func (h *storeHealth) begin(now time.Time) uint64 {
+// storeCall is a call to the store.
+type storeCall struct{ sent time.Time }
+
+// begin records that a call is sent.
+func (h *storeHealth) begin(now time.Time) *storeCall {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.pending == nil {
-		h.pending = make(map[uint64]time.Time)
+		h.pending = make(map[*storeCall]bool)
 	}
-	h.lastID++
-	h.pending[h.lastID] = now
-	return h.lastID
+	c := &storeCall{sent: now}
+	h.pending[c] = true
+	return c
 }
 
 // end records that a call has ended: answered says that the store has executed it or found that its
 // condition does not hold, refused that it has turned it away.
-func (h *storeHealth) end(id uint64, now time.Time, answered, refused bool) {
+func (h *storeHealth) end(c *storeCall, now time.Time, answered, refused bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	sent := h.pending[id]
 	if answered || refused {
-		delete(h.pending, id)
+		delete(h.pending, c)
 	}
 	if answered {
-		h.observe(now.Sub(sent))
+		h.observe(now.Sub(c.sent))
 	}
 	if refused && h.refusedSince.IsZero() {
 		h.refusedSince = now
@@ -93,8 +94,8 @@
 // silence returns for how long calls have been without an answer. The caller holds the mutex.
 func (h *storeHealth) silence(now time.Time) time.Duration {
 	longest := time.Duration(0)
-	for _, sent := range h.pending {
-		longest = max(longest, now.Sub(sent))
+	for c := range h.pending {
+		longest = max(longest, now.Sub(c.sent))
 	}
 	return longest
 }
@@ -129,10 +130,10 @@
 
 // observe makes a call and records its result.
 func (t observedTable) observe(call func() error) error {
-	id := t.health.begin(time.Now())
+	c := t.health.begin(time.Now())
 	err := call()
 	answered, refused := classifyAnswer(err)
-	t.health.end(id, time.Now(), answered, refused)
+	t.health.end(c, time.Now(), answered, refused)
 	return err
 }
 
--- a/region/storehealth_test.go
+++ b/region/storehealth_test.go
@@ -80,3 +80,19 @@
 	is.True(h.responsive(at(900)))
 	is.True(!h.suspect(at(900)))
 }
+
+// Guards against round trips that are not measured: an answer is noted as a sign of the store before
+// its call returns. A store that answers slowly, but always, would be suspected all the time.
+func TestRoundTripIsMeasuredThoughTheAnswerIsNotedFirst(t *testing.T) {
+	is := is.New(t)
+	at := clockAt()
+	var h storeHealth
+	for i := range 20 {
+		c := h.begin(at(400 * i))
+		h.answered(at(400*i + 300))
+		h.end(c, at(400*i+300), true, false)
+	}
+	h.begin(at(8000))
+	is.True(!h.suspect(at(8290)))
+	is.True(h.suspect(at(8610)))
+}
