Workers that are slow after their start get work last

The pattern: a third of the fleet is evacuated and comes back empty and cold. Being empty it got all new work at once, which took several times as long there. The worker's record says how long it remains slow (cold-left-ms); that is decoded as WorkerVM.ColdLeft and counted down by the planner, which scores such a worker lower by the share of the task's run time that would be slow.

--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -300,6 +300,9 @@
 	// awayPenalty keeps a task in its job's home domain while that has capacity: shares of free
 	// processors differ by less.
 	awayPenalty = 1.0
+	// coldPenalty keeps a task off a worker that is slow for all of the task's run time while
+	// another has capacity, also outside the home domain.
+	coldPenalty = 2.0
 	// interferencePenalty keeps filling tasks off workers with tasks that have a latency target
 	// and vice versa, because they slow each other down.
 	interferencePenalty = 3.0
@@ -321,6 +324,7 @@
 	if home := p.homeDomain(s); home != "" && home != w.vm.Domain {
 		score -= awayPenalty
 	}
+	score -= coldPenalty * w.coldShare(s)
 	if s.spec.SameRack && s.usesOtherRack(w.vm.Rack) {
 		score -= remotePenalty
 	}
--- a/coord/fleet/policy.go
+++ b/coord/fleet/policy.go
@@ -35,6 +35,8 @@
 	Ahead bool
 	// HomeDomain starts the tasks of a job in one failure domain while it has capacity.
 	HomeDomain bool
+	// WarmFirst prefers workers that are not slow after their start.
+	WarmFirst bool
 	// Moves moves lasting tasks away from workers that are about to leave.
 	Moves bool
 	// Isolate starts tasks under which a worker crashed separately from others, and gives up those
@@ -47,7 +49,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true,
-		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true, Ahead: true, Isolate: true, HomeDomain: true,
+		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true, Ahead: true, Isolate: true, HomeDomain: true, WarmFirst: true,
 	}
 }
 
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -43,6 +43,7 @@
 	lasting      int // lasting counts the runs of lasting tasks.
 	// reportsOften is set while the worker is ordered to report more often.
 	reportsOften bool
+	warmAt       time.Time // warmAt is when the worker is no longer slow after its start.
 	// probe is set while nothing else may be started beside a probe.
 	probe        *suspicion
 	health       health
@@ -94,6 +95,9 @@
 			p.unsorted = true
 		}
 		w.replaced = w.replaced && w.vm.Born == vm.Born
+		if w.vm.ColdLeft != vm.ColdLeft {
+			w.warmAt = p.now().Add(vm.ColdLeft)
+		}
 		w.vm = vm
 		w.removed = false
 		w.updateContact()
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -68,6 +68,7 @@
 	used winch.Capacity
 	// shrunkSince is when the capacity was reduced, or zero.
 	shrunkSince time.Time
+	coldUntil   time.Time // coldUntil is until when work takes longer.
 }
 
 // crashCounts counts the worker crashes that tasks caused, in all and by task, and the starts
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -33,6 +33,8 @@
 	AllowedShare map[string]float64
 	// Faults are the faults of workers.
 	Faults []Fault
+	// Evacuations are the evacuations of failure domains; without any the workers have no domains.
+	Evacuations []Evacuation
 }
 
 // Service is a set of identical workers.
@@ -267,6 +269,10 @@
 			p.Streams = []Stream{lookupStream(10), batchStream(1.2)}
 			p.Faults = []Fault{{At: 5 * time.Second, Count: 3, Interval: 2 * time.Second, ReduceCapacity: true}}
 		}),
+		pattern("returns", "a third of the workers is taken out of use and returns cold: being free, they get all new work and slow it down", func(p *Pattern) {
+			p.Streams = []Stream{lookupStream(6), lookupStream(20).between(30*time.Second, 34*time.Second), batchStream(0.5)}
+			p.Evacuations = []Evacuation{{0, 6 * time.Second, 8 * time.Second, 6 * time.Second}, {1, 22 * time.Second, 8 * time.Second, 6 * time.Second}, {2, 38 * time.Second, 8 * time.Second, 6 * time.Second}}
+		}),
 		pattern("overload", "overload for twenty seconds: jobs that are late or cannot meet their objective take the capacity", func(p *Pattern) {
 			p.Streams = []Stream{gangStream(1.5), gangStream(1.8).between(10*time.Second, 30*time.Second), smallStream(1.4)}
 		}),
--- a/trial/region.go
+++ b/trial/region.go
@@ -81,6 +81,7 @@
 	completed       []fleet.JobSummary
 	savePending     bool
 	workers         map[string]*workerState
+	evacuated       map[string]bool // evacuated holds the failure domains that were evacuated, and whether they still are.
 	crashes         crashCounts
 }
 
@@ -95,7 +96,7 @@
 	r := &simRegion{
 		pattern: p, rnd: rand.New(rand.NewPCG(seed, 7)), begin: trialStart, now: trialStart, planner: fleet.New(1),
 		jobs: make(map[string]*jobArrival), runs: make(map[runKey]*activeRun), checkpointed: make(map[winch.RunID]time.Duration),
-		lastEnded: make(map[string]uint64), workers: make(map[string]*workerState), crashes: newCrashCounts(), usage: usage{capacity: make(map[string]*mean)},
+		lastEnded: make(map[string]uint64), workers: make(map[string]*workerState), evacuated: make(map[string]bool), crashes: newCrashCounts(), usage: usage{capacity: make(map[string]*mean)},
 	}
 	r.planner.Clock = func() time.Time { return r.now }
 	r.planner.Policy = policy
@@ -121,7 +122,7 @@
 	var list []winch.WorkerVM
 	for _, s := range r.pattern.Services {
 		for i := range s.Workers {
-			vm := winch.WorkerVM{ID: s.Name + strconv.Itoa(i), Address: s.Name + strconv.Itoa(i), Service: s.Name, Room: s.Room, Born: 1}
+			vm := winch.WorkerVM{ID: s.Name + strconv.Itoa(i), Address: s.Name + strconv.Itoa(i), Service: s.Name, Domain: r.pattern.domainOf(i), Room: s.Room, Born: 1}
 			list = append(list, vm)
 			r.workers[vm.ID] = &workerState{vm: vm}
 		}
@@ -129,6 +130,7 @@
 	}
 	r.planner.SetWorkers(list)
 	r.scheduleFaults()
+	r.scheduleEvacuations()
 	for _, vm := range list {
 		r.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventListed, Worker: vm.ID})
 	}
@@ -281,6 +283,7 @@
 	if !saved || o.Checkpoint == "" {
 		left = arrival.runTimes[o.Task.Phase][o.Task.Index]
 	}
+	left = r.workers[o.Worker].runTime(r.now, left)
 	run := &activeRun{worker: o.Worker, started: r.now, remaining: left}
 	key := runKey{o.Task, o.Run}
 	r.runs[key] = run
--- a/trial/region_test.go
+++ b/trial/region_test.go
@@ -145,6 +145,24 @@
 	is.True(queueOutcome(t, "shrinks", "lookup").OnTime >= 0.95)
 }
 
+// The pattern is a third of the workers that is evacuated and returns empty and cold, three times. New work
+// must not all go there, where it takes three times as long, while other workers have capacity.
+func TestColdWorkersGetWorkLast(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	off, err := fleet.DefaultPolicy().Without("WarmFirst")
+	is.NoErr(err)
+	with, without := 0.0, 0.0
+	for _, q := range outcomeOf("returns", fleet.DefaultPolicy()).Queues {
+		with += q.OnTime
+		is.True(q.Within >= 0.99)
+	}
+	for _, q := range outcomeOf("returns", off).Queues {
+		without += q.OnTime
+	}
+	is.True(with >= without+0.02)
+}
+
 // Two simulations with one seed must not differ, since outcomes could not be compared otherwise.
 func TestSameSeedGivesSameOutcome(t *testing.T) {
 	t.Parallel()
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -228,4 +228,7 @@
 	// Born is the start of the boot in Unix milliseconds; it distinguishes boots with the
 	// same ID.
 	Born int64
+	// ColdLeft is how much longer the VM is slow, as of its record in the platform's list: after a
+	// start, or after its failure domain was evacuated.
+	ColdLeft time.Duration `cbor:"-"`
 }
