region's tests set the store and partitions up in one place each

setStore and partition replace the locks around single fields, and one of two functions that take the store down is left.

--- a/region/evacuate_test.go
+++ b/region/evacuate_test.go
@@ -218,13 +218,6 @@
 	is.True(n.settings.respond(proto.SettingsRequest{EvacuationsAsOf: 20}).Evacuations == nil)
 }
 
-// setStore changes the simulated store.
-func (w *world) setStore(change func(s *simStore)) {
-	w.store.mu.Lock()
-	defer w.store.mu.Unlock()
-	change(w.store)
-}
-
 // evacuateDomains evacuates failure domains one after the other, each for a time, until the world's
 // time is over. Lasting tasks that fail meanwhile must find capacity in the other domains.
 func (r *randomScenario) evacuateDomains(until <-chan struct{}) {
--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -214,9 +214,7 @@
 		is := is.New(t)
 		w := newWorld(t, 7, 3, 9)
 		settle()
-		w.store.mu.Lock()
-		w.store.extraDelay = 300 * time.Millisecond
-		w.store.mu.Unlock()
+		w.setStore(func(s *simStore) { s.extraDelay = 300 * time.Millisecond })
 		ids := w.submitJobs(0, 8)
 		p := w.planner()
 		begin := time.Now()
@@ -241,28 +239,18 @@
 		w := newWorld(t, 6, 3, 9)
 		settle()
 		p := w.planner()
-		w.store.mu.Lock()
-		w.store.down, w.store.hangs = true, true
-		w.store.mu.Unlock()
+		w.setStore(func(s *simStore) { s.down, s.hangs = true, true })
 		time.Sleep(2 * time.Second)
-		w.mu.Lock()
-		w.partitioned[p.domain] = true
-		w.mu.Unlock()
+		w.partition(p.domain, true)
 		time.Sleep(4 * time.Second)
-		w.store.mu.Lock()
-		w.store.down = false
-		w.store.mu.Unlock()
+		w.setStoreUnavailable(false)
 		recoveredAt := time.Now()
 		for successor := w.planner(); successor == nil || successor == p; successor = w.planner() {
 			time.Sleep(10 * time.Millisecond)
 		}
 		is.True(time.Since(recoveredAt) < time.Second)
-		w.mu.Lock()
-		w.partitioned[p.domain] = false
-		w.mu.Unlock()
-		w.store.mu.Lock()
-		w.store.hangs = false
-		w.store.mu.Unlock()
+		w.partition(p.domain, false)
+		w.setStore(func(s *simStore) { s.hangs = false })
 		w.end()
 	})
 }
@@ -282,10 +270,10 @@
 		w.mu.Lock()
 		before := w.configCopies
 		w.mu.Unlock()
-		w.store.mu.Lock()
-		w.store.refusedHosts = map[string]bool{n.host: true}
-		w.store.put("op/config", mustJSON(simConfig(2)), 0)
-		w.store.mu.Unlock()
+		w.setStore(func(s *simStore) {
+			s.refusedHosts = map[string]bool{n.host: true}
+			s.put("op/config", mustJSON(simConfig(2)), 0)
+		})
 		time.Sleep(2 * time.Second)
 		for _, x := range w.nodes {
 			is.Equal(x.node.Config().Version, uint64(2))
@@ -293,9 +281,7 @@
 		w.mu.Lock()
 		is.Equal(w.configCopies-before, 1)
 		w.mu.Unlock()
-		w.store.mu.Lock()
-		w.store.refusedHosts = nil
-		w.store.mu.Unlock()
+		w.setStore(func(s *simStore) { s.refusedHosts = nil })
 		w.end()
 	})
 }
@@ -312,9 +298,7 @@
 		settle()
 		ids := w.submitJobs(0, 30)
 		p := w.planner()
-		w.mu.Lock()
-		w.partitioned[p.domain] = true
-		w.mu.Unlock()
+		w.partition(p.domain, true)
 		partitionedAt := time.Now()
 		time.Sleep(4 * time.Second)
 		successor := w.planner()
@@ -328,9 +312,7 @@
 		// Runs are started during the partition, long before the old leases are guaranteed to have expired.
 		is.True(started > 0)
 		time.Sleep(8*time.Second - time.Since(partitionedAt))
-		w.mu.Lock()
-		w.partitioned[p.domain] = false
-		w.mu.Unlock()
+		w.partition(p.domain, false)
 		w.awaitAll(ids, 30*time.Second)
 		w.end()
 	})
@@ -385,9 +367,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 6, 3, 9)
 		settle()
-		w.store.mu.Lock()
-		w.store.losesResponses = true
-		w.store.mu.Unlock()
+		w.setStore(func(s *simStore) { s.losesResponses = true })
 		ids := w.submitJobs(0, 8)
 		w.setStoreUnavailable(true)
 		time.Sleep(5 * time.Second)
@@ -398,13 +378,6 @@
 	})
 }
 
-// setStoreUnavailable sets whether all calls to the store time out.
-func (w *world) setStoreUnavailable(down bool) {
-	w.store.mu.Lock()
-	defer w.store.mu.Unlock()
-	w.store.down = down
-}
-
 // Guards against work that stops while only the store is down. The same planner must start the next
 // phases of jobs accepted before until the store responds again.
 func TestWorkContinuesWithoutTheStore(t *testing.T) {
--- a/region/forward_test.go
+++ b/region/forward_test.go
@@ -61,10 +61,3 @@
 		w.end()
 	})
 }
-
-// partition separates a failure domain from the store and the other domains, or ends that.
-func (w *world) partition(domain string, on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.partitioned[domain] = on
-}
--- a/region/randfault_test.go
+++ b/region/randfault_test.go
@@ -35,9 +35,7 @@
 			w.injectFor(length, func(on bool) { w.setStoreUnavailable(on) })
 		case 5:
 			w.injectFor(length, func(on bool) {
-				w.store.mu.Lock()
-				w.store.losesResponses = on
-				w.store.mu.Unlock()
+				w.setStore(func(s *simStore) { s.losesResponses = on })
 			})
 		case 6:
 			x := w.workers[fmt.Sprintf("w%d", w.intn(len(w.workers)))]
--- a/region/records_test.go
+++ b/region/records_test.go
@@ -144,9 +144,9 @@
 		w.startLasting("00000000000000a1", 12)
 		time.Sleep(5 * time.Second)
 		read := make(map[string]bool)
-		w.store.mu.Lock()
-		w.store.onRead = func(host, prefix string) { read[host] = read[host] || prefix == prefixJobs }
-		w.store.mu.Unlock()
+		w.setStore(func(s *simStore) {
+			s.onRead = func(host, prefix string) { read[host] = read[host] || prefix == prefixJobs }
+		})
 		first := w.planner()
 		w.stopAsPlanned(first, 2*time.Second, 300*time.Millisecond)
 		for w.planner() == nil || w.planner() == first {
@@ -181,9 +181,7 @@
 			is := is.NewRelaxed(t)
 			w := newWorld(t, 70+seed, 3, 9)
 			settle()
-			w.store.mu.Lock()
-			w.store.maxChanges = 3
-			w.store.mu.Unlock()
+			w.setStore(func(s *simStore) { s.maxChanges = 3 })
 			var ids []string
 			for i := range 30 {
 				ids = append(ids, w.submitJobs(i, i+1)...)
--- a/region/retention_test.go
+++ b/region/retention_test.go
@@ -20,9 +20,7 @@
 		is := is.NewRelaxed(t)
 		w := newWorld(t, 51, 3, 9)
 		settle()
-		w.store.mu.Lock()
-		w.store.extraDelay = 300 * time.Millisecond
-		w.store.mu.Unlock()
+		w.setStore(func(s *simStore) { s.extraDelay = 300 * time.Millisecond })
 		for i := range 60 {
 			id := fmt.Sprintf("%016x", i)
 			w.group.Go(func() {
--- a/region/shrink_test.go
+++ b/region/shrink_test.go
@@ -24,9 +24,7 @@
 			}
 		}
 		w.submit("00000000000000b1", phases...)
-		w.store.mu.Lock()
-		w.store.down = true
-		w.store.mu.Unlock()
+		w.setStoreUnavailable(true)
 		for _, x := range w.workers {
 			w.setCapacity(x, 0, time.Now())
 		}
@@ -34,9 +32,7 @@
 		for _, x := range w.workers {
 			w.setCapacity(x, simVM("", "", "").Room.Milli, time.Time{})
 		}
-		w.store.mu.Lock()
-		w.store.down = false
-		w.store.mu.Unlock()
+		w.setStoreUnavailable(false)
 		w.await("00000000000000b1", 40*time.Second)
 		w.end()
 	})
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -277,3 +277,15 @@
 func (t *simTable) RevokeLease(ctx context.Context, id uint64) error {
 	return t.call(ctx, func() { t.store.endLease(id) })
 }
+
+// setStore changes the simulated store.
+func (w *world) setStore(change func(s *simStore)) {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	change(w.store)
+}
+
+// setStoreUnavailable sets whether all calls to the store time out.
+func (w *world) setStoreUnavailable(down bool) {
+	w.setStore(func(s *simStore) { s.down = down })
+}
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -95,9 +95,7 @@
 	x := &simWorker{vm: vm, bootedAt: time.Now(), clockDrift: clockDrift, runs: make(map[runKey]*simRun), highestRun: make(map[winch.RunID]uint64)}
 	w.workers[vm.ID], w.addresses[vm.Address] = x, x
 	w.mu.Unlock()
-	w.store.mu.Lock()
-	w.store.put("workers/"+vm.ID, mustJSON(vm), 0)
-	w.store.mu.Unlock()
+	w.setStore(func(s *simStore) { s.put("workers/"+vm.ID, mustJSON(vm), 0) })
 	w.group.Go(func() { x.endDueRuns(w) })
 }
 
--- a/region/staleinfo_test.go
+++ b/region/staleinfo_test.go
@@ -38,9 +38,7 @@
 				p := w.planner()
 				worker, _ := w.workerKeptBy(p, true)
 				is.True(worker != "")
-				w.store.mu.Lock()
-				w.store.extraDelay = slow
-				w.store.mu.Unlock()
+				w.setStore(func(s *simStore) { s.extraDelay = slow })
 				time.Sleep(time.Second)
 				w.leave(worker)
 				time.Sleep(before)
@@ -230,9 +228,7 @@
 	meanwhile()
 	time.Sleep(7 * time.Second)
 	is.True(w.awaitLeadState(l, time.Second, func() bool { return l.keepers[worker] == other && l.proxies[name] == nil }))
-	w.store.mu.Lock()
-	w.store.extraDelay = 200 * time.Millisecond
-	w.store.mu.Unlock()
+	w.setStore(func(s *simStore) { s.extraDelay = 200 * time.Millisecond })
 	w.killEntry(other)
 	p.node.LinkChanged()
 	for end := time.Now().Add(3 * time.Second); w.rosterKeeper(worker) != name && time.Now().Before(end); {
@@ -453,9 +449,7 @@
 			time.Sleep(x.after)
 			w.setUnresponsive(worker, true)
 			next.kill()
-			w.store.mu.Lock()
-			w.store.commitOutcome = nil
-			w.store.mu.Unlock()
+			w.setStore(func(s *simStore) { s.commitOutcome = nil })
 			time.Sleep(14 * time.Second)
 			w.endWithoutDowntimeCheck()
 		})
--- a/region/undetected_test.go
+++ b/region/undetected_test.go
@@ -252,7 +252,7 @@
 		is := is.NewRelaxed(t)
 		w := lastingWorld(t, 44)
 		w.leave(w.busiestWorker())
-		w.setStoreDown(true)
+		w.setStoreUnavailable(true)
 		time.Sleep(500 * time.Millisecond)
 		for _, n := range w.nodes {
 			n.kill()
@@ -262,7 +262,7 @@
 			n.start()
 		}
 		time.Sleep(7 * time.Second)
-		w.setStoreDown(false)
+		w.setStoreUnavailable(false)
 		recoveredAt := time.Now()
 		for w.runningLasting() < 18 && time.Since(recoveredAt) < 20*time.Second {
 			time.Sleep(10 * time.Millisecond)
@@ -272,10 +272,3 @@
 		w.endWithoutDowntimeCheck()
 	})
 }
-
-// setStoreDown sets whether all calls to the store time out.
-func (w *world) setStoreDown(down bool) {
-	w.store.mu.Lock()
-	defer w.store.mu.Unlock()
-	w.store.down = down
-}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -348,3 +348,10 @@
 	}
 	return nil
 }
+
+// partition separates a failure domain from the store and the other domains, or ends that.
+func (w *world) partition(domain string, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.partitioned[domain] = on
+}
