The planner that was replaced is not chosen as standby

Cause: a planner that takes over from a silent one chose the strongest listed entry of another domain as its standby, often the very planner that it had just replaced, whose record lives on for some seconds.

The last holder of the office is no standby for 5 s.

Ways not taken: a shorter timeout for the first message to a standby (a busy one would be dropped); starting before the standby has acknowledged (tasks could run twice).

TestReplacedPlannerIsNotChosenAsStandby, six worlds: fails in three of three runs before, 10 of 10 pass after.

--- a/region/mirror.go
+++ b/region/mirror.go
@@ -20,6 +20,9 @@
 	mirrorTimeoutPerRun = 300 * time.Microsecond
 	// standbyRetryDelay is how long an entry that failed as standby is not tried again.
 	standbyRetryDelay = time.Second
+	// lastHolderBackoff is how long the planner before is not chosen as standby: it may be lost, and its
+	// record in the store lasts a few seconds longer than it.
+	lastHolderBackoff = 5 * time.Second
 	// standbyCheckInterval is how often the standby is compared with other entries.
 	standbyCheckInterval = 500 * time.Millisecond
 	// expiriesLifetime is how long after the planner's last message a standby may use the expiries that
--- a/region/office.go
+++ b/region/office.go
@@ -151,6 +151,7 @@
 	n.cell.apply(winch.Event{Value: winch.Value{Key: keyTerm, Data: encode(mine), Version: revision}})
 	l := newLeadership(n, mine.Term, revision, lease, sent.Add(officeTTL))
 	l.lastHolder = lastTerm.Holder
+	l.standbyBackoff[lastTerm.Holder] = time.Now().Add(lastHolderBackoff)
 	l.prefetched = n.prefetch.result()
 	copied, complete := n.mirror.claim(mine.Term)
 	if complete && lastStandby.Term == lastTerm.Term && lastStandby.Name == n.Name {
--- a/region/preempt_test.go
+++ b/region/preempt_test.go
@@ -15,18 +15,22 @@
 // answers the standby.
 const maxTakeover = 600 * time.Millisecond
 
+// otherPlanner returns an entry other than the given one that plans, or nil.
+func (w *world) otherPlanner(old *simNode) *simNode {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.nodes {
+		if n != old && n.node != nil && n.node.leadership.Load() != nil {
+			return n
+		}
+	}
+	return nil
+}
+
 // awaitOtherPlanner waits until an entry other than the given one plans, and returns how long that took.
 func (w *world) awaitOtherPlanner(old *simNode) time.Duration {
 	begin := time.Now()
-	for time.Since(begin) < 10*time.Second {
-		w.mu.Lock()
-		for _, n := range w.nodes {
-			if n != old && n.node != nil && n.node.leadership.Load() != nil {
-				w.mu.Unlock()
-				return time.Since(begin)
-			}
-		}
-		w.mu.Unlock()
+	for w.otherPlanner(old) == nil && time.Since(begin) < 10*time.Second {
 		time.Sleep(5 * time.Millisecond)
 	}
 	return time.Since(begin)
@@ -64,6 +68,27 @@
 	}
 }
 
+// Guards against starts that wait for a standby that doesn't respond: the planner that was replaced since it
+// was silent is still listed, and must not be chosen.
+func TestReplacedPlannerIsNotChosenAsStandby(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			w := lastingWorld(t, 790+seed)
+			old := w.planner()
+			w.setRequestLoss(func(from, to string, _ winch.Kind) bool { return from == old.node.Name || to == old.node.Name })
+			is.True(w.awaitOtherPlanner(old) < maxTakeover)
+			time.Sleep(150 * time.Millisecond)
+			l := w.otherPlanner(old).node.leadership.Load()
+			is.True(w.awaitLeadState(l, 10*time.Millisecond, func() bool { return l.standby != nil && l.standby.synced }))
+			w.setRequestLoss(nil)
+			time.Sleep(10 * time.Second)
+			w.end()
+		})
+	}
+}
+
 // Guards against work that runs twice because a planner is replaced while it works: only its messages to
 // the standby are lost. It may start nothing more, and its keepers must not renew leases for as long as it
 // does not know that it was replaced.
