region: one request for the operator's state, comments wrapped

A probe of a peer and the fetch of the configuration built the same request; both now call settings.request. Two comments were wrapped in the middle or not at all. Behaviour is the same.

--- a/region/expiry.go
+++ b/region/expiry.go
@@ -267,8 +267,9 @@
 }
 
 // refreshStandby sends the standby a message if the last one was sent a while ago: with it the standby
-// knows that the planner works, and that the expiries of unresponsive workers hold. If no standby can be reached, all copies are stale after a while. Then the orders to renew that
-// wait for an acknowledgement are sent: if the store were down as well, the leases would expire otherwise.
+// knows that the planner works, and that the expiries of unresponsive workers hold. If no standby can be
+// reached, all copies are stale after a while. Then the orders to renew that wait for an acknowledgement
+// are sent: if the store were down as well, the leases would expire otherwise.
 func (l *leadership) refreshStandby() {
 	l.sendQueued()
 	if len(l.standbyExpiries) == 0 || time.Since(l.standbyAnsweredAt) < expiriesLifetime+expiriesMargin {
--- a/region/forward.go
+++ b/region/forward.go
@@ -87,8 +87,7 @@
 // probe reports whether a peer responds and the store answers it.
 func (n *Node) probe(ctx context.Context, name string) bool {
 	var response proto.Settings
-	request := proto.SettingsRequest{Have: n.settings.version(), EvacuationsAsOf: n.evacuations.load().AsOf}
-	err := n.Peers.Request(ctx, name, proto.KindSettingsRequest, request, &response)
+	err := n.Peers.Request(ctx, name, proto.KindSettingsRequest, n.settings.request(), &response)
 	return err == nil && !response.Unserved
 }
 
--- a/region/settings.go
+++ b/region/settings.go
@@ -26,10 +26,9 @@
 )
 
 // settings holds the operator's configuration, and follows all that the operator writes into the
-// store. Each entry reads it from the store. An entry that
-// the store does not answer asks its peers, so that it is current if it reaches either. The
-// version never decreases during a boot, and the configuration stays in force while the store is
-// unresponsive.
+// store. Each entry reads it from the store. An entry that the store does not answer asks its peers,
+// so that it is current if it reaches either. The version never decreases during a boot, and the
+// configuration stays in force while the store is unresponsive.
 type settings struct {
 	node   *Node
 	mu     sync.Mutex
@@ -109,8 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
 	var response proto.Settings
-	request := proto.SettingsRequest{Have: s.version(), EvacuationsAsOf: s.node.evacuations.load().AsOf}
-	if s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, request, &response) != nil {
+	if s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, s.request(), &response) != nil {
 		return
 	}
 	s.node.applyReceived(response.Evacuations, name)
@@ -119,6 +117,11 @@
 	}
 }
 
+// request asks for what is newer than what this entry has.
+func (s *settings) request() proto.SettingsRequest {
+	return proto.SettingsRequest{Have: s.version(), EvacuationsAsOf: s.node.evacuations.load().AsOf}
+}
+
 // noteVersion records which version a peer has.
 func (s *settings) noteVersion(name string, version uint64) {
 	if version <= s.version() {
