--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -7,9 +7,9 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 
-	"plantainwinch/coord/fleet"
 	"plantainwinch/coord/place"
 	"plantainwinch/trial"
+	"plantainwinch/winch"
 )
 
 // trialOptions holds the flags of the trial command.
@@ -62,14 +62,14 @@
 	}
 	off := [][]string{o.without}
 	if o.each {
-		for _, name := range fleet.Mechanisms() {
+		for _, name := range winch.Mechanisms() {
 			off = append(off, append(slices.Clone(o.without), name))
 		}
 	}
 	var all []trial.Outcome
 	for _, p := range patterns {
 		for _, names := range off {
-			policy := fleet.DefaultPolicy()
+			policy := winch.DefaultPolicy()
 			for _, name := range names {
 				if policy, err = policy.Without(name); err != nil {
 					return err
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -158,3 +158,25 @@
 	_, err = DecodeRegion("entry.ini", text("Announce = nowhere\n"))
 	is.True(err != nil)
 }
+
+// Guards against the section Planner being ignored, or unknown names in it being accepted: an operator would
+// believe that a mechanism is off while it is on.
+func TestDecodeRegionPlanner(t *testing.T) {
+	is := is.New(t)
+	text := func(planner string) []byte {
+		return []byte("[Entry]\nName = e1\nDomain = d1\n[Listen]\nCallers = 127.0.0.1:1\nReady = 127.0.0.1:2\nPeers = 127.0.0.1:3\n" +
+			"[Platform]\nAdapter = Region\nAddress = 127.0.0.1:4\n[Peers]\nToken = x\n[Limits]\nMemory = 64MB\nProcessors = 0.5\n" + planner)
+	}
+	s, err := DecodeRegion("entry.ini", text(""))
+	is.NoErr(err)
+	is.Equal(s.Planner.Policy(), winch.DefaultPolicy())
+	s, err = DecodeRegion("entry.ini", text("[Planner]\nWithout = Copies, Evict\nOrder = LeastWork\n"))
+	is.NoErr(err)
+	policy := s.Planner.Policy()
+	is.True(!policy.Copies && !policy.Evict && policy.Speeds)
+	is.Equal(policy.Order, winch.OrderLeastWork)
+	_, err = DecodeRegion("entry.ini", text("[Planner]\nWithout = Copys\n"))
+	is.True(err != nil && strings.Contains(err.Error(), "entry.ini:17: Without = Copys: no such mechanism: did you mean Copies?"))
+	_, err = DecodeRegion("entry.ini", text("[Planner]\nOrder = Random\n"))
+	is.True(err != nil && strings.Contains(err.Error(), "write one of Slack, LeastWork, Deficit, Mixed"))
+}
--- a/conf/region.go
+++ b/conf/region.go
@@ -60,6 +60,43 @@
 	Grace time.Duration
 }
 
+// RegionPlanner holds what an operator may change about the planner's decisions.
+type RegionPlanner struct {
+	// Without lists the mechanisms that are switched off.
+	Without []string
+	// Order is the order of waiting work while a service is full.
+	Order string
+}
+
+// Policy returns the planner's policy. The settings must have been checked.
+func (s RegionPlanner) Policy() winch.Policy {
+	policy := winch.DefaultPolicy()
+	for _, name := range s.Without {
+		policy, _ = policy.Without(name) // The names are checked when the settings are decoded.
+	}
+	if s.Order != "" {
+		policy.Order = winch.Order(s.Order)
+	}
+	return policy
+}
+
+func (s RegionPlanner) check(f *File) error {
+	for _, name := range s.Without {
+		if !slices.Contains(winch.Mechanisms(), name) {
+			return f.Errorf("Planner", "Without", "Without = %s: no such mechanism: did you mean %s? The mechanisms are %s",
+				name, Nearest(name, winch.Mechanisms()), strings.Join(winch.Mechanisms(), ", "))
+		}
+	}
+	var orders []string
+	for _, o := range winch.Orders() {
+		orders = append(orders, string(o))
+	}
+	if s.Order != "" && !slices.Contains(orders, s.Order) {
+		return f.Errorf("Planner", "Order", "Order = %s: write one of %s", s.Order, strings.Join(orders, ", "))
+	}
+	return nil
+}
+
 // Region holds all settings of one entry of a region.
 type Region struct {
 	Entry    Entry
@@ -68,6 +105,7 @@
 	Peers    Peers
 	Limits   RegionLimits
 	Timing   RegionTiming
+	Planner  RegionPlanner
 }
 
 // Adapter returns the value of [Platform] Adapter in a settings file, or its default.
@@ -120,6 +158,7 @@
 		{"Peers", &s.Peers},
 		{"Limits", &s.Limits},
 		{"Timing", &s.Timing},
+		{"Planner", &s.Planner},
 	})
 	if err != nil {
 		return s, err
@@ -158,7 +197,7 @@
 	if s.Timing.Lease < time.Second || s.Timing.Grace < time.Second {
 		return f.Errorf("Timing", "", "Lease and Grace: write at least one second")
 	}
-	return nil
+	return s.Planner.check(f)
 }
 
 // addressSetting is a key that must hold an IP address and a port.
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -43,8 +43,8 @@
 	LeaseExpiry time.Time
 	// Clock returns the current time; New sets time.Now.
 	Clock func() time.Time
-	// Policy selects the scheduling mechanisms in use; New sets DefaultPolicy.
-	Policy Policy
+	// Policy selects the scheduling mechanisms in use; New sets winch.DefaultPolicy.
+	Policy winch.Policy
 	// Quota limits the advice requests of the next Schedule; New sets no limit.
 	Quota RequestQuota
 
@@ -118,7 +118,7 @@
 // New returns an empty planner.
 func New(term uint64) *Planner {
 	return &Planner{
-		Term: term, Policy: DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
+		Term: term, Policy: winch.DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool), evacuated: make(map[string]bool),
 		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), Quota: unlimitedQuota,
 	}
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -192,6 +192,7 @@
 	}
 	v := newValidity(until)
 	l.validity.Store(&v)
+	l.planner.Policy = n.Policy
 	l.planner.Barrier = time.Now().Add(barrier())
 	l.planner.AdoptedRevision = math.MaxUint64
 	l.planner.SetConfig(n.Config())
--- a/region/node.go
+++ b/region/node.go
@@ -71,6 +71,8 @@
 	Address string // Address is where peers reach the entry.
 	Share   int    // Share is the entry's share of a processor, in thousandths.
 	Timing  Timing
+	// Policy is used while this entry is the planner; the zero value means winch.DefaultPolicy.
+	Policy  winch.Policy
 	Table   winch.Table
 	Runner  winch.WorkerClient
 	Advisor winch.Advisor
@@ -108,6 +110,9 @@
 // Prepare initializes the entry. It has to be called before Run.
 func (n *Node) Prepare() {
 	n.started = time.Now()
+	if n.Policy == (winch.Policy{}) {
+		n.Policy = winch.DefaultPolicy()
+	}
 	n.officeWake = make(chan struct{}, 1)
 	n.keeper = &keep.Keeper{
 		Client: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, maxLease), FetchCommand: n.command,
--- a/server/region.go
+++ b/server/region.go
@@ -72,6 +72,7 @@
 		Name: boot, Host: e.Name, Domain: e.Domain, Address: cmp.Or(s.Settings.Listen.Announce, s.Settings.Listen.Peers),
 		Share:  int(1000 * s.Settings.Limits.Processors),
 		Timing: region.Timing{Lease: s.Settings.Timing.Lease, Retention: s.Settings.Timing.Keep},
+		Policy: s.Settings.Planner.Policy(),
 		Table:  s.table, Runner: s.workerClient, Advisor: platform.NewAdvisor(s.Settings.Platform.Advice),
 		Codec: platform.Codec{}, Peers: s.Mesh, Log: s.Log, Metrics: s.Metrics,
 	}
@@ -89,17 +90,18 @@
 	return nil
 }
 
-// Reload applies changed settings. Changes of addresses take effect at the next start.
+// Reload applies changed settings. Changes of addresses and of the planner's policy take effect at the next start.
 func (s *Region) Reload(settings conf.Region) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.Settings
-	if settings.Timing == old.Timing && settings.Limits == old.Limits && settings.Listen == old.Listen && settings.Platform == old.Platform {
+	if settings.Timing == old.Timing && settings.Limits == old.Limits && settings.Listen == old.Listen && settings.Platform == old.Platform &&
+		settings.Planner.Policy() == old.Planner.Policy() {
 		return
 	}
 	s.Settings = settings
 	s.Log.Info("settings reloaded", zap.Any("timing", settings.Timing), zap.Any("limits", settings.Limits),
-		zap.Bool("restart", settings.Listen != old.Listen || settings.Platform != old.Platform))
+		zap.Bool("restart", settings.Listen != old.Listen || settings.Platform != old.Platform || settings.Planner.Policy() != old.Planner.Policy()))
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.Memory)))
 }
 
--- a/trial/region.go
+++ b/trial/region.go
@@ -92,7 +92,7 @@
 }
 
 // Play simulates a pattern under a policy and returns its outcome.
-func Play(p Pattern, policy fleet.Policy, seed uint64) Outcome {
+func Play(p Pattern, policy winch.Policy, seed uint64) Outcome {
 	r := &simRegion{
 		pattern: p, rnd: rand.New(rand.NewPCG(seed, 7)), begin: trialStart, now: trialStart, planner: fleet.New(1),
 		jobs: make(map[string]*jobArrival), runs: make(map[runKey]*activeRun), checkpointed: make(map[winch.RunID]time.Duration),
--- a/trial/region_test.go
+++ b/trial/region_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"plantainwinch/coord/fleet"
+	"plantainwinch/winch"
 )
 
 // patternLength is long enough for the first burst of each pattern and its aftermath.
@@ -20,10 +20,10 @@
 var outcomes sync.Map
 
 // outcomeOf returns the outcome of a pattern under a policy. It simulates each combination once.
-func outcomeOf(pattern string, policy fleet.Policy) Outcome {
+func outcomeOf(pattern string, policy winch.Policy) Outcome {
 	type key struct {
 		pattern string
-		policy  fleet.Policy
+		policy  winch.Policy
 	}
 	simulate := func() Outcome {
 		for _, p := range Patterns() {
@@ -41,7 +41,7 @@
 // queueOutcome returns the outcome of one queue of a pattern, with some mechanisms switched off.
 func queueOutcome(t *testing.T, pattern, queue string, without ...string) QueueOutcome {
 	t.Helper()
-	policy := fleet.DefaultPolicy()
+	policy := winch.DefaultPolicy()
 	for _, name := range without {
 		var err error
 		if policy, err = policy.Without(name); err != nil {
@@ -127,12 +127,12 @@
 func TestOnlyJobsThatCrashWorkersFail(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	with := outcomeOf("crashes", fleet.DefaultPolicy())
+	with := outcomeOf("crashes", winch.DefaultPolicy())
 	is.True(with.Harm.GivenUp > 0)
 	is.True(with.Harm.Most <= 5)
 	is.Equal(with.Harm.Wronged, 0)
 	is.True(queueOutcome(t, "crashes", "batch").Within >= 0.99)
-	off, err := fleet.DefaultPolicy().Without("Isolate")
+	off, err := winch.DefaultPolicy().Without("Isolate")
 	is.NoErr(err)
 	is.True(outcomeOf("crashes", off).Harm.Wronged > 0)
 }
@@ -141,7 +141,7 @@
 func TestStartsFitReducedCapacity(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	is.Equal(outcomeOf("shrinks", fleet.DefaultPolicy()).Harm.Over, 0)
+	is.Equal(outcomeOf("shrinks", winch.DefaultPolicy()).Harm.Over, 0)
 	is.True(queueOutcome(t, "shrinks", "lookup").OnTime >= 0.95)
 }
 
@@ -150,10 +150,10 @@
 func TestColdWorkersGetWorkLast(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	off, err := fleet.DefaultPolicy().Without("WarmFirst")
+	off, err := winch.DefaultPolicy().Without("WarmFirst")
 	is.NoErr(err)
 	with, without := 0.0, 0.0
-	for _, q := range outcomeOf("returns", fleet.DefaultPolicy()).Queues {
+	for _, q := range outcomeOf("returns", winch.DefaultPolicy()).Queues {
 		with += q.OnTime
 		is.True(q.Within >= 0.99)
 	}
@@ -169,7 +169,7 @@
 	is := is.New(t)
 	p := Patterns()[2]
 	p.Length = 20 * time.Second
-	is.Equal(Play(p, fleet.DefaultPolicy(), 1), Play(p, fleet.DefaultPolicy(), 1))
+	is.Equal(Play(p, winch.DefaultPolicy(), 1), Play(p, winch.DefaultPolicy(), 1))
 }
 
 // Plot must write an SVG file named after the pattern and the disabled mechanisms.
--- a/winch/outcome.go
+++ b/winch/outcome.go
@@ -45,6 +45,8 @@
 	VersionConflict  Reason = "VersionConflict"
 	Cancelled        Reason = "Cancelled"
 	CallerGone       Reason = "CallerGone"
+	// Overloaded means that the job could not end while its caller still waits.
+	Overloaded Reason = "Overloaded"
 )
 
 // Result is the result of a request. It replaces an executor's response if there is none,
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -232,3 +232,13 @@
 	// start, or after its failure domain was evacuated.
 	ColdLeft time.Duration `cbor:"-"`
 }
+
+// Kind returns the VM's kind: its first label other than the rack, or "" if it has none.
+func (vm WorkerVM) Kind() string {
+	for _, label := range vm.Labels {
+		if label != vm.Rack {
+			return label
+		}
+	}
+	return ""
+}
--- a/coord/fleet/policy.go
+++ b/winch/policy.go
@@ -1,7 +1,8 @@
-package fleet
+package winch
 
 import (
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -43,6 +44,38 @@
 	// that then crash another worker. Without it, each task counts the crashes of all workers that
 	// it ran on.
 	Isolate bool
+	// Speeds learns how fast workers are, and places, forecasts and compares runs by it.
+	Speeds bool
+	// Copies starts a second run of a straggling task where its phase permits overlapping runs.
+	Copies bool
+	// Evict stops runs that save their progress if an urgent job is then on time.
+	Evict bool
+	// FairShares ranks waiting work by the shares of teams while a service is full.
+	FairShares bool
+	// Admit refuses jobs that could not end while their callers still wait.
+	Admit bool
+	// Order selects the order of waiting work while a service is full.
+	Order Order
+}
+
+// Order is an order of waiting work of the same class while a service is full.
+type Order string
+
+// Orders of waiting work.
+const (
+	// OrderSlack puts the phase with the least spare time first.
+	OrderSlack Order = "Slack"
+	// OrderLeastWork puts the job with the least remaining work first, among those that can be on time.
+	OrderLeastWork Order = "LeastWork"
+	// OrderDeficit puts the team first that is furthest below its share.
+	OrderDeficit Order = "Deficit"
+	// OrderMixed combines the three.
+	OrderMixed Order = "Mixed"
+)
+
+// Orders returns all orders.
+func Orders() []Order {
+	return []Order{OrderSlack, OrderLeastWork, OrderDeficit, OrderMixed}
 }
 
 // DefaultPolicy returns the policy used in production: all mechanisms enabled.
@@ -50,6 +83,7 @@
 	return Policy{
 		LastCall: true, PackAccelerators: true, Reserve: true, AskAll: true, Restart: true,
 		UrgentRoom: true, Shares: true, Chance: true, LateLast: true, Moves: true, Ahead: true, Isolate: true, HomeDomain: true, WarmFirst: true,
+		Speeds: true, Copies: true, Evict: true, FairShares: true, Admit: true, Order: OrderSlack,
 	}
 }
 
@@ -58,7 +92,9 @@
 	t := reflect.TypeFor[Policy]()
 	out := make([]string, 0, t.NumField())
 	for i := range t.NumField() {
-		out = append(out, t.Field(i).Name)
+		if t.Field(i).Type.Kind() == reflect.Bool {
+			out = append(out, t.Field(i).Name)
+		}
 	}
 	return out
 }
@@ -66,10 +102,9 @@
 // Without returns the policy with a mechanism switched off, or an error that lists the mechanisms
 // if the name is unknown.
 func (p Policy) Without(name string) (Policy, error) {
-	field := reflect.ValueOf(&p).Elem().FieldByName(name)
-	if !field.IsValid() {
+	if !slices.Contains(Mechanisms(), name) {
 		return p, merry.Errorf("no mechanism %q: name one of %s", name, strings.Join(Mechanisms(), ", "))
 	}
-	field.SetBool(false)
+	reflect.ValueOf(&p).Elem().FieldByName(name).SetBool(false)
 	return p, nil
 }
