A planner that takes its office again uses the runs of its own last term

Cause: the office's lease expires while the store is down, and the same entry takes the office again as the store returns. The entry had known all runs a moment before.

At the end of a term the entry keeps its runs and the expiries of leases that nobody can renew without an order of that term, as its standby would hold them. They are used if no other entry has held the office since, the records had been read, no earlier planner's workers were awaited and the office was not handed over.

--- a/region/leadership.go
+++ b/region/leadership.go
@@ -150,6 +150,7 @@
 	startedAt         time.Time
 	standbyCheckedAt  time.Time // standbyCheckedAt is when the standby was last compared with other entries.
 	decisionPending   bool
+	loaded            bool // loaded says that the records of earlier planners have been read.
 	closed            bool // closed says that the office is being given up: nothing more is started.
 	runsRecorded      bool // runsRecorded says that the running work has been recorded for the next planner.
 	// decidedAt is when the planner last made a decision, decisionTime is how long that took.
@@ -215,6 +216,7 @@
 	l.timer = time.NewTimer(idleInterval)
 	l.group.Go(func() { l.renew(l.ctx) })
 	if l.load(l.ctx) {
+		l.loaded = true
 		// Requests are served only from here on: one that came while the records are read would have
 		// to wait until that is done.
 		l.node.leadership.Store(l)
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -30,6 +30,8 @@
 	// adds before it assumes that the standby no longer uses them.
 	expiriesLifetime = 2100 * time.Millisecond
 	expiriesMargin   = 100 * time.Millisecond
+	// ownExpiriesLifetime is how long an entry uses the expiries of its own last term: longer than any lease.
+	ownExpiriesLifetime = time.Minute
 	// heartbeatInterval is how often the planner sends its standby a message if there is nothing to
 	// report: a little less than idleInterval, so that each idle decision sends one.
 	heartbeatInterval = 90 * time.Millisecond
@@ -104,6 +106,23 @@
 	return true
 }
 
+// keepOwn stores what this entry knew as planner when its term ended. If it takes the office again and no
+// other entry has held it meanwhile, it uses this like a standby. The expiries are those of leases that
+// nobody could renew any more without an order of the ended term, so they do not become outdated.
+func (m *mirror) keepOwn(term uint64, runs []proto.MirrorRun, expiries map[string][]assignment) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.term != term || m.runs != nil {
+		return // A later planner has sent its runs.
+	}
+	m.runs = make(map[proto.MirrorRun]bool, len(runs))
+	for _, r := range runs {
+		m.runs[r] = true
+	}
+	m.expiries, m.expiriesUntil = expiries, time.Now().Add(ownExpiriesLifetime)
+	m.lastContact, m.yields = time.Time{}, false
+}
+
 // active reports whether this entry is the standby of a planner that has lately sent a message.
 func (m *mirror) active() bool {
 	m.mu.Lock()
--- a/region/office.go
+++ b/region/office.go
@@ -154,17 +154,37 @@
 	l.standbyBackoff[lastTerm.Holder] = time.Now().Add(lastHolderBackoff)
 	l.prefetched = n.prefetch.result()
 	copied, complete := n.mirror.claim(mine.Term)
-	if complete && lastStandby.Term == lastTerm.Term && lastStandby.Name == n.Name {
-		n.Log.Info("taking over as standby of the last planner", zap.Uint64("term", mine.Term),
+	wasStandby := lastStandby.Term == lastTerm.Term && lastStandby.Name == n.Name
+	if wasPlanner := lastTerm.Holder == n.Name; complete && (wasStandby || wasPlanner) {
+		message := "taking over as standby of the last planner"
+		if wasPlanner {
+			message = "taking the office again with the runs of the last term"
+		}
+		n.Log.Info(message, zap.Uint64("term", mine.Term),
 			zap.Int("workers", len(copied.runs)), zap.Int("silent", len(copied.expiries)))
 		l.copiedRuns, l.copiedExpiries = copied.runs, copied.expiries
 	}
 	l.run(ctx)
+	l.keepRuns()
 	n.leadership.CompareAndSwap(l, nil)
 	n.Log.Info("office given up", zap.Uint64("term", mine.Term))
 	n.forgetOffice(revision)
 }
 
+// keepRuns keeps what this entry knows at the end of its term, for the case that it takes the office again. Runs
+// that were ordered and not confirmed are included. A planner that still waits for the runs of an earlier one
+// knows too little, and one that has handed the office over leaves it to its standby.
+func (l *leadership) keepRuns() {
+	if !l.loaded || l.closed || !l.planner.AllRunsKnown() {
+		return
+	}
+	expiries := make(map[string][]assignment)
+	for _, e := range l.expiries.mirrorUpdate(l.keepers, true) {
+		expiries[e.Worker] = append(expiries[e.Worker], assignment{keeper: e.Keeper, expiry: time.Now().Add(e.Left)})
+	}
+	l.node.mirror.keepOwn(l.term, l.allRuns(), expiries)
+}
+
 // lostElection learns the current records from the store's refusal. A transaction whose response was
 // lost may have been applied: its lease is ended, so that the office is free again.
 func (n *Node) lostElection(ctx context.Context, err error, lease uint64) {
