--- a/server/region.go
+++ b/server/region.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -56,7 +55,7 @@
 
 // Prepare opens the listeners and builds the entry.
 func (s *Region) Prepare() error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.Settings.Limits.Memory)))
+	tuneRegionMemory(s.Settings.Limits.Memory)
 	if err := s.listen(); err != nil {
 		return err
 	}
@@ -102,7 +101,7 @@
 	s.Settings = settings
 	s.Log.Info("settings reloaded", zap.Any("timing", settings.Timing), zap.Any("limits", settings.Limits),
 		zap.Bool("restart", settings.Listen != old.Listen || settings.Platform != old.Platform || settings.Planner.Policy() != old.Planner.Policy()))
-	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.Memory)))
+	tuneRegionMemory(settings.Limits.Memory)
 }
 
 func (s *Region) gracePeriod() time.Duration {
--- a/trans/peer/dial.go
+++ b/trans/peer/dial.go
@@ -128,7 +128,7 @@
 	}
 	return &link{
 		hello: hello, conn: conn, mesh: m,
-		queue: make(chan proto.Frame, sendQueueSize), waiting: make(map[uint64]chan proto.Frame), closed: make(chan struct{}),
+		queue: make(chan *proto.Frame, sendQueueSize), waiting: make(map[uint64]chan proto.Frame), closed: make(chan struct{}),
 		pingRequested: make(chan struct{}, 1),
 	}, nil
 }
--- a/trans/peer/link.go
+++ b/trans/peer/link.go
@@ -17,7 +17,7 @@
 type link struct {
 	hello         proto.Hello
 	conn          *websocket.Conn
-	queue         chan proto.Frame
+	queue         chan *proto.Frame
 	mesh          *Mesh
 	mu            sync.Mutex
 	lastID        uint64
@@ -93,14 +93,14 @@
 
 // batch returns the first frame with others that are queued, without waiting for
 // more. Sending them in one message saves system calls on a busy link.
-func (l *link) batch(first proto.Frame) []proto.Frame {
-	out := []proto.Frame{first}
+func (l *link) batch(first *proto.Frame) []proto.Frame {
+	out := []proto.Frame{*first}
 	size := len(first.Body)
 	for len(out) < maxBatchFrames && size < maxBatchBytes {
 		select {
 		case f := <-l.queue:
 			size += len(f.Body)
-			out = append(out, f)
+			out = append(out, *f)
 		default:
 			return out
 		}
@@ -147,7 +147,7 @@
 		out.Body = encode(reply)
 	}
 	select {
-	case l.queue <- out:
+	case l.queue <- &out:
 	case <-ctx.Done():
 	}
 }
@@ -174,7 +174,7 @@
 
 func (l *link) enqueue(f proto.Frame) error {
 	select {
-	case l.queue <- f:
+	case l.queue <- &f:
 		return nil
 	default:
 		metrics.GetOrRegisterCounter("Peer.RingFull", l.mesh.Metrics).Inc(1)
--- a/trans/peer/peer.go
+++ b/trans/peer/peer.go
@@ -29,7 +29,7 @@
 const (
 	// sendQueueSize limits the messages that wait to be sent on one link. An entry has
 	// links in both directions to hundreds of others, and the memory of each queue is
-	// allocated with the link.
+	// allocated with the link. So a queue holds pointers, an eighth of the size of the frames.
 	sendQueueSize = 512
 	// maxHandlers limits the requests of one link that are handled concurrently.
 	maxHandlers = 4096
