fleet: workers are chosen and runs compared by the speed of workers

Runs there were restarted as slow, which wasted 3,570 processor-seconds, and the planner counted 16 of the late jobs, since it took the objective from the slow runs.

Placement, advice requests, expected ends, the detection of slow runs and the objectives in the account now use the factors of coord/speed. Urgent work waits for a faster worker only if it ends earlier there, and at most as long as the slow worker would cost it.

--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -104,6 +104,9 @@
 		for reason, d := range s.waited {
 			out.Waited[reason] += d
 		}
+		if lost := s.timeLostToSpeed(); lost > 0 {
+			out.Waited[WaitSlowWorker] += lost
+		}
 	}
 	out.Waited[WaitRecord] = now.Sub(j.endedAt)
 	for _, runs := range j.failed {
@@ -113,7 +116,7 @@
 }
 
 // observedCriticalPath returns the longest chain of the job's phases, by the longest observed run
-// time of each phase, or by its estimate if no task of it has completed.
+// time of each phase at usual workers near its data, or by its estimate if no task of it has completed.
 func (j *job) observedCriticalPath() time.Duration {
 	longest := time.Duration(0)
 	chain := make(map[*phase]time.Duration, len(j.phases))
@@ -122,7 +125,7 @@
 		for _, a := range s.after {
 			before = max(before, chain[a])
 		}
-		took := s.maxTime
+		took := s.usualMaxTime()
 		if s.samples == 0 {
 			took = s.spec.Estimate
 		}
--- a/coord/fleet/bench_test.go
+++ b/coord/fleet/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"plantainwinch/coord/speed"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -34,6 +35,31 @@
 	}
 }
 
+// BenchmarkScheduleUneven measures one decision with workers of which 30 % are known to be slow.
+func BenchmarkScheduleUneven(b *testing.B) {
+	for _, advised := range []bool{false, true} {
+		b.Run(fmt.Sprintf("advice=%t", advised), func(b *testing.B) {
+			p := waitingPlanner(350, 20_000, advised)
+			var known []speed.Entry
+			for i := range 105 {
+				known = append(known, speed.Entry{Worker: fmt.Sprintf("w%04d", i*10/3), Factor: 1.8, Samples: 20})
+			}
+			p.RestoreSpeeds(known, p.now())
+			for range 20 {
+				p.Schedule()
+				p.Orders()
+				respondToAll(p)
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				p.Schedule()
+				p.Orders()
+				p.AdviceRequests()
+			}
+		})
+	}
+}
+
 // respondToAll allows every fourth worker named in the pending requests.
 func respondToAll(p *Planner) {
 	for _, a := range p.AdviceRequests() {
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -248,6 +248,7 @@
 		}
 		s.recordRunTime(r)
 		p.finishTask(t)
+		p.observePhase(s)
 	case winch.CompletionFailed:
 		p.counts.Failed++
 		w.health.failed(p.now(), j.rec.ID)
@@ -310,8 +311,13 @@
 		return
 	}
 	took := s.job.planner.now().Sub(r.since)
+	x := r.completed(took)
+	s.completed = append(s.completed, x)
+	took = s.job.planner.usualTime(s, x)
+	if s.job.queue != nil {
+		s.job.queue.addUsualTime(took)
+	}
 	s.samples++
-	s.maxTime = max(s.maxTime, took)
 	s.meanTime += (took - s.meanTime) / time.Duration(s.samples)
 }
 
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -96,6 +96,7 @@
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
 
+	speeds speeds
 	// The following fields collect output until the method that returns it is called.
 	orders         []proto.Order
 	adviceRequests []AdviceRequest
@@ -121,6 +122,7 @@
 		Term: term, Policy: winch.DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool), evacuated: make(map[string]bool),
 		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), Quota: unlimitedQuota,
+		speeds: newSpeeds(),
 	}
 }
 
@@ -132,6 +134,9 @@
 	// turnaround is the moving average of the time from a request to its response, including time
 	// in the queue.
 	turnaround time.Duration
+	// usualTime is the moving average of the run times of the queue's tasks at usual workers; zero
+	// before the first has ended.
+	usualTime time.Duration
 }
 
 // adviceTime returns how long an advice request about objectiveWorkers workers takes. A job's
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -84,11 +84,14 @@
 	// slotsFoundAt.
 	slots        []slot
 	slotsFoundAt time.Time
-	// meanTime and maxTime are the mean and the longest run time of the tasks that completed
-	// successfully.
+	// meanTime is the mean run time of the tasks that completed successfully, each divided by the
+	// factor of its worker.
 	meanTime time.Duration
-	maxTime  time.Duration
 	samples  int
+	// completed lists the runs that completed tasks, and speedWeight is the weight of a worker's slowness
+	// in its score, see speedWeight.
+	completed   []completedRun
+	speedWeight float64
 	// cachedRate is the median progress rate of cachedRateSamples tasks at cachedRateAt.
 	cachedRate        float64
 	cachedRateSamples int
--- a/coord/fleet/pick.go
+++ b/coord/fleet/pick.go
@@ -13,6 +13,10 @@
 	planner *Planner
 	phase   *phase
 	charge  winch.Capacity
+	now     time.Time
+	// faster holds when faster workers than the best choice become free, once searchedFaster is set.
+	faster         []time.Time
+	searchedFaster bool
 	// choices is a heap by score of the workers with free capacity for a task.
 	choices []choice
 }
@@ -68,11 +72,12 @@
 }
 
 func (p *Planner) newPicker(s *phase, now time.Time) *picker {
-	k := &picker{planner: p, phase: s, charge: s.spec.Charge()}
+	k := &picker{planner: p, phase: s, charge: s.spec.Charge(), now: now}
 	if p.knownMiss(s) {
 		return k
 	}
 	counts := s.runsPerWorker()
+	s.speedWeight = p.speedWeight(s, now)
 	p.eachEligible(s, now, func(w *worker) {
 		free := p.availableCapacity(s, w, now)
 		maxTasks := remainingPerVM(s.spec.MostPerVM, counts[w])
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -111,6 +111,7 @@
 	now := p.now()
 	adopting := p.Adopting()
 	p.clearReservations()
+	p.refreshSpeeds(now)
 	p.plannedPhases, p.searchedPhases, p.examined, p.initialQuota = 0, 0, 0, p.Quota
 	p.endLongProbes(now)
 	p.measure(now, adopting)
@@ -245,6 +246,9 @@
 		p.recordMiss(s)
 		return false
 	}
+	if pick.awaitsFaster(pick.choices[i].w) {
+		return false
+	}
 	if number == 0 {
 		number = p.nextRunNumber()
 	}
@@ -328,6 +332,9 @@
 	if s.spec.SameRack && s.usesOtherRack(w.vm.Rack) {
 		score -= remotePenalty
 	}
+	if s.speedWeight != 0 {
+		score -= s.speedWeight * p.slowness(w)
+	}
 	if s.spec.Fills && w.serving > 0 || s.spec.Target > 0 && w.fillingMilli > 0 {
 		score -= interferencePenalty
 	}
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -190,7 +190,7 @@
 	case r.task == nil || r.task.phase.spec.Lasting:
 		return time.Time{}, false
 	}
-	duration := r.task.phase.spec.Estimate
+	duration := r.worker.planner.expectedRunTime(r.task.phase, r.worker)
 	if r.percent > 0 && r.progressedAt.After(r.since) {
 		duration = time.Duration(float64(r.progressedAt.Sub(r.since)) * 100 / r.percent)
 	}
@@ -200,7 +200,7 @@
 // availableCapacity returns the capacity of a worker that a phase may use now.
 func (p *Planner) availableCapacity(s *phase, w *worker, now time.Time) winch.Capacity {
 	free := w.free()
-	if w.reserved.from.IsZero() || now.Add(s.spec.Estimate).Before(w.reserved.from) {
+	if w.reserved.from.IsZero() || now.Add(p.expectedRunTime(s, w)).Before(w.reserved.from) {
 		return free
 	}
 	return free.Sub(w.reserved.capacity)
--- a/coord/fleet/slow.go
+++ b/coord/fleet/slow.go
@@ -8,7 +8,8 @@
 const (
 	// noProgressTimeout is how long a run may report no progress until it counts as stuck.
 	noProgressTimeout = time.Second
-	// slowFactor is how many times slower than its siblings a run may be.
+	// slowFactor is how many times slower than its siblings a run may be, after division by the factors
+	// of their workers.
 	slowFactor = 3.0
 	// minRateTime is the minimum time over which a run's rate of progress is measured.
 	minRateTime = 700 * time.Millisecond
@@ -43,6 +44,7 @@
 			slow = append(slow, r)
 		}
 	}
+	p.restartAtFaster(w, now)
 	if len(slow) == 0 || 2*len(slow) < rated {
 		return
 	}
@@ -67,6 +69,9 @@
 	if !ok || !enough {
 		return ok, false
 	}
+	p := r.worker.planner
+	rate *= p.factor(r.worker)
+	p.observeProgress(r, rate, median, now)
 	return true, rate*slowFactor < median
 }
 
@@ -79,8 +84,8 @@
 	return (r.percent - r.basePercent) / elapsed.Seconds(), true
 }
 
-// cachedMedianRate returns the median rate of a phase's tasks, including those that have ended, and
-// whether enough rates are known. The rate is recomputed after medianRateTTL.
+// cachedMedianRate returns the median rate of a phase's tasks at usual workers, including those that
+// have ended, and whether enough rates are known. The rate is recomputed after medianRateTTL.
 func (s *phase) cachedMedianRate(now time.Time) (float64, bool) {
 	if s.cachedRateAt.IsZero() || now.Sub(s.cachedRateAt) >= medianRateTTL {
 		s.cachedRate, s.cachedRateSamples = s.medianRate(now)
@@ -95,7 +100,7 @@
 	for _, t := range s.tasks {
 		if r := t.activeRun(); r != nil {
 			if rate, ok := r.rate(now); ok {
-				rates = append(rates, rate)
+				rates = append(rates, rate*r.worker.planner.factor(r.worker))
 			}
 		}
 	}
@@ -114,6 +119,9 @@
 func (p *Planner) restart(r *run, now time.Time) {
 	t := r.task
 	s := t.phase
+	if r.stopping {
+		return
+	}
 	if r.probe != nil {
 		return // Each start of a suspect may cost a worker.
 	}
@@ -133,8 +141,13 @@
 	if !p.fitsElsewhere(s, r.worker, now) {
 		return
 	}
-	t.restarts++
-	t.avoidWorker = r.worker.vm.ID
+	p.restartTask(r)
+}
+
+// restartTask stops a run so that its task starts at another worker.
+func (p *Planner) restartTask(r *run) {
+	r.task.restarts++
+	r.task.avoidWorker = r.worker.vm.ID
 	p.counts.Restarted++
 	p.stopRun(r)
 }
@@ -144,7 +157,7 @@
 func (p *Planner) fitsElsewhere(s *phase, except *worker, now time.Time) bool {
 	counts := s.runsPerWorker()
 	fits := func(w *worker) bool {
-		return w != except && p.suits(s, w, now) && s.fitInto(p.availableCapacity(s, w, now), remainingPerVM(s.spec.MostPerVM, counts[w])) > 0
+		return w != except && p.factor(w) <= p.factor(except) && p.suits(s, w, now) && s.fitInto(p.availableCapacity(s, w, now), remainingPerVM(s.spec.MostPerVM, counts[w])) > 0
 	}
 	if s.job.queue.Advice != nil {
 		return slices.ContainsFunc(s.advice.allowed, func(t permit) bool { return fits(t.worker) })
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -43,6 +43,10 @@
 	lasting      int // lasting counts the runs of lasting tasks.
 	// reportsOften is set while the worker is ordered to report more often.
 	reportsOften bool
+	// speedFactor is the worker's factor as last taken from the table of speeds; zero if never.
+	speedFactor float64
+	// loggedFactor is the factor last logged; zero if none was.
+	loggedFactor float64
 	warmAt       time.Time // warmAt is when the worker is no longer slow after its start.
 	// probe is set while nothing else may be started beside a probe.
 	probe        *suspicion
@@ -87,6 +91,7 @@
 			p.WorkerLost(vm.ID, true)
 			delete(p.workers, vm.ID)
 			p.unsorted = true
+			p.speeds.table.Rebooted(vm.ID)
 			w = nil
 		}
 		if w == nil {
--- a/coord/speed/speed.go
+++ b/coord/speed/speed.go
@@ -215,6 +215,23 @@
 	return exp(t.kinds[kind])
 }
 
+// likelyWeight is the weight of the prior of Likely, in samples: the variance of samples at one worker
+// relative to that between workers.
+const likelyWeight = 1.5
+
+// Likely returns the most likely factor of a worker: other than Factor also if chance could explain the
+// difference, as long as workers are known to differ at all. It suits sums over many runs, while
+// decisions need Factor.
+func (t *Table) Likely(worker, kind string) float64 {
+	w := t.workers[worker]
+	if !t.unequal || w == nil || w.own || w.kind != kind || len(w.samples) == 0 {
+		return t.Factor(worker, kind)
+	}
+	n := float64(len(w.samples))
+	// The usual workers are the measure, so those that seem faster than usual count as usual.
+	return max(1, exp((n*location(w.samples, t.spread)+likelyWeight*t.kinds[kind])/(n+likelyWeight)))
+}
+
 // Estimate returns the factor of a worker and how well it is known.
 func (t *Table) Estimate(worker, kind string) Estimate {
 	out := Estimate{Factor: t.Factor(worker, kind)}
--- a/coord/speed/speed_test.go
+++ b/coord/speed/speed_test.go
@@ -173,6 +173,29 @@
 	is.Equal(f.table.Factor("new", "b"), 1.0) // what it runs itself outweighs its kind
 }
 
+// The likely factors of equal workers must be exactly 1 as well, those of slow workers must not stay at 1
+// while their own runs are few, and usual ones must not seem fast.
+func TestLikelyFactorFollowsFewRuns(t *testing.T) {
+	is := is.New(t)
+	equal := newFleet(1, make([]float64, 100))
+	for i := range equal.speeds {
+		equal.speeds[i] = 1
+	}
+	equal.runPhases(20 * time.Second)
+	for i := range equal.speeds {
+		is.Equal(equal.table.Likely(worker(i), ""), 1.0)
+	}
+	f := newFleet(1, uneven(rand.New(rand.NewPCG(1, 1)), 100))
+	f.runPhases(20 * time.Second)
+	for i := range f.speeds {
+		is.True(f.table.Likely(worker(i), "") >= 1)
+	}
+	observe(f.table, f.now, 1_000_000, 3, 1.5)
+	is.Equal(f.table.Factor("w", ""), 1.0)
+	likely := f.table.Likely("w", "")
+	is.True(likely > 1.2 && likely < 1.5)
+}
+
 // observe adds n samples of the same ratio, with run numbers from first on.
 func observe(t *Table, at time.Time, first, n int, ratio float64) {
 	for i := range n {
--- a/trial/evacuate.go
+++ b/trial/evacuate.go
@@ -22,6 +22,9 @@
 
 // domainOf returns the failure domain of a service's i-th worker, "" in patterns without evacuations.
 func (p *Pattern) domainOf(i int) string {
+	if p.Domains > 0 {
+		return domainName(i % p.Domains)
+	}
 	if len(p.Evacuations) == 0 {
 		return ""
 	}
@@ -60,8 +63,12 @@
 	r.scheduleDecision()
 }
 
-// runTime returns how long work takes that begins at the worker now, given how long it takes at a warm one.
+// runTime returns how long work takes that begins at the worker now, given how long it takes at a warm one
+// of median speed.
 func (w *workerState) runTime(now time.Time, work time.Duration) time.Duration {
+	if w.speed != 1 {
+		work = time.Duration(w.speed * float64(work))
+	}
 	cold := max(0, w.coldUntil.Sub(now))
 	if slow := coldSlowdown * work; slow <= cold {
 		return slow
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"strconv"
@@ -31,17 +32,22 @@
 	// AllowedShare is, by queue, the fraction of the workers that the advice service allows for a
 	// phase.
 	AllowedShare map[string]float64
+	// Domains is the number of failure domains of a pattern without evacuations.
+	Domains int
 	// Faults are the faults of workers.
 	Faults []Fault
 	// Evacuations are the evacuations of failure domains; without any the workers have no domains.
 	Evacuations []Evacuation
 }
 
-// Service is a set of identical workers.
+// Service is a set of workers of one size.
 type Service struct {
 	Name    string
 	Workers int
 	Room    winch.Capacity
+	// SlowShare is the fraction of the workers at which work takes 1.46 to 2 times the median, the
+	// others take 0.8 to 0.99 of it. All workers are equal if it is zero.
+	SlowShare float64
 }
 
 // Stream is a sequence of similar jobs that a team submits at random times.
@@ -61,6 +67,11 @@
 	RunTime           time.Duration
 	EstimateError     float64
 	Gang, Checkpoints bool
+	// TaskSpread is the standard deviation of the logarithm of the run times of one phase's tasks, 0.1
+	// if it is zero.
+	TaskSpread float64
+	// MostPerVM is the limit of tasks of one phase at one worker; zero means none.
+	MostPerVM int
 	// CrashFraction is the fraction of the jobs that have tasks which crash their workers.
 	CrashFraction float64
 }
@@ -108,14 +119,14 @@
 		tasks := max(1, int(math.Round(s.Width*randomFactor(rnd, 0.5))))
 		runTime := time.Duration(float64(s.RunTime) * randomFactor(rnd, 0.4))
 		x := winch.Phase{
-			Count: tasks, Need: need, Estimate: time.Duration(float64(runTime) * randomFactor(rnd, s.EstimateError)), Gang: s.Gang, Checkpoints: s.Checkpoints,
+			Count: tasks, Need: need, Estimate: time.Duration(float64(runTime) * randomFactor(rnd, s.EstimateError)), Gang: s.Gang, Checkpoints: s.Checkpoints, MostPerVM: s.MostPerVM,
 		}
 		if phase > 0 {
 			x.After = []int{phase - 1}
 		}
 		var runTimes []time.Duration
 		for range tasks {
-			runTimes = append(runTimes, time.Duration(float64(runTime)*randomFactor(rnd, 0.1)))
+			runTimes = append(runTimes, time.Duration(float64(runTime)*randomFactor(rnd, cmp.Or(s.TaskSpread, 0.1))))
 		}
 		out.job.Phases = append(out.job.Phases, x)
 		out.runTimes = append(out.runTimes, runTimes)
@@ -273,6 +284,7 @@
 			p.Streams = []Stream{lookupStream(6), lookupStream(20).between(30*time.Second, 34*time.Second), batchStream(0.5)}
 			p.Evacuations = []Evacuation{{0, 6 * time.Second, 8 * time.Second, 6 * time.Second}, {1, 22 * time.Second, 8 * time.Second, 6 * time.Second}, {2, 38 * time.Second, 8 * time.Second, 6 * time.Second}}
 		}),
+		unevenPattern(base, "uneven", "30 % of the workers are slow: urgent tasks there end too late, and restarting them wastes their work", 0.3),
 		pattern("overload", "overload for twenty seconds: jobs that are late or cannot meet their objective take the capacity", func(p *Pattern) {
 			p.Streams = []Stream{gangStream(1.5), gangStream(1.8).between(10*time.Second, 30*time.Second), smallStream(1.4)}
 		}),
--- a/trial/region.go
+++ b/trial/region.go
@@ -53,7 +53,7 @@
 type activeRun struct {
 	worker    string
 	started   time.Time
-	remaining time.Duration // remaining is the work that was left when the run started.
+	remaining time.Duration // remaining is the time that the run takes from its start.
 	ended     bool
 }
 
@@ -83,6 +83,8 @@
 	workers         map[string]*workerState
 	evacuated       map[string]bool // evacuated holds the failure domains that were evacuated, and whether they still are.
 	crashes         crashCounts
+	// record, if set, is called with each order and advice request of the planner.
+	record func(decision any)
 }
 
 // usage holds the total time that lanes were busy, and the mean fraction of capacity in use by service.
@@ -93,8 +95,13 @@
 
 // Play simulates a pattern under a policy and returns its outcome.
 func Play(p Pattern, policy winch.Policy, seed uint64) Outcome {
+	return play(p, policy, seed, nil).outcome()
+}
+
+// play simulates a pattern under a policy.
+func play(p Pattern, policy winch.Policy, seed uint64, record func(decision any)) *simRegion {
 	r := &simRegion{
-		pattern: p, rnd: rand.New(rand.NewPCG(seed, 7)), begin: trialStart, now: trialStart, planner: fleet.New(1),
+		record: record, pattern: p, rnd: rand.New(rand.NewPCG(seed, 7)), begin: trialStart, now: trialStart, planner: fleet.New(1),
 		jobs: make(map[string]*jobArrival), runs: make(map[runKey]*activeRun), checkpointed: make(map[winch.RunID]time.Duration),
 		lastEnded: make(map[string]uint64), workers: make(map[string]*workerState), evacuated: make(map[string]bool), crashes: newCrashCounts(), usage: usage{capacity: make(map[string]*mean)},
 	}
@@ -107,7 +114,7 @@
 		r.now = t.at
 		t.fire()
 	}
-	return r.outcome()
+	return r
 }
 
 // schedule calls f after the given simulated time.
@@ -122,9 +129,9 @@
 	var list []winch.WorkerVM
 	for _, s := range r.pattern.Services {
 		for i := range s.Workers {
-			vm := winch.WorkerVM{ID: s.Name + strconv.Itoa(i), Address: s.Name + strconv.Itoa(i), Service: s.Name, Domain: r.pattern.domainOf(i), Room: s.Room, Born: 1}
+			vm := winch.WorkerVM{Labels: s.labelsOf(i), ID: s.Name + strconv.Itoa(i), Address: s.Name + strconv.Itoa(i), Service: s.Name, Domain: r.pattern.domainOf(i), Room: s.Room, Born: 1}
 			list = append(list, vm)
-			r.workers[vm.ID] = &workerState{vm: vm}
+			r.workers[vm.ID] = &workerState{vm: vm, speed: s.speedOf(i)}
 		}
 		r.usage.capacity[s.Name] = &mean{}
 	}
@@ -175,6 +182,9 @@
 	r.planner.Schedule()
 	r.decisionTime = time.Duration(r.planner.Counts().Examined-before) * r.pattern.ExamineTime
 	for _, o := range r.planner.Orders() {
+		if r.record != nil {
+			r.record(o)
+		}
 		switch o.Kind {
 		case proto.OrderStart:
 			r.schedule(r.decisionTime+messageDelay, func() { r.startRun(o) })
@@ -183,6 +193,9 @@
 		}
 	}
 	for _, a := range r.planner.AdviceRequests() {
+		if r.record != nil {
+			r.record(a)
+		}
 		r.lanes.Add(lanes.Request[fleet.AdviceRequest]{Body: a, Urgent: a.Urgent, Rank: a.Rank})
 	}
 	r.sendAdviceRequests()
@@ -308,7 +321,7 @@
 		delay += lostListDelay
 	}
 	if kind == winch.CompletionStopped && r.jobs[key.task.Job].job.Phases[key.task.Phase].Checkpoints {
-		r.checkpointed[key.task] = max(0, run.remaining-r.now.Sub(run.started))
+		r.checkpointed[key.task] = max(0, r.workLeft(run))
 		checkpoint = "saved"
 	}
 	r.schedule(delay, func() {
@@ -337,7 +350,7 @@
 			phase := r.jobs[key.task.Job].job.Phases[key.task.Phase]
 			used[r.serviceOf(run.worker).Name] = used[r.serviceOf(run.worker).Name].Add(phase.Need)
 			runTime := r.jobs[key.task.Job].runTimes[key.task.Phase][key.task.Index]
-			done := 1 - float64(run.remaining-r.now.Sub(run.started))/float64(runTime)
+			done := 1 - float64(r.workLeft(run))/float64(runTime)
 			running[run.worker] = append(running[run.worker], winch.Running{Task: key.task, Run: key.run, Percent: float64(int(100 * done))})
 		}
 		for _, id := range sortedKeys(running) {
