region: the standby is sent the speeds of workers

Without them, callers of urgent jobs would see slow workers used again after each takeover, until the new planner has compared some runs of each. Earlier builds ignore the field. The speeds are logged and measured.

--- a/coord/fleet/speedsummary.go
+++ b/coord/fleet/speedsummary.go
@@ -97,6 +97,9 @@
 // RestoreSpeeds starts from what an earlier planner's summaries, received at the given time, say of the
 // speeds of workers.
 func (p *Planner) RestoreSpeeds(entries []speed.Entry, received time.Time) {
+	if !p.Policy.Speeds {
+		return
+	}
 	p.speeds.table.Restore(entries, received)
 	for _, w := range p.workers {
 		p.updateSpeed(w, received)
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -104,6 +104,9 @@
 			w.warmAt = p.now().Add(vm.ColdLeft)
 		}
 		w.vm = vm
+		if w.speedFactor == 0 {
+			p.updateSpeed(w, p.now())
+		}
 		w.removed = false
 		w.updateContact()
 	}
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -322,6 +322,21 @@
 	// Yield reports that the store does not answer the planner, so that the standby should
 	// take the office over if the store answers it.
 	Yield bool `cbor:"9,keyasint,omitempty"`
+	// Speeds holds the kinds and workers of unusual speed whose factor has changed since the last
+	// message of the session that held any, or all of them if Full is set.
+	Speeds []MirrorSpeed `cbor:"10,keyasint,omitempty"`
+}
+
+// MirrorSpeed is how long runs take at a worker or, if Worker is empty, at a kind of workers.
+type MirrorSpeed struct {
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	Kind   string
+	// Percent is the time that runs take relative to the usual. An element without samples and with
+	// 100 says that the worker or kind is no longer unusual.
+	Percent int
+	Samples int
+	Age     time.Duration // Age is the age of the last sample when the message was sent.
 }
 
 // MirrorLeaseExpiry is the time after which the leases that a keeper granted at a worker
--- a/proto/keep_test.go
+++ b/proto/keep_test.go
@@ -38,3 +38,27 @@
 	is.True(size(KeeperEvent{Kind: EventStarted, Token: token, Task: task, Run: run}) <= 50)
 	is.True(size(KeeperEvent{Kind: EventEnded, Token: token, Ended: []winch.Completion{{Number: 300, Task: task, Run: run, Kind: winch.CompletionDone}}}) <= 70)
 }
+
+// A standby of the previous build, which does not know the speeds of workers, must read the message, and
+// a message without any must be as it was.
+func TestMirrorWithSpeedsIsReadByEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	type earlier struct {
+		Term    uint64 `cbor:"1,keyasint"`
+		Session uint64 `cbor:"2,keyasint"`
+		Yield   bool   `cbor:"9,keyasint,omitempty"`
+	}
+	data, err := Encode(Mirror{Term: 3, Session: 2, Yield: true, Speeds: []MirrorSpeed{{Worker: "w", Kind: "a", Percent: 180, Samples: 9, Age: time.Second}}})
+	is.NoErr(err)
+	var old earlier
+	is.NoErr(Decode(data, &old))
+	is.Equal(old, earlier{Term: 3, Session: 2, Yield: true})
+	var got Mirror
+	is.NoErr(Decode(data, &got))
+	is.Equal(got.Speeds, []MirrorSpeed{{Worker: "w", Kind: "a", Percent: 180, Samples: 9, Age: time.Second}})
+	without, err := Encode(Mirror{Term: 3, Session: 2, Yield: true})
+	is.NoErr(err)
+	as, err := Encode(old)
+	is.NoErr(err)
+	is.Equal(without, as)
+}
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -153,9 +153,10 @@
 	closed            bool // closed says that the office is being given up: nothing more is started.
 	runsRecorded      bool // runsRecorded says that the running work has been recorded for the next planner.
 	// decidedAt is when the planner last made a decision, decisionTime is how long that took.
-	decidedAt    time.Time
-	decisionTime time.Duration
-	lag          lag
+	decidedAt        time.Time
+	decisionTime     time.Duration
+	lag              lag
+	speedsReportedAt time.Time // speedsReportedAt is when the speeds of workers were last reported.
 	// stateWaiters holds the requests that wait for the end of a job, by job ID.
 	stateWaiters     map[string][]stateWaiter
 	waitersClearedAt time.Time
@@ -315,6 +316,7 @@
 	l.signalSave()
 	l.logCompletions()
 	l.logLosses()
+	l.reportSpeeds()
 }
 
 // mayStart reports whether work may be started. A planner that cannot renew its office goes on for a
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"plantainwinch/coord/speed"
 	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
@@ -53,6 +54,8 @@
 	// stampBase is the time that stamp zero stands for; expiriesUntil is until when expiries may be used.
 	stampBase     time.Time
 	expiriesUntil time.Time
+	// speeds holds the workers and kinds of unusual speed.
+	speeds map[speedKey]speed.Entry
 }
 
 // mirrorCopy is what a standby knows when it takes the office over: the runs of each worker, and until
@@ -60,6 +63,9 @@
 type mirrorCopy struct {
 	runs     map[string][]winch.Running
 	expiries map[string][]assignment
+	// speeds holds the workers and kinds of unusual speed as of speedsAt.
+	speeds   []speed.Entry
+	speedsAt time.Time
 }
 
 // respond applies a message and returns the acknowledgement.
@@ -80,6 +86,7 @@
 	if msg.Full {
 		m.term, m.session = msg.Term, msg.Session
 		m.runs = make(map[proto.MirrorRun]bool, len(msg.Add))
+		m.speeds = make(map[speedKey]speed.Entry, len(msg.Speeds))
 	}
 	if msg.Term != m.term || msg.Session != m.session || m.runs == nil {
 		return false
@@ -91,6 +98,7 @@
 	for _, r := range msg.Remove {
 		delete(m.runs, r)
 	}
+	m.applySpeeds(msg.Speeds)
 	if !msg.ExpiriesUnchanged {
 		m.expiries = make(map[string][]assignment, len(msg.LeaseExpiries))
 	}
@@ -118,7 +126,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	complete := m.runs != nil && m.term+1 == term
-	out := mirrorCopy{runs: make(map[string][]winch.Running)}
+	out := mirrorCopy{runs: make(map[string][]winch.Running), speeds: m.listSpeeds(), speedsAt: m.lastContact}
 	if time.Now().Before(m.expiriesUntil) {
 		out.expiries = m.expiries
 	}
@@ -127,7 +135,7 @@
 			out.runs[r.Worker] = append(out.runs[r.Worker], winch.Running{Task: r.Task, Run: r.Run})
 		}
 	}
-	m.term, m.session, m.runs, m.expiries = term, 0, nil, nil
+	m.term, m.session, m.runs, m.expiries, m.speeds = term, 0, nil, nil, nil
 	return out, complete
 }
 
@@ -199,6 +207,7 @@
 			}
 		}
 	}
+	msg.Speeds = l.changedSpeeds(msg.Full)
 	for _, x := range msg.LeaseExpiries {
 		l.standbyExpiries[x.Worker] = true
 	}
--- a/region/office.go
+++ b/region/office.go
@@ -159,6 +159,7 @@
 			zap.Int("workers", len(copied.runs)), zap.Int("silent", len(copied.expiries)))
 		l.copiedRuns, l.copiedExpiries = copied.runs, copied.expiries
 	}
+	l.inheritSpeeds(copied)
 	l.run(ctx)
 	n.leadership.CompareAndSwap(l, nil)
 	n.Log.Info("office given up", zap.Uint64("term", mine.Term))
--- a/region/randfault_test.go
+++ b/region/randfault_test.go
@@ -95,7 +95,7 @@
 )
 
 // Guards against jobs that never end, tasks that run twice at once, and starts beyond a worker's
-// capacity. Faults of all kinds overlap: entries are killed, domains partitioned, the store is down or
+// capacity. With odd seeds, workers of two speeds take part. Faults of all kinds overlap: entries are killed, domains partitioned, the store is down or
 // loses responses, and workers carry out calls without responding.
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
@@ -104,6 +104,9 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, seed, 3, 9)
+				if seed%2 == 1 {
+					w.setSlow(2, "w1", "w5")
+				}
 				settle()
 				w.group.Go(func() { w.playRandomFaults(12) })
 				ids := w.submitJobs(0, 40)
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -340,7 +340,7 @@
 	w.running[c.Task]++
 	x.starts++
 	x.usedMilli += milli
-	r := &simRun{end: time.Now().Add(taskDuration), milli: milli}
+	r := &simRun{end: time.Now().Add(w.runTime(x.vm.ID)), milli: milli}
 	x.runs[key] = r
 	switch c.Command {
 	case lastingCommand:
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -42,6 +42,8 @@
 	brokenLinks  map[simPath]int
 	// paused holds, by the host of a paused entry, the messages that arrived during the pause.
 	paused map[string]*pausedEntry
+	// slow holds how many times as long runs take at the workers that are slower than others.
+	slow map[string]float64
 	// shares holds the processor shares of entries by host; entries without one have 400.
 	shares map[string]int
 	// running counts the runs at workers by task, including those at unresponsive workers.
