--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -19,7 +19,8 @@
 		Short: "Show from logs which jobs were late or not accepted, when and why",
 		Long: "Reads the logs of a region's entries from files or standard input. Prints, for each queue and for each time\n" +
 			"interval, how many jobs were on time, late (up to three times the objective) and missed, and what delayed the\n" +
-			"jobs that were not on time: for each reason the number of jobs whose longest wait it was, and its total time.",
+			"jobs that were not on time: for each reason the number of jobs whose longest wait it was, and its total time.\n" +
+			"The time lost because a run's worker is slower than usual counts as a wait: ran on a slower worker.",
 		Example: "  plantainwinch explain entry-1.log entry-2.log\n  cat *.log | plantainwinch explain --every 2s --output json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if reader.Interval <= 0 {
