--- a/region/office.go
+++ b/region/office.go
@@ -164,6 +164,7 @@
 			zap.Int("workers", len(copied.runs)), zap.Int("silent", len(copied.expiries)))
 		l.copiedRuns, l.copiedExpiries = copied.runs, copied.expiries
 	}
+	l.inheritSpeeds(copied)
 	l.run(ctx)
 	l.keepRuns()
 	n.leadership.CompareAndSwap(l, nil)
