The speeds of workers survive a planner's own next term

Cause: a planner that takes its office again after an outage of the store kept its runs and not what it knew of the speeds of workers, which its standby would have kept. Tests of the own term, speeds, mirror and standby passed.

--- a/region/mirror.go
+++ b/region/mirror.go
@@ -56,8 +56,9 @@
 	// stampBase is the time that stamp zero stands for; expiriesUntil is until when expiries may be used.
 	stampBase     time.Time
 	expiriesUntil time.Time
-	// speeds holds the workers and kinds of unusual speed.
-	speeds map[speedKey]speed.Entry
+	// speeds holds the workers and kinds of unusual speed as of speedsAt.
+	speeds   map[speedKey]speed.Entry
+	speedsAt time.Time
 }
 
 // mirrorCopy is what a standby knows when it takes the office over: the runs of each worker, and until
@@ -101,6 +102,7 @@
 		delete(m.runs, r)
 	}
 	m.applySpeeds(msg.Speeds)
+	m.speedsAt = m.lastContact
 	if !msg.ExpiriesUnchanged {
 		m.expiries = make(map[string][]assignment, len(msg.LeaseExpiries))
 	}
@@ -117,7 +119,7 @@
 // keepOwn stores what this entry knew as planner when its term ended. If it takes the office again and no
 // other entry has held it meanwhile, it uses this like a standby. The expiries are those of leases that
 // nobody could renew any more without an order of the ended term, so they do not become outdated.
-func (m *mirror) keepOwn(term uint64, runs []proto.MirrorRun, expiries map[string][]assignment) {
+func (m *mirror) keepOwn(term uint64, runs []proto.MirrorRun, expiries map[string][]assignment, speeds []proto.MirrorSpeed) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.term != term || m.runs != nil {
@@ -129,6 +131,8 @@
 	}
 	m.expiries, m.expiriesUntil = expiries, time.Now().Add(ownExpiriesLifetime)
 	m.lastContact, m.yields = time.Time{}, false
+	m.speeds, m.speedsAt = make(map[speedKey]speed.Entry, len(speeds)), time.Now()
+	m.applySpeeds(speeds)
 }
 
 // active reports whether this entry is the standby of a planner that has lately sent a message.
@@ -145,7 +149,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	complete := m.runs != nil && m.term+1 == term
-	out := mirrorCopy{runs: make(map[string][]winch.Running), speeds: m.listSpeeds(), speedsAt: m.lastContact}
+	out := mirrorCopy{runs: make(map[string][]winch.Running), speeds: m.listSpeeds(), speedsAt: m.speedsAt}
 	if time.Now().Before(m.expiriesUntil) {
 		out.expiries = m.expiries
 	}
--- a/region/office.go
+++ b/region/office.go
@@ -183,7 +183,7 @@
 	for _, e := range l.expiries.mirrorUpdate(l.keepers, true) {
 		expiries[e.Worker] = append(expiries[e.Worker], assignment{keeper: e.Keeper, expiry: time.Now().Add(e.Left)})
 	}
-	l.node.mirror.keepOwn(l.term, l.allRuns(), expiries)
+	l.node.mirror.keepOwn(l.term, l.allRuns(), expiries, l.changedSpeeds(true))
 }
 
 // lostElection learns the current records from the store's refusal. A transaction whose response was
--- a/region/speeds.go
+++ b/region/speeds.go
@@ -57,7 +57,7 @@
 
 // listSpeeds returns the speeds known as standby, unless they are too old. The caller holds the mutex.
 func (m *mirror) listSpeeds() []speed.Entry {
-	if time.Since(m.lastContact) > speedsLifetime {
+	if time.Since(m.speedsAt) > speedsLifetime {
 		return nil
 	}
 	return slices.SortedFunc(maps.Values(m.speeds), func(a, b speed.Entry) int {
