fleet: waiting work is ordered by shares while a service is full

Cause: in a full region, work that can no longer be on time, and the work of teams with many times their usual demand, took the capacity of work that could have been on time; jobs were begun and not finished.

coord/order computes usage, shares and the orders Slack, LeastWork, Deficit and Mixed; run times are learned per queue from its ended runs and per phase from its own. coord/fleet applies them while waiting work doesn't fit into what is free.

--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -18,6 +18,7 @@
 	seed       uint64
 	patterns   []string
 	without    []string
+	order      string
 	plotFolder string
 	each       bool
 	fleets     bool
@@ -32,6 +33,7 @@
 		Long: "Simulates generated loads against the planner of a region, in simulated time and without a network, and prints for\n" +
 			"each queue how many jobs were on time and within three times the objective, how long they took, what they waited\n" +
 			"for, and the use of lanes and capacity. --without switches mechanisms off; --each adds runs without each single one.\n" +
+			"--order selects the order of waiting work while a service is full.\n" +
 			"--fleets compares the planner of a failure domain with first come, first fit; --growth measures the cost of its\n" +
 			"decisions at 50 to 1600 workers.",
 		Example: "  plantainwinch trial\n  plantainwinch trial --pattern gangs --without Reserve,AskAll --plot plots\n  plantainwinch trial --fleets",
@@ -41,6 +43,7 @@
 	cmd.Flags().Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
 	cmd.Flags().StringSliceVar(&o.patterns, "pattern", nil, "load patterns to simulate; all if none is given")
 	cmd.Flags().StringSliceVar(&o.without, "without", nil, "mechanisms to switch off")
+	cmd.Flags().StringVar(&o.order, "order", string(winch.DefaultPolicy().Order), "order of waiting work: Slack, LeastWork, Deficit or Mixed")
 	cmd.Flags().BoolVar(&o.each, "each", false, "also simulate with each single mechanism switched off")
 	cmd.Flags().StringVar(&o.plotFolder, "plot", "", "folder for SVG plots")
 	cmd.Flags().BoolVar(&o.fleets, "fleets", false, "measure the planner of a failure domain")
@@ -60,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if !slices.Contains(winch.Orders(), winch.Order(o.order)) {
+		return merry.Errorf("no order %q: name one of %v", o.order, winch.Orders())
+	}
 	off := [][]string{o.without}
 	if o.each {
 		for _, name := range winch.Mechanisms() {
@@ -70,13 +76,14 @@
 	for _, p := range patterns {
 		for _, names := range off {
 			policy := winch.DefaultPolicy()
+			policy.Order = winch.Order(o.order)
 			for _, name := range names {
 				if policy, err = policy.Without(name); err != nil {
 					return err
 				}
 			}
 			out := trial.Play(p, policy, o.seed)
-			out.Without = names
+			out.Without, out.Order = names, policy.Order
 			all = append(all, out)
 		}
 	}
--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -79,6 +79,8 @@
 		return WaitUrgentCapacity
 	case s.advice.pending:
 		return WaitAdvice
+	case p.waitsForShare(s):
+		return WaitShare
 	}
 	return WaitCapacity
 }
--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -117,7 +117,7 @@
 	s.advice.pending, s.advice.requested = true, now
 	p.counts.AdviceRequests++
 	p.adviceRequests = append(p.adviceRequests, AdviceRequest{
-		Phase: s.id(), Workers: ids, Urgent: s.job.inUrgentQueue(), Rank: float64(r.class)*1e6 + r.key,
+		Phase: s.id(), Workers: ids, Urgent: s.job.inUrgentQueue(), Rank: r.requestRank(),
 		Cost: cost.Call + time.Duration(len(ids))*cost.Worker, Created: now,
 	})
 }
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -39,6 +39,7 @@
 	maxFree winch.Capacity
 	// misses are the shapes that no worker had capacity for in the last Schedule.
 	misses []shape
+	order  poolOrder
 }
 
 func (p *Planner) pool(service string) *pool {
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -247,6 +247,7 @@
 			return false
 		}
 		s.recordRunTime(r)
+		p.learnRunTime(r)
 		p.finishTask(t)
 	case winch.CompletionFailed:
 		p.counts.Failed++
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -95,6 +95,7 @@
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
+	order             orderState
 
 	// The following fields collect output until the method that returns it is called.
 	orders         []proto.Order
@@ -132,6 +133,7 @@
 	// turnaround is the moving average of the time from a request to its response, including time
 	// in the queue.
 	turnaround time.Duration
+	order      queueOrder
 }
 
 // adviceTime returns how long an advice request about objectiveWorkers workers takes. A job's
@@ -149,6 +151,7 @@
 	used   winch.Capacity
 	urgent demand
 	share  shareBucket
+	order  teamOrder
 }
 
 // SetConfig applies a configuration.
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -26,6 +26,7 @@
 	excess bool
 	// adopted is set if runs of an earlier planner were found.
 	adopted bool
+	order   jobOrder
 	// addedAt is when this planner learned of the job. endedAt is when it ended or, once that is
 	// recorded, when the record was written.
 	addedAt time.Time
@@ -98,6 +99,7 @@
 	waited      map[Reason]time.Duration
 	waitReason  Reason
 	accountedAt time.Time
+	order       phaseOrder
 }
 
 // task is one task of a phase.
@@ -175,6 +177,7 @@
 		j.retained = true
 		delete(p.active, rec.ID)
 	}
+	p.orderAdded(j)
 	j.enqueueReady()
 }
 
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"plantainwinch/coord/order"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -25,12 +26,14 @@
 // rank orders waiting phases; the lowest goes first.
 type rank struct {
 	class int
+	group order.Group // group is zero unless shares bind.
 	key   float64
 }
 
 // Classes of waiting phases.
 const (
-	rankUrgent = iota
+	rankPromoted = iota // rankPromoted is work that goes ahead of its rank for a small part of the capacity.
+	rankUrgent
 	rankLasting
 	rankUrgentLate // rankUrgentLate is urgent work that will probably miss its objective.
 	rankNormal
@@ -50,6 +53,14 @@
 )
 
 func (p *Planner) rank(s *phase, now time.Time) rank {
+	if p.sharesBind(s) {
+		return p.fairRank(s)
+	}
+	return p.slackRank(s, now)
+}
+
+// slackRank ranks a phase by its slack.
+func (p *Planner) slackRank(s *phase, now time.Time) rank {
 	j := s.job
 	objective := s.objective()
 	left := objective.Sub(now).Seconds()
@@ -57,23 +68,23 @@
 	deadline := s.callerDeadline(objective)
 	switch {
 	case s.spec.Lasting:
-		return rank{rankLasting, j.rec.Accepted.Sub(now).Seconds()}
+		return rank{class: rankLasting, key: j.rec.Accepted.Sub(now).Seconds()}
 	case p.Policy.LateLast && now.After(deadline):
-		return rank{rankAbandoned, slack}
+		return rank{class: rankAbandoned, key: slack}
 	case j.excess:
-		return rank{rankExcess, slack}
+		return rank{class: rankExcess, key: slack}
 	case p.Policy.Chance && j.urgent() && left < s.chainFactor()*s.remainingPath.Seconds():
 		// In an overload, serving the work closest to its objective first makes all of it late.
-		return rank{rankUrgentLate, slack}
+		return rank{class: rankUrgentLate, key: slack}
 	case j.urgent():
-		return rank{rankUrgent, slack}
+		return rank{class: rankUrgent, key: slack}
 	case left < s.remainingPath.Seconds()/2 && p.Policy.LastCall:
 		// It can no longer meet its objective, but its caller still waits.
-		return rank{rankNormal, deadline.Sub(now).Seconds() - s.remainingPath.Seconds()}
+		return rank{class: rankNormal, key: deadline.Sub(now).Seconds() - s.remainingPath.Seconds()}
 	case left < s.remainingPath.Seconds()/2:
-		return rank{rankNormal, 1e4 + slack}
+		return rank{class: rankNormal, key: 1e4 + slack}
 	}
-	return rank{rankNormal, slack}
+	return rank{class: rankNormal, key: slack}
 }
 
 // callerDeadline returns when the caller stops waiting for the job, given the objective of the
@@ -178,12 +189,13 @@
 			s.accountWait(now, reason)
 			e.rank = rank{class: rankDeferred}
 		} else {
-			e.rank = p.rank(s, now)
+			e.rank = rank{}
 		}
 		kept = append(kept, e)
 	}
 	clear(p.ready[len(kept):])
 	p.ready = kept
+	p.rankReady(now)
 	slices.SortFunc(p.ready, compareWaitingPhases)
 }
 
@@ -191,6 +203,9 @@
 	if a.rank.class != b.rank.class {
 		return cmp.Compare(a.rank.class, b.rank.class)
 	}
+	if a.rank.group != b.rank.group {
+		return cmp.Compare(a.rank.group, b.rank.group)
+	}
 	if a.rank.key != b.rank.key {
 		return cmp.Compare(a.rank.key, b.rank.key)
 	}
@@ -258,6 +273,7 @@
 	r := p.addRun(w, t, t.id(), number)
 	x := p.pool(t.phase.job.queue.Service)
 	x.free = x.free.Sub(r.charge)
+	p.orderStarted(t.phase)
 	t.phase.job.begun = true
 	p.orders = append(p.orders, proto.Order{
 		Kind: proto.OrderStart, Worker: w.vm.ID, Task: t.id(), Run: number,
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -57,6 +57,9 @@
 	WaitProbe
 	// WaitEvacuated means that all workers that could run the task are in evacuated failure domains.
 	WaitEvacuated
+	// WaitShare means that no worker has free capacity, and that other teams go first because the
+	// team uses more than its share.
+	WaitShare
 )
 
 // String returns the text of the reason that is written to the log.
@@ -67,7 +70,7 @@
 		"next scheduling pass", "advice request pending", "advice request failed", "no valid ticket",
 		"denied by advice", "insufficient capacity", "capacity reserved for urgent work",
 		"completion not recorded", "worker response lost", "suspected of crashing workers",
-		"failure domain evacuated",
+		"failure domain evacuated", "team above its share",
 	}
 	if r < 0 || int(r) >= len(names) {
 		return ""
--- a/trial/outcome.go
+++ b/trial/outcome.go
@@ -18,7 +18,8 @@
 // Outcome holds the results of one pattern under one policy.
 type Outcome struct {
 	Pattern string
-	Without []string `json:",omitempty"` // Without lists the mechanisms that were switched off.
+	Without []string    `json:",omitempty"` // Without lists the mechanisms that were switched off.
+	Order   winch.Order // Order is the order of waiting work while a service is full.
 	Queues  []QueueOutcome
 	// Lanes is the fraction of the lanes' time that advice requests took, Room the mean fraction
 	// of each service's capacity in use.
