trial: patterns hot-crowd and mixed-overload, results by team and by size

Cause: no pattern had many teams in a full region, nor batch jobs of widely different sizes, so orders could not be compared. The table gets the order, the value earned, the value of the worst tenth of the teams, and the largest tenth and the fifth below it on time.

--- a/coord/order/order.go
+++ b/coord/order/order.go
@@ -84,10 +84,10 @@
 			return EarlyAboveShare
 		case w.Team.Above:
 			return AboveShare
-		case early:
-			return Early
 		case w.Underserved:
 			return Underserved
+		case early:
+			return Early
 		}
 		return Fresh
 	}
@@ -115,6 +115,8 @@
 	// ageDoubling is the fraction of its objective after which waiting work counts as half as
 	// large.
 	ageDoubling = 0.25
+	// underservedFactor is how much smaller jobs of an underserved size count for Mixed.
+	underservedFactor = 8
 	// maxTeamWeight bounds the factor by which Mixed weighs a team's standing.
 	maxTeamWeight = 4
 )
@@ -134,7 +136,11 @@
 		return stepSpan*min(maxSteps, math.Floor(deficitSteps*w.Team.Ratio)) + slack
 	case winch.OrderMixed:
 		spare := max(0, slack) / max(1e-3, w.Objective.Sub(w.Accepted).Seconds())
-		return w.aged(now) * (0.5 + spare) * min(maxTeamWeight, max(1.0/maxTeamWeight, w.Team.Ratio))
+		key := w.aged(now) * (0.5 + spare)
+		if w.Underserved {
+			key /= underservedFactor
+		}
+		return key * min(maxTeamWeight, max(1.0/maxTeamWeight, w.Team.Ratio))
 	}
 	return slack
 }
--- a/coord/order/sizes.go
+++ b/coord/order/sizes.go
@@ -9,7 +9,7 @@
 	sizeMemory = 64.0
 	// minServed is the part of the queue's rate at which each class must be begun. Callers need
 	// half of it, on time; more begins than end on time.
-	minServed = 0.7
+	minServed = 0.9
 )
 
 // Size is the class of a job's size within its queue.
--- a/trial/outcome.go
+++ b/trial/outcome.go
@@ -21,6 +21,10 @@
 	Without []string    `json:",omitempty"` // Without lists the mechanisms that were switched off.
 	Order   winch.Order // Order is the order of waiting work while a service is full.
 	Queues  []QueueOutcome
+	// Teams holds the results by team, those with the least value first; Value is the fraction of the
+	// value of all jobs that was earned.
+	Teams []TeamOutcome
+	Value float64
 	// Lanes is the fraction of the lanes' time that advice requests took, Room the mean fraction
 	// of each service's capacity in use.
 	Lanes float64
@@ -46,6 +50,7 @@
 	// Ratios holds the times that jobs took, as multiples of their objectives, in ascending order.
 	// Jobs that were not completed within the trial are left out.
 	Ratios []float64 `json:"-"`
+	Sizes  Sizes
 }
 
 // WaitingTime is how long tasks of a queue's jobs waited for one reason.
@@ -78,6 +83,7 @@
 	out := Outcome{Pattern: r.pattern.Name, Room: make(map[string]float64)}
 	out.Restarted = r.planner.Counts().Restarted
 	out.Harm = r.crashReport()
+	out.Teams, out.Value = r.teamOutcomes()
 	out.Lanes = r.usage.laneTime.Seconds() / (r.pattern.Length.Seconds() * float64(r.pattern.Lanes))
 	for name, m := range r.usage.capacity {
 		out.Room[name] = m.value()
@@ -109,6 +115,7 @@
 	}
 	for queue, s := range byQueue {
 		s.summarize(took[queue], waits[queue])
+		s.Sizes = r.sizeOutcomes(queue)
 		out.Queues = append(out.Queues, *s)
 	}
 	slices.SortFunc(out.Queues, func(a, b QueueOutcome) int { return cmp.Compare(a.Queue, b.Queue) })
@@ -142,14 +149,15 @@
 // PrintOutcomes writes outcomes as a table, followed by a line for each with crashes.
 func PrintOutcomes(w io.Writer, all []Outcome) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "PATTERN\tWITHOUT\tQUEUE\tJOBS\tON TIME\tWITHIN 3\tLATENESS\tP50\tP99\tLANES\tROOM\tWAITED FOR")
+	fmt.Fprintln(t, "PATTERN\tWITHOUT\tORDER\tQUEUE\tJOBS\tON TIME\tWITHIN 3\tLARGEST\tLARGE\tVALUE\tWORST TEAMS\tLATENESS\tP50\tP99\tLANES\tROOM\tWAITED FOR")
 	for _, o := range all {
 		for _, q := range o.Queues {
 			var reasons []string
 			for _, x := range q.Waits[:min(maxReasons, len(q.Waits))] {
 				reasons = append(reasons, fmt.Sprintf("%s %s", x.Reason, x.Time.Round(100*time.Millisecond)))
 			}
-			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.3f\t%.3f\t%s\t%s\t%s\t%.2f\t%s\t%s\n", o.Pattern, strings.Join(o.Without, ","), q.Queue, q.Jobs, q.OnTime, q.Within,
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%.2f\t%s\t%s\n", o.Pattern, strings.Join(o.Without, ","), o.Order, q.Queue, q.Jobs, q.OnTime, q.Within,
+				q.Sizes.Largest, q.Sizes.Large, o.Value, o.WorstTeams(),
 				q.Lateness.Round(time.Millisecond), q.P50.Round(time.Millisecond), q.P99.Round(time.Millisecond), o.Lanes, o.formatRoom(), strings.Join(reasons, ", "))
 		}
 	}
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -276,5 +276,7 @@
 		pattern("overload", "overload for twenty seconds: jobs that are late or cannot meet their objective take the capacity", func(p *Pattern) {
 			p.Streams = []Stream{gangStream(1.5), gangStream(1.8).between(10*time.Second, 30*time.Second), smallStream(1.4)}
 		}),
+		pattern("hot-crowd", "one of twenty teams submits five times its usual jobs in a full region: its jobs take the capacity of the others", hotCrowd),
+		pattern("mixed-overload", "an overload of urgent jobs and of batch jobs of widely different sizes: jobs are begun that cannot be on time", mixedOverload),
 	}
 }
