--- a/coord/fleet/share.go
+++ b/coord/fleet/share.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"plantainwinch/coord/order"
 	"plantainwinch/winch"
 )
 
@@ -59,3 +60,102 @@
 		p.Add(s.Job, s.Progress, s.Revision)
 	}
 }
+
+// measureShares updates what teams use of their shares.
+func (p *Planner) measureShares(now time.Time) {
+	if now.Sub(p.order.measuredAt) < shareInterval && !now.Before(p.order.measuredAt) {
+		return
+	}
+	p.order.measuredAt = now
+	if len(p.order.teams) != len(p.teams) {
+		p.order.teams = p.order.teams[:0]
+		for _, t := range p.teams {
+			p.order.teams = append(p.order.teams, t)
+		}
+		slices.SortFunc(p.order.teams, func(a, b *team) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	p.order.capacity = winch.Capacity{}
+	for _, x := range p.pools {
+		p.order.capacity = p.order.capacity.Add(x.capacity)
+	}
+	p.countShares()
+	demands := make([]order.Demand, len(p.order.teams))
+	for i, t := range p.order.teams {
+		t.order.usage.Update(now, order.Dominant(t.order.running, p.order.capacity))
+		demands[i] = order.Demand{Weight: t.Weight, Used: t.order.usage.Value(), Wanted: order.Dominant(t.order.limited(t.Cap), p.order.capacity)}
+	}
+	for i, share := range order.Shares(demands) {
+		p.order.teams[i].order.standing = order.StandingOf(demands[i], share)
+	}
+}
+
+// countShares counts what runs and waits, by team. Lasting tasks, which hold their capacity for good,
+// and filling tasks, which use what others leave, do not count.
+func (p *Planner) countShares() {
+	for _, t := range p.order.teams {
+		t.order.running, t.order.waiting = winch.Capacity{}, winch.Capacity{}
+	}
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if r.task != nil && !r.task.phase.spec.Lasting && !r.task.phase.spec.Fills {
+				r.team.order.running = r.team.order.running.Add(r.need)
+			}
+		}
+	}
+	for i := range p.ready {
+		if s := p.ready[i].phase; !s.spec.Lasting && !s.spec.Fills {
+			t := s.job.team
+			t.order.waiting = t.order.waiting.Add(s.spec.Need.Times(s.waiting))
+		}
+	}
+}
+
+// limited returns what the team would use if nothing else ran, within its limit.
+func (t *teamOrder) limited(limit winch.Capacity) winch.Capacity {
+	out := t.running.Add(t.waiting)
+	if limit.Milli > 0 {
+		out.Milli = min(out.Milli, limit.Milli)
+	}
+	if limit.Memory > 0 {
+		out.Memory = min(out.Memory, limit.Memory)
+	}
+	if limit.Accelerators > 0 {
+		out.Accelerators = min(out.Accelerators, limit.Accelerators)
+	}
+	return out
+}
+
+// ShareCounts returns the numbers of teams that use much more than their share, and of those that use
+// much less and want more. Both are zero unless shares bind.
+func (p *Planner) ShareCounts() (above, below int) {
+	if !p.order.wasFull {
+		return 0, 0
+	}
+	for _, t := range p.order.teams {
+		if t.order.standing.Above {
+			above++
+		}
+		if t.order.standing.Below {
+			below++
+		}
+	}
+	return above, below
+}
+
+// WorstShare returns the usage of the team with the least of its share, as a fraction of the share, at
+// most 1. It is 1 unless shares bind.
+func (p *Planner) WorstShare() float64 {
+	out := 1.0
+	if !p.order.wasFull {
+		return out
+	}
+	for _, t := range p.order.teams {
+		if t.order.standing.Below {
+			out = min(out, t.order.standing.Ratio)
+		}
+	}
+	return out
+}
+
+// FullTime returns how long shares have been binding in any service.
+func (p *Planner) FullTime() time.Duration { return p.order.full }
--- a/coord/order/runtimes.go
+++ b/coord/order/runtimes.go
@@ -8,7 +8,7 @@
 const (
 	// maxLogRatio bounds the influence of one run: a run of many times its estimate is an
 	// exception, not a measure of the queue.
-	maxLogRatio = 3.0
+	maxLogRatio = 2.0
 	// memory is the weight of past phases against a new one, priorWeight the number of phases that
 	// the assumption of exact estimates counts as.
 	memory      = 200.0
