fleet: LastCall off keeps late work behind work that can be on time; gangs are searched less often

Cause: with gangs ranked beside begun work, each decision computed the slots of six gangs again that cannot get theirs yet; a decision with 20,000 tasks waiting at 350 workers took twice as long.

--- a/coord/fleet/order.go
+++ b/coord/fleet/order.go
@@ -200,7 +200,7 @@
 	begin := s.beginsAt()
 	allowed := j.allowedTime(longest)
 	o.work.Accepted, o.work.Objective, o.work.Deadline = begin, begin.Add(allowed), begin.Add(winch.LateFactor*allowed)
-	o.work.Path = path[s.index]
+	o.work.Path, o.work.Unawaited = path[s.index], !p.Policy.LastCall
 	o.work.Remaining = 1
 	if mean := j.queue.order.sizes.Mean(); mean > 0 {
 		o.work.Remaining = remaining / mean
@@ -301,7 +301,7 @@
 		c := &p.poolOf(s.job.queue).order.promoted[promotedAged]
 		if now.Sub(w.Accepted) < order.AgeFactor*w.Objective.Sub(w.Accepted) {
 			c = &p.poolOf(s.job.queue).order.promoted[promotedLate]
-			if !p.Policy.LastCall || s.job.excess || s.job.inUrgentQueue() || !w.LastCall(now) {
+			if s.job.excess || s.job.inUrgentQueue() || !w.LastCall(now) {
 				continue
 			}
 		}
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -58,7 +58,7 @@
 	if s.spec.Gang && (s.gang.stopping || s.gang.number == 0) {
 		wants = len(s.tasks)
 	}
-	if now.Sub(s.slotsFoundAt) < slotsTTL && len(s.slots) == wants {
+	if now.Sub(s.slotsFoundAt) < slotsTTL && (len(s.slots) == wants || s.slots == nil && s.spec.Gang && p.sharesBind(s)) {
 		return
 	}
 	if p.searchedPhases < maxSearchedPhases {
--- a/coord/order/order.go
+++ b/coord/order/order.go
@@ -61,7 +61,9 @@
 	// otherwise always take the capacity that it waits for.
 	Whole       bool
 	Underserved bool
-	Team        Standing
+	// Unawaited is set if late work counts as not awaited by its caller.
+	Unawaited bool
+	Team      Standing
 }
 
 // OnTime reports whether the work can still be on time.
@@ -94,10 +96,14 @@
 	switch {
 	case w.Deadline.Sub(now).Seconds() < hopelessFactor*w.Path.Seconds():
 		return Hopeless
-	case w.Begun || w.Whole && !w.Team.Above:
+	case w.Begun:
 		return LateBegun
 	case w.Team.Above:
 		return LateAboveShare
+	case w.Unawaited:
+		return Late
+	case w.Whole:
+		return LateBegun
 	case w.LastCall(now):
 		return LastCall
 	}
@@ -169,7 +175,7 @@
 // LastCall reports whether late work must be started now to end while its caller waits.
 func (w *Work) LastCall(now time.Time) bool {
 	left := w.Deadline.Sub(now)
-	return !w.OnTime(now) && left <= lastCallPaths*w.Path && left >= w.Path
+	return !w.Unawaited && !w.OnTime(now) && left <= lastCallPaths*w.Path && left >= w.Path
 }
 
 // maxAllowance is the longest time for which an unused part of the capacity is saved up.
