region, fleet: the line load and two metrics show the teams' shares

Cause: nobody could see whether shares bind, or who is above them. Load gets shares: binding, since when in total, teams above and below, the team with the least and how old the measurement is; Planner.Share.WorstPercent and Planner.Order.Full hold the same. explain names team above its share.

--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"plantainwinch/coord/fleet"
 )
 
 // completedLine returns the log line of the completion of a job with an objective of one second.
@@ -55,3 +57,13 @@
 	is.Equal(queue.Late, 1)
 	is.Equal(queue.Losses[0].Reason, reasonNotRequested)
 }
+
+// Jobs that waited because their team used more than its share must be told apart from those that
+// waited for capacity.
+func TestWaitBehindOtherTeamsIsNamed(t *testing.T) {
+	is := is.New(t)
+	r := Reader{Interval: time.Second}
+	is.NoErr(r.Read(strings.NewReader(`{"ts":"2026-05-18T20:00:00Z","msg":"job ended","job":"a","queue":"q","state":"Done","took":3,"objective":1,` +
+		`"waited":{"team above its share":1.5,"insufficient capacity":0.5}}` + "\n")))
+	is.Equal(r.Report().Queues[0].Losses[0], DelayCause{Reason: fleet.WaitShare.String(), Jobs: 1, Time: 1500 * time.Millisecond})
+}
--- a/coord/fleet/load.go
+++ b/coord/fleet/load.go
@@ -12,11 +12,12 @@
 	Capped  int
 	Running int
 	Filling int64 // Filling is what filling tasks could use, in thousandths of a processor.
+	Shares  ShareLoad
 }
 
 // Load returns how full the region is.
 func (p *Planner) Load() Load {
-	out := Load{Waiting: make(map[string]int), Workers: len(p.workers)}
+	out := Load{Waiting: make(map[string]int), Workers: len(p.workers), Shares: p.shareLoad()}
 	for _, w := range p.workers {
 		out.Running += len(w.runs)
 		out.Used = out.Used.Add(w.used)
--- a/coord/fleet/order_test.go
+++ b/coord/fleet/order_test.go
@@ -64,8 +64,11 @@
 				time.Sleep(200 * time.Millisecond)
 				is.Equal(len(c.schedule()), 0)
 				if fair {
-					above, below := c.planner.ShareCounts()
-					is.Equal([2]int{above, below}, [2]int{1, 1})
+					load := c.planner.Load().Shares
+					is.Equal([2]int{load.Above, load.Below}, [2]int{1, 1})
+					is.Equal(load.WorstTeam, "duct")
+					is.Equal(load.Worst, 0.0)
+					is.True(load.Binding && load.Full >= time.Second && load.Age <= 100*time.Millisecond)
 					is.Equal(c.planner.jobs["hot"].phases[0].waitReason, WaitShare)
 				}
 				for _, x := range running[:4] {
@@ -246,7 +249,7 @@
 					c.add(fmt.Sprintf("j%04d", n), []string{"preview", "mix"}[rnd.IntN(2)], []string{"choir", "duct"}[min(1, rnd.IntN(5))], x)
 				}
 			}, never)
-			is.New(t).Equal(c.planner.FullTime(), time.Duration(0))
+			is.New(t).Equal(c.planner.Load().Shares.Full, time.Duration(0))
 		})
 		return log
 	}
@@ -271,8 +274,7 @@
 			time.Sleep(100 * time.Millisecond)
 			c.schedule()
 		}
-		above, _ := c.planner.ShareCounts()
-		is.Equal(above, 1)
+		is.Equal(c.planner.Load().Shares.Above, 1)
 		next := newSimRegion(t, 1, urgentQueue(), normalQueue())
 		next.planner.Policy.Order = winch.OrderDeficit
 		for _, id := range []string{"fill-choir", "a", "b"} {
@@ -283,8 +285,7 @@
 		}
 		next.schedule()
 		// What it adopts is all that it knows: it is not learned from, as its start is not known.
-		above, _ = next.planner.ShareCounts()
-		is.Equal(above, 1)
+		is.Equal(next.planner.Load().Shares.Above, 1)
 		time.Sleep(10 * time.Second)
 		next.running = running
 		for _, x := range running {
--- a/coord/fleet/share.go
+++ b/coord/fleet/share.go
@@ -125,37 +125,40 @@
 	return out
 }
 
-// ShareCounts returns the numbers of teams that use much more than their share, and of those that use
-// much less and want more. Both are zero unless shares bind.
-func (p *Planner) ShareCounts() (above, below int) {
-	if !p.order.wasFull {
-		return 0, 0
-	}
-	for _, t := range p.order.teams {
-		if t.order.standing.Above {
-			above++
-		}
-		if t.order.standing.Below {
-			below++
-		}
-	}
-	return above, below
+// ShareLoad describes the teams' use of their shares.
+type ShareLoad struct {
+	// Binding is set if shares are binding in any service, Full is for how long they have been since
+	// this planner began.
+	Binding bool
+	Full    time.Duration
+	Age     time.Duration // Age is how long ago usage was last measured.
+	// Above counts the teams that use much more than their share, Below those that use much less and
+	// want more. Both are zero unless shares bind.
+	Above, Below int
+	// Worst is the part that WorstTeam, the team with the least of its share, has of it: 1 unless
+	// shares bind and a team is below.
+	Worst     float64
+	WorstTeam string
 }
 
-// WorstShare returns the usage of the team with the least of its share, as a fraction of the share, at
-// most 1. It is 1 unless shares bind.
-func (p *Planner) WorstShare() float64 {
-	out := 1.0
-	if !p.order.wasFull {
+func (p *Planner) shareLoad() ShareLoad {
+	out := ShareLoad{Binding: p.order.wasFull, Full: p.order.full, Worst: 1}
+	if !p.order.measuredAt.IsZero() {
+		out.Age = p.now().Sub(p.order.measuredAt)
+	}
+	if !out.Binding {
 		return out
 	}
 	for _, t := range p.order.teams {
-		if t.order.standing.Below {
-			out = min(out, t.order.standing.Ratio)
+		switch x := t.order.standing; {
+		case x.Above:
+			out.Above++
+		case x.Below:
+			out.Below++
+			if x.Ratio < out.Worst {
+				out.Worst, out.WorstTeam = x.Ratio, t.Name
+			}
 		}
 	}
 	return out
 }
-
-// FullTime returns how long shares have been binding in any service.
-func (p *Planner) FullTime() time.Duration { return p.order.full }
--- a/region/report.go
+++ b/region/report.go
@@ -45,6 +45,7 @@
 
 // runLoad periodically logs the region's capacity and use.
 func (l *leadership) runLoad(ctx context.Context) {
+	defer l.node.updateShareGauges(fleet.ShareLoad{Worst: 1})
 	for ctx.Err() == nil {
 		var load fleet.Load
 		var requests int
@@ -56,8 +57,9 @@
 			zap.Int64("memory", int64(load.Room.Memory>>20)), zap.Int64("memoryUsed", int64(load.Used.Memory>>20)),
 			zap.Int("workers", load.Workers), zap.Int("usable", load.Usable), zap.Int("running", load.Running),
 			zap.Any("waiting", load.Waiting), zap.Int("capped", load.Capped),
-			zap.Int64("filling", load.Filling), zap.Int("asks", requests),
+			zap.Int64("filling", load.Filling), zap.Int("asks", requests), shareFields(load.Shares),
 			zap.Any("bytes", l.node.linkBytes()))
+		l.node.updateShareGauges(load.Shares)
 		duty.Sleep(ctx, loadInterval)
 	}
 }
