--- a/region/world_test.go
+++ b/region/world_test.go
@@ -60,8 +60,9 @@
 	// requestDelay returns how long a request waits at the receiving entry before it is handled,
 	// as in the receive buffers of a paused process. The entry need not be reachable by then.
 	requestDelay func(from, to string, kind winch.Kind) time.Duration
-	configCopies int      // configCopies counts the configurations sent from entry to entry.
-	violations   []string // violations holds the invariant violations seen so far.
+	policy       winch.Policy // policy is that of entries started from now on; zero is the default.
+	configCopies int          // configCopies counts the configurations sent from entry to entry.
+	violations   []string     // violations holds the invariant violations seen so far.
 	log          *simLog
 	group        conc.WaitGroup
 	ctx          context.Context
@@ -152,6 +153,7 @@
 		Name: fmt.Sprintf("%s/%d", n.host, n.boots), Host: n.host, Domain: n.domain, Address: n.host, Share: 400,
 		Timing: Timing{Lease: 6 * time.Second, Retention: time.Minute},
 		Codec:  simCodec{}, Log: n.world.log.logger(n.host), Metrics: metrics.NewRegistry(),
+		Policy: n.world.policy,
 	}
 	if share, ok := n.world.shares[n.host]; ok {
 		node.Share = share
