fleet: ranks of advice requests keep the sequence of classes

Cause: the last groups of a class could be requested after the first of the next one. Tests guard against that, and against run times learned from runs that resumed from a checkpoint.

--- a/coord/fleet/order.go
+++ b/coord/fleet/order.go
@@ -333,13 +333,17 @@
 	return p.sharesBind(s) && s.order.rank.group.AboveShare()
 }
 
-// maxRequestKey bounds the key within a group in the rank of an advice request.
-const maxRequestKey = 4e4
+// The rank of an advice request consists of the class, the group and the key, which is bounded.
+const (
+	requestClassSpan = 1e6
+	requestGroupSpan = 5e4
+	maxRequestKey    = 2e4
+)
 
 // requestRank returns the rank of an advice request about a phase of this rank.
 func (r rank) requestRank() float64 {
 	if r.group == 0 {
-		return float64(r.class)*1e6 + r.key
+		return requestClassSpan*float64(r.class) + r.key
 	}
-	return float64(r.class)*1e6 + float64(r.group)*1e5 + min(maxRequestKey, max(-maxRequestKey, r.key))
+	return requestClassSpan*float64(r.class) + requestGroupSpan*float64(r.group) + min(maxRequestKey, max(-maxRequestKey, r.key))
 }
--- a/coord/fleet/order_test.go
+++ b/coord/fleet/order_test.go
@@ -319,3 +319,45 @@
 		is.True(!w.OnTime(w.Objective.Add(-2 * time.Second))) // By its estimate it still could.
 	})
 }
+
+// Guards against advice requests of a lower class that are sent before those of a higher one because
+// their orders use keys of other sizes.
+func TestRequestRankFollowsRank(t *testing.T) {
+	is := is.New(t)
+	var ranks []waitingPhase
+	for class := rankPromoted; class <= rankAbandoned; class++ {
+		for group := order.Begun; group <= order.Hopeless; group++ {
+			keys := []float64{-1e6, -30, 0, 30, 1e4, 1e6}
+			if group == order.Begun {
+				keys = keys[1:5] // Without a group, keys are times to spare.
+			}
+			for _, key := range keys {
+				ranks = append(ranks, waitingPhase{rank: rank{class: class, group: group, key: key}})
+			}
+		}
+	}
+	for i := 1; i < len(ranks); i++ {
+		is.True(ranks[i-1].rank.requestRank() <= ranks[i].rank.requestRank())
+	}
+}
+
+// Guards against run times learned from runs that did only a part of their task: those that resumed
+// from a checkpoint.
+func TestResumedRunsAreNotLearnedFrom(t *testing.T) {
+	for _, resumed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newSimRegion(t, 1, normalQueue())
+			x := tasks(2, 1000)
+			x.Checkpoints = true
+			c.add("a", "mix", "choir", x)
+			if resumed {
+				c.planner.jobs["a"].phases[0].tasks[0].checkpoint = "saved"
+			}
+			starts := c.schedule()
+			time.Sleep(100 * time.Millisecond)
+			c.endRun(starts[0], winch.CompletionDone)
+			is.Equal(c.planner.queues["mix"].order.runTimes.Known() > 0, !resumed)
+		})
+	}
+}
--- a/coord/order/order.go
+++ b/coord/order/order.go
@@ -117,7 +117,7 @@
 	// stepSpan is the difference of keys between two steps, in seconds. It exceeds the slack of work
 	// that runs for minutes. maxSteps bounds the number of steps above a share.
 	stepSpan = 1e3
-	maxSteps = 32
+	maxSteps = 16
 	// ageDoubling is the fraction of its objective after which waiting work counts as half as
 	// large.
 	ageDoubling = 0.25
