--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -95,6 +95,7 @@
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
+	order             orderState
 
 	speeds speeds
 	// The following fields collect output until the method that returns it is called.
@@ -137,6 +138,7 @@
 	// usualTime is the moving average of the run times of the queue's tasks at usual workers; zero
 	// before the first has ended.
 	usualTime time.Duration
+	order     queueOrder
 }
 
 // adviceTime returns how long an advice request about objectiveWorkers workers takes. A job's
@@ -154,6 +156,7 @@
 	used   winch.Capacity
 	urgent demand
 	share  shareBucket
+	order  teamOrder
 }
 
 // SetConfig applies a configuration.
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -60,6 +60,9 @@
 	// WaitSlowWorker is the time by which the longest run of a phase was longer because its worker is
 	// slower than usual.
 	WaitSlowWorker
+	// WaitShare means that no worker has free capacity, and that other teams go first because the
+	// team uses more than its share.
+	WaitShare
 )
 
 // String returns the text of the reason that is written to the log.
@@ -70,7 +73,7 @@
 		"next scheduling pass", "advice request pending", "advice request failed", "no valid ticket",
 		"denied by advice", "insufficient capacity", "capacity reserved for urgent work",
 		"completion not recorded", "worker response lost", "suspected of crashing workers",
-		"failure domain evacuated", "ran on a slower worker",
+		"failure domain evacuated", "ran on a slower worker", "team above its share",
 	}
 	if r < 0 || int(r) >= len(names) {
 		return ""
