coord/fleet: runs are stopped for urgent work that would be late otherwise

Cause: urgent jobs wait for capacity that batch tasks with slack hold; where these save their progress, a stop costs them only the time of the stop and the restart. The planner forecasts which waiting urgent tasks get capacity in time, stops the runs that it takes for the others, and holds their capacity for the phase. While urgent work waits, it also stops runs so that the capacity of the recent peak of urgent demand is free: a job of one short phase has no time left for a stop once its advice has arrived. Stopped work starts again before other work of its class, and its wait is accounted as evicted for urgent work.

trial has the pattern held (long batch tasks that save their progress, then urgent bursts; stops of up to 0.9 s).

--- a/coord/evict/evict.go
+++ b/coord/evict/evict.go
@@ -15,16 +15,15 @@
 // urgent work arrives.
 const MaxStops = 3
 
-// Costs are the times that an eviction takes in addition to the work.
+// Costs are the times for which an eviction keeps a task from working, whoever runs it.
 type Costs struct {
 	Stop    time.Duration // Stop is the time from the order until the capacity is free.
 	Restore time.Duration // Restore is the time that a task takes to resume from its checkpoint.
-	Ticket  time.Duration // Ticket is the time that the stopped task takes to get a new ticket.
 }
 
 // Total returns the sum of the costs.
 func (c Costs) Total() time.Duration {
-	return c.Stop + c.Restore + c.Ticket
+	return c.Stop + c.Restore
 }
 
 // Run is a run that may be stopped.
@@ -39,7 +38,9 @@
 	Unsaved time.Duration
 	// Slack is how much later the run may end without its job missing its deadline.
 	Slack time.Duration
-	Stops int // Stops is how often the task was stopped before.
+	// Ticket is how long the stopped task waits for a new ticket.
+	Ticket time.Duration
+	Stops  int // Stops is how often the task was stopped before.
 }
 
 // AtRisk returns the processor time since the last known checkpoint.
@@ -51,7 +52,8 @@
 // given time. The run must not be near its end, and its job must be able to wait for the stop, the
 // urgent work and the restart.
 func (r Run) Eligible(c Costs, hold time.Duration) bool {
-	return r.Stops < MaxStops && r.Remaining > c.Total() && r.Slack >= c.Total()+hold
+	pause := c.Total() + r.Ticket
+	return r.Stops < MaxStops && r.Remaining > pause && r.Slack >= pause+hold
 }
 
 // Demand is urgent work that waits for capacity.
@@ -65,31 +67,31 @@
 	Hold time.Duration
 	// PerWorker limits the tasks at one worker, given its identifier. Nil means no limit.
 	PerWorker func(worker int) int
+	// Partial permits serving only some of the tasks. Otherwise none is served if not all can be,
+	// since a job is on time only if all of its tasks are.
+	Partial bool
 }
 
-// Choose returns the indices of the runs to stop so that all tasks of the demand can start in time,
-// or nil if that is not possible. Runs with the least processor time at risk are chosen first, then
-// those with the most slack. free returns the capacity of a worker that the demand may use without
-// an eviction; it must not cover a whole task, as tasks that fit without an eviction lack no
-// capacity. A chosen run frees enough for at least one more task. One that frees enough for several
-// tasks serves several, so no more runs are stopped than tasks lack capacity.
-func Choose(d Demand, runs []Run, c Costs, free func(worker int) winch.Capacity) []int {
+// Choice is a run to stop.
+type Choice struct {
+	Run   int // Run is the index of the run.
+	Tasks int // Tasks is the number of waiting tasks that the freed capacity serves.
+}
+
+// Choose returns the runs to stop so that the tasks of the demand can start in time. Runs with the
+// least processor time at risk are chosen first, then those with the most slack. free returns the
+// capacity of a worker that the demand may use without an eviction; it must not cover a whole task,
+// as tasks that fit without an eviction lack no capacity. Each run chosen frees capacity for at
+// least one more task. One that frees enough for several serves several, so that no more runs are
+// stopped than tasks lack capacity.
+func Choose(d Demand, runs []Run, c Costs, free func(worker int) winch.Capacity) []Choice {
 	if d.Tasks <= 0 || d.Spare < c.Stop {
 		return nil
 	}
-	var order []int
-	for i := range runs {
-		if runs[i].Eligible(c, d.Hold) {
-			order = append(order, i)
-		}
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(runs[a].AtRisk(), runs[b].AtRisk()), cmp.Compare(runs[b].Slack, runs[a].Slack))
-	})
-	var out []int
+	var out []Choice
 	freed := make(map[int]winch.Capacity)
 	served, missing := make(map[int]int), d.Tasks
-	for _, i := range order {
+	for _, i := range eligible(runs, c, d.Hold) {
 		w := runs[i].Worker
 		after := freed[w].Add(runs[i].Frees)
 		n := Fit(d.Need, free(w).Add(after), d.Tasks)
@@ -99,16 +101,33 @@
 		if n <= served[w] {
 			continue
 		}
-		out = append(out, i)
-		missing -= n - served[w]
+		more := min(missing, n-served[w])
+		out = append(out, Choice{i, more})
 		freed[w], served[w] = after, n
-		if missing <= 0 {
+		if missing -= more; missing == 0 {
 			return out
 		}
 	}
+	if d.Partial {
+		return out
+	}
 	return nil
 }
 
+// eligible returns the indices of the runs that may be stopped, the preferred ones first.
+func eligible(runs []Run, c Costs, hold time.Duration) []int {
+	var out []int
+	for i := range runs {
+		if runs[i].Eligible(c, hold) {
+			out = append(out, i)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b int) int {
+		return cmp.Or(cmp.Compare(runs[a].AtRisk(), runs[b].AtRisk()), cmp.Compare(runs[b].Slack, runs[a].Slack))
+	})
+	return out
+}
+
 // Fit returns how many tasks with the given need fit into a capacity, at most limit.
 func Fit(need, capacity winch.Capacity, limit int) int {
 	n := limit
--- a/coord/evict/example_test.go
+++ b/coord/evict/example_test.go
@@ -11,7 +11,7 @@
 // Two urgent tasks wait for capacity. Of the two runs, the one that has just saved its progress is
 // stopped, and its capacity serves both tasks.
 func ExampleChoose() {
-	costs := evict.Costs{Stop: 400 * time.Millisecond, Restore: 100 * time.Millisecond, Ticket: 500 * time.Millisecond}
+	costs := evict.Costs{Stop: 400 * time.Millisecond, Restore: 100 * time.Millisecond}
 	need := winch.Capacity{Milli: 2200}
 	runs := []evict.Run{
 		{Worker: 1, Frees: winch.Capacity{Milli: 4500}, Remaining: 4 * time.Second, Slack: 30 * time.Second, Unsaved: 900 * time.Millisecond},
@@ -23,12 +23,12 @@
 	demand.Spare = 300 * time.Millisecond // A stop would take too long.
 	fmt.Println(evict.Choose(demand, runs, costs, free))
 	// Output:
-	// [1]
+	// [{1 2}]
 	// []
 }
 
 func ExampleBudget() {
-	costs := evict.Costs{Stop: 500 * time.Millisecond, Restore: 100 * time.Millisecond, Ticket: 400 * time.Millisecond}
+	costs := evict.Costs{Stop: 900 * time.Millisecond, Restore: 100 * time.Millisecond}
 	total, now := winch.Capacity{Milli: 64_000}, time.Unix(0, 0)
 	var b evict.Budget
 	fmt.Println(b.Allows(now, winch.Capacity{Milli: 4500}, total, costs))
--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -67,6 +67,8 @@
 	switch {
 	case s.waiting == 0:
 		return 0
+	case s.evicted > 0:
+		return WaitEvicted
 	case !slices.ContainsFunc(s.tasks, (*task).startable):
 		return WaitRun
 	case s.suspected():
--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -105,7 +105,7 @@
 func (p *Planner) enqueueRequest(s *phase, now time.Time, r rank, moving int) {
 	cost := s.job.queue.Advice
 	wanted := s.waiting + moving
-	covered := p.ticketedTasks(s, now)
+	covered := p.ticketedTasks(s, now) + p.freeingTicketed(s)
 	if covered >= wanted {
 		return
 	}
@@ -166,7 +166,7 @@
 func (p *Planner) workersToRequest(s *phase, now time.Time, wanted int) []string {
 	first := p.Policy.AskAll && s.advice.requested.IsZero()
 	full := !s.spec.Charge().Fits(p.pool(s.job.queue.Service).maxFree)
-	if full && len(s.slots) == 0 && !first {
+	if full && len(s.slots) == 0 && !first && p.freeingTasks(s) == 0 {
 		return nil
 	}
 	candidates := p.candidates(s, now, first)
@@ -240,6 +240,10 @@
 		if c.allowed && p.Policy.Reserve && len(s.slots) > 0 {
 			c.slots = max(c.slots, s.slotsBy(w, response))
 		}
+		if c.allowed && len(w.evictions) > 0 {
+			n, _ := s.freeingAt(w)
+			c.slots = max(c.slots, n)
+		}
 		if c.slots == 0 && !all {
 			continue
 		}
@@ -263,9 +267,14 @@
 	return a.w.index < b.w.index
 }
 
-// ticketExpiresFirst reports whether a slot planned for the phase at a worker becomes free only
-// after the ticket has expired.
+// ticketExpiresFirst reports whether a slot planned for the phase at a worker, or capacity that is
+// being freed for it there, becomes free only after the ticket has expired.
 func (s *phase) ticketExpiresFirst(w *worker, t permit) bool {
+	if len(w.evictions) > 0 {
+		if _, due := s.freeingAt(w); due.After(t.expires.Add(-ticketMargin)) {
+			return true
+		}
+	}
 	return slices.ContainsFunc(s.slots, func(x slot) bool { return x.w == w && !t.valid(x.at) })
 }
 
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"plantainwinch/coord/evict"
 	"plantainwinch/winch"
 )
 
@@ -38,7 +39,8 @@
 	// a task that exceeds it fits nowhere.
 	maxFree winch.Capacity
 	// misses are the shapes that no worker had capacity for in the last Schedule.
-	misses []shape
+	misses    []shape
+	evictions evict.Budget // evictions bounds the evictions of the service's runs.
 }
 
 func (p *Planner) pool(service string) *pool {
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -208,6 +208,7 @@
 	r := w.runs[runKey{e.Task, e.Run}]
 	if r != nil {
 		p.clearIfSurvived(r, p.now())
+		r.noteStopped(e, p.now())
 		p.endRun(r)
 	}
 	t := p.task(e.Task)
@@ -331,6 +332,9 @@
 		}
 		r.load = x.Load
 		if r.task != nil && x.Checkpoint != "" {
+			if r.task.checkpoint != x.Checkpoint {
+				r.savedAt = now
+			}
 			r.task.checkpoint = x.Checkpoint
 		}
 		p.clearIfSurvived(r, now)
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"plantainwinch/coord/evict"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -92,6 +93,14 @@
 	// boots that were lost recently.
 	probes    map[*worker]*suspicion
 	lostBoots []lostBoot
+	// evictions holds the stops of runs for urgent work whose capacity is held, evictable counts the
+	// runs that may be stopped for it. evictedAt is when such runs were last searched; claims is the
+	// capacity that the current search expects to be used by phases of higher rank.
+	evictions []*eviction
+	evictable int
+	evictedAt time.Time
+	claims    map[*worker]winch.Capacity
+	stopTime  evict.StopTime
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
@@ -104,6 +113,7 @@
 	summaries      []JobSummary
 	losses         []Loss
 	countedCrashes []CountedCrash
+	evictionLog    []Eviction
 	counts         Counts
 }
 
@@ -113,6 +123,10 @@
 	// Examined counts the workers examined by decisions, which causes most of the cost of scheduling.
 	Examined int64
 	Running  int
+	// Evicted counts the runs stopped for urgent work. EvictionLost is the processor time that
+	// their tasks did not work because of it.
+	Evicted      int64
+	EvictionLost time.Duration
 }
 
 // New returns an empty planner.
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -72,6 +72,7 @@
 	waiting int
 	done    int
 	live    int
+	evicted int // evicted counts those of waiting that were stopped for urgent work.
 	// finishedAt is when a task of the phase last completed successfully.
 	finishedAt time.Time
 	// remainingPath is the longest chain of estimates from this phase to the end of the repetition,
@@ -113,6 +114,11 @@
 	avoidWorker string
 	// restarts counts how often the task was restarted because it was slow.
 	restarts int
+	// evicted is set while the task waits after it was stopped for urgent work, stops counts how
+	// often that happened, and resumesAt is the progress in percent at the last such stop.
+	evicted   bool
+	stops     int
+	resumesAt float64
 	// lastWorkedAt is when a run that has since ended was last known to do the task's work.
 	lastWorkedAt time.Time
 }
@@ -331,12 +337,15 @@
 // updateCounts recomputes the phase's counters after a change of the task.
 func (t *task) updateCounts() {
 	s := t.phase
-	s.waiting, s.live = 0, 0
+	s.waiting, s.live, s.evicted = 0, 0, 0
 	for _, x := range s.tasks {
 		if x.activeRun() != nil {
 			s.live++
 		} else if !x.done {
 			s.waiting++
+			if x.evicted {
+				s.evicted++
+			}
 		}
 	}
 	s.job.planner.enqueueIfReady(s)
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -113,8 +113,12 @@
 	p.clearReservations()
 	p.plannedPhases, p.searchedPhases, p.examined, p.initialQuota = 0, 0, 0, p.Quota
 	p.endLongProbes(now)
+	p.refreshEvictions(now)
 	p.measure(now, adopting)
 	p.startReady(now)
+	if !adopting && p.LeaseExpiry.IsZero() {
+		p.evictForUrgent(now)
+	}
 	if p.Policy.Moves && !adopting && p.LeaseExpiry.IsZero() {
 		p.moveLasting(now)
 	}
@@ -178,7 +182,7 @@
 			s.accountWait(now, reason)
 			e.rank = rank{class: rankDeferred}
 		} else {
-			e.rank = p.rank(s, now)
+			e.rank = s.returning(p.rank(s, now))
 		}
 		kept = append(kept, e)
 	}
@@ -206,7 +210,7 @@
 		return
 	}
 	var pick *picker
-	for _, t := range s.tasks {
+	for _, t := range s.startOrder() {
 		if !t.startable() || t.suspicion().suspected() {
 			continue
 		}
@@ -255,6 +259,7 @@
 
 // start orders the start of a task at a worker.
 func (p *Planner) start(t *task, w *worker, number uint64, checkpoint string) {
+	w.claimHeld(t.phase)
 	r := p.addRun(w, t, t.id(), number)
 	x := p.pool(t.phase.job.queue.Service)
 	x.free = x.free.Sub(r.charge)
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -200,6 +200,9 @@
 // availableCapacity returns the capacity of a worker that a phase may use now.
 func (p *Planner) availableCapacity(s *phase, w *worker, now time.Time) winch.Capacity {
 	free := w.free()
+	if len(w.evictions) > 0 {
+		free = free.Sub(w.heldFromOthers(s))
+	}
 	if w.reserved.from.IsZero() || now.Add(s.spec.Estimate).Before(w.reserved.from) {
 		return free
 	}
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -41,8 +41,12 @@
 	basePercent float64
 	baseAt      time.Time
 	// load is the load last reported, see winch.Running.
-	load        float64
-	throttle    int // throttle is the percentage in force, 100 at the start; negative if it is not known.
+	load float64
+	// savedAt is when a new checkpoint was last reported.
+	savedAt     time.Time
+	evictable   bool      // evictable is set while the run may be stopped for urgent work.
+	eviction    *eviction // eviction is set once the run was stopped for urgent work.
+	throttle    int       // throttle is the percentage in force, 100 at the start; negative if it is not known.
 	throttledAt time.Time
 }
 
@@ -112,6 +116,7 @@
 		r.need, r.charge, r.team = spec.Need, spec.Charge(), t.phase.job.team
 		r.team.used = r.team.used.Add(r.need)
 		t.runs = append(t.runs, r)
+		t.evicted = false
 		t.updateCounts()
 		w.countRun(spec, 1)
 	} else {
@@ -123,6 +128,7 @@
 	w.changes++
 	w.empty = false
 	r.countUrgent(true)
+	r.countEvictable(true)
 	p.beginProbe(r)
 	p.updateReporting(w)
 	return r
@@ -138,6 +144,8 @@
 	w.used = w.used.Sub(r.charge)
 	w.changes++
 	r.countUrgent(false)
+	r.countEvictable(false)
+	p.evictionEnded(r)
 	if r.task == nil {
 		return
 	}
@@ -160,6 +168,7 @@
 	r.stopping = true
 	r.worker.changes++
 	r.countUrgent(false)
+	r.countEvictable(false)
 	if r.task != nil {
 		r.task.updateCounts()
 	}
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -57,6 +57,8 @@
 	WaitProbe
 	// WaitEvacuated means that all workers that could run the task are in evacuated failure domains.
 	WaitEvacuated
+	// WaitEvicted means that a run of the task was stopped for urgent work.
+	WaitEvicted
 )
 
 // String returns the text of the reason that is written to the log.
@@ -67,7 +69,7 @@
 		"next scheduling pass", "advice request pending", "advice request failed", "no valid ticket",
 		"denied by advice", "insufficient capacity", "capacity reserved for urgent work",
 		"completion not recorded", "worker response lost", "suspected of crashing workers",
-		"failure domain evacuated",
+		"failure domain evacuated", "evicted for urgent work",
 	}
 	if r < 0 || int(r) >= len(names) {
 		return ""
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -45,7 +45,11 @@
 	reportsOften bool
 	warmAt       time.Time // warmAt is when the worker is no longer slow after its start.
 	// probe is set while nothing else may be started beside a probe.
-	probe        *suspicion
+	probe *suspicion
+	// evictable lists the runs that may be stopped for urgent work, in the order of their starts;
+	// evictions holds the stops whose capacity is held.
+	evictable    []*run
+	evictions    []*eviction
 	health       health
 	releaseAfter time.Time // releaseAfter is when the throttle of filling runs may next be released.
 	// reserved is the capacity that the last Schedule reserved for phases of higher rank.
--- a/trial/outcome.go
+++ b/trial/outcome.go
@@ -26,6 +26,10 @@
 	Room  map[string]float64
 	// Restarted is the number of runs that were stopped because they were slow.
 	Restarted int64
+	// Evicted is the number of runs that were stopped for urgent work, EvictionLost the processor
+	// time that their tasks did not work because of it.
+	Evicted      int64         `json:",omitempty"`
+	EvictionLost time.Duration `json:",omitempty"`
 	// Harm sums up the effects of tasks that crash their workers.
 	Harm CrashReport
 }
@@ -75,7 +79,8 @@
 // they are not expected to complete.
 func (r *simRegion) outcome() Outcome {
 	out := Outcome{Pattern: r.pattern.Name, Room: make(map[string]float64)}
-	out.Restarted = r.planner.Counts().Restarted
+	counts := r.planner.Counts()
+	out.Restarted, out.Evicted, out.EvictionLost = counts.Restarted, counts.Evicted, counts.EvictionLost
 	out.Harm = r.crashReport()
 	out.Lanes = r.usage.laneTime.Seconds() / (r.pattern.Length.Seconds() * float64(r.pattern.Lanes))
 	for name, m := range r.usage.capacity {
@@ -156,6 +161,9 @@
 		return err
 	}
 	for _, o := range all {
+		if o.Evicted > 0 {
+			fmt.Fprintf(w, "%s without %s: %d runs evicted, %.1f processor-seconds lost\n", o.Pattern, cmp.Or(strings.Join(o.Without, ","), "nothing"), o.Evicted, o.EvictionLost.Seconds())
+		}
 		if o.Harm != (CrashReport{}) {
 			fmt.Fprintf(w, "%s without %s: %s\n", o.Pattern, cmp.Or(strings.Join(o.Without, ","), "nothing"), o.Harm)
 		}
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -31,6 +31,12 @@
 	// AllowedShare is, by queue, the fraction of the workers that the advice service allows for a
 	// phase.
 	AllowedShare map[string]float64
+	// MaxStop is the longest time that a run takes to stop; shorter times are equally likely. If it
+	// is zero, all stops take stopDelay.
+	MaxStop time.Duration
+	// CheckpointInterval is the interval at which runs save their progress. If it is zero, they do
+	// so only at a stop.
+	CheckpointInterval time.Duration
 	// Faults are the faults of workers.
 	Faults []Fault
 	// Evacuations are the evacuations of failure domains; without any the workers have no domains.
@@ -149,6 +155,14 @@
 		Name: "small", Service: "accelerated", Priority: 2, Attempts: 4, Target: 3 * time.Second, Stretch: 4,
 		Advice: &winch.AdviceCost{Call: 150 * time.Millisecond, Worker: 2200 * time.Microsecond, Valid: 2 * time.Second},
 	}
+	formUrgent = winch.Queue{
+		Name: "lookup", Service: "general", Attempts: 2, Target: 250 * time.Millisecond, Stretch: 1.5,
+		Advice: &winch.AdviceCost{Call: 26 * time.Millisecond, Worker: 380 * time.Microsecond, Valid: 2500 * time.Millisecond},
+	}
+	formBatch = winch.Queue{
+		Name: "batch", Service: "general", Priority: 2, Attempts: 2, Target: 1200 * time.Millisecond, Stretch: 2.2,
+		Advice: &winch.AdviceCost{Call: 150 * time.Millisecond, Worker: 2100 * time.Microsecond, Valid: 2500 * time.Millisecond},
+	}
 	general       = Service{Name: "general", Workers: 35, Room: winch.Capacity{Milli: 64_000, Memory: 256 * gigabyte}}
 	accelerated   = Service{Name: "accelerated", Workers: 13, Room: winch.Capacity{Milli: 128_000, Memory: 256 * gigabyte, Accelerators: 8}}
 	allowedShares = map[string]float64{"lookup": 0.7, "batch": 0.45, "gang": 0.3, "small": 0.45}
@@ -204,6 +218,35 @@
 	}
 }
 
+// formUrgentStream returns the stream of urgent jobs of a region with small workers whose batch tasks
+// are long.
+func formUrgentStream(perSecond float64) Stream {
+	return Stream{
+		Queue: "lookup", Team: "north", PerSecond: perSecond, Phases: 1, Width: 10,
+		Need: winch.Capacity{Milli: 2200, Memory: gigabyte}, RunTime: 800 * time.Millisecond, EstimateError: 0.2,
+	}
+}
+
+// formBatchStream returns the stream of batch jobs of that region.
+func formBatchStream(perSecond float64) Stream {
+	return Stream{
+		Queue: "batch", Team: "south", PerSecond: perSecond, Phases: 2, Width: 14,
+		Need: winch.Capacity{Milli: 5200, Memory: 2 * gigabyte}, RunTime: 12 * time.Second, EstimateError: 0.9, Checkpoints: true,
+	}
+}
+
+// inPhases returns the stream with jobs of the given number of phases.
+func (s Stream) inPhases(n int) Stream {
+	s.Phases = n
+	return s
+}
+
+// withoutCheckpoints returns the stream with tasks that do not save their progress.
+func (s Stream) withoutCheckpoints() Stream {
+	s.Checkpoints = false
+	return s
+}
+
 // between returns the stream limited to a time range.
 func (s Stream) between(from, to time.Duration) Stream {
 	s.From, s.To = from, to
@@ -273,6 +316,17 @@
 			p.Streams = []Stream{lookupStream(6), lookupStream(20).between(30*time.Second, 34*time.Second), batchStream(0.5)}
 			p.Evacuations = []Evacuation{{0, 6 * time.Second, 8 * time.Second, 6 * time.Second}, {1, 22 * time.Second, 8 * time.Second, 6 * time.Second}, {2, 38 * time.Second, 8 * time.Second, 6 * time.Second}}
 		}),
+		pattern("held", "a region full of long batch tasks that save their progress, then urgent bursts: the batch tasks hold the capacity until the urgent jobs are late", func(p *Pattern) {
+			p.Services, p.Lanes = []Service{smallWorkers}, 100
+			p.Queues, p.AllowedShare = []winch.Queue{formUrgent, formBatch}, map[string]float64{"lookup": 0.7, "batch": 0.35}
+			p.MaxStop, p.CheckpointInterval = 900*time.Millisecond, time.Second
+			p.Streams = []Stream{
+				formUrgentStream(8), formUrgentStream(70).between(10*time.Second, 12*time.Second), formUrgentStream(70).between(35*time.Second, 37*time.Second),
+				formUrgentStream(40).inPhases(2).between(10*time.Second, 12*time.Second), formUrgentStream(40).inPhases(2).between(35*time.Second, 37*time.Second),
+				formBatchStream(3.6).between(0, 10*time.Second), formBatchStream(0.9).withoutCheckpoints().between(0, 10*time.Second),
+				formBatchStream(1.2).between(10*time.Second, 60*time.Second), formBatchStream(0.3).withoutCheckpoints().between(10*time.Second, 60*time.Second),
+			}
+		}),
 		pattern("overload", "overload for twenty seconds: jobs that are late or cannot meet their objective take the capacity", func(p *Pattern) {
 			p.Streams = []Stream{gangStream(1.5), gangStream(1.8).between(10*time.Second, 30*time.Second), smallStream(1.4)}
 		}),
--- a/trial/region.go
+++ b/trial/region.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -39,6 +40,9 @@
 	lostListDelay  = 420 * time.Millisecond
 	// stopDelay is how long a run takes to stop.
 	stopDelay = 300 * time.Millisecond
+	// restoreDelay is how long a run takes to resume from a checkpoint, in patterns whose runs save
+	// their progress at intervals.
+	restoreDelay = 100 * time.Millisecond
 	// lossStart and lossEnd bound the time in which responses are lost.
 	lossStart, lossEnd = 15 * time.Second, 25 * time.Second
 )
@@ -282,6 +286,8 @@
 	left, saved := r.checkpointed[o.Task]
 	if !saved || o.Checkpoint == "" {
 		left = arrival.runTimes[o.Task.Phase][o.Task.Index]
+	} else if r.pattern.CheckpointInterval > 0 {
+		left += restoreDelay
 	}
 	left = r.workers[o.Worker].runTime(r.now, left)
 	run := &activeRun{worker: o.Worker, started: r.now, remaining: left}
@@ -324,10 +330,32 @@
 func (r *simRegion) stopRun(o proto.Order) {
 	key := runKey{o.Task, o.Run}
 	if run := r.runs[key]; run != nil {
-		r.schedule(stopDelay, func() { r.endRun(key, run, winch.CompletionStopped) })
+		r.schedule(r.stopTime(), func() { r.endRun(key, run, winch.CompletionStopped) })
 	}
 }
 
+// stopTime draws how long a run takes to stop.
+func (r *simRegion) stopTime() time.Duration {
+	if r.pattern.MaxStop == 0 {
+		return stopDelay
+	}
+	return time.Duration(r.rnd.Float64() * float64(r.pattern.MaxStop))
+}
+
+// saveProgress saves the progress of a run as of its last checkpoint and returns the checkpoint.
+func (r *simRegion) saveProgress(key runKey, run *activeRun) string {
+	interval := r.pattern.CheckpointInterval
+	if interval == 0 || !r.jobs[key.task.Job].job.Phases[key.task.Phase].Checkpoints {
+		return ""
+	}
+	n := r.now.Sub(run.started) / interval
+	if n == 0 {
+		return ""
+	}
+	r.checkpointed[key.task] = run.remaining - n*interval
+	return fmt.Sprint(key.run, "/", int(n))
+}
+
 // scheduleReports schedules the progress reports of all workers and the samples of capacity in use.
 func (r *simRegion) scheduleReports() {
 	r.schedule(reportInterval, func() {
@@ -338,7 +366,7 @@
 			used[r.serviceOf(run.worker).Name] = used[r.serviceOf(run.worker).Name].Add(phase.Need)
 			runTime := r.jobs[key.task.Job].runTimes[key.task.Phase][key.task.Index]
 			done := 1 - float64(run.remaining-r.now.Sub(run.started))/float64(runTime)
-			running[run.worker] = append(running[run.worker], winch.Running{Task: key.task, Run: key.run, Percent: float64(int(100 * done))})
+			running[run.worker] = append(running[run.worker], winch.Running{Task: key.task, Run: key.run, Percent: float64(int(100 * done)), Checkpoint: r.saveProgress(key, run)})
 		}
 		for _, id := range sortedKeys(running) {
 			if r.workers[id].down {
