coord/fleet: tests of evictions, one search shares what it computes

The ends and the runs that may be stopped are now computed once per search and worker; a search ends after four demands that it cannot meet. Capacity for expected urgent work is freed only while urgent work that waits lacks capacity, by the rate at which urgent work arrives.

--- a/coord/fleet/bench_test.go
+++ b/coord/fleet/bench_test.go
@@ -34,6 +34,38 @@
 	}
 }
 
+// BenchmarkScheduleEvicting measures decisions while urgent phases wait and all running tasks save
+// their progress, so that runs to stop are searched as often as possible. With off, the mechanism is
+// switched off.
+func BenchmarkScheduleEvicting(b *testing.B) {
+	for _, advised := range []bool{false, true} {
+		for _, evicts := range []bool{false, true} {
+			b.Run(fmt.Sprintf("workers=350/waiting=20000/advice=%t/evict=%t", advised, evicts), func(b *testing.B) {
+				p := waitingPlanner(350, 20_000, advised)
+				p.Policy.Evict = evicts
+				for _, w := range p.workers {
+					for _, r := range w.runs {
+						r.task.phase.spec.Checkpoints = true
+						r.started = true
+						r.countEvictable(true)
+					}
+				}
+				for range 20 {
+					p.Schedule()
+					p.Orders()
+					respondToAll(p)
+				}
+				b.ResetTimer()
+				for b.Loop() {
+					p.Schedule()
+					p.Orders()
+					p.AdviceRequests()
+				}
+			})
+		}
+	}
+}
+
 // respondToAll allows every fourth worker named in the pending requests.
 func respondToAll(p *Planner) {
 	for _, a := range p.AdviceRequests() {
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -40,6 +40,7 @@
 	maxFree winch.Capacity
 	// misses are the shapes that no worker had capacity for in the last Schedule.
 	misses    []shape
+	arrivals  arrivals
 	evictions evict.Budget // evictions bounds the evictions of the service's runs.
 }
 
--- a/coord/fleet/evict.go
+++ b/coord/fleet/evict.go
@@ -13,13 +13,45 @@
 	evictInterval = 20 * time.Millisecond
 	// maxEvictingPhases bounds the phases that one search considers, so that its cost does not
 	// depend on the number of waiting phases.
-	maxEvictingPhases = 16
+	maxEvictingPhases = 64
+	// maxFailures is the number of demands that could not be met after which a search ends.
+	maxFailures = 4
 	// orderDelay is how long it takes from a decision until its orders have reached the workers.
 	orderDelay = 30 * time.Millisecond
 	// restoreTime is how long the platform takes to resume a task from its checkpoint.
 	restoreTime = 100 * time.Millisecond
 )
 
+// evictionSearch is one search for runs to stop. What it computes of workers and their runs is kept,
+// since many phases may run at the same workers.
+type evictionSearch struct {
+	planner *Planner
+	now     time.Time
+	costs   evict.Costs
+	// claims is the capacity that phases of higher rank are expected to use, by worker index.
+	claims   []winch.Capacity
+	releases [][]release    // releases holds the expected ends of runs by worker index, as far as computed.
+	victims  [][]victim     // victims holds the runs that may be stopped in the same way.
+	lacking  map[*pool]bool // lacking holds the services where urgent tasks lack capacity.
+	failures int            // failures counts the demands that could not be met.
+	// fullFor is the largest spare time for which no worker has capacity for a task that needs no
+	// more than fullNeed, among the tasks that need no advice.
+	fullFor  map[*pool]time.Duration
+	fullNeed map[*pool]winch.Capacity
+}
+
+// release is the expected end of a run.
+type release struct {
+	left     time.Duration
+	capacity winch.Capacity
+}
+
+// victim is a run that may be stopped.
+type victim struct {
+	run *run
+	evict.Run
+}
+
 // evictForUrgent stops runs so that urgent phases that wait for capacity can start in time. It must
 // be called after everything that fits has been started.
 func (p *Planner) evictForUrgent(now time.Time) {
@@ -31,12 +63,15 @@
 		return
 	}
 	p.evictedAt = now
-	p.claims = make(map[*worker]winch.Capacity)
+	k := &evictionSearch{
+		planner: p, now: now, costs: p.evictCosts(), lacking: make(map[*pool]bool),
+		claims: make([]winch.Capacity, len(p.byID)), releases: make([][]release, len(p.byID)), victims: make([][]victim, len(p.byID)),
+		fullFor: make(map[*pool]time.Duration), fullNeed: make(map[*pool]winch.Capacity),
+	}
 	for _, s := range waiting {
-		p.evictFor(s, now)
+		k.serve(s)
 	}
-	p.evictAhead(waiting, now)
-	p.claims = nil
+	k.evictAhead(waiting)
 }
 
 // urgentWaiting returns the urgent phases with waiting tasks that evictions may serve, in the order
@@ -55,71 +90,134 @@
 	return out
 }
 
-// evictFor stops runs for a phase if some of its tasks will not get capacity in time, but would if
-// the runs are stopped now.
-func (p *Planner) evictFor(s *phase, now time.Time) {
+// serve stops runs for a phase if some of its tasks will not get capacity in time, but would if the
+// runs are stopped now.
+func (k *evictionSearch) serve(s *phase) {
+	p := k.planner
 	wants := s.waiting - p.freeingTasks(s)
-	spare := s.spareTime(now)
-	workers := p.mayRun(s, now)
+	if wants <= 0 {
+		return
+	}
+	workers := p.mayRun(s, k.now)
+	spare := s.spareTime(k.now)
+	if wants -= k.claim(s, workers, spare, wants); wants == 0 || len(workers) == 0 {
+		return
+	}
+	k.lacking[p.pool(s.job.queue.Service)] = true
 	counts := s.runsPerWorker()
+	k.evict(s, evict.Demand{
+		Need: s.spec.Charge(), Tasks: wants, Spare: spare, Hold: s.taskTime(),
+		PerWorker: func(i int) int { return remainingPerVM(s.spec.MostPerVM, counts[p.byID[i]]) },
+	}, workers)
+}
+
+// claim claims capacity that becomes free within the spare time for tasks of a phase, at most limit,
+// so that phases of lower rank do not count on it. It returns the number of tasks.
+func (k *evictionSearch) claim(s *phase, workers []*worker, spare time.Duration, limit int) int {
+	need, x := s.spec.Charge(), k.planner.pool(s.job.queue.Service)
+	general := s.job.queue.Advice == nil && s.spec.Label == "" && s.spec.MostPerVM == 0
+	if full, known := k.fullFor[x]; general && known && spare <= full && k.fullNeed[x].Fits(need) {
+		return 0
+	}
+	counts := s.runsPerWorker()
+	claimed := 0
 	for _, w := range workers {
-		if wants <= 0 {
-			return
-		}
-		// Capacity that becomes free in time is claimed, so that phases of lower rank do not count
-		// on it.
-		n := min(wants, s.fitInto(p.freeBy(w, now, spare), remainingPerVM(s.spec.MostPerVM, counts[w])))
+		n := min(limit-claimed, s.fitInto(k.freeBy(w, spare), remainingPerVM(s.spec.MostPerVM, counts[w])))
 		if n > 0 {
-			p.claims[w] = p.claims[w].Add(s.spec.Charge().Times(n))
-			wants -= n
+			k.claims[w.index] = k.claims[w.index].Add(need.Times(n))
+			claimed += n
+		}
+		if claimed == limit {
+			return claimed
 		}
 	}
-	p.evict(s, evict.Demand{
-		Need: s.spec.Charge(), Tasks: wants, Spare: spare, Hold: s.taskTime(),
-		PerWorker: func(i int) int { return remainingPerVM(s.spec.MostPerVM, counts[p.byID[i]]) },
-	}, workers, now)
+	if general {
+		k.fullFor[x], k.fullNeed[x] = spare, need
+	}
+	return claimed
 }
 
 // evict stops the runs at the given workers that must be stopped for a demand, within the budget of
 // the service. The phase is nil if the demand is a forecast.
-func (p *Planner) evict(s *phase, d evict.Demand, workers []*worker, now time.Time) {
-	costs := p.evictCosts()
-	if d.Tasks <= 0 || d.Spare < costs.Stop || len(workers) == 0 {
+func (k *evictionSearch) evict(s *phase, d evict.Demand, workers []*worker) {
+	if d.Tasks <= 0 || d.Spare < k.costs.Stop || len(workers) == 0 || k.failures >= maxFailures {
 		return
 	}
-	var runs []*run
-	var candidates []evict.Run
+	p := k.planner
+	x := p.pool(workers[0].vm.Service)
+	if !x.evictions.Allows(k.now, d.Need, x.capacity, k.costs) {
+		return
+	}
+	var victims []victim
 	for _, w := range workers {
-		if !w.unresponsiveSince.IsZero() {
-			continue
-		}
-		for _, r := range w.evictable {
-			if x, ok := r.evictionCandidate(now); ok {
-				runs, candidates = append(runs, r), append(candidates, x)
-			}
-		}
+		victims = append(victims, k.victimsAt(w)...)
 	}
-	chosen := evict.Choose(d, candidates, costs, func(i int) winch.Capacity { return p.freeBy(p.byID[i], now, d.Spare) })
+	runs := make([]evict.Run, 0, len(victims))
+	for i := range victims {
+		runs = append(runs, victims[i].Run)
+	}
+	chosen := evict.Choose(d, runs, k.costs, func(i int) winch.Capacity { return k.freeBy(p.byID[i], d.Spare) })
 	freed := winch.Capacity{}
 	for _, c := range chosen {
-		freed = freed.Add(candidates[c.Run].Frees)
+		freed = freed.Add(runs[c.Run].Frees)
 	}
-	x := p.pool(workers[0].vm.Service)
-	for len(chosen) > 0 && !x.evictions.Allows(now, freed, x.capacity, costs) {
-		if !d.Partial {
-			return
-		}
+	for len(chosen) > 0 && !x.evictions.Allows(k.now, freed, x.capacity, k.costs) {
 		last := len(chosen) - 1
-		freed = freed.Sub(candidates[chosen[last].Run].Frees)
-		chosen = chosen[:last]
+		freed = freed.Sub(runs[chosen[last].Run].Frees)
+		if chosen = chosen[:last]; !d.Partial {
+			chosen = nil
+		}
 	}
 	if len(chosen) == 0 {
+		k.failures++
 		return
 	}
-	x.evictions.Spend(now, freed, x.capacity, costs)
+	x.evictions.Spend(k.now, freed, x.capacity, k.costs)
 	for _, c := range chosen {
-		p.evictRun(runs[c.Run], s, d.Need.Times(c.Tasks), c.Tasks, candidates[c.Run], now)
+		v := victims[c.Run]
+		p.evictRun(v.run, s, d.Need.Times(c.Tasks), c.Tasks, v.Run, k.now)
+		k.releases[v.run.worker.index], k.victims[v.run.worker.index] = nil, nil
+	}
+}
+
+// victimsAt returns the runs at a worker that may be stopped.
+func (k *evictionSearch) victimsAt(w *worker) []victim {
+	if k.victims[w.index] == nil {
+		out := make([]victim, 0, len(w.evictable))
+		if w.unresponsiveSince.IsZero() {
+			for _, r := range w.evictable {
+				if x, ok := r.evictionCandidate(k.now); ok {
+					out = append(out, victim{r, x})
+				}
+			}
+		}
+		k.victims[w.index] = out
 	}
+	return k.victims[w.index]
+}
+
+// freeBy returns the capacity of a worker that is expected to be free after the given time, without
+// what is held after evictions or claimed for phases of higher rank.
+func (k *evictionSearch) freeBy(w *worker, in time.Duration) winch.Capacity {
+	if k.releases[w.index] == nil {
+		out := make([]release, 0, len(w.runs))
+		for _, r := range w.runs {
+			if left, known := r.timeLeft(k.now); known {
+				out = append(out, release{left, r.charge})
+			}
+		}
+		k.releases[w.index] = out
+	}
+	free := w.free().Sub(k.claims[w.index])
+	for _, x := range k.releases[w.index] {
+		if x.left <= in {
+			free = free.Add(x.capacity)
+		}
+	}
+	for _, e := range w.evictions {
+		free = free.Sub(e.held)
+	}
+	return free
 }
 
 // evictCosts returns the times that an eviction is expected to take.
@@ -130,15 +228,10 @@
 // mayRun returns the workers that are known to be allowed to run the phase. Where a ticket has
 // expired, a new one is requested when the capacity becomes free.
 func (p *Planner) mayRun(s *phase, now time.Time) []*worker {
-	var out []*worker
 	if s.job.queue.Advice == nil {
-		for _, w := range p.pool(s.job.queue.Service).workers {
-			if p.suits(s, w, now) {
-				out = append(out, w)
-			}
-		}
-		return out
+		return p.suitable(s, now)
 	}
+	var out []*worker
 	for i := range s.advice.allowed {
 		if w := s.advice.allowed[i].worker; p.suits(s, w, now) {
 			out = append(out, w)
@@ -147,6 +240,17 @@
 	return out
 }
 
+// suitable returns the workers that may be given work and are of the kind that the phase needs.
+func (p *Planner) suitable(s *phase, now time.Time) []*worker {
+	var out []*worker
+	for _, w := range p.pool(s.job.queue.Service).workers {
+		if p.suits(s, w, now) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // spareTime returns how long the start of the phase's waiting tasks may still be delayed without
 // the job missing its objective.
 func (s *phase) spareTime(now time.Time) time.Duration {
@@ -165,78 +269,3 @@
 func (s *phase) pathAfter() time.Duration {
 	return max(0, s.remainingPath-s.spec.Estimate-s.job.queue.adviceTime())
 }
-
-// freeBy returns the capacity of a worker that is expected to be free after the given time, without
-// what is held after evictions or claimed for phases of higher rank.
-func (p *Planner) freeBy(w *worker, now time.Time, in time.Duration) winch.Capacity {
-	free := w.free().Sub(p.claims[w])
-	for _, r := range w.runs {
-		if left, known := r.timeLeft(now); known && left <= in {
-			free = free.Add(r.charge)
-		}
-	}
-	for _, e := range w.evictions {
-		free = free.Sub(e.held)
-	}
-	return free
-}
-
-// timeLeft returns how long a run is expected to take from now, and whether that is known. It is not
-// known for a run that has exceeded its estimate without reporting progress.
-func (r *run) timeLeft(now time.Time) (time.Duration, bool) {
-	if r.stopping {
-		return max(0, r.workedUntil.Add(r.worker.planner.stopTime.Expected()).Sub(now)), true
-	}
-	if r.task == nil || r.task.phase.spec.Lasting {
-		return 0, false
-	}
-	if progress := r.percent - r.basePercent; progress > 0 && !r.baseAt.IsZero() && r.progressedAt.After(r.baseAt) {
-		left := time.Duration(float64(r.progressedAt.Sub(r.baseAt)) * (100 - r.percent) / progress)
-		return max(0, left-now.Sub(r.progressedAt)), true
-	}
-	full := float64(r.task.phase.taskTime()) * r.worker.planner.factor(r.worker)
-	left := time.Duration(full*(100-max(r.percent, r.task.resumesAt))/100) - now.Sub(r.since)
-	return left, left > 0
-}
-
-// evictionCandidate returns what decides whether a run is stopped, and whether it may be stopped at
-// all.
-func (r *run) evictionCandidate(now time.Time) (evict.Run, bool) {
-	t := r.task
-	s := t.phase
-	j := s.job
-	left, known := r.timeLeft(now)
-	if !known || !r.started || r.probe != nil || t.suspicion().suspected() || j.queue == nil || j.queue.Priority == 0 || j.cancelled || j.state.Final() {
-		return evict.Run{}, false
-	}
-	return evict.Run{
-		Worker: r.worker.index, Frees: r.charge, Remaining: left, Unsaved: now.Sub(later(r.since, r.savedAt)),
-		Slack: s.slackOf(left, now), Ticket: j.queue.turnaround, Stops: t.stops,
-	}, true
-}
-
-// noSlackLimit is the slack of work that its caller no longer waits for.
-const noSlackLimit = time.Duration(1<<63 - 1)
-
-// slackOf returns how much later a run of the phase that takes the given time may end. The deadline
-// is the job's objective or, if it cannot be met in any case, the time until which the caller waits.
-func (s *phase) slackOf(left time.Duration, now time.Time) time.Duration {
-	after := time.Duration(newChainFactor * float64(s.pathAfter()))
-	needs := left + after
-	if s.waiting > 0 {
-		needs = max(needs, s.taskTime()+after)
-	}
-	objective := s.objective()
-	for _, deadline := range []time.Time{objective, s.callerDeadline(objective)} {
-		if !now.Add(needs).After(deadline) {
-			return deadline.Sub(now) - left - after
-		}
-	}
-	return noSlackLimit
-}
-
-// isEvictable reports whether runs of the phase may be stopped for urgent work, as far as that
-// depends on the phase alone.
-func isEvictable(spec *winch.Phase) bool {
-	return spec.Checkpoints && !spec.Gang && !spec.Lasting && !spec.Fills
-}
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -94,12 +94,10 @@
 	probes    map[*worker]*suspicion
 	lostBoots []lostBoot
 	// evictions holds the stops of runs for urgent work whose capacity is held, evictable counts the
-	// runs that may be stopped for it. evictedAt is when such runs were last searched; claims is the
-	// capacity that the current search expects to be used by phases of higher rank.
+	// runs that may be stopped for it. evictedAt is when such runs were last searched.
 	evictions []*eviction
 	evictable int
 	evictedAt time.Time
-	claims    map[*worker]winch.Capacity
 	stopTime  evict.StopTime
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
 	// recorded in the store.
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -176,6 +176,7 @@
 		}
 		if s.readySince.IsZero() {
 			s.readySince = now
+			p.noteArrival(s, now)
 		}
 		p.countWaiting(s)
 		if reason := p.deferReason(s.job, adopting); reason != 0 {
--- a/trial/region_test.go
+++ b/trial/region_test.go
@@ -121,6 +121,24 @@
 	is.True(queueOutcome(t, "bursts", "batch").Within >= 0.99)
 }
 
+// Long batch tasks that save their progress fill a region when a burst of urgent jobs arrives. The
+// urgent jobs must not wait until the batch tasks end. What evictions take from the batch jobs must
+// be small: a tenth of the capacity at most, and hardly any job misses its objective because of it.
+func TestBurstIsServedWhileLongTasksHoldCapacity(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	off, err := winch.DefaultPolicy().Without("Evict")
+	is.NoErr(err)
+	with, without := outcomeOf("held", winch.DefaultPolicy()), outcomeOf("held", off)
+	is.True(queueOutcome(t, "held", "lookup").OnTime >= queueOutcome(t, "held", "lookup", "Evict").OnTime+0.1)
+	is.True(queueOutcome(t, "held", "lookup").Within >= 0.99)
+	is.True(queueOutcome(t, "held", "batch").OnTime >= queueOutcome(t, "held", "batch", "Evict").OnTime-0.05)
+	is.True(with.Evicted > 100)
+	capacity := float64(smallWorkers.Workers) * float64(smallWorkers.Room.Milli) / 1000
+	is.True(with.EvictionLost.Seconds() <= 0.1*capacity*patternLength.Seconds())
+	is.Equal(without.Evicted, int64(0))
+}
+
 // Some jobs crash their workers; other workers crash on their own, one at a time and eight at once.
 // The crashes under each task must be bounded, and no other job may fail. Without the mechanism
 // Isolate other jobs do fail, since a crash then counts against every task on the worker.
