region: evictions are logged and counted; random runs with evictions

Cause: operators could not see which runs were stopped for urgent work, nor what it cost. The line run evicted names the job, the worker, the waiting job, the processor time at risk, the slack and the age of the progress; Planner.Evictions and Planner.Evictions.LostMillis count them.

--- a/coord/fleet/eviction.go
+++ b/coord/fleet/eviction.go
@@ -57,6 +57,12 @@
 	return out
 }
 
+// EvictionLost returns the processor time for which tasks did not work because their runs were stopped
+// for urgent work.
+func (p *Planner) EvictionLost() time.Duration {
+	return p.counts.EvictionLost
+}
+
 // evictRun stops a run and holds its capacity.
 func (p *Planner) evictRun(r *run, s *phase, held winch.Capacity, tasks int, c evict.Run, now time.Time) {
 	t := r.task
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -156,6 +156,8 @@
 	decidedAt    time.Time
 	decisionTime time.Duration
 	lag          lag
+	// evictionLost is the processor time lost by evictions that has been counted so far.
+	evictionLost time.Duration
 	// stateWaiters holds the requests that wait for the end of a job, by job ID.
 	stateWaiters     map[string][]stateWaiter
 	waitersClearedAt time.Time
@@ -315,6 +317,7 @@
 	l.signalSave()
 	l.logCompletions()
 	l.logLosses()
+	l.logEvictions()
 }
 
 // mayStart reports whether work may be started. A planner that cannot renew its office goes on for a
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -55,6 +55,7 @@
 	milli int64     // milli is the part of the worker's Room.Milli that the run uses.
 	gang  *simGang  // gang is nil for a run that does not belong to a gang.
 	fills bool      // fills says that the run uses processor time that others leave idle.
+	saves *simSaves // saves is nil for a run that does not save its progress.
 }
 
 // simGang is a run of a gang, whose members may be at several workers.
@@ -150,6 +151,8 @@
 				r.gang.endDueRun(w, x, key, r, expired, now)
 			case expired:
 				x.endRun(w, key, winch.CompletionLeaseExpired)
+			case r.saves != nil && r.saves.stopped(now):
+				x.endRun(w, key, winch.CompletionStopped)
 			case r.end.IsZero():
 			case now.After(r.end) && r.fails:
 				x.endRun(w, key, winch.CompletionFailed)
@@ -182,7 +185,7 @@
 		w.failed[key.task]++
 	}
 	x.lastEnded++
-	x.ended = append(x.ended, winch.Completion{Number: x.lastEnded, Task: key.task, Run: key.run, Kind: kind})
+	x.ended = append(x.ended, winch.Completion{Number: x.lastEnded, Task: key.task, Run: key.run, Kind: kind, Checkpoint: r.saves.checkpoint(kind)})
 }
 
 // simRunner carries the calls of one entry to the workers.
@@ -254,7 +257,9 @@
 			})
 			out = winch.HoldResponse{Clock: x.clock(), Ended: slices.Clone(x.ended)}
 			for key := range x.runs {
-				out.Running = append(out.Running, winch.Running{Task: key.task, Run: key.run, Percent: 100, Load: x.load(key)})
+				running := winch.Running{Task: key.task, Run: key.run, Percent: 100, Load: x.load(key)}
+				x.runs[key].saves.report(&running)
+				out.Running = append(out.Running, running)
 			}
 			return nil
 		})
@@ -353,6 +358,9 @@
 	case fillingCommand:
 		r.end = time.Now().Add(2 * taskDuration)
 		r.fills = true
+	case savingCommand:
+		r.saves = w.evictions.runStarted(w, c)
+		r.end = r.saves.end()
 	default:
 		if after, crashes := crashAfter(c.Command); crashes {
 			w.crashes.checkStart(w, c.Task)
@@ -413,7 +421,9 @@
 			return err
 		}
 		x.highestRun[task] = max(x.highestRun[task], run)
-		if x.runs[runKey{task, run}] != nil {
+		if active := x.runs[runKey{task, run}]; active != nil && active.saves != nil {
+			active.saves.stop(r.world)
+		} else if active != nil {
 			x.endRun(r.world, runKey{task, run}, winch.CompletionStopped)
 		}
 		return nil
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -53,6 +53,7 @@
 	evacuatedAt  map[string]time.Time // evacuatedAt holds when each evacuated failure domain was evacuated.
 	gangs        map[runKey]*simGang
 	crashes      crashCounter
+	evictions    evictionCounter
 	// downtimeChecks checks lasting tasks in the random tests; it is nil in all others.
 	downtimeChecks *downtimeChecker
 	// dropsRequest reports whether a request between two entries is lost.
