region: the standby knows the checkpoints of stopped tasks

Cause: a worker forgets the completion of a stopped run as soon as the planner has it, although no record holds the checkpoint. A planner that was lost before the task ran again took the checkpoint with it, and an evicted task began from its start. A run known from the standby's copy no longer clears a task's checkpoint.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -111,7 +111,10 @@
 			p.stopRun(r)
 			continue
 		}
-		t.checkpoint = x.Checkpoint
+		if x.Checkpoint != "" { // The standby's copy of the runs has no checkpoints.
+			t.checkpoint = x.Checkpoint
+			p.dropSaved(x.Task)
+		}
 		t.phase.adoptRun(x.Run)
 		t.phase.job.updateState()
 	}
@@ -135,6 +138,7 @@
 		return
 	}
 	r.started = true
+	p.dropSaved(e.Task)
 	r.task.phase.addParallelWait(WaitStart, p.now().Sub(r.since))
 	r.since, r.progressedAt = p.now(), p.now()
 	if r.task.checkpoint == "" {
@@ -217,6 +221,7 @@
 		if e.Checkpoint != "" {
 			t.checkpoint = e.Checkpoint
 		}
+		p.noteSaved(t, e)
 		j := t.phase.job
 		if p.applyCompletion(w, t, r, e) {
 			mark.job, mark.changes = j, j.changes
--- a/coord/fleet/evict_test.go
+++ b/coord/fleet/evict_test.go
@@ -320,6 +320,37 @@
 	})
 }
 
+// Guards against a checkpoint that is lost with the planner: the worker forgets the completion that
+// carried it as soon as the planner has it. The standby's copy of the checkpoints must be enough, and
+// must not name tasks that run again or have ended.
+func TestNextPlannerKnowsCheckpointThatTheWorkerHasForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := filledRegion(t, 2)
+		c.add("urgent", "preview", "choir", urgentTasks(1, 2200))
+		_, stops := c.decide()
+		c.stopped(stops[0], "at the stop")
+		is.Equal(c.planner.SavedCheckpoints(false), []SavedCheckpoint{{stops[0].Task, "at the stop"}})
+		is.Equal(len(c.planner.SavedCheckpoints(false)), 0)
+		is.Equal(len(c.planner.SavedCheckpoints(true)), 1)
+
+		next := newSimRegion(t, 1, urgentQueue(), normalQueue())
+		next.planner.SetSavedCheckpoints(map[winch.RunID]string{stops[0].Task: "at the stop"})
+		is.Equal(len(next.planner.SavedCheckpoints(true)), 1) // The job is not known yet.
+		next.add("batch", "mix", "duct", savingTasks(4, 4000))
+		starts, _ := next.decide()
+		is.Equal(len(starts), 4)
+		for _, o := range starts {
+			is.Equal(o.Checkpoint == "at the stop", o.Task == stops[0].Task)
+		}
+		next.confirm(starts)
+		is.Equal(next.planner.SavedCheckpoints(false), []SavedCheckpoint{{Task: stops[0].Task}})
+		is.Equal(len(next.planner.SavedCheckpoints(true)), 0)
+		c.planner.Cancel("batch")
+		is.Equal(len(c.planner.SavedCheckpoints(true)), 0)
+	})
+}
+
 // Guards against a stopped task being lost with its worker, or starting from the beginning although
 // a checkpoint was reported before, and against holding the capacity of a lost worker.
 func TestTaskOfWorkerLostDuringStopStartsFromLastCheckpoint(t *testing.T) {
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -99,6 +99,8 @@
 	evictable int
 	evictedAt time.Time
 	stopTime  evict.StopTime
+	// saved holds the checkpoints of stopped tasks that have not been started again.
+	saved map[winch.RunID]string
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
@@ -112,6 +114,7 @@
 	losses         []Loss
 	countedCrashes []CountedCrash
 	evictionLog    []Eviction
+	savedChanges   []SavedCheckpoint
 	counts         Counts
 }
 
@@ -132,7 +135,7 @@
 	return &Planner{
 		Term: term, Policy: winch.DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool), evacuated: make(map[string]bool),
-		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), Quota: unlimitedQuota,
+		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), saved: make(map[winch.RunID]string), Quota: unlimitedQuota,
 	}
 }
 
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -175,6 +175,7 @@
 	if progress != nil {
 		j.restore(progress)
 	}
+	j.restoreSaved()
 	j.updateState()
 	j.visibleState = j.state
 	if j.state.Final() {
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -322,6 +322,16 @@
 	// Yield reports that the store does not answer the planner, so that the standby should
 	// take the office over if the store answers it.
 	Yield bool `cbor:"9,keyasint,omitempty"`
+	// Saved holds changes to the checkpoints of stopped tasks that have not been started again.
+	// If Full is set, it holds all of them.
+	Saved []MirrorSaved `cbor:"12,keyasint,omitempty"`
+}
+
+// MirrorSaved is the checkpoint of a stopped task; it is empty if the task no longer needs it.
+type MirrorSaved struct {
+	_          struct{} `cbor:",toarray"`
+	Task       winch.RunID
+	Checkpoint string
 }
 
 // MirrorLeaseExpiry is the time after which the leases that a keeper granted at a worker
--- a/region/evictions_test.go
+++ b/region/evictions_test.go
@@ -129,6 +129,30 @@
 	})
 }
 
+// Guards against lost work if the planner is lost between a stop and the restart, when the worker has
+// already forgotten the completion with the checkpoint: the standby knows it.
+func TestEvictedTasksResumeAfterPlannerIsLost(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 93, 3, 9)
+		settle()
+		slots := 9 * int(simVM("", "", "").Room.Milli) / taskMilli
+		w.submitSaving("00000000000000f0", slots)
+		time.Sleep(2 * time.Second)
+		w.submit("00000000000000f1", longUrgentPhase(3))
+		time.Sleep(longestStop + 200*time.Millisecond) // The stops have ended; the urgent tasks run.
+		evicted := w.log.count("run evicted")
+		is.True(evicted > 0)
+		is.Equal(w.evictions.resumed, 0)
+		w.planner().kill()
+		is.Equal(w.await("00000000000000f0", 60*time.Second), winch.JobDone)
+		is.True(w.evictions.resumed >= evicted)
+		is.Equal(w.log.count("taking over as standby of the last planner"), 1)
+		w.end()
+	})
+}
+
 // Guards against jobs that never end, tasks that run twice at once, and starts beyond a worker's
 // capacity, while urgent jobs evict batch tasks and faults of all kinds overlap.
 func TestRandomEvictions(t *testing.T) {
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -44,6 +44,7 @@
 	term    uint64
 	session uint64
 	runs    map[proto.MirrorRun]bool
+	saved   map[winch.RunID]string // saved holds the checkpoints of stopped tasks.
 	// expiries holds the assignments under which leases may run at unresponsive workers.
 	expiries map[string][]assignment
 	// lastContact is when the planner's last message was accepted, yields whether it asked this entry to
@@ -59,6 +60,7 @@
 // when those at unresponsive workers may continue.
 type mirrorCopy struct {
 	runs     map[string][]winch.Running
+	saved    map[winch.RunID]string
 	expiries map[string][]assignment
 }
 
@@ -79,7 +81,7 @@
 	}
 	if msg.Full {
 		m.term, m.session = msg.Term, msg.Session
-		m.runs = make(map[proto.MirrorRun]bool, len(msg.Add))
+		m.runs, m.saved = make(map[proto.MirrorRun]bool, len(msg.Add)), make(map[winch.RunID]string)
 	}
 	if msg.Term != m.term || msg.Session != m.session || m.runs == nil {
 		return false
@@ -91,6 +93,12 @@
 	for _, r := range msg.Remove {
 		delete(m.runs, r)
 	}
+	for _, x := range msg.Saved {
+		m.saved[x.Task] = x.Checkpoint
+		if x.Checkpoint == "" {
+			delete(m.saved, x.Task)
+		}
+	}
 	if !msg.ExpiriesUnchanged {
 		m.expiries = make(map[string][]assignment, len(msg.LeaseExpiries))
 	}
@@ -123,11 +131,12 @@
 		out.expiries = m.expiries
 	}
 	if complete {
+		out.saved = m.saved
 		for r := range m.runs {
 			out.runs[r.Worker] = append(out.runs[r.Worker], winch.Running{Task: r.Task, Run: r.Run})
 		}
 	}
-	m.term, m.session, m.runs, m.expiries = term, 0, nil, nil
+	m.term, m.session, m.runs, m.saved, m.expiries = term, 0, nil, nil, nil
 	return out, complete
 }
 
@@ -172,6 +181,7 @@
 	if l.standby == nil {
 		l.ackedExpiries = nil // The next standby is sent all expiries again.
 		l.planner.ClosedRuns()
+		l.planner.SavedCheckpoints(false)
 		l.mirroredOrders, l.queuedOrders = append(l.mirroredOrders, l.queuedOrders...), nil
 		l.release()
 		return
@@ -190,6 +200,9 @@
 	if !msg.ExpiriesUnchanged {
 		msg.LeaseExpiries = l.expiries.mirrorUpdate(l.keepers, l.closed)
 	}
+	for _, x := range l.planner.SavedCheckpoints(msg.Full) {
+		msg.Saved = append(msg.Saved, proto.MirrorSaved{Task: x.Task, Checkpoint: x.Checkpoint})
+	}
 	if msg.Full {
 		msg.Add, msg.Remove = l.allRuns(), nil
 	} else {
--- a/region/office.go
+++ b/region/office.go
@@ -158,6 +158,7 @@
 		n.Log.Info("taking over as standby of the last planner", zap.Uint64("term", mine.Term),
 			zap.Int("workers", len(copied.runs)), zap.Int("silent", len(copied.expiries)))
 		l.copiedRuns, l.copiedExpiries = copied.runs, copied.expiries
+		l.planner.SetSavedCheckpoints(copied.saved)
 	}
 	l.run(ctx)
 	n.leadership.CompareAndSwap(l, nil)
