--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"plantainwinch/coord/fleet"
 )
 
 // completedLine returns the log line of the completion of a job with an objective of one second.
@@ -55,3 +57,17 @@
 	is.Equal(queue.Late, 1)
 	is.Equal(queue.Losses[0].Reason, reasonNotRequested)
 }
+
+// Guards against evictions that do not show: a batch job that is late because its runs were stopped for
+// urgent work must name that as the cause.
+func TestEvictionIsNamedAsCause(t *testing.T) {
+	is := is.New(t)
+	r := &Reader{Interval: time.Second}
+	is.NoErr(r.Read(strings.NewReader(`{"ts":"2026-01-01T00:00:00Z","msg":"accepted","job":"a","queue":"q"}
+{"ts":"2026-01-01T00:00:09Z","msg":"job ended","job":"a","queue":"q","state":"Done","took":9,"objective":6,"waited":{"insufficient capacity":1.5,"evicted for urgent work":2.5}}
+`)))
+	losses := r.Report().Queues[0].Losses
+	is.Equal(losses[0].Reason, fleet.WaitEvicted.String())
+	is.Equal(losses[0].Jobs, 1)
+	is.Equal(losses[0].Time, 2500*time.Millisecond)
+}
