soak: batch jobs whose tasks save their progress are evicted

Cause: evictions ran in simulated time only. The fake platform has a batch queue, and workers whose tasks save their progress and take up to 0.9 s to stop; a run that starts from a checkpoint that its task never saved is a problem.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,8 @@
 	cancelGrace = 5 * time.Second
 	// limitMilli is the second team's limit, low enough to be always in use.
 	limitMilli = 9000
+	// workerMilli is the capacity of each worker in thousandths of a processor.
+	workerMilli = 8000
 	// meanJobInterval is the mean time between two jobs of one caller.
 	meanJobInterval = 400 * time.Millisecond
 )
@@ -69,6 +71,7 @@
 	// GivenUp counts the jobs that the region gave up because they crash workers, and Crashed
 	// counts the workers that they crashed.
 	GivenUp, Crashed int
+	Resumed          int // Resumed counts the runs that started from a checkpoint.
 	Problems         []string
 }
 
@@ -95,6 +98,7 @@
 		callers.Go(func() { s.runGangJobs(ctx, activeCtx, i, 0) })
 	}
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
+	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.shrinkWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.injectPartitions(activeCtx) })
@@ -112,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.Problems = append(s.report.Problems, s.platform.Checker.Problems()...)
-	s.report.Starts = s.platform.Checker.Starts()
+	s.report.Starts, s.report.Resumed = s.platform.Checker.Starts(), s.platform.Checker.Resumed()
 	return s.report, nil
 }
 
@@ -123,7 +127,7 @@
 		return merry.Wrap(err)
 	}
 	s.faultLog = faults
-	s.platform = &fake.Platform{Workers: s.Workers, Milli: 8000, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}}}
+	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}}}
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
