--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -67,3 +67,17 @@
 		`"waited":{"team above its share":1.5,"insufficient capacity":0.5}}` + "\n")))
 	is.Equal(r.Report().Queues[0].Losses[0], DelayCause{Reason: fleet.WaitShare.String(), Jobs: 1, Time: 1500 * time.Millisecond})
 }
+
+// Guards against evictions that do not show: a batch job that is late because its runs were stopped for
+// urgent work must name that as the cause.
+func TestEvictionIsNamedAsCause(t *testing.T) {
+	is := is.New(t)
+	r := &Reader{Interval: time.Second}
+	is.NoErr(r.Read(strings.NewReader(`{"ts":"2026-01-01T00:00:00Z","msg":"accepted","job":"a","queue":"q"}
+{"ts":"2026-01-01T00:00:09Z","msg":"job ended","job":"a","queue":"q","state":"Done","took":9,"objective":6,"waited":{"insufficient capacity":1.5,"evicted for urgent work":2.5}}
+`)))
+	losses := r.Report().Queues[0].Losses
+	is.Equal(losses[0].Reason, fleet.WaitEvicted.String())
+	is.Equal(losses[0].Jobs, 1)
+	is.Equal(losses[0].Time, 2500*time.Millisecond)
+}
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"plantainwinch/coord/evict"
 	"plantainwinch/winch"
 )
 
@@ -38,8 +39,10 @@
 	// a task that exceeds it fits nowhere.
 	maxFree winch.Capacity
 	// misses are the shapes that no worker had capacity for in the last Schedule.
-	misses []shape
-	order  poolOrder
+	misses    []shape
+	arrivals  arrivals
+	evictions evict.Budget // evictions bounds the evictions of the service's runs.
+	order     poolOrder
 }
 
 func (p *Planner) pool(service string) *pool {
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -111,7 +111,10 @@
 			p.stopRun(r)
 			continue
 		}
-		t.checkpoint = x.Checkpoint
+		if x.Checkpoint != "" { // The standby's copy of the runs has no checkpoints.
+			t.checkpoint = x.Checkpoint
+			p.dropSaved(x.Task)
+		}
 		t.phase.adoptRun(x.Run)
 		t.phase.job.updateState()
 	}
@@ -135,6 +138,7 @@
 		return
 	}
 	r.started = true
+	p.dropSaved(e.Task)
 	r.task.phase.addParallelWait(WaitStart, p.now().Sub(r.since))
 	r.since, r.progressedAt = p.now(), p.now()
 	if r.task.checkpoint == "" {
@@ -208,6 +212,7 @@
 	r := w.runs[runKey{e.Task, e.Run}]
 	if r != nil {
 		p.clearIfSurvived(r, p.now())
+		r.noteStopped(e, p.now())
 		p.endRun(r)
 	}
 	t := p.task(e.Task)
@@ -216,6 +221,7 @@
 		if e.Checkpoint != "" {
 			t.checkpoint = e.Checkpoint
 		}
+		p.noteSaved(t, e)
 		j := t.phase.job
 		if p.applyCompletion(w, t, r, e) {
 			mark.job, mark.changes = j, j.changes
@@ -338,6 +344,9 @@
 		}
 		r.load = x.Load
 		if r.task != nil && x.Checkpoint != "" {
+			if r.task.checkpoint != x.Checkpoint {
+				r.savedAt = now
+			}
 			r.task.checkpoint = x.Checkpoint
 		}
 		p.clearIfSurvived(r, now)
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"plantainwinch/coord/evict"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -92,6 +93,14 @@
 	// boots that were lost recently.
 	probes    map[*worker]*suspicion
 	lostBoots []lostBoot
+	// evictions holds the stops of runs for urgent work whose capacity is held, evictable counts the
+	// runs that may be stopped for it. evictedAt is when such runs were last searched.
+	evictions []*eviction
+	evictable int
+	evictedAt time.Time
+	stopTime  evict.StopTime
+	// saved holds the checkpoints of stopped tasks that have not been started again.
+	saved map[winch.RunID]string
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
@@ -106,6 +115,8 @@
 	summaries      []JobSummary
 	losses         []Loss
 	countedCrashes []CountedCrash
+	evictionLog    []Eviction
+	savedChanges   []SavedCheckpoint
 	counts         Counts
 }
 
@@ -115,6 +126,10 @@
 	// Examined counts the workers examined by decisions, which causes most of the cost of scheduling.
 	Examined int64
 	Running  int
+	// Evicted counts the runs stopped for urgent work. EvictionLost is the processor time that
+	// their tasks did not work because of it.
+	Evicted      int64
+	EvictionLost time.Duration
 }
 
 // New returns an empty planner.
@@ -122,7 +137,7 @@
 	return &Planner{
 		Term: term, Policy: winch.DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool), evacuated: make(map[string]bool),
-		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), Quota: unlimitedQuota,
+		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), saved: make(map[winch.RunID]string), Quota: unlimitedQuota,
 		speeds: newSpeeds(),
 	}
 }
--- a/coord/fleet/order.go
+++ b/coord/fleet/order.go
@@ -113,7 +113,7 @@
 	}
 	for i := range p.ready {
 		if e := &p.ready[i]; e.rank.class != rankDeferred {
-			e.rank = p.rank(e.phase, now)
+			e.rank = e.phase.returning(p.rank(e.phase, now))
 		}
 	}
 }
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -125,8 +125,12 @@
 	p.refreshSpeeds(now)
 	p.plannedPhases, p.searchedPhases, p.examined, p.initialQuota = 0, 0, 0, p.Quota
 	p.endLongProbes(now)
+	p.refreshEvictions(now)
 	p.measure(now, adopting)
 	p.startReady(now)
+	if !adopting && p.LeaseExpiry.IsZero() {
+		p.evictForUrgent(now)
+	}
 	if p.Policy.Moves && !adopting && p.LeaseExpiry.IsZero() {
 		p.moveLasting(now)
 	}
@@ -184,6 +188,7 @@
 		}
 		if s.readySince.IsZero() {
 			s.readySince = now
+			p.noteArrival(s, now)
 		}
 		p.countWaiting(s)
 		if reason := p.deferReason(s.job, adopting); reason != 0 {
@@ -222,7 +227,7 @@
 		return
 	}
 	var pick *picker
-	for _, t := range s.tasks {
+	for _, t := range s.startOrder() {
 		if !t.startable() || t.suspicion().suspected() {
 			continue
 		}
@@ -274,6 +279,7 @@
 
 // start orders the start of a task at a worker.
 func (p *Planner) start(t *task, w *worker, number uint64, checkpoint string) {
+	w.claimHeld(t.phase)
 	r := p.addRun(w, t, t.id(), number)
 	x := p.pool(t.phase.job.queue.Service)
 	x.free = x.free.Sub(r.charge)
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -63,6 +63,8 @@
 	// WaitShare means that no worker has free capacity, and that other teams go first because the
 	// team uses more than its share.
 	WaitShare
+	// WaitEvicted means that a run of the task was stopped for urgent work.
+	WaitEvicted
 )
 
 // String returns the text of the reason that is written to the log.
@@ -73,7 +75,7 @@
 		"next scheduling pass", "advice request pending", "advice request failed", "no valid ticket",
 		"denied by advice", "insufficient capacity", "capacity reserved for urgent work",
 		"completion not recorded", "worker response lost", "suspected of crashing workers",
-		"failure domain evacuated", "ran on a slower worker", "team above its share",
+		"failure domain evacuated", "ran on a slower worker", "team above its share", "evicted for urgent work",
 	}
 	if r < 0 || int(r) >= len(names) {
 		return ""
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -325,6 +325,9 @@
 	// Speeds holds the kinds and workers of unusual speed whose factor has changed since the last
 	// message of the session that held any, or all of them if Full is set.
 	Speeds []MirrorSpeed `cbor:"10,keyasint,omitempty"`
+	// Saved holds changes to the checkpoints of stopped tasks that have not been started again.
+	// If Full is set, it holds all of them.
+	Saved []MirrorSaved `cbor:"12,keyasint,omitempty"`
 }
 
 // MirrorSpeed is how long runs take at a worker or, if Worker is empty, at a kind of workers.
@@ -339,6 +342,13 @@
 	Age     time.Duration // Age is the age of the last sample when the message was sent.
 }
 
+// MirrorSaved is the checkpoint of a stopped task; it is empty if the task no longer needs it.
+type MirrorSaved struct {
+	_          struct{} `cbor:",toarray"`
+	Task       winch.RunID
+	Checkpoint string
+}
+
 // MirrorLeaseExpiry is the time after which the leases that a keeper granted at a worker
 // are guaranteed to have expired. A worker that had several keepers has several.
 type MirrorLeaseExpiry struct {
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -158,6 +158,8 @@
 	decisionTime     time.Duration
 	lag              lag
 	speedsReportedAt time.Time // speedsReportedAt is when the speeds of workers were last reported.
+	// evictionLost is the processor time lost by evictions that has been counted so far.
+	evictionLost time.Duration
 	// stateWaiters holds the requests that wait for the end of a job, by job ID.
 	stateWaiters     map[string][]stateWaiter
 	waitersClearedAt time.Time
@@ -319,6 +321,7 @@
 	l.logCompletions()
 	l.logLosses()
 	l.reportSpeeds()
+	l.logEvictions()
 }
 
 // mayStart reports whether work may be started. A planner that cannot renew its office goes on for a
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -47,6 +47,7 @@
 	term    uint64
 	session uint64
 	runs    map[proto.MirrorRun]bool
+	saved   map[winch.RunID]string // saved holds the checkpoints of stopped tasks.
 	// expiries holds the assignments under which leases may run at unresponsive workers.
 	expiries map[string][]assignment
 	// lastContact is when the planner's last message was accepted, yields whether it asked this entry to
@@ -65,6 +66,7 @@
 // when those at unresponsive workers may continue.
 type mirrorCopy struct {
 	runs     map[string][]winch.Running
+	saved    map[winch.RunID]string
 	expiries map[string][]assignment
 	// speeds holds the workers and kinds of unusual speed as of speedsAt.
 	speeds   []speed.Entry
@@ -88,7 +90,7 @@
 	}
 	if msg.Full {
 		m.term, m.session = msg.Term, msg.Session
-		m.runs = make(map[proto.MirrorRun]bool, len(msg.Add))
+		m.runs, m.saved = make(map[proto.MirrorRun]bool, len(msg.Add)), make(map[winch.RunID]string)
 		m.speeds = make(map[speedKey]speed.Entry, len(msg.Speeds))
 	}
 	if msg.Term != m.term || msg.Session != m.session || m.runs == nil {
@@ -103,6 +105,12 @@
 	}
 	m.applySpeeds(msg.Speeds)
 	m.speedsAt = m.lastContact
+	for _, x := range msg.Saved {
+		m.saved[x.Task] = x.Checkpoint
+		if x.Checkpoint == "" {
+			delete(m.saved, x.Task)
+		}
+	}
 	if !msg.ExpiriesUnchanged {
 		m.expiries = make(map[string][]assignment, len(msg.LeaseExpiries))
 	}
@@ -119,7 +127,7 @@
 // keepOwn stores what this entry knew as planner when its term ended. If it takes the office again and no
 // other entry has held it meanwhile, it uses this like a standby. The expiries are those of leases that
 // nobody could renew any more without an order of the ended term, so they do not become outdated.
-func (m *mirror) keepOwn(term uint64, runs []proto.MirrorRun, expiries map[string][]assignment, speeds []proto.MirrorSpeed) {
+func (m *mirror) keepOwn(term uint64, runs []proto.MirrorRun, expiries map[string][]assignment, saved map[winch.RunID]string, speeds []proto.MirrorSpeed) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.term != term || m.runs != nil {
@@ -131,6 +139,7 @@
 	}
 	m.expiries, m.expiriesUntil = expiries, time.Now().Add(ownExpiriesLifetime)
 	m.lastContact, m.yields = time.Time{}, false
+	m.saved = saved
 	m.speeds, m.speedsAt = make(map[speedKey]speed.Entry, len(speeds)), time.Now()
 	m.applySpeeds(speeds)
 }
@@ -154,11 +163,12 @@
 		out.expiries = m.expiries
 	}
 	if complete {
+		out.saved = m.saved
 		for r := range m.runs {
 			out.runs[r.Worker] = append(out.runs[r.Worker], winch.Running{Task: r.Task, Run: r.Run})
 		}
 	}
-	m.term, m.session, m.runs, m.expiries, m.speeds = term, 0, nil, nil, nil
+	m.term, m.session, m.runs, m.saved, m.expiries, m.speeds = term, 0, nil, nil, nil, nil
 	return out, complete
 }
 
@@ -203,6 +213,7 @@
 	if l.standby == nil {
 		l.ackedExpiries = nil // The next standby is sent all expiries again.
 		l.planner.ClosedRuns()
+		l.planner.SavedCheckpoints(false)
 		l.mirroredOrders, l.queuedOrders = append(l.mirroredOrders, l.queuedOrders...), nil
 		l.release()
 		return
@@ -221,6 +232,9 @@
 	if !msg.ExpiriesUnchanged {
 		msg.LeaseExpiries = l.expiries.mirrorUpdate(l.keepers, l.closed)
 	}
+	for _, x := range l.planner.SavedCheckpoints(msg.Full) {
+		msg.Saved = append(msg.Saved, proto.MirrorSaved{Task: x.Task, Checkpoint: x.Checkpoint})
+	}
 	if msg.Full {
 		msg.Add, msg.Remove = l.allRuns(), nil
 	} else {
--- a/region/office.go
+++ b/region/office.go
@@ -163,6 +163,7 @@
 		n.Log.Info(message, zap.Uint64("term", mine.Term),
 			zap.Int("workers", len(copied.runs)), zap.Int("silent", len(copied.expiries)))
 		l.copiedRuns, l.copiedExpiries = copied.runs, copied.expiries
+		l.planner.SetSavedCheckpoints(copied.saved)
 	}
 	l.inheritSpeeds(copied)
 	l.run(ctx)
@@ -183,7 +184,11 @@
 	for _, e := range l.expiries.mirrorUpdate(l.keepers, true) {
 		expiries[e.Worker] = append(expiries[e.Worker], assignment{keeper: e.Keeper, expiry: time.Now().Add(e.Left)})
 	}
-	l.node.mirror.keepOwn(l.term, l.allRuns(), expiries, l.changedSpeeds(true))
+	saved := make(map[winch.RunID]string)
+	for _, x := range l.planner.SavedCheckpoints(true) {
+		saved[x.Task] = x.Checkpoint
+	}
+	l.node.mirror.keepOwn(l.term, l.allRuns(), expiries, saved, l.changedSpeeds(true))
 }
 
 // lostElection learns the current records from the store's refusal. A transaction whose response was
