fleet: copies of straggling runs where the phase permits them

A phase ended only when its slowest run did, although its caller permits two runs of a task at once and workers were free. The planner now starts a second run of the last tasks of such a phase if that lets the phase end earlier, and stops the run that ends second. Every use of a task's runs was checked for two live ones: adoption, completions, attempts, crashes, checkpoints, restarts, expected ends and demand. A failure that uses up the last attempt fails the job once no other run of the task is left. Phases that do not permit copies are handled as before.

--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -23,6 +23,8 @@
 	FailedStarts, Failed int
 	// Crashes lists the worker crashes for which the job was failed.
 	Crashes []winch.Crash
+	// Copies counts the copies of straggling runs.
+	Copies int
 	// Excess is set if the job exceeded its team's share.
 	Excess bool
 }
@@ -97,7 +99,7 @@
 	out := JobSummary{
 		Job: j.rec.ID, Queue: j.rec.Queue, Team: j.rec.Team, State: j.state, Accepted: begin,
 		Took: now.Sub(begin), Objective: j.allowedTime(j.observedCriticalPath()),
-		Waited: make(map[Reason]time.Duration), FailedStarts: j.failedStarts, Crashes: j.crashes, Excess: j.excess,
+		Waited: make(map[Reason]time.Duration), FailedStarts: j.failedStarts, Crashes: j.crashes, Copies: j.copies, Excess: j.excess,
 	}
 	for _, s := range j.phases {
 		s.accountWait(now, 0)
--- a/coord/fleet/ahead.go
+++ b/coord/fleet/ahead.go
@@ -53,11 +53,7 @@
 			if t.done {
 				continue
 			}
-			r := t.activeRun()
-			if r == nil {
-				return 0, false
-			}
-			at, ends := r.expectedCompletion(now)
+			at, ends := t.expectedCompletion(now)
 			if !ends {
 				return 0, false
 			}
--- a/coord/fleet/cause.go
+++ b/coord/fleet/cause.go
@@ -87,8 +87,9 @@
 	}
 	now := s.job.planner.now()
 	return !slices.ContainsFunc(s.tasks, func(t *task) bool {
-		r := t.activeRun()
-		return t.done || r != nil && r.started && r.worker.unresponsiveSince.IsZero() && now.Sub(r.since) > recentFactor*f.age+recentMargin
+		return t.done || slices.ContainsFunc(t.runs, func(r *run) bool {
+			return !r.stopping && r.started && r.worker.unresponsiveSince.IsZero() && now.Sub(r.since) > recentFactor*f.age+recentMargin
+		})
 	})
 }
 
--- a/coord/fleet/crash.go
+++ b/coord/fleet/crash.go
@@ -146,7 +146,9 @@
 		j.crashes = x.crashes
 		j.finish(winch.JobFailed)
 		p.stopJob(j)
+		return
 	}
+	p.isolateCopy(f.task, f.run)
 }
 
 // hasSimilar reports whether an earlier crash, of which the task is a likely cause, came about as
--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -179,7 +179,7 @@
 // countUrgent adds a run to the urgent demand in use if on is set and the run does urgent work, and
 // otherwise removes it.
 func (r *run) countUrgent(on bool) {
-	on = on && r.task != nil && !r.stopping && r.task.phase.job.urgent()
+	on = on && r.task != nil && !r.stopping && r.copyOf == nil && r.task.phase.job.urgent()
 	if on == r.urgent {
 		return
 	}
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		t := p.task(x.Task)
-		adopt := t != nil && t.startable() && !t.phase.job.cancelled && !t.phase.job.state.Final() && t.phase.acceptsRun(x.Run)
+		adopt := t != nil && t.mayAdopt(w, x.Run) && !t.phase.job.cancelled && !t.phase.job.state.Final()
 		if t != nil {
 			t.phase.job.adopted = true
 		}
@@ -111,8 +111,9 @@
 			p.stopRun(r)
 			continue
 		}
-		t.checkpoint = x.Checkpoint
+		t.adoptCheckpoint(x)
 		t.phase.adoptRun(x.Run)
+		p.adoptCopy(t)
 		t.phase.job.updateState()
 	}
 }
@@ -213,9 +214,7 @@
 	t := p.task(e.Task)
 	mark := pendingCompletion{number: e.Number, key: runKey{e.Task, e.Run}}
 	if t != nil {
-		if e.Checkpoint != "" {
-			t.checkpoint = e.Checkpoint
-		}
+		t.saveCheckpoint(r, e.Checkpoint)
 		j := t.phase.job
 		if p.applyCompletion(w, t, r, e) {
 			mark.job, mark.changes = j, j.changes
@@ -240,13 +239,17 @@
 	}
 	switch e.Kind {
 	case winch.CompletionDone:
-		p.counts.Done++
 		w.health.succeeded()
+		if t.done && s.permitsCopies() {
+			return true // Its other run has completed it, which must be recorded first.
+		}
+		p.counts.Done++
 		if s.spec.Lasting {
 			p.gangMemberFailed(r)
 			return false
 		}
 		s.recordRunTime(r)
+		p.endCopies(t, r)
 		p.finishTask(t)
 	case winch.CompletionFailed:
 		p.counts.Failed++
@@ -287,18 +290,15 @@
 	t.phase.job.updateState()
 }
 
-// failTask counts a failure, once per run, and fails the job after the last attempt.
+// failTask counts a failure, once per run, and fails the job after the last attempt, unless another run of
+// the task goes on.
 func (p *Planner) failTask(t *task, run uint64) {
 	j := t.phase.job
 	key := t.failureKey()
 	if !slices.Contains(j.failed[key], run) {
 		j.failed[key] = append(j.failed[key], run)
 	}
-	attempts := 1
-	if j.queue != nil {
-		attempts = max(1, j.queue.Attempts)
-	}
-	if len(j.failed[key]) >= attempts && !t.done {
+	if t.attemptsUsed() && !t.done && !t.goesOn() {
 		j.finish(winch.JobFailed)
 		p.stopJob(j)
 	}
@@ -313,6 +313,7 @@
 	s.samples++
 	s.maxTime = max(s.maxTime, took)
 	s.meanTime += (took - s.meanTime) / time.Duration(s.samples)
+	s.noteRunTime(r, took)
 }
 
 // handleStatus applies the reported progress of a worker's runs.
@@ -329,9 +330,9 @@
 		if r.baseAt.IsZero() {
 			r.basePercent, r.baseAt = x.Percent, now
 		}
-		r.load = x.Load
-		if r.task != nil && x.Checkpoint != "" {
-			r.task.checkpoint = x.Checkpoint
+		r.load, r.reportedAt = x.Load, now
+		if r.task != nil {
+			r.task.saveCheckpoint(r, x.Checkpoint)
 		}
 		p.clearIfSurvived(r, now)
 	}
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"plantainwinch/coord/copies"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -86,6 +87,9 @@
 	// waited long without an advice request.
 	initialQuota RequestQuota
 	starving     []waitingPhase
+	// copyable holds the phases that may have stragglers, copies the runs that are copies of others.
+	copyable []*phase
+	copies   []*run
 	// pendingWorkers holds the workers with completions that have not been forgotten yet.
 	pendingWorkers map[*worker]bool
 	// probes holds the workers on which nothing may be started beside a probe; lostBoots holds the
@@ -104,6 +108,8 @@
 	summaries      []JobSummary
 	losses         []Loss
 	countedCrashes []CountedCrash
+	copyStarts     []CopyStart
+	copyEnds       []CopyEnd
 	counts         Counts
 }
 
@@ -132,6 +138,7 @@
 	// turnaround is the moving average of the time from a request to its response, including time
 	// in the queue.
 	turnaround time.Duration
+	copies     copies.Ledger // copies is what copies of the queue's stragglers gained.
 }
 
 // adviceTime returns how long an advice request about objectiveWorkers workers takes. A job's
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -42,6 +42,7 @@
 	suspects     map[string]*suspicion
 	cleared      int // cleared counts the suspects that were shown not to crash their workers.
 	crashes      []winch.Crash
+	copies       int  // copies counts the copies of stragglers that were started.
 	failedStarts int  // failedStarts counts the starts that a worker refused or did not respond to.
 	awaited      bool // awaited is set while a caller, or the start of a task, waits for the record.
 	dirty        bool // dirty is set if the record must be written.
@@ -80,6 +81,7 @@
 	criticalPath  time.Duration
 	advice        advice
 	gang          gangRun
+	copying       copyState
 	// slots are where and when the waiting tasks are expected to start, as computed at
 	// slotsFoundAt.
 	slots        []slot
@@ -106,9 +108,12 @@
 	index int
 	done  bool
 	// runs holds the runs that may exist. There is more than one only while an unwanted one is
-	// being stopped.
+	// being stopped, and two if one is a copy of the other, see phase.permitsCopies.
 	runs       []*run
 	checkpoint string
+	// checkpointPercent is the progress of the run that wrote the checkpoint when that was reported.
+	checkpointPercent float64
+	copies            int // copies counts the copies that were started.
 	// avoidWorker is the worker at which the task last failed or was slow.
 	avoidWorker string
 	// restarts counts how often the task was restarted because it was slow.
@@ -342,10 +347,11 @@
 	s.job.planner.enqueueIfReady(s)
 	if s.waiting == 0 {
 		s.anticipate()
+		s.noteCopyable()
 	}
 }
 
-// activeRun returns the run that does the task's work, or nil.
+// activeRun returns a run that does the task's work, or nil. A task with a copy has two.
 func (t *task) activeRun() *run {
 	for _, r := range t.runs {
 		if !r.stopping {
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -119,6 +119,7 @@
 		p.moveLasting(now)
 	}
 	p.requestForStarving(now)
+	p.copyStragglers(now, adopting)
 	if p.Policy.Ahead && !adopting {
 		p.requestAhead(now)
 	}
@@ -148,6 +149,9 @@
 			}
 			continue // Skip to the phase at which the last Schedule stopped.
 		}
+		if p.failExhausted(e.phase) {
+			continue
+		}
 		p.placePhase(e.phase, now)
 		p.reserve(e.phase, now, e.rank)
 		p.requestAdvice(e.phase, now, e.rank, 0)
@@ -253,16 +257,20 @@
 	return true
 }
 
-// start orders the start of a task at a worker.
-func (p *Planner) start(t *task, w *worker, number uint64, checkpoint string) {
+// start orders the start of a task at a worker and returns the run.
+func (p *Planner) start(t *task, w *worker, number uint64, checkpoint string) *run {
 	r := p.addRun(w, t, t.id(), number)
 	x := p.pool(t.phase.job.queue.Service)
 	x.free = x.free.Sub(r.charge)
+	if checkpoint != "" {
+		r.startPercent = t.checkpointPercent
+	}
 	t.phase.job.begun = true
 	p.orders = append(p.orders, proto.Order{
 		Kind: proto.OrderStart, Worker: w.vm.ID, Task: t.id(), Run: number,
 		Checkpoint: checkpoint, Ticket: t.phase.advice.permitFor(w).ticket,
 	})
+	return r
 }
 
 // sparesUrgent reports whether the phase may take what it needs without using capacity reserved for
@@ -337,7 +345,7 @@
 // usesOtherRack reports whether a task of the phase runs on a rack other than the given one.
 func (s *phase) usesOtherRack(rack string) bool {
 	for _, t := range s.tasks {
-		if r := t.activeRun(); r != nil && r.worker.vm.Rack != rack {
+		if slices.ContainsFunc(t.runs, func(r *run) bool { return !r.stopping && r.worker.vm.Rack != rack }) {
 			return true
 		}
 	}
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -28,6 +28,8 @@
 	stopping bool
 	urgent   bool // urgent is set while the run counts as running urgent work.
 	adopted  bool // adopted is set if an earlier planner started the run.
+	// copyOf is set if the run is a copy of another run of its task.
+	copyOf *copyRun
 	// probe is set if the run is a probe, which tests whether a suspect task crashes its worker.
 	probe *suspicion
 	// since is when the start was ordered or, once started is set, when it was confirmed.
@@ -37,6 +39,9 @@
 	// percent is the progress last reported, progressedAt when it last changed.
 	percent      float64
 	progressedAt time.Time
+	// startPercent is the progress at the checkpoint from which the run was started.
+	startPercent float64
+	reportedAt   time.Time // reportedAt is when progress was last reported, changed or not.
 	// basePercent is the first progress reported, at baseAt.
 	basePercent float64
 	baseAt      time.Time
--- a/coord/fleet/slow.go
+++ b/coord/fleet/slow.go
@@ -117,6 +117,9 @@
 	if r.probe != nil {
 		return // Each start of a suspect may cost a worker.
 	}
+	if t.copied() {
+		return // The task already has another run.
+	}
 	if s.spec.Gang && len(s.tasks) > 1 || t.restarts >= maxRestarts || s.job.cancelled || s.job.state.Final() || s.job.queue == nil {
 		return
 	}
--- a/coord/fleet/waits.go
+++ b/coord/fleet/waits.go
@@ -173,8 +173,9 @@
 
 // confirmed reports whether a run does the task's work and its worker is responsive.
 func (t *task) confirmed() bool {
-	r := t.activeRun()
-	return r != nil && r.started && r.worker.unresponsiveSince.IsZero()
+	return slices.ContainsFunc(t.runs, func(r *run) bool {
+		return !r.stopping && r.started && r.worker.unresponsiveSince.IsZero()
+	})
 }
 
 // waitingSince returns the time from which the task has waited.
