trial: a load of straggling runs whose phases permit copies

A tenth of the workers is slow, some runs lag and some jobs are long by nature.

The progress that a simulated run reports is now the part of its work that is done: at slow and cold workers it was negative at first.

--- a/trial/faults.go
+++ b/trial/faults.go
@@ -69,6 +69,7 @@
 	// shrunkSince is when the capacity was reduced, or zero.
 	shrunkSince time.Time
 	coldUntil   time.Time // coldUntil is until when work takes longer.
+	factor      float64   // factor is the factor by which work always takes longer.
 }
 
 // crashCounts counts the worker crashes that tasks caused, in all and by task, and the starts
@@ -173,6 +174,7 @@
 		if run.worker == id {
 			run.ended = true
 			delete(r.runs, key)
+			r.overlaps[key.task]--
 		}
 	}
 	r.schedule(messageDelay, func() {
--- a/trial/outcome.go
+++ b/trial/outcome.go
@@ -28,6 +28,8 @@
 	Restarted int64
 	// Harm sums up the effects of tasks that crash their workers.
 	Harm CrashReport
+	// Copies sums up the copies of straggling runs.
+	Copies CopyReport
 }
 
 // QueueOutcome holds the results of the jobs of one queue.
@@ -76,7 +78,7 @@
 func (r *simRegion) outcome() Outcome {
 	out := Outcome{Pattern: r.pattern.Name, Room: make(map[string]float64)}
 	out.Restarted = r.planner.Counts().Restarted
-	out.Harm = r.crashReport()
+	out.Harm, out.Copies = r.crashReport(), r.copies
 	out.Lanes = r.usage.laneTime.Seconds() / (r.pattern.Length.Seconds() * float64(r.pattern.Lanes))
 	for name, m := range r.usage.capacity {
 		out.Room[name] = m.value()
@@ -138,7 +140,7 @@
 // maxReasons is the number of reasons that a row of the table names.
 const maxReasons = 3
 
-// PrintOutcomes writes outcomes as a table, followed by a line for each with crashes.
+// PrintOutcomes writes outcomes as a table, followed by a line for each with copies and each with crashes.
 func PrintOutcomes(w io.Writer, all []Outcome) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "PATTERN\tWITHOUT\tQUEUE\tJOBS\tON TIME\tWITHIN 3\tLATENESS\tP50\tP99\tLANES\tROOM\tWAITED FOR")
@@ -156,6 +158,9 @@
 		return err
 	}
 	for _, o := range all {
+		if o.Copies != (CopyReport{}) {
+			fmt.Fprintf(w, "%s without %s: %s\n", o.Pattern, cmp.Or(strings.Join(o.Without, ","), "nothing"), o.Copies)
+		}
 		if o.Harm != (CrashReport{}) {
 			fmt.Fprintf(w, "%s without %s: %s\n", o.Pattern, cmp.Or(strings.Join(o.Without, ","), "nothing"), o.Harm)
 		}
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -35,6 +35,8 @@
 	Faults []Fault
 	// Evacuations are the evacuations of failure domains; without any the workers have no domains.
 	Evacuations []Evacuation
+	// Stragglers says which runs take longer than others of their phase.
+	Stragglers Stragglers
 }
 
 // Service is a set of identical workers.
@@ -63,6 +65,10 @@
 	Gang, Checkpoints bool
 	// CrashFraction is the fraction of the jobs that have tasks which crash their workers.
 	CrashFraction float64
+	// Copies permits two runs of a task at once. LongFraction is the fraction of the jobs whose tasks all take
+	// longFactor times as long as estimated.
+	Copies       bool
+	LongFraction float64
 }
 
 // jobArrival is a job of a stream, with its time of arrival and the true run times of each phase's
@@ -104,18 +110,20 @@
 	if s.CrashFraction > 0 {
 		out.crash = drawCrashSpec(rnd, s.CrashFraction)
 	}
+	length := s.drawLength(rnd)
 	for phase := range max(1, s.Phases) {
 		tasks := max(1, int(math.Round(s.Width*randomFactor(rnd, 0.5))))
 		runTime := time.Duration(float64(s.RunTime) * randomFactor(rnd, 0.4))
 		x := winch.Phase{
 			Count: tasks, Need: need, Estimate: time.Duration(float64(runTime) * randomFactor(rnd, s.EstimateError)), Gang: s.Gang, Checkpoints: s.Checkpoints,
+			Copies: s.Copies,
 		}
 		if phase > 0 {
 			x.After = []int{phase - 1}
 		}
 		var runTimes []time.Duration
 		for range tasks {
-			runTimes = append(runTimes, time.Duration(float64(runTime)*randomFactor(rnd, 0.1)))
+			runTimes = append(runTimes, time.Duration(length*float64(runTime)*randomFactor(rnd, 0.1)))
 		}
 		out.job.Phases = append(out.job.Phases, x)
 		out.runTimes = append(out.runTimes, runTimes)
@@ -273,6 +281,10 @@
 			p.Streams = []Stream{lookupStream(6), lookupStream(20).between(30*time.Second, 34*time.Second), batchStream(0.5)}
 			p.Evacuations = []Evacuation{{0, 6 * time.Second, 8 * time.Second, 6 * time.Second}, {1, 22 * time.Second, 8 * time.Second, 6 * time.Second}, {2, 38 * time.Second, 8 * time.Second, 6 * time.Second}}
 		}),
+		pattern("stragglers", "a tenth of the workers is slow and some runs lag, while other jobs are long by nature: a phase waits for its last run although workers are free", func(p *Pattern) {
+			p.Stragglers = Stragglers{Factors: []float64{1, 1, 1, 1, 1.9, 1, 1, 1, 1, 1}, LagFraction: 0.01, LagFactor: 5}
+			p.Streams = []Stream{lookupStream(7).withCopies().withLongJobs(0.03), batchStream(0.3).withCopies(), lookupStream(2)}
+		}),
 		pattern("overload", "overload for twenty seconds: jobs that are late or cannot meet their objective take the capacity", func(p *Pattern) {
 			p.Streams = []Stream{gangStream(1.5), gangStream(1.8).between(10*time.Second, 30*time.Second), smallStream(1.4)}
 		}),
--- a/trial/region.go
+++ b/trial/region.go
@@ -53,10 +53,19 @@
 type activeRun struct {
 	worker    string
 	started   time.Time
-	remaining time.Duration // remaining is the work that was left when the run started.
+	remaining time.Duration // remaining is how long the run takes in all.
+	work      time.Duration // work is the part of the task's true run time that was left when the run started.
 	ended     bool
 }
 
+// workLeft returns the work that the run has left, assuming that it proceeds evenly.
+func (a *activeRun) workLeft(now time.Time) time.Duration {
+	if a.remaining <= 0 {
+		return 0
+	}
+	return time.Duration(max(0, 1-now.Sub(a.started).Seconds()/a.remaining.Seconds()) * float64(a.work))
+}
+
 // simRegion simulates a region: it runs one pattern against the planner in simulated time.
 type simRegion struct {
 	pattern Pattern
@@ -83,6 +92,8 @@
 	workers         map[string]*workerState
 	evacuated       map[string]bool // evacuated holds the failure domains that were evacuated, and whether they still are.
 	crashes         crashCounts
+	copies          CopyReport
+	overlaps        overlaps
 }
 
 // usage holds the total time that lanes were busy, and the mean fraction of capacity in use by service.
@@ -96,7 +107,7 @@
 	r := &simRegion{
 		pattern: p, rnd: rand.New(rand.NewPCG(seed, 7)), begin: trialStart, now: trialStart, planner: fleet.New(1),
 		jobs: make(map[string]*jobArrival), runs: make(map[runKey]*activeRun), checkpointed: make(map[winch.RunID]time.Duration),
-		lastEnded: make(map[string]uint64), workers: make(map[string]*workerState), evacuated: make(map[string]bool), crashes: newCrashCounts(), usage: usage{capacity: make(map[string]*mean)},
+		lastEnded: make(map[string]uint64), workers: make(map[string]*workerState), evacuated: make(map[string]bool), crashes: newCrashCounts(), overlaps: make(overlaps), usage: usage{capacity: make(map[string]*mean)},
 	}
 	r.planner.Clock = func() time.Time { return r.now }
 	r.planner.Policy = policy
@@ -124,7 +135,7 @@
 		for i := range s.Workers {
 			vm := winch.WorkerVM{ID: s.Name + strconv.Itoa(i), Address: s.Name + strconv.Itoa(i), Service: s.Name, Domain: r.pattern.domainOf(i), Room: s.Room, Born: 1}
 			list = append(list, vm)
-			r.workers[vm.ID] = &workerState{vm: vm}
+			r.workers[vm.ID] = &workerState{vm: vm, factor: r.pattern.Stragglers.factorOf(i)}
 		}
 		r.usage.capacity[s.Name] = &mean{}
 	}
@@ -193,6 +204,7 @@
 	r.completed = append(r.completed, r.planner.JobSummaries()...)
 	r.planner.Losses()
 	r.planner.CountedCrashes()
+	r.countCopies()
 }
 
 // save acknowledges the planner's job records as committed.
@@ -283,11 +295,13 @@
 	if !saved || o.Checkpoint == "" {
 		left = arrival.runTimes[o.Task.Phase][o.Task.Index]
 	}
-	left = r.workers[o.Worker].runTime(r.now, left)
-	run := &activeRun{worker: o.Worker, started: r.now, remaining: left}
+	work := left
+	left = time.Duration(r.workers[o.Worker].factor * r.pattern.Stragglers.lag(r.rnd) * float64(r.workers[o.Worker].runTime(r.now, left)))
+	run := &activeRun{worker: o.Worker, started: r.now, remaining: left, work: work}
 	key := runKey{o.Task, o.Run}
 	r.runs[key] = run
 	r.checkCapacity(o)
+	r.noteOverlap(o.Task)
 	r.scheduleCrash(arrival, key, run)
 	r.schedule(messageDelay, func() {
 		r.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventStarted, Worker: o.Worker, Task: o.Task, Run: o.Run})
@@ -302,13 +316,14 @@
 	}
 	run.ended = true
 	delete(r.runs, key)
+	r.overlaps[key.task]--
 	r.workers[run.worker].used = r.workers[run.worker].used.Sub(r.need(key.task))
 	delay, checkpoint := messageDelay, ""
 	if r.losesResponse() {
 		delay += lostListDelay
 	}
 	if kind == winch.CompletionStopped && r.jobs[key.task.Job].job.Phases[key.task.Phase].Checkpoints {
-		r.checkpointed[key.task] = max(0, run.remaining-r.now.Sub(run.started))
+		r.checkpointed[key.task] = run.workLeft(r.now)
 		checkpoint = "saved"
 	}
 	r.schedule(delay, func() {
@@ -337,7 +352,7 @@
 			phase := r.jobs[key.task.Job].job.Phases[key.task.Phase]
 			used[r.serviceOf(run.worker).Name] = used[r.serviceOf(run.worker).Name].Add(phase.Need)
 			runTime := r.jobs[key.task.Job].runTimes[key.task.Phase][key.task.Index]
-			done := 1 - float64(run.remaining-r.now.Sub(run.started))/float64(runTime)
+			done := 1 - float64(run.workLeft(r.now))/float64(runTime)
 			running[run.worker] = append(running[run.worker], winch.Running{Task: key.task, Run: key.run, Percent: float64(int(100 * done))})
 		}
 		for _, id := range sortedKeys(running) {
