region: copies in logs and metrics, and in the random runs

The lines copy started and copy ended, the counters Planner.Copies.Started, Won and Lost and the histogram Planner.Copies.GainMillis show what copies do, and job ended names the copies of each job. The random runs submit jobs whose phases permit copies: their tasks run at most twice at once, all others at most once as before.

--- a/region/crashrand_test.go
+++ b/region/crashrand_test.go
@@ -59,6 +59,7 @@
 	for i := range count {
 		id := fmt.Sprintf("%016x", 0xc000+i)
 		phase := simPhase(1 + 2*r.rand.IntN(2))
+		phase.Copies = i%2 == 0 // Nothing suspected of crashing workers may be copied.
 		after := time.Duration(0)
 		switch r.rand.IntN(4) {
 		case 0:
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -315,6 +315,7 @@
 	l.signalSave()
 	l.logCompletions()
 	l.logLosses()
+	l.reportCopies()
 }
 
 // mayStart reports whether work may be started. A planner that cannot renew its office goes on for a
--- a/region/report.go
+++ b/region/report.go
@@ -75,7 +75,7 @@
 		l.node.Log.Info("job ended", zap.String("job", e.Job), zap.String("queue", e.Queue), zap.String("team", e.Team),
 			zap.String("state", string(e.State)), zap.Duration("took", e.Took), zap.Duration("objective", e.Objective),
 			zap.Any("waited", waited), zap.Int("unanswered", e.FailedStarts), zap.Int("failed", e.Failed),
-			zap.Int("crashes", len(e.Crashes)), zap.Bool("excess", e.Excess))
+			zap.Int("crashes", len(e.Crashes)), zap.Int("copies", e.Copies), zap.Bool("excess", e.Excess))
 	}
 }
 
