cause: explain counts the copies of straggling runs by queue

Which queue gained from copies was visible only line by line in the logs. The table names the jobs with copies, how many copies ended first and the time gained, each copy once although two planners may log its end.

--- a/cause/cause.go
+++ b/cause/cause.go
@@ -50,6 +50,9 @@
 	Index     int                `json:"index"`
 	Worker    string             `json:"worker"`
 	GivenUp   bool               `json:"givenUp"`
+	Run       uint64             `json:"run"`
+	Won       bool               `json:"won"`
+	Gain      float64            `json:"gain"`
 }
 
 // Class counts jobs by the time that they took relative to their objective.
@@ -105,6 +108,7 @@
 	Refusals []Refusal
 	// Crashes holds the tasks that were given up first, then by descending number of crashes.
 	Crashes []CrashingTask `json:",omitempty"`
+	Copies  []QueueCopies  `json:",omitempty"`
 }
 
 // Reader collects log lines and reports on them. Set the exported field before the first Read.
@@ -116,6 +120,7 @@
 	completed map[string]logLine
 	refused   map[Refusal]int
 	crashes   []logLine
+	copies    map[copyKey]logLine // copies holds the last line about each copy.
 	// stateSent holds the times at which callers received the state of each job.
 	stateSent map[string][]time.Time
 }
@@ -159,6 +164,8 @@
 		}
 	case messageCrash:
 		r.crashes = append(r.crashes, l)
+	case messageCopyStarted, messageCopyEnded:
+		r.addCopy(l)
 	case messageRefused:
 		r.refused[Refusal{Status: l.Status, Reason: l.Reason}]++
 	}
@@ -281,7 +288,7 @@
 	for x, n := range r.refused {
 		out.Refusals = append(out.Refusals, Refusal{Status: x.Status, Reason: x.Reason, Count: n})
 	}
-	out.Crashes = r.crashingTasks()
+	out.Crashes, out.Copies = r.crashingTasks(), r.queueCopies()
 	slices.SortFunc(out.Queues, func(a, b Queue) int {
 		return cmp.Or(cmp.Compare(b.Late+b.Missed, a.Late+a.Missed), cmp.Compare(a.Name, b.Name))
 	})
--- a/cause/print.go
+++ b/cause/print.go
@@ -32,6 +32,7 @@
 		}
 	}
 	printCrashes(t, r.Crashes)
+	printCopies(t, r.Copies)
 	return t.Flush()
 }
 
