--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,6 +69,7 @@
 	// GivenUp counts the jobs that the region gave up because they crash workers, and Crashed
 	// counts the workers that they crashed.
 	GivenUp, Crashed int
+	Copies           int // Copies counts the runs that were started beside another run of their task.
 	Problems         []string
 }
 
@@ -93,6 +94,7 @@
 		callers.Go(func() { s.runCaller(ctx, activeCtx, i) })
 		callers.Go(func() { s.runLastingJobs(ctx, activeCtx, plannedCtx, i) })
 		callers.Go(func() { s.runGangJobs(ctx, activeCtx, i, 0) })
+		callers.Go(func() { s.runCopiedJobs(ctx, activeCtx, i) })
 	}
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
@@ -112,7 +114,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.Problems = append(s.report.Problems, s.platform.Checker.Problems()...)
-	s.report.Starts = s.platform.Checker.Starts()
+	s.report.Starts, s.report.Copies = s.platform.Checker.Starts(), s.platform.Checker.Copies()
 	return s.report, nil
 }
 
