--- a/coord/fleet/bench_test.go
+++ b/coord/fleet/bench_test.go
@@ -88,3 +88,24 @@
 	phase := winch.Phase{Count: count, Need: winch.Capacity{Milli: milli, Memory: gigabyte}, Estimate: 10 * time.Second, Gang: gang}
 	p.Add(&winch.PhasedJob{ID: id, Queue: queue, Team: "choir", Phases: []winch.Phase{phase}, Accepted: time.Now(), Revision: 7}, nil, 0)
 }
+
+// BenchmarkCopies measures the part of a decision that looks for stragglers, while many tasks wait and all
+// running tasks may have copies. All their phases are due at once, which is the most that one decision does.
+func BenchmarkCopies(b *testing.B) {
+	p := waitingPlanner(350, 20_000, false)
+	for _, j := range p.active {
+		for _, s := range j.phases {
+			if s.live > 0 {
+				s.spec.Copies = true
+				s.noteCopyable()
+			}
+		}
+	}
+	p.Schedule()
+	for b.Loop() {
+		for _, s := range p.copyable {
+			s.copying.checkedAt = time.Time{}
+		}
+		p.copyStragglers(p.now(), false)
+	}
+}
--- a/coord/fleet/copies.go
+++ b/coord/fleet/copies.go
@@ -252,7 +252,7 @@
 		if !room.allows(s) {
 			return
 		}
-		room.budget(s.job.queue.Service).Take(s.spec.Charge())
+		room.service(s.job.queue.Service).budget.Take(s.spec.Charge())
 		p.startCopy(x, now)
 	}
 }
--- a/coord/fleet/copyfault_test.go
+++ b/coord/fleet/copyfault_test.go
@@ -326,3 +326,40 @@
 		})
 	}
 }
+
+// The last attempt of a task has failed while its copy went on, and the planner is lost. The next one must let the
+// copy go on if a worker lists it, and otherwise fail the job instead of starting the task once more.
+func TestTakeoverAfterLastAttempt(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCopiedTask(t)
+			c.planner.queues["mix"].Attempts = 1
+			c.endRun(c.first, winch.CompletionFailed)
+			records := c.planner.Records(10)
+			c.is.Equal(len(records), 1)
+			next := newSimRegion(t, 0, normalQueue())
+			next.planner = New(2)
+			q := normalQueue()
+			q.Attempts = 1
+			next.planner.SetConfig(&winch.RegionConfig{Queues: []winch.Queue{q}})
+			next.planner.SetWorkers(c.planner.WorkersToHold())
+			next.planner.Add(c.planner.jobs["a"].rec, &records[0].Progress, 10)
+			next.completions = c.completions
+			if !listed {
+				c.running = slices.DeleteFunc(c.running, func(o proto.Order) bool { return o.Run == c.copy.Run })
+			}
+			for _, vm := range c.planner.WorkersToHold() {
+				next.planner.HandleEvent(listedEvent(c.simRegion, vm.ID))
+			}
+			c.is.Equal(len(next.schedule()), 0)
+			if listed {
+				c.is.Equal(next.planner.jobs["a"].state, winch.JobRunning)
+				next.endRun(c.copy, winch.CompletionDone)
+				c.is.Equal(next.planner.jobs["a"].phases[0].done, 1)
+				return
+			}
+			c.is.Equal(next.planner.jobs["a"].state, winch.JobFailed)
+			c.is.Equal(next.planner.Counts().Stopped, int64(3))
+		})
+	}
+}
