region: at most one run of a copied task may start after another has succeeded

The check that a task is not started again after it has succeeded let tasks that may have copies pass altogether. One start is allowed now, that of a copy ordered before the planner knew.

--- a/region/copies_test.go
+++ b/region/copies_test.go
@@ -43,10 +43,13 @@
 	return 0
 }
 
-// mayFollow reports whether a run may start after another run has succeeded whose completion the planner may
-// not have received.
-func (v *copyChecker) mayFollow(c winch.StartRequest) bool {
-	return c.Command == copyCommand
+// allowedAfter returns how many runs of a task may start after another run of it has succeeded: a copy may, as
+// long as the planner has not received the completion.
+func (v *copyChecker) allowedAfter(c winch.StartRequest) int {
+	if c.Command == copyCommand {
+		return 1
+	}
+	return 0
 }
 
 // inTransit reports whether a start that is carried out after the task's completion was acknowledged may have
--- a/region/randfault_test.go
+++ b/region/randfault_test.go
@@ -95,8 +95,8 @@
 )
 
 // Guards against jobs that never end, tasks that run more often at once than their phase permits, and
-// starts beyond a worker's capacity. Faults of all kinds overlap: entries are killed, domains partitioned, the store is down or
-// loses responses, and workers carry out calls without responding.
+// starts beyond a worker's capacity. Faults of all kinds overlap: entries are killed, domains
+// partitioned, the store is down or loses responses, and workers carry out calls without responding.
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -116,8 +116,9 @@
 	run           uint64
 	worker        *simWorker
 	leaseExpiries int // leaseExpiries is the worker's count of lease expiries when the run ended.
-	// restarted says that the task was started again after this run.
-	restarted bool
+	// startsAfter counts the starts of the task after this run, restarted says that there were more than allowed.
+	startsAfter int
+	restarted   bool
 }
 
 // clock returns the time on the worker's monotonic clock.
@@ -324,7 +325,8 @@
 // been acknowledged, and that the worker has enough free capacity.
 func (x *simWorker) startRun(w *world, key runKey, c winch.StartRequest) {
 	for _, d := range w.completed[c.Task] {
-		d.restarted = d.restarted || !w.copyChecks.mayFollow(c)
+		d.startsAfter++
+		d.restarted = d.startsAfter > w.copyChecks.allowedAfter(c)
 	}
 	w.log.note("%v of %s starts as run %d at %s", c.Task, c.Task.Job, c.Run, x.vm.ID)
 	if w.running[c.Task] > w.copyChecks.allowedBeside(c) {
