--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"plantainwinch/coord/copies"
 	"plantainwinch/coord/evict"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
@@ -87,6 +88,9 @@
 	// waited long without an advice request.
 	initialQuota RequestQuota
 	starving     []waitingPhase
+	// copyable holds the phases that may have stragglers, copies the runs that are copies of others.
+	copyable []*phase
+	copies   []*run
 	// pendingWorkers holds the workers with completions that have not been forgotten yet.
 	pendingWorkers map[*worker]bool
 	// probes holds the workers on which nothing may be started beside a probe; lostBoots holds the
@@ -117,6 +121,8 @@
 	countedCrashes []CountedCrash
 	evictionLog    []Eviction
 	savedChanges   []SavedCheckpoint
+	copyStarts     []CopyStart
+	copyEnds       []CopyEnd
 	counts         Counts
 }
 
@@ -154,6 +160,7 @@
 	// before the first has ended.
 	usualTime time.Duration
 	order     queueOrder
+	copies    copies.Ledger // copies is what copies of the queue's stragglers gained.
 }
 
 // adviceTime returns how long an advice request about objectiveWorkers workers takes. A job's
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -322,6 +322,7 @@
 	l.logLosses()
 	l.reportSpeeds()
 	l.logEvictions()
+	l.reportCopies()
 }
 
 // mayStart reports whether work may be started. A planner that cannot renew its office goes on for a
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -72,6 +72,7 @@
 	// counts the workers that they crashed.
 	GivenUp, Crashed int
 	Resumed          int // Resumed counts the runs that started from a checkpoint.
+	Copies           int // Copies counts the runs that were started beside another run of their task.
 	Problems         []string
 }
 
@@ -96,6 +97,7 @@
 		callers.Go(func() { s.runCaller(ctx, activeCtx, i) })
 		callers.Go(func() { s.runLastingJobs(ctx, activeCtx, plannedCtx, i) })
 		callers.Go(func() { s.runGangJobs(ctx, activeCtx, i, 0) })
+		callers.Go(func() { s.runCopiedJobs(ctx, activeCtx, i) })
 	}
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
@@ -117,6 +119,7 @@
 	defer s.mu.Unlock()
 	s.report.Problems = append(s.report.Problems, s.platform.Checker.Problems()...)
 	s.report.Starts, s.report.Resumed = s.platform.Checker.Starts(), s.platform.Checker.Resumed()
+	s.report.Copies = s.platform.Checker.Copies()
 	return s.report, nil
 }
 
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -174,6 +174,7 @@
 		if run.worker == id {
 			run.ended = true
 			delete(r.runs, key)
+			r.overlaps[key.task]--
 		}
 	}
 	r.schedule(messageDelay, func() {
--- a/trial/outcome.go
+++ b/trial/outcome.go
@@ -37,6 +37,8 @@
 	EvictionLost time.Duration `json:",omitempty"`
 	// Harm sums up the effects of tasks that crash their workers.
 	Harm CrashReport
+	// Copies sums up the copies of straggling runs.
+	Copies CopyReport
 }
 
 // QueueOutcome holds the results of the jobs of one queue.
@@ -87,7 +89,7 @@
 	out := Outcome{Pattern: r.pattern.Name, Room: make(map[string]float64)}
 	counts := r.planner.Counts()
 	out.Restarted, out.Evicted, out.EvictionLost = counts.Restarted, counts.Evicted, counts.EvictionLost
-	out.Harm = r.crashReport()
+	out.Harm, out.Copies = r.crashReport(), r.copies
 	out.Teams, out.Value = r.teamOutcomes()
 	out.Lanes = r.usage.laneTime.Seconds() / (r.pattern.Length.Seconds() * float64(r.pattern.Lanes))
 	for name, m := range r.usage.capacity {
@@ -151,7 +153,7 @@
 // maxReasons is the number of reasons that a row of the table names.
 const maxReasons = 3
 
-// PrintOutcomes writes outcomes as a table, followed by a line for each with crashes.
+// PrintOutcomes writes outcomes as a table, followed by a line for each with copies and each with crashes.
 func PrintOutcomes(w io.Writer, all []Outcome) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "PATTERN\tWITHOUT\tORDER\tQUEUE\tJOBS\tON TIME\tWITHIN 3\tLARGEST\tLARGE\tVALUE\tWORST TEAMS\tLATENESS\tP50\tP99\tLANES\tROOM\tWAITED FOR")
@@ -173,6 +175,9 @@
 		if o.Evicted > 0 {
 			fmt.Fprintf(w, "%s without %s: %d runs evicted, %.1f processor-seconds lost\n", o.Pattern, cmp.Or(strings.Join(o.Without, ","), "nothing"), o.Evicted, o.EvictionLost.Seconds())
 		}
+		if o.Copies != (CopyReport{}) {
+			fmt.Fprintf(w, "%s without %s: %s\n", o.Pattern, cmp.Or(strings.Join(o.Without, ","), "nothing"), o.Copies)
+		}
 		if o.Harm != (CrashReport{}) {
 			fmt.Fprintf(w, "%s without %s: %s\n", o.Pattern, cmp.Or(strings.Join(o.Without, ","), "nothing"), o.Harm)
 		}
