fleet: progress is compared over what a run has done since, with most of its siblings

The rate of an active run was compared with rates as of earlier reports, and runs at slow workers were continued elsewhere by the job's estimates, which are off by 0.9. Jobs that were on time had runs stopped for that.

--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -118,6 +118,12 @@
 // observedCriticalPath returns the longest chain of the job's phases, by the longest observed run
 // time of each phase at usual workers near its data, or by its estimate if no task of it has completed.
 func (j *job) observedCriticalPath() time.Duration {
+	return j.criticalPathWith(nil, 0)
+}
+
+// criticalPathWith returns the observed critical path, given how long the longest run of one phase takes
+// at least.
+func (j *job) criticalPathWith(running *phase, atLeast time.Duration) time.Duration {
 	longest := time.Duration(0)
 	chain := make(map[*phase]time.Duration, len(j.phases))
 	for _, s := range j.phases {
@@ -126,7 +132,10 @@
 			before = max(before, chain[a])
 		}
 		took := s.usualMaxTime()
-		if s.samples == 0 {
+		switch {
+		case s == running:
+			took = max(took, atLeast)
+		case s.samples == 0:
 			took = s.spec.Estimate
 		}
 		chain[s] = before + took + j.queue.adviceTime()
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -340,6 +340,7 @@
 			r.task.checkpoint = x.Checkpoint
 		}
 		p.clearIfSurvived(r, now)
+		p.observeProgress(r, now)
 	}
 	p.throttle(w, now)
 	p.checkProgress(w, now)
--- a/coord/fleet/fast.go
+++ b/coord/fleet/fast.go
@@ -162,8 +162,8 @@
 	}
 	left := time.Duration((100 - r.percent) / rate * float64(time.Second))
 	elsewhere := restartCost + divide(left, p.factor(r.worker))
-	begin := s.beginsAt()
-	objective := begin.Add(s.job.allowedTime(max(s.job.observedCriticalPath(), divide(time.Duration(100/rate*float64(time.Second)), p.factor(r.worker)))))
+	usual := divide(time.Duration(100/rate*float64(time.Second)), p.factor(r.worker))
+	objective := s.beginsAt().Add(s.job.allowedTime(s.job.criticalPathWith(s, usual)))
 	return elsewhere < left && now.Add(left).After(objective) && now.Add(elsewhere).Before(objective)
 }
 
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -40,6 +40,9 @@
 	// basePercent is the first progress reported, at baseAt.
 	basePercent float64
 	baseAt      time.Time
+	// comparedPercent is the progress up to which the run was compared with its siblings, at comparedAt.
+	comparedPercent float64
+	comparedAt      time.Time
 	// load is the load last reported, see winch.Running.
 	load        float64
 	throttle    int // throttle is the percentage in force, 100 at the start; negative if it is not known.
--- a/coord/fleet/slow.go
+++ b/coord/fleet/slow.go
@@ -69,10 +69,7 @@
 	if !ok || !enough {
 		return ok, false
 	}
-	p := r.worker.planner
-	rate *= p.factor(r.worker)
-	p.observeProgress(r, rate, median, now)
-	return true, rate*slowFactor < median
+	return true, rate*r.worker.planner.factor(r.worker)*slowFactor < median
 }
 
 // rate returns the progress of a run in percent per second, and whether it is known.
--- a/coord/fleet/speeds.go
+++ b/coord/fleet/speeds.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"plantainwinch/coord/speed"
@@ -214,13 +215,48 @@
 	return out
 }
 
-// minPercent is the progress from which the rate of an active run is compared with its siblings'.
-const minPercent = 10
+// minPercent is the progress over which the rate of an active run is compared with its siblings'.
+const minPercent = 20
 
-// observeProgress compares the rate of an active run with the median of its phase, each multiplied by
-// the factor of its worker.
-func (p *Planner) observeProgress(r *run, rate, median float64, now time.Time) {
-	if p.Policy.Speeds && rate > 0 && r.percent >= minPercent && r.task.phase.spec.Rack == "" && r.comparable() {
-		p.observeSpeed(r.worker, r.key.run, median/rate, now)
+// observeProgress compares the rate at which a run has progressed since its last comparison with the
+// median rate of its phase, each multiplied by the factor of its worker. It is called when the progress
+// has just been reported, and needs the rates of three quarters of the siblings.
+func (p *Planner) observeProgress(r *run, now time.Time) {
+	if !p.Policy.Speeds || r.task == nil || r.percent-r.comparedPercent < minPercent || r.task.phase.spec.Rack != "" || r.stopping || !r.comparable() {
+		return
+	}
+	since := later(r.baseAt, r.comparedAt)
+	if now.Sub(since) < minRateTime {
+		return
+	}
+	rate := (r.percent - r.comparedPercent) / now.Sub(since).Seconds()
+	r.comparedPercent, r.comparedAt = r.percent, now
+	s := r.task.phase
+	rates := s.siblingRates(r, now)
+	if len(rates) < minRates || 4*len(rates) < 3*(s.live+s.done-1) {
+		return
+	}
+	slices.Sort(rates)
+	middle := (rates[len(rates)/2] + rates[(len(rates)-1)/2]) / 2
+	p.observeSpeed(r.worker, r.key.run, middle/rate, now)
+}
+
+// siblingRates returns the rates of the other runs of a phase in percent per second at usual workers:
+// of those that ended, and of those that have run for minRateTime, however far they have come.
+func (s *phase) siblingRates(r *run, now time.Time) []float64 {
+	p := s.job.planner
+	var rates []float64
+	for _, x := range s.completed {
+		if x.comparable {
+			rates = append(rates, 100/max(time.Millisecond, p.usualTime(s, x)).Seconds())
+		}
+	}
+	for _, t := range s.tasks {
+		x := t.activeRun()
+		if x == nil || x == r || now.Sub(x.baseAt) < minRateTime || !x.comparable() || !x.progressedAt.After(x.baseAt) {
+			continue
+		}
+		rates = append(rates, p.factor(x.worker)*(x.percent-x.basePercent)/x.progressedAt.Sub(x.baseAt).Seconds())
 	}
+	return rates
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -123,7 +123,7 @@
 		return merry.Wrap(err)
 	}
 	s.faultLog = faults
-	s.platform = &fake.Platform{Workers: s.Workers, Milli: 8000, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}}}
+	s.platform = &fake.Platform{Workers: s.Workers, Milli: 8000, SlowEvery: 3, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}}}
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
--- a/trial/evacuate.go
+++ b/trial/evacuate.go
@@ -63,8 +63,8 @@
 	r.scheduleDecision()
 }
 
-// runTime returns how long work takes that begins at the worker now, given how long it takes at a warm one
-// of median speed.
+// runTime returns how long work takes that begins at the worker now, given how long it takes at a warm
+// and healthy one.
 func (w *workerState) runTime(now time.Time, work time.Duration) time.Duration {
 	if w.speed != 1 {
 		work = time.Duration(w.speed * float64(work))
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -69,7 +69,7 @@
 	// shrunkSince is when the capacity was reduced, or zero.
 	shrunkSince time.Time
 	coldUntil   time.Time // coldUntil is until when work takes longer.
-	speed       float64   // speed is how long work takes relative to the median of all workers.
+	speed       float64   // speed is how long work takes relative to a healthy worker.
 }
 
 // crashCounts counts the worker crashes that tasks caused, in all and by task, and the starts
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -45,8 +45,8 @@
 	Name    string
 	Workers int
 	Room    winch.Capacity
-	// SlowShare is the fraction of the workers at which work takes 1.46 to 2 times the median, the
-	// others take 0.8 to 0.99 of it. All workers are equal if it is zero.
+	// SlowShare is the fraction of the workers that are slow, see speedOf. All workers are equal if it
+	// is zero.
 	SlowShare float64
 }
 
--- a/trial/uneven.go
+++ b/trial/uneven.go
@@ -1,7 +1,10 @@
 package trial
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"plantainwinch/winch"
@@ -36,20 +39,25 @@
 	return p
 }
 
-// speedOf returns how long work takes at the i-th worker relative to the median of all workers. It does
-// not depend on the worker's kind.
+// healthyShare is the mean run time at the workers that are not slow, relative to the median run time of a
+// phase.
+const healthyShare = 0.9
+
+// speedOf returns how long work takes at the i-th worker relative to the mean of those that are not slow:
+// 0.8 to 0.99 of the median run time of a phase, or 1.46 to 2 times that at slow ones. It does not depend
+// on the worker's kind.
 func (s Service) speedOf(i int) float64 {
 	if s.SlowShare == 0 {
 		return 1
 	}
 	rnd := rand.New(rand.NewPCG(uint64(i), 5))
 	if rnd.Float64() < s.SlowShare {
-		return 1.46 + 0.54*rnd.Float64()
+		return (1.46 + 0.54*rnd.Float64()) / healthyShare
 	}
-	return 0.8 + 0.19*rnd.Float64()
+	return (0.8 + 0.19*rnd.Float64()) / healthyShare
 }
 
-// workLeft returns the work that a run has left, as the time that it takes at a worker of median speed.
+// workLeft returns the work that a run has left, as the time that it takes at a healthy worker.
 func (r *simRegion) workLeft(run *activeRun) time.Duration {
 	left := run.remaining - r.now.Sub(run.started)
 	if speed := r.workers[run.worker].speed; speed != 1 {
@@ -58,6 +66,11 @@
 	return left
 }
 
+// sortedRuns returns the keys of all runs in the order of their numbers.
+func (r *simRegion) sortedRuns() []runKey {
+	return slices.SortedFunc(maps.Keys(r.runs), func(a, b runKey) int { return cmp.Compare(a.run, b.run) })
+}
+
 // labelsOf returns the labels of the i-th worker: of two kinds where workers differ.
 func (s Service) labelsOf(i int) []string {
 	if s.SlowShare == 0 {
