fleet: work tolerates workers as slow as its slack allows

Batch work with slack took workers that were slower than its slack. Each phase now tolerates a factor by its time left.

Runs that would be late at a slow worker are stopped also when the tickets of their phase have expired, and in phases before the last.

--- a/coord/fleet/advise.go
+++ b/coord/fleet/advise.go
@@ -225,7 +225,7 @@
 	response := now.Add(s.job.queue.turnaround)
 	p.markByAdvice(s, now)
 	counts := s.runsPerWorker()
-	s.speedWeight = p.speedWeight(s, now)
+	s.toleratedFactor = p.toleratedFactor(s, now)
 	workers := p.pool(s.job.queue.Service).workers
 	p.examined += len(workers)
 	out := topK[candidate]{limit: maxRequestWorkers, before: betterCandidate}
--- a/coord/fleet/fast.go
+++ b/coord/fleet/fast.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -12,30 +13,40 @@
 	slowPenalty = 3.0
 	// maxSlowness bounds the slowness that the penalty is multiplied by.
 	maxSlowness = 1.0
-	// slackBonus is what a worker that takes twice as long gains for work with slack and for lasting
-	// work, which has no end that it could delay.
+	// slackBonus is what a worker that takes twice as long gains for work that tolerates that.
 	slackBonus = 0.5
-	// slackFactor is how many times its estimate the remaining chain of work with slack may take without
-	// missing the objective: as many as the slowest workers take.
-	slackFactor = 1 + maxSlowness
+	// slackMargin is how many times its estimate the remaining chain is assumed to take, on usual workers,
+	// by work with slack.
+	slackMargin = 1.3
 	// maxFasterSearches bounds the phases for which one Schedule searches faster workers that become
 	// free soon.
 	maxFasterSearches = 16
 )
 
-// speedWeight returns the weight of a worker's slowness in its score for the phase: positive for work
-// that needs fast workers, negative for work that leaves them to others. Estimates of urgent work do
-// not show whether it has slack, so it always needs fast workers.
-func (p *Planner) speedWeight(s *phase, now time.Time) float64 {
+// toleratedFactor returns the factor up to which a worker is fast enough for the phase, 0 if no worker's
+// speed matters. Estimates of urgent work do not show whether it has slack, so it always needs usual
+// workers. Other work may take as many times its estimate as fit into the time left with slackMargin, and
+// lasting work any time.
+func (p *Planner) toleratedFactor(s *phase, now time.Time) float64 {
 	switch {
 	case !p.Policy.Speeds || !p.speeds.uneven:
 		return 0
 	case s.spec.Lasting:
-		return -slackBonus
-	case !s.job.inUrgentQueue() && s.objective().Sub(now) > time.Duration(slackFactor*float64(s.remainingPath)):
-		return -slackBonus
+		return math.MaxFloat64
+	case s.job.inUrgentQueue():
+		return 1
 	}
-	return slowPenalty
+	return max(1, s.objective().Sub(now).Seconds()/(slackMargin*max(time.Millisecond, s.remainingPath).Seconds()))
+}
+
+// speedScore returns what a worker's speed adds to its score for the phase. Work that tolerates a slow
+// worker leaves the others to work that does not.
+func (p *Planner) speedScore(s *phase, w *worker) float64 {
+	slowness := p.slowness(w)
+	if slowness > 0 && p.factor(w) <= s.toleratedFactor {
+		return slackBonus * slowness
+	}
+	return -slowPenalty * slowness
 }
 
 // slowness returns by how much a worker's factor exceeds 1, bounded.
@@ -50,7 +61,7 @@
 func (k *picker) awaitsFaster(w *worker) bool {
 	p, s := k.planner, k.phase
 	f := p.factor(w)
-	if f <= 1 || s.speedWeight <= 0 || !s.job.inUrgentQueue() || s.spec.Gang {
+	if f <= 1 || f <= s.toleratedFactor || !s.job.inUrgentQueue() || s.spec.Gang {
 		return false
 	}
 	usual := s.expectedUsualTime()
@@ -143,7 +154,7 @@
 	}
 	slices.SortFunc(late, func(a, b *run) int { return a.since.Compare(b.since) })
 	for _, r := range late {
-		if s := r.task.phase; p.faster(s, w, now) {
+		if s := r.task.phase; p.faster(s, now) {
 			p.restartTask(r)
 		}
 	}
@@ -157,22 +168,26 @@
 	}
 	s := r.task.phase
 	rate, ok := r.rate(now)
-	if s.job.cancelled || s.job.state.Final() || s.job.queue == nil || !ok || rate <= 0 || s.remainingPath > s.spec.Estimate+s.job.queue.adviceTime() {
+	if s.job.cancelled || s.job.state.Final() || s.job.queue == nil || !ok || rate <= 0 {
 		return false
 	}
 	left := time.Duration((100 - r.percent) / rate * float64(time.Second))
 	elsewhere := restartCost + divide(left, p.factor(r.worker))
+	rest := s.remainingPath - s.spec.Estimate - s.job.queue.adviceTime() // The phases after this one take as long as estimated.
 	usual := divide(time.Duration(100/rate*float64(time.Second)), p.factor(r.worker))
 	objective := s.beginsAt().Add(s.job.allowedTime(s.job.criticalPathWith(s, usual)))
-	return elsewhere < left && now.Add(left).After(objective) && now.Add(elsewhere).Before(objective)
+	return elsewhere < left && now.Add(left+rest).After(objective) && now.Add(elsewhere+rest).Before(objective)
 }
 
-// faster reports whether a usual worker has capacity for a task of the phase.
-func (p *Planner) faster(s *phase, than *worker, now time.Time) bool {
-	found := false
+// faster reports whether a usual worker, at which the phase is known to be allowed, has capacity for a task
+// of it. A new ticket is requested once the run has been stopped.
+func (p *Planner) faster(s *phase, now time.Time) bool {
 	counts := s.runsPerWorker()
-	p.eachEligible(s, now, func(w *worker) {
-		found = found || w != than && p.slowness(w) == 0 && s.fitInto(p.availableCapacity(s, w, now), remainingPerVM(s.spec.MostPerVM, counts[w])) > 0
-	})
-	return found
+	fits := func(w *worker) bool {
+		return p.slowness(w) == 0 && p.suits(s, w, now) && s.fitInto(p.availableCapacity(s, w, now), remainingPerVM(s.spec.MostPerVM, counts[w])) > 0
+	}
+	if s.job.queue.Advice != nil {
+		return slices.ContainsFunc(s.advice.allowed, func(t permit) bool { return fits(t.worker) })
+	}
+	return slices.ContainsFunc(p.pool(s.job.queue.Service).workers, fits)
 }
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -88,10 +88,10 @@
 	// factor of its worker.
 	meanTime time.Duration
 	samples  int
-	// completed lists the runs that completed tasks, and speedWeight is the weight of a worker's slowness
-	// in its score, see speedWeight.
-	completed   []completedRun
-	speedWeight float64
+	// completed lists the runs that completed tasks, and toleratedFactor is the factor up to which a worker
+	// is fast enough, as of the last choice.
+	completed       []completedRun
+	toleratedFactor float64
 	// cachedRate is the median progress rate of cachedRateSamples tasks at cachedRateAt.
 	cachedRate        float64
 	cachedRateSamples int
--- a/coord/fleet/pick.go
+++ b/coord/fleet/pick.go
@@ -77,7 +77,7 @@
 		return k
 	}
 	counts := s.runsPerWorker()
-	s.speedWeight = p.speedWeight(s, now)
+	s.toleratedFactor = p.toleratedFactor(s, now)
 	p.eachEligible(s, now, func(w *worker) {
 		free := p.availableCapacity(s, w, now)
 		maxTasks := remainingPerVM(s.spec.MostPerVM, counts[w])
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -332,8 +332,8 @@
 	if s.spec.SameRack && s.usesOtherRack(w.vm.Rack) {
 		score -= remotePenalty
 	}
-	if s.speedWeight != 0 {
-		score -= s.speedWeight * p.slowness(w)
+	if s.toleratedFactor > 0 {
+		score += p.speedScore(s, w)
 	}
 	if s.spec.Fills && w.serving > 0 || s.spec.Target > 0 && w.fillingMilli > 0 {
 		score -= interferencePenalty
--- a/coord/fleet/speeds_test.go
+++ b/coord/fleet/speeds_test.go
@@ -243,8 +243,8 @@
 			c.add("a", "mix", "choir", spec)
 			if late {
 				time.Sleep(7 * time.Second) // It has 7.4 s left of its objective.
-				c.planner.workers["w1"].health.quarantine(time.Now(), time.Second)
 			}
+			c.planner.workers["w1"].health.quarantine(time.Now(), time.Second)
 			is.Equal(startsAt(c.schedule(), "w0"), 1)
 			starts := c.reportProgress(3*time.Second, func(worker string) float64 {
 				if worker == "w0" {
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -29,6 +29,8 @@
 	Interval time.Duration
 	// ReduceCapacity selects a temporary loss of capacity instead of a crash.
 	ReduceCapacity bool
+	// Slowdown, if not zero, makes work take that many times as long for slowFor, instead of a crash.
+	Slowdown float64
 }
 
 // crashSpec describes which tasks of a job crash their workers.
@@ -140,6 +142,8 @@
 		id := ids[r.rnd.IntN(r.pattern.Services[0].Workers)]
 		switch w := r.workers[id]; {
 		case w.down:
+		case f.Slowdown > 0:
+			r.slowDown(w, f.Slowdown)
 		case f.ReduceCapacity && w.shrunkSince.IsZero():
 			r.reduceCapacity(w)
 		case !f.ReduceCapacity:
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -48,6 +48,7 @@
 	// SlowShare is the fraction of the workers that are slow, see speedOf. All workers are equal if it
 	// is zero.
 	SlowShare float64
+	Kinds     int // Kinds is the number of kinds of workers, which says nothing about their speed.
 }
 
 // Stream is a sequence of similar jobs that a team submits at random times.
@@ -285,6 +286,11 @@
 			p.Evacuations = []Evacuation{{0, 6 * time.Second, 8 * time.Second, 6 * time.Second}, {1, 22 * time.Second, 8 * time.Second, 6 * time.Second}, {2, 38 * time.Second, 8 * time.Second, 6 * time.Second}}
 		}),
 		unevenPattern(base, "uneven", "30 % of the workers are slow: urgent tasks there end too late, and restarting them wastes their work", 0.3),
+		func() Pattern {
+			p := unevenPattern(base, "slowdown", "equal workers become slow for some seconds, one after the other: urgent tasks there end too late", 0)
+			p.Faults = []Fault{{At: 2 * time.Second, Count: 5, Interval: 2 * time.Second, Slowdown: 2.5}}
+			return p
+		}(),
 		pattern("overload", "overload for twenty seconds: jobs that are late or cannot meet their objective take the capacity", func(p *Pattern) {
 			p.Streams = []Stream{gangStream(1.5), gangStream(1.8).between(10*time.Second, 30*time.Second), smallStream(1.4)}
 		}),
--- a/trial/region.go
+++ b/trial/region.go
@@ -54,6 +54,7 @@
 	worker    string
 	started   time.Time
 	remaining time.Duration // remaining is the time that the run takes from its start.
+	speed     float64       // speed is that of the worker when the run started.
 	ended     bool
 }
 
@@ -297,7 +298,7 @@
 		left = arrival.runTimes[o.Task.Phase][o.Task.Index]
 	}
 	left = r.workers[o.Worker].runTime(r.now, left)
-	run := &activeRun{worker: o.Worker, started: r.now, remaining: left}
+	run := &activeRun{worker: o.Worker, started: r.now, remaining: left, speed: r.workers[o.Worker].speed}
 	key := runKey{o.Task, o.Run}
 	r.runs[key] = run
 	r.checkCapacity(o)
--- a/trial/uneven.go
+++ b/trial/uneven.go
@@ -17,7 +17,7 @@
 // third of its workers: over half of the capacity is free, and estimates are of no use.
 func unevenPattern(p Pattern, name, description string, slowShare float64) Pattern {
 	p.Name, p.Description, p.Lanes = name, description, 30
-	p.Services = []Service{{Name: "general", Workers: 117, Room: winch.Capacity{Milli: 64_000, Memory: 128 * gigabyte}, SlowShare: slowShare}}
+	p.Services = []Service{{Name: "general", Workers: 117, Room: winch.Capacity{Milli: 64_000, Memory: 128 * gigabyte}, SlowShare: slowShare, Kinds: 2}}
 	p.Domains = unevenDomains
 	urgent, batch := queueUrgent, queueBatch
 	urgent.Advice = &winch.AdviceCost{Call: 26 * time.Millisecond, Worker: 380 * time.Microsecond, Valid: 2500 * time.Millisecond}
@@ -60,21 +60,32 @@
 // workLeft returns the work that a run has left, as the time that it takes at a healthy worker.
 func (r *simRegion) workLeft(run *activeRun) time.Duration {
 	left := run.remaining - r.now.Sub(run.started)
-	if speed := r.workers[run.worker].speed; speed != 1 {
-		left = time.Duration(float64(left) / speed)
+	if run.speed != 1 {
+		left = time.Duration(float64(left) / run.speed)
 	}
 	return left
 }
 
+// slowFor is how long a slowdown lasts.
+const slowFor = 12 * time.Second
+
+// slowDown makes the work that is started at a worker of usual speed take longer for a while.
+func (r *simRegion) slowDown(w *workerState, factor float64) {
+	if w.speed == 1 {
+		w.speed = factor
+		r.schedule(slowFor, func() { w.speed = 1 })
+	}
+}
+
 // sortedRuns returns the keys of all runs in the order of their numbers.
 func (r *simRegion) sortedRuns() []runKey {
 	return slices.SortedFunc(maps.Keys(r.runs), func(a, b runKey) int { return cmp.Compare(a.run, b.run) })
 }
 
-// labelsOf returns the labels of the i-th worker: of two kinds where workers differ.
+// labelsOf returns the labels of the i-th worker.
 func (s Service) labelsOf(i int) []string {
-	if s.SlowShare == 0 {
+	if s.Kinds == 0 {
 		return nil
 	}
-	return []string{string(rune('a' + i%2))}
+	return []string{string(rune('a' + i%s.Kinds))}
 }
--- a/trial/uneven_test.go
+++ b/trial/uneven_test.go
@@ -88,3 +88,12 @@
 	is.True(len(with) > 1000)
 	is.Equal(with, decisions("Speeds"))
 }
+
+// Workers become slow, one after the other, and recover. That must be recognized within seconds, so that
+// more urgent jobs are on time than without the speeds, while the batch jobs still end in time.
+func TestWorkersThatBecomeSlowAreRecognized(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	is.True(queueOutcome(t, "slowdown", "lookup").OnTime >= queueOutcome(t, "slowdown", "lookup", "Speeds").OnTime+0.1)
+	is.True(queueOutcome(t, "slowdown", "batch").Within >= 0.99)
+}
