region: the tests of inherited speeds read them without marking them as sent

SpeedSummary notes what the standby was sent. A test states that a gang is as fast as its slowest member.

--- a/coord/fleet/speeds_test.go
+++ b/coord/fleet/speeds_test.go
@@ -338,3 +338,22 @@
 		is.Equal(next.planner.factor(next.planner.workers["w1"]), 1.0)
 	})
 }
+
+// All members of a gang end together, so one on a slow worker delays the capacity that the others hold:
+// what waits for that must not be expected to start earlier.
+func TestGangIsAsFastAsItsSlowestMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newSimRegion(t, 2, normalQueue())
+		c.setFactor(2, "w0")
+		gang := tasks(2, 16000)
+		gang.Gang = true
+		c.add("a", "mix", "choir", gang)
+		is.Equal(len(c.schedule()), 2)
+		for _, o := range c.running {
+			at, ok := c.planner.workers[o.Worker].runs[runKey{o.Task, o.Run}].expectedCompletion(time.Now())
+			is.True(ok)
+			is.True(time.Until(at) > 1900*time.Millisecond)
+		}
+	})
+}
--- a/coord/fleet/speedsummary.go
+++ b/coord/fleet/speedsummary.go
@@ -57,6 +57,11 @@
 	return out
 }
 
+// Speeds returns the kinds and the workers of unusual speed.
+func (p *Planner) Speeds(now time.Time) []speed.Entry {
+	return p.speeds.table.Summary(now)
+}
+
 // SpeedSummary returns what a standby has to know of the speeds of workers, and whether there is
 // anything to send: all of it if full is set, otherwise, at most once per second, what has changed by
 // more than summaryChange since it was last returned. A factor of 1 says that a worker or a kind no
@@ -73,7 +78,7 @@
 	}
 	var out []speed.Entry
 	listed := make(map[speedKey]bool)
-	for _, e := range p.speeds.table.Summary(now) {
+	for _, e := range p.Speeds(now) {
 		key := speedKey{e.Worker, e.Kind}
 		listed[key] = true
 		if sent, ok := p.speeds.sent[key]; !ok || math.Abs(e.Factor/sent-1) > summaryChange {
--- a/region/speeds_test.go
+++ b/region/speeds_test.go
@@ -30,12 +30,13 @@
 	return taskDuration
 }
 
-// slowWorkers returns what the planner knows of slow workers.
+// slowWorkers returns what the planner knows of slow workers. It does not change what the planner sends to
+// its standby.
 func (w *world) slowWorkers() []speed.Entry {
 	var out []speed.Entry
 	if p := w.planner(); p != nil {
 		if l := p.node.leadership.Load(); l != nil {
-			_ = l.duty.Do(w.ctx, func() { out, _ = l.planner.SpeedSummary(true, time.Now()) })
+			_ = l.duty.Do(w.ctx, func() { out = l.planner.Speeds(time.Now()) })
 		}
 	}
 	return out
