--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -351,6 +351,7 @@
 			r.task.saveCheckpoint(r, x.Checkpoint)
 		}
 		p.clearIfSurvived(r, now)
+		p.observeProgress(r, now)
 	}
 	p.throttle(w, now)
 	p.checkProgress(w, now)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -130,7 +130,7 @@
 		return merry.Wrap(err)
 	}
 	s.faultLog = faults
-	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}}}
+	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, SlowEvery: 3, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}}}
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -29,6 +29,8 @@
 	Interval time.Duration
 	// ReduceCapacity selects a temporary loss of capacity instead of a crash.
 	ReduceCapacity bool
+	// Slowdown, if not zero, makes work take that many times as long for slowFor, instead of a crash.
+	Slowdown float64
 }
 
 // crashSpec describes which tasks of a job crash their workers.
@@ -69,7 +71,7 @@
 	// shrunkSince is when the capacity was reduced, or zero.
 	shrunkSince time.Time
 	coldUntil   time.Time // coldUntil is until when work takes longer.
-	speed       float64   // speed is how long work takes relative to the median of all workers.
+	speed       float64   // speed is how long work takes relative to a healthy worker.
 }
 
 // crashCounts counts the worker crashes that tasks caused, in all and by task, and the starts
@@ -140,6 +142,8 @@
 		id := ids[r.rnd.IntN(r.pattern.Services[0].Workers)]
 		switch w := r.workers[id]; {
 		case w.down:
+		case f.Slowdown > 0:
+			r.slowDown(w, f.Slowdown)
 		case f.ReduceCapacity && w.shrunkSince.IsZero():
 			r.reduceCapacity(w)
 		case !f.ReduceCapacity:
--- a/trial/pattern.go
+++ b/trial/pattern.go
@@ -53,9 +53,10 @@
 	Name    string
 	Workers int
 	Room    winch.Capacity
-	// SlowShare is the fraction of the workers at which work takes 1.46 to 2 times the median, the
-	// others take 0.8 to 0.99 of it. All workers are equal if it is zero.
+	// SlowShare is the fraction of the workers that are slow, see speedOf. All workers are equal if it
+	// is zero.
 	SlowShare float64
+	Kinds     int // Kinds is the number of kinds of workers, which says nothing about their speed.
 }
 
 // Stream is a sequence of similar jobs that a team submits at random times.
@@ -351,6 +352,11 @@
 			p.Stragglers = Stragglers{Factors: []float64{1, 1, 1, 1, 1.9, 1, 1, 1, 1, 1}, LagFraction: 0.01, LagFactor: 5}
 			p.Streams = []Stream{lookupStream(7).withCopies().withLongJobs(0.03), batchStream(0.3).withCopies(), lookupStream(2)}
 		}),
+		func() Pattern {
+			p := unevenPattern(base, "slowdown", "equal workers become slow for some seconds, one after the other: urgent tasks there end too late", 0)
+			p.Faults = []Fault{{At: 2 * time.Second, Count: 5, Interval: 2 * time.Second, Slowdown: 2.5}}
+			return p
+		}(),
 		pattern("overload", "overload for twenty seconds: jobs that are late or cannot meet their objective take the capacity", func(p *Pattern) {
 			p.Streams = []Stream{gangStream(1.5), gangStream(1.8).between(10*time.Second, 30*time.Second), smallStream(1.4)}
 		}),
