coord/fleet: a task with two live runs is not evicted

Cause: stopping one of two runs of a task that permits copies frees the capacity of one run only and leaves the task running, so that it would count as evicted without being so.

--- a/coord/fleet/evictable.go
+++ b/coord/fleet/evictable.go
@@ -32,7 +32,7 @@
 	s := t.phase
 	j := s.job
 	left, known := r.timeLeft(now)
-	if !known || !r.started || r.probe != nil || t.suspicion().suspected() || j.queue == nil || j.queue.Priority == 0 || j.cancelled || j.state.Final() {
+	if !known || !r.started || len(t.runs) > 1 || r.probe != nil || t.suspicion().suspected() || j.queue == nil || j.queue.Priority == 0 || j.cancelled || j.state.Final() {
 		return evict.Run{}, false
 	}
 	return evict.Run{
