--- a/soak/proc.go
+++ b/soak/proc.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/ansel1/merry/v2"
+
+	"plantainwinch/winch"
 )
 
 // proc runs one entry as a separate process that can be stopped and started again.
@@ -40,7 +42,7 @@
 }
 
 // writeSettings chooses the entry's addresses and writes its settings file.
-func (p *proc) writeSettings(advice string) error {
+func (p *proc) writeSettings(advice string, order winch.Order) error {
 	var addresses [3]string
 	for i := range addresses {
 		a, err := freeAddress()
@@ -72,7 +74,9 @@
 Lease = 6s
 Keep = 5m
 Grace = 5s
-`, p.name, p.domain, addresses[0], addresses[1], addresses[2], p.peerRelay.address(), p.storeRelay.address(), advice)
+[Planner]
+Order = %s
+`, p.name, p.domain, addresses[0], addresses[1], addresses[2], p.peerRelay.address(), p.storeRelay.address(), advice, order)
 	return merry.Wrap(os.WriteFile(p.settingsFile, []byte(text), 0o600))
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -95,6 +95,7 @@
 		callers.Go(func() { s.runGangJobs(ctx, activeCtx, i, 0) })
 	}
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
+	callers.Go(func() { s.runOverload(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.shrinkWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.injectPartitions(activeCtx) })
@@ -123,7 +124,7 @@
 		return merry.Wrap(err)
 	}
 	s.faultLog = faults
-	s.platform = &fake.Platform{Workers: s.Workers, Milli: 8000, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}}}
+	s.platform = &fake.Platform{Workers: s.Workers, Milli: 8000, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}, {Name: "echo", Weight: overloadWeight}}}
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
@@ -142,7 +143,7 @@
 		if err := p.peerRelay.start(); err != nil {
 			return err
 		}
-		if err := p.writeSettings(s.platform.AdviceAddress); err != nil {
+		if err := p.writeSettings(s.platform.AdviceAddress, s.order()); err != nil {
 			return err
 		}
 		if err := p.start(); err != nil {
