--- a/coord/fleet/order.go
+++ b/coord/fleet/order.go
@@ -87,7 +87,7 @@
 	promotedAt, turnEnded time.Time
 }
 
-// pool returns the pool of the queue's service.
+// poolOf returns the pool of the queue's service.
 func (p *Planner) poolOf(q *queue) *pool {
 	if q.order.pool == nil || q.order.service != q.Service {
 		q.order.pool, q.order.service = p.pool(q.Service), q.Service
