coord/fleet: forecast of when a job accepted now would end

The planner's half of admission: Admission computes the capacity and the accepted work of each service once, for publishing; AdmissionChanging tells cheaply whether to publish early.

--- a/coord/admit/forecast.go
+++ b/coord/admit/forecast.go
@@ -28,15 +28,33 @@
 type Service struct {
 	// Capacity is the usable capacity without what lasting tasks use, in Amount per second.
 	Capacity Amount
-	// Urgent is the work of urgent queues, Normal that of other queues, in both cases of jobs within the
-	// weights of their teams whose callers still wait.
+	// Urgent is the waiting work of urgent queues, Normal that of other queues, in both cases of jobs within
+	// the weights of their teams whose callers still wait.
 	Urgent, Normal Amount
-	// Excess is the work of jobs beyond the weights of their teams.
+	// RunningUrgent and RunningNormal are what remains to be done of what runs.
+	RunningUrgent, RunningNormal Amount
+	// Excess is the waiting work of jobs beyond the weights of their teams.
 	Excess Amount
-	// AbandonedUrgent and AbandonedNormal are the work of jobs whose callers no longer wait.
+	// AbandonedUrgent and AbandonedNormal are the waiting work of jobs whose callers no longer wait.
 	AbandonedUrgent, AbandonedNormal Amount
 }
 
+// Debt returns how long the service takes at least for all accepted work, and false if it has no capacity
+// for it.
+func (s *Service) Debt() (time.Duration, bool) {
+	return s.duration(s.waiting().Plus(s.RunningUrgent).Plus(s.RunningNormal))
+}
+
+// Waiting returns how long the service takes at least for all accepted work that does not run yet.
+func (s *Service) Waiting() time.Duration {
+	d, _ := s.duration(s.waiting())
+	return d
+}
+
+func (s *Service) waiting() Amount {
+	return s.Urgent.Plus(s.Normal).Plus(s.Excess).Plus(s.AbandonedUrgent).Plus(s.AbandonedNormal)
+}
+
 // duration returns how long the service takes at least for an amount of work, and false if it has no
 // capacity for it.
 func (s *Service) duration(work Amount) (time.Duration, bool) {
@@ -108,19 +126,18 @@
 // next states.
 func (l *Load) forecast() (QueueState, bool) {
 	s, q := l.Service, l.Queue
-	before, abandoned := s.Urgent, s.AbandonedUrgent
+	before, others := s.Urgent, s.AbandonedUrgent.Plus(s.RunningUrgent)
 	if q.Priority != 0 {
-		before, abandoned = before.Plus(s.Normal), abandoned.Plus(s.AbandonedNormal)
+		before, others = before.Plus(s.Normal), others.Plus(s.AbandonedNormal).Plus(s.RunningNormal)
 	}
-	all := s.Urgent.Plus(s.Normal).Plus(s.Excess).Plus(s.AbandonedUrgent).Plus(s.AbandonedNormal)
 	wait, ok1 := s.duration(before)
-	debt, ok2 := s.duration(before.Plus(abandoned))
-	excess, ok3 := s.duration(all)
+	debt, ok2 := s.duration(before.Plus(others))
+	excess, ok3 := s.Debt()
 	if !ok1 || !ok2 || !ok3 || s.Capacity.Milli <= 0 {
 		return QueueState{}, false // Without workers there is no forecast; they may return at any time.
 	}
 	onTime, awaited := allowances(q, 0, 1)
-	if excess < awaited/2 {
+	if excess < awaited/2 || s.Waiting() == 0 {
 		return QueueState{}, false
 	}
 	return QueueState{
--- a/coord/admit/gate.go
+++ b/coord/admit/gate.go
@@ -172,7 +172,7 @@
 }
 
 // queue returns the state of a queue, or nil if it is not listed.
-func (s *State) queue(hash uint32) *QueueState {
+func (s State) queue(hash uint32) *QueueState {
 	for i := range s.Queues {
 		if s.Queues[i].Queue == hash {
 			return &s.Queues[i]
@@ -182,7 +182,7 @@
 }
 
 // team returns the fraction of a team's jobs that is within its weight.
-func (s *State) team(name string) float64 {
+func (s State) team(name string) float64 {
 	hash := Hash(name)
 	for _, t := range s.Teams {
 		if t.Team == hash {
--- a/coord/admit/state.go
+++ b/coord/admit/state.go
@@ -33,10 +33,10 @@
 type QueueState struct {
 	// Queue is the Hash of the queue's name.
 	Queue uint32
-	// Wait is how long the work would take that is ranked before a new job of the queue and that can
-	// still end while its callers wait.
+	// Wait is how long the waiting work would take that is ranked before a new job of the queue.
 	Wait time.Duration
-	// Debt is Wait with the accepted work of the queue's class whose callers no longer wait.
+	// Debt is Wait with what runs, and with the accepted work of the queue's class whose callers no longer
+	// wait.
 	Debt time.Duration
 	// ExcessDebt is how long all work would take that is ranked before a new job of a team that is beyond
 	// its weight.
@@ -67,7 +67,7 @@
 }
 
 // Refusing reports whether the state makes entries refuse jobs of any queue.
-func (s *State) Refusing() bool {
+func (s State) Refusing() bool {
 	for i := range s.Queues {
 		if s.Queues[i].Refusing {
 			return true
@@ -76,6 +76,12 @@
 	return false
 }
 
+// RefusesQueue reports whether the state makes entries refuse jobs of a queue.
+func (s State) RefusesQueue(name string) bool {
+	q := s.queue(Hash(name))
+	return q != nil && q.Refusing
+}
+
 // allowances returns how long a job may wait without missing its objective, and without missing
 // winch.LateFactor objectives. Its chain of work takes stretch times as long as estimated, which lets
 // the job wait longer: its objective is computed from its true run times.
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -95,6 +95,7 @@
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
+	forecasts         forecasts
 
 	// The following fields collect output until the method that returns it is called.
 	orders         []proto.Order
--- a/coord/fleet/record.go
+++ b/coord/fleet/record.go
@@ -118,6 +118,7 @@
 	if r.Progress.State.Final() {
 		if j.visibleState != j.state {
 			p.summaries = append(p.summaries, j.summary(p.now()))
+			p.observeEstimates(j)
 			j.endedAt = p.now() // Callers see the end from now on, and the retention period starts.
 		}
 		j.visibleState, j.retained = r.Progress.State, r.Retain
