region: entries refuse jobs that could not end while their callers wait

In an overload callers of a region learned only after three objectives that their job would not be served: all jobs were accepted and stored. The planner now sends its forecast to all entries (proto.Admission, at most 176 bytes with its frame, 22 while nothing is refused), twice a second and at once when refusing begins, and each entry decides alone before anything is written. Refused jobs are reported back as counts, so that the planner knows the demand. An ID that may have been accepted is never refused: the entry remembers its own, and asks the store (two reads) before each refusal.

--- a/coord/fleet/forecast.go
+++ b/coord/fleet/forecast.go
@@ -111,6 +111,23 @@
 	return sum
 }
 
+// EstimatedChain returns the longest chain of the estimates of a job's phases, with one advice request for
+// each.
+func EstimatedChain(j *winch.PhasedJob, q *winch.Queue) time.Duration {
+	request, longest := (&queue{Queue: *q}).adviceTime(), time.Duration(0)
+	chains := make([]time.Duration, len(j.Phases))
+	for i := range j.Phases {
+		for _, before := range j.Phases[i].After {
+			if before >= 0 && before < i {
+				chains[i] = max(chains[i], chains[before])
+			}
+		}
+		chains[i] += j.Phases[i].Estimate + request
+		longest = max(longest, chains[i])
+	}
+	return longest
+}
+
 // Admission returns the forecast for new jobs, which the entries decide by. It examines all active jobs
 // and all runs once, so it is to be called when it is published, not at each decision.
 func (p *Planner) Admission(now time.Time) admit.State {
--- a/region/accept.go
+++ b/region/accept.go
@@ -201,6 +201,9 @@
 // its outcome is unknown, or when ctx ends. If the store does not take the job from this entry, other
 // entries try.
 func (n *Node) Submit(ctx context.Context, job *winch.PhasedJob) winch.Result {
+	if result, refused := n.refuse(ctx, job); refused {
+		return result
+	}
 	result := n.store(ctx, job)
 	if result.Reason == winch.StoreUnavailable {
 		return n.forward(ctx, job, result)
@@ -215,6 +218,7 @@
 		return refuseUnstored()
 	}
 	job.Origin = n.Name
+	n.admission.remember(job.ID)
 	s := &submission{job: job, done: make(chan winch.Result, 1)}
 	n.accept.enqueue(s)
 	select {
--- a/region/forward.go
+++ b/region/forward.go
@@ -102,6 +102,7 @@
 			return result
 		}
 		tried = append(tried, name)
+		n.admission.remember(job.ID)
 		var response proto.SubmitResponse
 		err := n.Peers.Request(ctx, name, proto.KindSubmit, proto.SubmitRequest{Job: *job, Command: job.Command}, &response)
 		switch {
--- a/region/jobs.go
+++ b/region/jobs.go
@@ -92,6 +92,8 @@
 			}
 		case proto.CancelJob:
 			l.planner.Cancel(m.ID)
+		case proto.RefusedJobs:
+			l.noteRefused(m)
 		}
 		l.decideSoon()
 	})
--- a/region/node.go
+++ b/region/node.go
@@ -88,6 +88,7 @@
 	evacuations evacuations
 	served      servedPeer
 	accept      acceptor
+	admission   admission
 	commands    keep.Commands // commands holds the commands of the jobs that this entry accepted last.
 	keeper      *keep.Keeper
 	mirror      mirror
@@ -120,6 +121,7 @@
 	}
 	n.keeper.Prepare()
 	n.accept.prepare(n)
+	n.admission.prepare()
 	n.settings.prepare(n)
 	n.Table = observedTable{n.Table, &n.health}
 }
@@ -181,7 +183,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, run := range []func(context.Context){
-		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runPrefetch, n.runPreemption,
+		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runPrefetch, n.runPreemption, n.runRefusals,
 	} {
 		group.Go(func() { run(ctx) })
 	}
--- a/region/serve.go
+++ b/region/serve.go
@@ -186,6 +186,10 @@
 			n.updateWaiting(m)
 			return nil
 		})
+	case proto.KindAdmission:
+		return handleMessage(read, func(m proto.Admission) any { n.updateAdmission(m); return nil })
+	case proto.KindRefusedJobs:
+		return handleMessage(read, func(m proto.RefusedJobs) any { n.applyAsPlanner(m); return nil })
 	case proto.KindAcceptedJobs:
 		return handleMessage(read, func(m proto.AcceptedJobs) any { n.applyAsPlanner(m); return nil })
 	case proto.KindCancel:
--- a/region/simpeers_test.go
+++ b/region/simpeers_test.go
@@ -143,7 +143,20 @@
 	return proto.Decode(data, reply)
 }
 
+// setNotifySeen sets what is called for each notification between entries.
+func (w *world) setNotifySeen(seen func(kind winch.Kind)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notifySeen = seen
+}
+
 func (p *simPeers) Notify(to string, kind winch.Kind, body any) error {
+	p.world.mu.Lock()
+	seen := p.world.notifySeen
+	p.world.mu.Unlock()
+	if seen != nil {
+		seen(kind)
+	}
 	n := p.target(to)
 	if n == nil {
 		return winch.ErrNoPeer
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -44,6 +44,7 @@
 	paused map[string]*pausedEntry
 	// shares holds the processor shares of entries by host; entries without one have 400.
 	shares map[string]int
+	policy winch.Policy // policy is that of entries started from now on; the zero value is the default.
 	// running counts the runs at workers by task, including those at unresponsive workers.
 	running      map[winch.RunID]int
 	acknowledged map[winch.RunID]bool            // acknowledged holds the tasks whose completion an entry has acknowledged.
@@ -60,8 +61,9 @@
 	// requestDelay returns how long a request waits at the receiving entry before it is handled,
 	// as in the receive buffers of a paused process. The entry need not be reachable by then.
 	requestDelay func(from, to string, kind winch.Kind) time.Duration
-	configCopies int      // configCopies counts the configurations sent from entry to entry.
-	violations   []string // violations holds the invariant violations seen so far.
+	notifySeen   func(kind winch.Kind) // notifySeen is called for each notification between two entries.
+	configCopies int                   // configCopies counts the configurations sent from entry to entry.
+	violations   []string              // violations holds the invariant violations seen so far.
 	log          *simLog
 	group        conc.WaitGroup
 	ctx          context.Context
@@ -150,6 +152,7 @@
 	n.cancel = cancel
 	node := &Node{
 		Name: fmt.Sprintf("%s/%d", n.host, n.boots), Host: n.host, Domain: n.domain, Address: n.host, Share: 400,
+		Policy: n.world.policy,
 		Timing: Timing{Lease: 6 * time.Second, Retention: time.Minute},
 		Codec:  simCodec{}, Log: n.world.log.logger(n.host), Metrics: metrics.NewRegistry(),
 	}
