--- a/coord/admit/forecast.go
+++ b/coord/admit/forecast.go
@@ -31,6 +31,9 @@
 	// Urgent is the waiting work of urgent queues, Normal that of other queues, in both cases of jobs within
 	// the weights of their teams whose callers still wait.
 	Urgent, Normal Amount
+	// UrgentLate is the waiting work of urgent jobs that will probably be late, which is ranked behind the
+	// other urgent work.
+	UrgentLate Amount
 	// RunningUrgent and RunningNormal are what remains to be done of what runs.
 	RunningUrgent, RunningNormal Amount
 	// Excess is the waiting work of jobs beyond the weights of their teams.
@@ -52,7 +55,7 @@
 }
 
 func (s *Service) waiting() Amount {
-	return s.Urgent.Plus(s.Normal).Plus(s.Excess).Plus(s.AbandonedUrgent).Plus(s.AbandonedNormal)
+	return s.Urgent.Plus(s.UrgentLate).Plus(s.Normal).Plus(s.Excess).Plus(s.AbandonedUrgent).Plus(s.AbandonedNormal)
 }
 
 // duration returns how long the service takes at least for an amount of work, and false if it has no
@@ -126,9 +129,9 @@
 // next states.
 func (l *Load) forecast() (QueueState, bool) {
 	s, q := l.Service, l.Queue
-	before, others := s.Urgent, s.AbandonedUrgent.Plus(s.RunningUrgent)
+	before, others := s.Urgent, s.UrgentLate.Plus(s.AbandonedUrgent).Plus(s.RunningUrgent)
 	if q.Priority != 0 {
-		before, others = before.Plus(s.Normal), others.Plus(s.AbandonedNormal).Plus(s.RunningNormal)
+		before, others = before.Plus(s.UrgentLate).Plus(s.Normal), s.AbandonedUrgent.Plus(s.AbandonedNormal).Plus(s.RunningUrgent).Plus(s.RunningNormal)
 	}
 	wait, ok1 := s.duration(before)
 	debt, ok2 := s.duration(before.Plus(others))
--- a/coord/fleet/forecast.go
+++ b/coord/fleet/forecast.go
@@ -20,6 +20,8 @@
 type forecasts struct {
 	queues map[string]*queueArrivals
 	teams  map[string]*admit.Rate
+	// refused holds the IDs that entries refused recently.
+	refused refusedIDs
 	// services holds the results of the last computation.
 	services   map[string]*serviceForecast
 	computedAt time.Time
@@ -283,6 +285,8 @@
 		amount = &s.AbandonedUrgent
 	case abandoned:
 		amount = &s.AbandonedNormal
+	case j.inUrgentQueue() && p.rank(x, now).class == rankUrgentLate:
+		amount = &s.UrgentLate
 	case j.inUrgentQueue():
 		amount = &s.Urgent
 	}
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -162,6 +162,7 @@
 	}
 	j.excess = p.Policy.Shares && !j.team.share.take(j.team.Weight, rec.Accepted)
 	p.noteArrival(j, p.now())
+	rec.Accepted = p.countsFrom(rec)
 	p.jobs[rec.ID], p.active[rec.ID] = j, j
 	for k := range max(1, rec.Times) {
 		j.addRepetition(k)
--- a/proto/admission.go
+++ b/proto/admission.go
@@ -86,6 +86,9 @@
 // knows how many jobs callers submit.
 type RefusedJobs struct {
 	Jobs []RefusedCount `cbor:"1,keyasint"`
+	// IDs lists the admit.Hash of the IDs, so that the planner ranks jobs that are accepted later by when
+	// their callers first sent them.
+	IDs []uint32 `cbor:"2,keyasint,omitempty"`
 }
 
 // RefusedCount is a number of refused jobs of a queue and a team.
--- a/region/admission.go
+++ b/region/admission.go
@@ -29,9 +29,10 @@
 	// seconds, after which the store is asked.
 	maxKnownIDs = 4096
 	// refusalInterval is how often an entry notifies the planner of refused jobs, maxRefusalRows bounds the
-	// pairs of queue and team in one message.
+	// pairs of queue and team in one message, maxRefusedIDs the IDs.
 	refusalInterval = 500 * time.Millisecond
 	maxRefusalRows  = 16
+	maxRefusedIDs   = 200
 )
 
 // admission decides at this entry which jobs are accepted.
@@ -43,7 +44,9 @@
 	known   map[string]bool
 	order   []string
 	refused map[refusedPair]int // refused counts the refused jobs of which the planner was not notified.
-	lookups chan struct{}
+	// refusedIDs holds the admit.Hash of the IDs of these jobs.
+	refusedIDs []uint32
+	lookups    chan struct{}
 }
 
 // refusedPair names the queue and the team of refused jobs.
@@ -81,10 +84,13 @@
 	return a.gate.Decide(job, time.Now())
 }
 
-func (a *admission) countRefused(queue, team string) {
+func (a *admission) countRefused(job *winch.PhasedJob) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.refused[refusedPair{queue, team}]++
+	a.refused[refusedPair{job.Queue, job.Team}]++
+	if len(a.refusedIDs) < maxRefusedIDs {
+		a.refusedIDs = append(a.refusedIDs, admit.Hash(job.ID))
+	}
 }
 
 // takeRefused returns the refused jobs to notify the planner of, those of the largest counts first.
@@ -98,6 +104,7 @@
 		out.Jobs = append(out.Jobs, proto.RefusedCount{Queue: x.queue, Team: x.team, Count: a.refused[x]})
 	}
 	clear(a.refused)
+	out.IDs, a.refusedIDs = a.refusedIDs, nil
 	return out
 }
 
@@ -135,7 +142,7 @@
 	if !d.Refused {
 		return winch.Result{}, false
 	}
-	n.admission.countRefused(job.Queue, job.Team)
+	n.admission.countRefused(job)
 	n.Log.Info("job refused", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.String("team", job.Team),
 		zap.Duration("wait", d.Wait), zap.Duration("allowed", d.Allowed), zap.Bool("excess", d.Excess), zap.Duration("retryAfter", d.RetryAfter),
 		zap.Uint64("term", d.Term), zap.Duration("age", d.Age))
@@ -249,4 +256,5 @@
 	for _, x := range m.Jobs {
 		l.planner.NoteRefused(x.Queue, x.Team, x.Count, time.Now())
 	}
+	l.planner.NoteRefusedIDs(m.IDs, time.Now())
 }
