--- a/cause/cause.go
+++ b/cause/cause.go
@@ -27,6 +27,7 @@
 	messageRefused  = "answered otherwise"
 	messageAnswered = "answered"
 	messageCrash    = "crash counted"
+	messageGate     = "job refused"
 )
 
 // methodState is the HTTP method of a request for the state of a job.
@@ -50,6 +51,7 @@
 	Index     int                `json:"index"`
 	Worker    string             `json:"worker"`
 	GivenUp   bool               `json:"givenUp"`
+	Age       float64            `json:"age"`
 }
 
 // Class counts jobs by the time that they took relative to their objective.
@@ -103,6 +105,8 @@
 	Queues   []Queue
 	Moments  []Interval
 	Refusals []Refusal
+	// OldestState is the age of the oldest admission state by which a job was refused, MeanState their mean.
+	OldestState, MeanState time.Duration `json:",omitempty"`
 	// Crashes holds the tasks that were given up first, then by descending number of crashes.
 	Crashes []CrashingTask `json:",omitempty"`
 }
@@ -116,6 +120,8 @@
 	completed map[string]logLine
 	refused   map[Refusal]int
 	crashes   []logLine
+	// stateAges holds the ages of the states by which jobs were refused, in seconds.
+	stateAges []float64
 	// stateSent holds the times at which callers received the state of each job.
 	stateSent map[string][]time.Time
 }
@@ -159,6 +165,8 @@
 		}
 	case messageCrash:
 		r.crashes = append(r.crashes, l)
+	case messageGate:
+		r.stateAges = append(r.stateAges, l.Age)
 	case messageRefused:
 		r.refused[Refusal{Status: l.Status, Reason: l.Reason}]++
 	}
@@ -281,6 +289,10 @@
 	for x, n := range r.refused {
 		out.Refusals = append(out.Refusals, Refusal{Status: x.Status, Reason: x.Reason, Count: n})
 	}
+	for _, age := range r.stateAges {
+		out.OldestState = max(out.OldestState, seconds(age))
+		out.MeanState += seconds(age) / time.Duration(len(r.stateAges))
+	}
 	out.Crashes = r.crashingTasks()
 	slices.SortFunc(out.Queues, func(a, b Queue) int {
 		return cmp.Or(cmp.Compare(b.Late+b.Missed, a.Late+a.Missed), cmp.Compare(a.Name, b.Name))
--- a/cause/cause_test.go
+++ b/cause/cause_test.go
@@ -55,3 +55,20 @@
 	is.Equal(queue.Late, 1)
 	is.Equal(queue.Losses[0].Reason, reasonNotRequested)
 }
+
+// Guards against refusals for load whose report does not show how old the states were that they rest on.
+func TestReportShowsAgeOfAdmissionStates(t *testing.T) {
+	is := is.New(t)
+	r := &Reader{Interval: time.Second}
+	is.NoErr(r.Read(strings.NewReader(`{"msg":"job refused","job":"a","age":0.2,"term":3}
+{"msg":"answered otherwise","job":"a","status":429,"reason":"Overloaded"}
+{"msg":"job refused","job":"b","age":0.6,"term":3}
+`)))
+	report := r.Report()
+	is.Equal(report.OldestState, 600*time.Millisecond)
+	is.Equal(report.MeanState, 400*time.Millisecond)
+	is.Equal(report.Refusals, []Refusal{{Status: 429, Reason: "Overloaded", Count: 1}})
+	var out strings.Builder
+	is.NoErr(Print(&out, report))
+	is.True(strings.Contains(out.String(), "refused for load by states of 400ms on average, 600ms at most"))
+}
--- a/cause/print.go
+++ b/cause/print.go
@@ -31,6 +31,9 @@
 			fmt.Fprintf(t, "%d\t%d\t%s\n", x.Status, x.Count, x.Reason)
 		}
 	}
+	if r.OldestState > 0 {
+		fmt.Fprintf(t, "refused for load by states of %v on average, %v at most\n", r.MeanState.Round(time.Millisecond), r.OldestState.Round(time.Millisecond))
+	}
 	printCrashes(t, r.Crashes)
 	return t.Flush()
 }
--- a/coord/admit/forecast.go
+++ b/coord/admit/forecast.go
@@ -73,7 +73,7 @@
 			longest = max(longest, x.work/x.capacity)
 		}
 	}
-	return time.Duration(longest * float64(time.Second)), true
+	return time.Duration(longest * float64(time.Second)).Round(time.Millisecond), true
 }
 
 // Load describes one queue and its service.
@@ -108,7 +108,7 @@
 			out.Queues = append(out.Queues, q)
 		}
 	}
-	slices.SortStableFunc(out.Queues, func(a, b QueueState) int { return cmp.Compare(b.Debt, a.Debt) })
+	slices.SortStableFunc(out.Queues, func(a, b QueueState) int { return cmp.Or(cmp.Compare(b.Debt, a.Debt), cmp.Compare(a.Queue, b.Queue)) })
 	out.Queues = out.Queues[:min(len(out.Queues), MaxQueues)]
 	if len(out.Queues) == 0 {
 		return out // Nothing is refused, so it does not matter who is beyond its weight.
