trial: twice-capacity, admission with callers that come back

At twice the capacity admission costs on-time jobs: jobs that are refused for some seconds come back too late.

--- a/coord/admit/state.go
+++ b/coord/admit/state.go
@@ -83,10 +83,9 @@
 }
 
 // allowances returns how long a job may wait without missing its objective, and without missing
-// winch.LateFactor objectives. The former is by its estimates, as the planner ranks it. For the latter its
-// chain of work takes stretch times as long as estimated, which lets the job wait longer: its objective is
-// computed from its true run times.
+// winch.LateFactor objectives. Its chain of work takes stretch times as long as estimated, which lets the job wait longer: its
+// objective is computed from its true run times.
 func allowances(q *winch.Queue, chain time.Duration, stretch float64) (onTime, awaited time.Duration) {
 	actual := time.Duration(stretch * float64(chain))
-	return q.Objective(chain) - chain, winch.LateFactor*q.Objective(actual) - actual
+	return q.Objective(actual) - actual, winch.LateFactor*q.Objective(actual) - actual
 }
