--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -109,6 +109,7 @@
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
 	order             orderState
+	forecasts         forecasts
 
 	speeds speeds
 	// The following fields collect output until the method that returns it is called.
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -46,6 +46,7 @@
 	slow map[string]float64
 	// shares holds the processor shares of entries by host; entries without one have 400.
 	shares map[string]int
+	policy winch.Policy // policy is that of entries started from now on; the zero value is the default.
 	// running counts the runs at workers by task, including those at unresponsive workers.
 	running      map[winch.RunID]int
 	acknowledged map[winch.RunID]bool            // acknowledged holds the tasks whose completion an entry has acknowledged.
@@ -64,9 +65,9 @@
 	// requestDelay returns how long a request waits at the receiving entry before it is handled,
 	// as in the receive buffers of a paused process. The entry need not be reachable by then.
 	requestDelay func(from, to string, kind winch.Kind) time.Duration
-	policy       winch.Policy // policy is that of entries started from now on; zero is the default.
-	configCopies int          // configCopies counts the configurations sent from entry to entry.
-	violations   []string     // violations holds the invariant violations seen so far.
+	notifySeen   func(kind winch.Kind) // notifySeen is called for each notification between two entries.
+	configCopies int                   // configCopies counts the configurations sent from entry to entry.
+	violations   []string              // violations holds the invariant violations seen so far.
 	log          *simLog
 	group        conc.WaitGroup
 	ctx          context.Context
--- a/trial/region.go
+++ b/trial/region.go
@@ -97,10 +97,11 @@
 	evacuated       map[string]bool // evacuated holds the failure domains that were evacuated, and whether they still are.
 	crashes         crashCounts
 	// record, if set, is called with each order and advice request of the planner.
-	record   func(decision any)
-	copies   CopyReport
-	overlaps overlaps
-	starts   map[winch.RunID]int // starts counts the runs of each task that were started.
+	record    func(decision any)
+	copies    CopyReport
+	overlaps  overlaps
+	starts    map[winch.RunID]int // starts counts the runs of each task that were started.
+	admission admission
 }
 
 // usage holds the total time that lanes were busy, and the mean fraction of capacity in use by service.
@@ -123,6 +124,7 @@
 	}
 	r.planner.Clock = func() time.Time { return r.now }
 	r.planner.Policy = policy
+	r.admission = newAdmission(p.Lanes)
 	r.setUp()
 	end := trialStart.Add(p.Length + drainPeriod)
 	for len(r.timers) > 0 && !r.timers[0].at.After(end) {
@@ -164,11 +166,9 @@
 	r.lanes.SetLanes(names)
 	for _, a := range r.pattern.arrivals(r.rnd, r.begin) {
 		r.jobs[a.job.ID] = &a
-		r.schedule(a.at, func() {
-			r.planner.Add(&a.job, nil, 0)
-			r.scheduleDecision()
-		})
+		r.schedule(a.at, func() { r.submit(&a) })
 	}
+	r.scheduleStates()
 	r.scheduleIdle()
 	r.scheduleReports()
 }
@@ -220,6 +220,9 @@
 		r.schedule(commitDelay, r.save)
 	}
 	r.completed = append(r.completed, r.planner.JobSummaries()...)
+	if r.planner.AdmissionChanging(r.now) {
+		r.sendState()
+	}
 	r.planner.Losses()
 	r.planner.CountedCrashes()
 	r.countCopies()
