Unreported runs of earlier planners count against the limits of teams

Cause: a planner that takes over without a copy starts jobs that were accepted after the takeover at once.

Until all workers have reported, a team with a limit is charged for the tasks of earlier jobs that are not known to run, at most for the capacity of the unreported workers.

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -71,7 +71,10 @@
 	assignedRuns uint64
 	// evacuated holds the evacuated failure domains.
 	evacuated map[string]bool
-	domains   []string // domains holds the failure domains with usable workers, as of the last Schedule.
+	// unreportedCharged is set while teams are charged for unreported runs, as of unreportedAt.
+	unreportedCharged bool
+	unreportedAt      time.Time
+	domains           []string // domains holds the failure domains with usable workers, as of the last Schedule.
 	// pools holds the capacity and the urgent demand of the workers of each service.
 	pools map[string]*pool
 	// reservedWorkers lists the workers with capacity that the last Schedule reserved for phases
@@ -176,10 +179,12 @@
 type team struct {
 	winch.RegionTeam
 	// used is the capacity of all runs of the team that may exist, including those being stopped.
-	used   winch.Capacity
-	urgent demand
-	share  shareBucket
-	order  teamOrder
+	used winch.Capacity
+	// unreported is an upper bound on the capacity of the runs of earlier planners that are not known.
+	unreported winch.Capacity
+	urgent     demand
+	share      shareBucket
+	order      teamOrder
 }
 
 // SetConfig applies a configuration.
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -123,6 +123,7 @@
 	adopting := p.Adopting()
 	p.clearReservations()
 	p.refreshSpeeds(now)
+	p.chargeUnreported(now)
 	p.plannedPhases, p.searchedPhases, p.examined, p.initialQuota = 0, 0, 0, p.Quota
 	p.endLongProbes(now)
 	p.refreshEvictions(now)
@@ -252,7 +253,7 @@
 
 // allows reports whether the team's limit allows it more running work.
 func (t *team) allows(more winch.Capacity) bool {
-	after := t.used.Add(more)
+	after := t.used.Add(t.unreported).Add(more)
 	limit := t.Cap
 	return (limit.Milli == 0 || after.Milli <= limit.Milli) &&
 		(limit.Memory == 0 || after.Memory <= limit.Memory) &&
