--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"plantainwinch/winch"
@@ -108,31 +107,6 @@
 	order       phaseOrder
 }
 
-// task is one task of a phase.
-type task struct {
-	phase *phase
-	index int
-	done  bool
-	// runs holds the runs that may exist. There is more than one only while an unwanted one is
-	// being stopped, and two if one is a copy of the other, see phase.permitsCopies.
-	runs       []*run
-	checkpoint string
-	// checkpointPercent is the progress of the run that wrote the checkpoint when that was reported.
-	checkpointPercent float64
-	copies            int // copies counts the copies that were started.
-	// avoidWorker is the worker at which the task last failed or was slow.
-	avoidWorker string
-	// restarts counts how often the task was restarted because it was slow.
-	restarts int
-	// evicted is set while the task waits after it was stopped for urgent work, stops counts how
-	// often that happened, and resumesAt is the progress in percent at the last such stop.
-	evicted   bool
-	stops     int
-	resumesAt float64
-	// lastWorkedAt is when a run that has since ended was last known to do the task's work.
-	lastWorkedAt time.Time
-}
-
 func (t *task) id() winch.RunID {
 	return winch.RunID{Job: t.phase.job.rec.ID, K: t.phase.repetition, Phase: t.phase.index, Index: t.index}
 }
@@ -322,16 +296,6 @@
 	}
 }
 
-// failureKey returns the key by which failures are counted: that of a task, or of a whole gang.
-func (t *task) failureKey() string {
-	s := t.phase
-	key := strconv.Itoa(s.repetition) + "." + strconv.Itoa(s.index)
-	if s.spec.Gang {
-		return key
-	}
-	return key + "." + strconv.Itoa(t.index)
-}
-
 // finish marks a task as successfully completed.
 func (t *task) finish() {
 	if t.done {
@@ -348,42 +312,6 @@
 	}
 }
 
-// updateCounts recomputes the phase's counters after a change of the task.
-func (t *task) updateCounts() {
-	s := t.phase
-	s.waiting, s.live, s.evicted = 0, 0, 0
-	for _, x := range s.tasks {
-		if x.activeRun() != nil {
-			s.live++
-		} else if !x.done {
-			s.waiting++
-			if x.evicted {
-				s.evicted++
-			}
-		}
-	}
-	s.job.planner.enqueueIfReady(s)
-	if s.waiting == 0 {
-		s.anticipate()
-		s.noteCopyable()
-	}
-}
-
-// activeRun returns a run that does the task's work, or nil. A task with a copy has two.
-func (t *task) activeRun() *run {
-	for _, r := range t.runs {
-		if !r.stopping {
-			return r
-		}
-	}
-	return nil
-}
-
-// startable reports whether the task may be started: it is not done and has no run that may exist.
-func (t *task) startable() bool {
-	return !t.done && len(t.runs) == 0
-}
-
 // updateState derives the job's state from its tasks.
 func (j *job) updateState() {
 	if j.state.Final() {
