--- a/soak/overload.go
+++ b/soak/overload.go
@@ -43,7 +43,7 @@
 		for end := time.Now().Add(overloadLength); activeCtx.Err() == nil && time.Now().Before(end); n++ {
 			runDuration := time.Duration(200+rnd.IntN(900)) * time.Millisecond
 			j := fake.Job{
-				ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x4000, n), Team: "echo", RunDuration: runDuration,
+				ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x6000, n), Team: "echo", RunDuration: runDuration,
 				Estimate: max(time.Millisecond, time.Duration(float64(runDuration)*math.Exp(0.9*rnd.NormFloat64()))),
 				Tasks:    []int{4 + rnd.IntN(24)},
 			}
--- a/soak/saving.go
+++ b/soak/saving.go
@@ -26,7 +26,7 @@
 	defer group.Wait()
 	for n := 0; activeCtx.Err() == nil; n++ {
 		j := fake.Job{
-			ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x4000, n), Team: "choir", Saves: true,
+			ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x5000, n), Team: "choir", Saves: true,
 			RunDuration: time.Duration(3000+rnd.IntN(3000)) * time.Millisecond, Tasks: []int{s.Domains * s.Workers * workerMilli / 1000},
 		}
 		entryRnd := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
