region: histograms are allocated once

Cause: three new callers passed a new sample of 1,028 values to each update of a histogram, which was thrown away if the histogram was registered already; the age of the admission state is updated for each submission, and the speeds of workers once a second.

--- a/region/admission.go
+++ b/region/admission.go
@@ -176,8 +176,7 @@
 	}
 	metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1)
 	if d.Term != 0 {
-		sample := metrics.GetOrRegisterHistogram("Admission.StateAgeMillis", n.Metrics, metrics.NewExpDecaySample(1028, 0.015))
-		sample.Update(d.Age.Milliseconds())
+		histogram(n.Metrics, "Admission.StateAgeMillis").Update(d.Age.Milliseconds())
 	}
 }
 
--- a/region/copies.go
+++ b/region/copies.go
@@ -7,14 +7,8 @@
 	"plantainwinch/winch"
 )
 
-const (
-	// maxCopyLines bounds the log lines about copies of one decision.
-	maxCopyLines = 20
-	// gainSamples and gainAlpha are the size and the weight of the sample of gains: that of the last
-	// minutes.
-	gainSamples = 1028
-	gainAlpha   = 0.015
-)
+// maxCopyLines bounds the log lines about copies of one decision.
+const maxCopyLines = 20
 
 // reportCopies logs and counts the copies of straggling runs that were started, and those that have ended.
 func (l *leadership) reportCopies() {
@@ -33,8 +27,7 @@
 		result := "Planner.Copies.Lost"
 		if c.Won {
 			result = "Planner.Copies.Won"
-			sample := metrics.NewExpDecaySample(gainSamples, gainAlpha)
-			metrics.GetOrRegisterHistogram("Planner.Copies.GainMillis", n.Metrics, sample).Update(c.Gain.Milliseconds())
+			histogram(n.Metrics, "Planner.Copies.GainMillis").Update(c.Gain.Milliseconds())
 		}
 		metrics.GetOrRegisterCounter(result, n.Metrics).Inc(1)
 		if lines--; lines < 0 {
--- a/region/speeds.go
+++ b/region/speeds.go
@@ -20,9 +20,6 @@
 	// speedsLifetime is how long after the planner's last message its standby may use the speeds: what a
 	// worker did a minute ago says little about it.
 	speedsLifetime = time.Minute
-	// speedSamples and speedAlpha are the size and the decay of the histogram of factors.
-	speedSamples = 1028
-	speedAlpha   = 0.015
 )
 
 // speedKey identifies a worker or, with an empty worker, a kind of workers.
@@ -89,7 +86,7 @@
 	reg := l.node.Metrics
 	metrics.GetOrRegisterGauge("Planner.Speed.Known", reg).Update(int64(stats.Known))
 	metrics.GetOrRegisterGauge("Planner.Speed.Slow", reg).Update(int64(stats.Slow))
-	factors := metrics.GetOrRegisterHistogram("Planner.Speed.FactorPercent", reg, metrics.NewExpDecaySample(speedSamples, speedAlpha))
+	factors := histogram(reg, "Planner.Speed.FactorPercent")
 	for _, f := range stats.Factors {
 		factors.Update(int64(math.Round(100 * f)))
 	}
