region: a reassignment looks up each earlier keeper once

The log of the planner shows the office taken 0.1 s after the entries were back and the jobs read 0.45 s later; then its goroutine wrote one load line each four seconds instead of each second until 45.7 s, when all workers were usable. At each change of a link it computed the keepers of all workers anew, and for each worker of an earlier keeper it searched all entries for a boot at the keeper's address and went through all ended boots: workers times entries. The message of assignments to one keeper went over all workers, too.

Ruled out: the election, the reading of the jobs and of the roster (0.5 s together).

Now the cell's records are found by name and by address, a keeper's end is looked up once in a computation, the workers of a keeper are held beside the keeper of each worker, and the pause after a computation follows the time that it took.

--- a/region/assign.go
+++ b/region/assign.go
@@ -38,7 +38,9 @@
 	if l.closed {
 		return
 	}
-	l.reassignPending, l.reassignedAt = false, time.Now()
+	l.reassignPending = false
+	begin := time.Now()
+	defer func() { l.reassignedAt, l.reassignTime = time.Now(), time.Since(begin) }()
 	live := l.liveEntries()
 	l.lanes.SetLanes(slices.Collect(maps.Keys(live)))
 	for name := range l.keeperBackoff {
--- a/region/cell.go
+++ b/region/cell.go
@@ -17,6 +17,9 @@
 // any lease that the boot can have granted.
 const endedBootRetention = time.Minute
 
+// endedBootInterval is the minimum time between two searches for boots to forget.
+const endedBootInterval = time.Second
+
 // maxEarlierBoots bounds the earlier boots that a record names. An entry that is killed
 // repeatedly starts about once a second, and a lease lasts five seconds.
 const maxEarlierBoots = 8
@@ -27,10 +30,13 @@
 type cellView struct {
 	mu      sync.Mutex
 	members map[string]member // members holds the present records by node.
+	// nodes holds the nodes of the present records by the name of the boot, byAddress by the address.
+	nodes, byAddress map[string]string
 	// lastRecords holds the latest record of each node, also after its removal. endedBoots
 	// holds, by name, a time by which the boot had ended: another one listens at its address.
-	lastRecords map[string]member
-	endedBoots  map[string]time.Time
+	lastRecords    map[string]member
+	endedBoots     map[string]time.Time
+	bootsDroppedAt time.Time // bootsDroppedAt is when old boots were last dropped from endedBoots.
 	// currentBoots holds the present boot of each node.
 	currentBoots map[string]observedBoot
 	office       office
@@ -74,18 +80,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.members == nil {
-		c.members = make(map[string]member)
+		c.initMembers()
 	}
 	c.initBoots()
 	switch {
 	case strings.HasPrefix(e.Key, prefixNode):
 		name := strings.TrimPrefix(e.Key, prefixNode)
 		var m member
+		c.removeMember(name)
 		if e.Deleted || decode(e.Data, &m) != nil {
-			delete(c.members, name)
 			return
 		}
-		c.members[name] = m
+		c.members[name], c.nodes[m.Name], c.byAddress[m.Address] = m, name, name
 		c.noteReplaced(c.lastRecords[name], m)
 		c.noteEnded(m.runningSince(), m.Before...)
 		c.lastRecords[name] = m
@@ -109,6 +115,26 @@
 	}
 }
 
+// initMembers drops all members. The caller holds the mutex.
+func (c *cellView) initMembers() {
+	c.members, c.nodes, c.byAddress = make(map[string]member), make(map[string]string), make(map[string]string)
+}
+
+// removeMember drops the record of a node. The caller holds the mutex.
+func (c *cellView) removeMember(node string) {
+	old, present := c.members[node]
+	if !present {
+		return
+	}
+	delete(c.members, node)
+	if c.nodes[old.Name] == node {
+		delete(c.nodes, old.Name)
+	}
+	if c.byAddress[old.Address] == node {
+		delete(c.byAddress, old.Address)
+	}
+}
+
 // noteReplaced records that the boot of the old record has ended, if another boot now
 // listens at its address. The caller holds the mutex.
 func (c *cellView) noteReplaced(old, next member) {
@@ -121,11 +147,7 @@
 // noteEnded records a time by which the named boots had ended. The first recorded time of a boot
 // stays. The caller holds the mutex.
 func (c *cellView) noteEnded(by time.Time, names ...string) {
-	for name, at := range c.endedBoots {
-		if time.Since(at) > endedBootRetention {
-			delete(c.endedBoots, name)
-		}
-	}
+	c.dropOldBoots()
 	for _, name := range names {
 		if _, noted := c.endedBoots[name]; !noted {
 			c.endedBoots[name] = by
@@ -133,6 +155,20 @@
 	}
 }
 
+// dropOldBoots forgets the boots that have ended long ago, at most once per endedBootInterval. The caller
+// holds the mutex.
+func (c *cellView) dropOldBoots() {
+	if time.Since(c.bootsDroppedAt) < endedBootInterval {
+		return
+	}
+	c.bootsDroppedAt = time.Now()
+	for name, at := range c.endedBoots {
+		if time.Since(at) > endedBootRetention {
+			delete(c.endedBoots, name)
+		}
+	}
+}
+
 // endedBy returns a time by which a boot of an entry had ended, and whether it is known to
 // have ended.
 func (c *cellView) endedBy(name string) (time.Time, bool) {
@@ -147,10 +183,12 @@
 func (c *cellView) noteSuccessor(name, address string, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for node, m := range c.members {
-		if s := c.currentBoots[node]; m.Address == address && m.Name != name && s.name == m.Name && s.revision > revision {
-			c.noteEnded(s.runningSince, name)
-		}
+	node, registered := c.byAddress[address]
+	if !registered {
+		return
+	}
+	if m, s := c.members[node], c.currentBoots[node]; m.Name != name && s.name == m.Name && s.revision > revision {
+		c.noteEnded(s.runningSince, name)
 	}
 }
 
@@ -158,12 +196,11 @@
 func (c *cellView) addressOf(name string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, m := range c.members {
-		if m.Name == name {
-			return m.Address
-		}
+	node, registered := c.nodes[name]
+	if !registered {
+		return ""
 	}
-	return ""
+	return c.members[node].Address
 }
 
 // noteEarlierBoot records that an earlier boot of this entry had ended when this one began.
@@ -178,7 +215,7 @@
 // the other records.
 func (c *cellView) reset(values []winch.Value) {
 	c.mu.Lock()
-	c.members = make(map[string]member)
+	c.initMembers()
 	c.office, c.officeRevision = office{}, 0
 	c.loaded = true
 	c.mu.Unlock()
--- a/region/expiry.go
+++ b/region/expiry.go
@@ -101,6 +101,25 @@
 	return s.shorten(worker, expiry, func(a assignment) bool { return a.keeper == keeper })
 }
 
+// endKeepers applies the ends of keepers' processes, and returns the workers whose leases expire earlier than was
+// known. It asks once for each keeper, since a keeper has many workers.
+func (s *leaseExpiries) endKeepers(endingOf func(assignment) keeperEnding) (shortened []string) {
+	endings := make(map[string]keeperEnding)
+	for id, list := range s.earlier {
+		for _, a := range list {
+			ending, known := endings[a.keeper]
+			if !known {
+				ending = endingOf(a)
+				endings[a.keeper] = ending
+			}
+			if ending.ended && s.endKeeper(id, a.keeper, ending.at.Add(keep.ExpiryBound(maxLease))) {
+				shortened = append(shortened, id)
+			}
+		}
+	}
+	return shortened
+}
+
 // shorten limits the matching earlier assignments of a worker to expiry, and reports whether any of
 // them would have expired later.
 func (s *leaseExpiries) shorten(worker string, expiry time.Time, matches func(assignment) bool) bool {
@@ -191,18 +210,27 @@
 // cannot report when its leases expire, but it has renewed none since its end: they last one lease
 // duration from then on, however long its authority was.
 func (l *leadership) expireEndedKeepers() {
-	for id, list := range l.expiries.earlier {
-		for _, a := range list {
-			l.noteEarlierBoot(a)
-			at, ended := l.node.cell.endedBy(a.keeper)
-			if ended && l.expiries.endKeeper(id, a.keeper, at.Add(keep.ExpiryBound(maxLease))) && l.expiries.unresponsive[id] {
-				l.changedExpiries = append(l.changedExpiries, id)
-			}
+	for _, id := range l.expiries.endKeepers(l.keeperEnding) {
+		if l.expiries.unresponsive[id] {
+			l.changedExpiries = append(l.changedExpiries, id)
 		}
 	}
 	l.sendExpiries()
 }
 
+// keeperEnding says whether a keeper's process is known to have ended, and by when.
+type keeperEnding struct {
+	at    time.Time
+	ended bool
+}
+
+// keeperEnding returns what is known of the end of an earlier assignment's keeper.
+func (l *leadership) keeperEnding(a assignment) keeperEnding {
+	l.noteEarlierBoot(a)
+	at, ended := l.node.cell.endedBy(a.keeper)
+	return keeperEnding{at, ended}
+}
+
 // noteEarlierBoot records that an earlier planner's keeper has ended if another boot, possibly this one,
 // is seen at its address.
 func (l *leadership) noteEarlierBoot(a assignment) {
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -37,9 +37,11 @@
 	// jobsPollInterval is how often the store's changes of jobs are read. Entries notify the planner
 	// of changes at once; polling finds those whose notification was lost.
 	jobsPollInterval = time.Second
-	// reassignInterval is the minimum time between two computations of the workers' keepers: one takes
-	// some milliseconds for thousands of workers.
-	reassignInterval = 20 * time.Millisecond
+	// reassignInterval is the minimum time between two computations of the workers' keepers, and
+	// reassignPauseFactor the pause after one as a multiple of the time that it took: it goes over all
+	// workers, and hundreds of entries may come and go at once.
+	reassignInterval    = 20 * time.Millisecond
+	reassignPauseFactor = 5
 	// workersPollInterval is how often changes of the worker list are read. A worker must get no work
 	// two seconds after it began to drain.
 	workersPollInterval = 400 * time.Millisecond
@@ -88,6 +90,7 @@
 	lanes         lanes.Lanes[fleet.AdviceRequest]
 	proxies       map[string]*proxy
 	keepers       map[string]string           // keepers holds the name of each worker's keeper.
+	workersOf     map[string]map[string]bool  // workersOf holds the workers of each keeper.
 	assignments   map[string]proto.Assignment // assignments holds each worker's present assignment.
 	byToken       map[uint64]string           // byToken holds the worker of each fencing token.
 	workers       map[string]winch.WorkerVM
@@ -167,6 +170,7 @@
 	// last were.
 	reassignPending bool
 	reassignedAt    time.Time
+	reassignTime    time.Duration // reassignTime is how long the last computation took.
 
 	// rosterLock is a mutex of capacity one, held by whoever writes the roster; it guards
 	// rosterRevision.
@@ -185,7 +189,7 @@
 	l := &leadership{
 		node: n, term: term, revision: revision, lease: lease, namedRevision: revision, maybeNamed: make(map[string]bool),
 		duty: duty.New("Planner", eventQueueSize, nil), planner: fleet.New(term),
-		proxies: make(map[string]*proxy), keepers: make(map[string]string), assignments: make(map[string]proto.Assignment),
+		proxies: make(map[string]*proxy), keepers: make(map[string]string), workersOf: make(map[string]map[string]bool), assignments: make(map[string]proto.Assignment),
 		byToken: make(map[uint64]string), stateWaiters: make(map[string][]stateWaiter),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time),
 		keeperBackoff: make(map[string]bool), previousRoster: make(map[string]rosteredWorker), roster: make(map[string]rosteredWorker),
@@ -298,10 +302,10 @@
 	l.scheduleDecision(idleInterval)
 	l.dropMissing()
 	l.boundUnresponsive()
-	if l.reassignPending && time.Since(l.reassignedAt) >= reassignInterval {
+	if pause := max(reassignInterval, reassignPauseFactor*l.reassignTime); l.reassignPending && time.Since(l.reassignedAt) >= pause {
 		l.reassign()
 	} else if l.reassignPending {
-		l.scheduleDecision(reassignInterval)
+		l.scheduleDecision(min(pause, idleInterval))
 	}
 	if !l.closed && (l.standby == nil || time.Since(l.standbyCheckedAt) > standbyCheckInterval) {
 		l.standbyCheckedAt = time.Now()
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -52,12 +52,10 @@
 		p.ctx, p.cancel = context.WithCancel(l.ctx)
 	}
 	set := proto.AssignmentSet{Session: p.session, Authority: l.authority()}
-	for id, keeper := range l.keepers {
-		if keeper == name {
-			a := l.assignments[id]
-			a.Left = l.expiries.remaining(id)
-			set.Workers = append(set.Workers, a)
-		}
+	for id := range l.workersOf[name] {
+		a := l.assignments[id]
+		a.Left = l.expiries.remaining(id)
+		set.Workers = append(set.Workers, a)
 	}
 	p.send(proto.KindAssignmentSet, set)
 	if fresh {
@@ -147,12 +145,10 @@
 	p.cancel()
 	delete(l.proxies, p.name)
 	var ids []string
-	for id, name := range l.keepers {
-		if name == p.name {
-			ids = append(ids, id)
-			l.expiries.endAssignment(id, name, l.assignments[id].Token, l.authority())
-			l.removeAssignment(id)
-		}
+	for id := range l.workersOf[p.name] {
+		ids = append(ids, id)
+		l.expiries.endAssignment(id, p.name, l.assignments[id].Token, l.authority())
+		l.removeAssignment(id)
 	}
 	l.expiriesChanged = true
 	l.planner.SetUnready(ids)
@@ -235,13 +231,23 @@
 
 // recordAssignment records that a worker is assigned to a keeper under a fencing token.
 func (l *leadership) recordAssignment(id, keeper string, a proto.Assignment) {
-	delete(l.byToken, l.assignments[id].Token)
+	l.removeAssignment(id)
 	l.keepers[id], l.assignments[id], l.byToken[a.Token] = keeper, a, id
+	if l.workersOf[keeper] == nil {
+		l.workersOf[keeper] = make(map[string]bool)
+	}
+	l.workersOf[keeper][id] = true
 }
 
 // removeAssignment records that a worker is assigned to no keeper.
 func (l *leadership) removeAssignment(id string) {
 	delete(l.byToken, l.assignments[id].Token)
+	if keeper, assigned := l.keepers[id]; assigned {
+		delete(l.workersOf[keeper], id)
+		if len(l.workersOf[keeper]) == 0 {
+			delete(l.workersOf, keeper)
+		}
+	}
 	delete(l.keepers, id)
 	delete(l.assignments, id)
 }
