region: links to the planner, its standby and a few peers; followers read only the office

Cause: each entry dialled each other one, and each followed all records of the cell: n^2 links and n^2 events. At 585 entries that were 62 MB in a plain entry of which 55 MB were links, and every entry that restarted woke 585 watches twice or more, which made up most of the calls to the store.

A link now carries the requests of both entries, if both name their address in the hello. Each entry dials the planner, its standby (named in the planner's report) and five neighbours inside and outside of its failure domain, whom the planner names on request. A keeper connects on demand to the entry that accepted a job, for its command; such links end when they are idle. An entry of the build before names no address: the planner dials it as before.

Only the planner, its standby and an entry about to take the office follow all records; the others follow the office. They know from the last term's record how many entries are strong, and spread their tries to take the office by that. The planner tells an entry whose record is gone.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -22,6 +22,8 @@
 	KindCommand         winch.Kind = "Command"
 	KindTerm            winch.Kind = "Term"
 	KindSubmit          winch.Kind = "Submit"
+	KindPeers           winch.Kind = "Peers"
+	KindUnregistered    winch.Kind = "Unregistered"
 )
 
 // Session identifies one uninterrupted planner-keeper connection. A planner that
@@ -100,6 +102,8 @@
 	Session Session           `cbor:"1,keyasint"`
 	Orders  []Order           `cbor:"2,keyasint"`
 	Origins map[string]string `cbor:"3,keyasint,omitempty"`
+	// Addresses holds where peers reach the entries of Origins, as far as they are live.
+	Addresses map[string]string `cbor:"4,keyasint,omitempty"`
 }
 
 // CommandRequest asks the entry that accepted a job for its command.
@@ -277,8 +281,34 @@
 	Settings uint64 `cbor:"3,keyasint,omitempty"`
 	// Evacuations is what the planner knows of evacuated failure domains.
 	Evacuations *winch.Evacuations `cbor:"4,keyasint,omitempty"`
+	// Standby is the address of the planner's standby, to which each entry keeps a link.
+	Standby string `cbor:"5,keyasint,omitempty"`
 }
 
+// PeersRequest asks the planner for entries to keep links to: Inside of the sender's failure domain and
+// Outside of others, beside those named in Except.
+type PeersRequest struct {
+	Domain  string   `cbor:"1,keyasint"`
+	Inside  int      `cbor:"2,keyasint"`
+	Outside int      `cbor:"3,keyasint"`
+	Except  []string `cbor:"4,keyasint,omitempty"`
+}
+
+// PeersResponse is the response to a PeersRequest.
+type PeersResponse struct {
+	Peers []PeerAddress `cbor:"1,keyasint,omitempty"`
+}
+
+// PeerAddress names an entry and where peers reach it.
+type PeerAddress struct {
+	Name    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	Domain  string `cbor:"3,keyasint"`
+}
+
+// Unregistered tells an entry that the planner finds no record of it in the store.
+type Unregistered struct{}
+
 // Settings announces the version of the operator's configuration at an entry. As the
 // response to a SettingsRequest it also carries the configuration as stored.
 type Settings struct {
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -40,6 +40,9 @@
 	Cell    string
 	Entry   string
 	Domain  string
+	// Address is where peers reach the sender. An entry that names it answers requests on links that it has
+	// dialled, too.
+	Address string `cbor:",omitempty"`
 }
 
 // Load is the slot usage of an entry's executors of one service.
--- a/region/assign.go
+++ b/region/assign.go
@@ -12,16 +12,13 @@
 
 // liveEntries returns the entries that can be keepers and use lanes at present.
 func (l *leadership) liveEntries() map[string]member {
-	connected := make(map[string]bool)
-	for _, name := range l.node.Peers.Names() {
-		connected[name] = true
-	}
 	out := make(map[string]member)
-	for _, m := range l.node.cell.list() {
-		if connected[m.Name] || m.Name == l.node.Name && !l.node.leaving.Load() {
+	l.node.cell.eachMember(func(m member) bool {
+		if l.node.Peers.Linked(m.Name) || m.Name == l.node.Name && !l.node.leaving.Load() {
 			out[m.Name] = m
 		}
-	}
+		return true
+	})
 	return out
 }
 
@@ -77,7 +74,7 @@
 // keeper keeps its workers until others have been recorded for them, and then reports until when its
 // leases run: it responds for two more seconds.
 func (l *leadership) reachable(name string) bool {
-	return !l.keeperBackoff[name] && slices.Contains(l.node.Peers.Names(), name)
+	return !l.keeperBackoff[name] && l.node.Peers.Linked(name)
 }
 
 // chooseKeepers chooses each worker's keeper, and has the roster written if it differs.
--- a/region/cell.go
+++ b/region/cell.go
@@ -3,13 +3,16 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/winch"
 )
 
@@ -26,12 +29,15 @@
 
 // cellView is the local copy of the cell's records in the store. The cell is the set of
 // entries that run one region; its records are those of the entries, the office, the last
-// term and the standby.
+// term and the standby. Only the planner, its standby and an entry that is about to take the office
+// know all of them; the others know the office and the last term, so that what an entry reads does not grow
+// with the number of entries.
 type cellView struct {
 	mu      sync.Mutex
 	members map[string]member // members holds the present records by node.
 	// nodes holds the nodes of the present records by the name of the boot, byAddress by the address.
 	nodes, byAddress map[string]string
+	full             bool // full says that all records are known.
 	// lastRecords holds the latest record of each node, also after its removal. endedBoots
 	// holds, by name, a time by which the boot had ended: another one listens at its address.
 	lastRecords    map[string]member
@@ -49,7 +55,7 @@
 	// standby is the recorded standby of the last planner.
 	standby         standbyRecord
 	standbyRevision uint64
-	loaded          bool // loaded is set once all records have been read.
+	loaded          bool // loaded is set once the office and the last term have been read.
 }
 
 // observedBoot is a boot of an entry whose record was seen.
@@ -102,11 +108,12 @@
 		c.office, c.officeRevision = office{}, 0
 		if !e.Deleted && decode(e.Data, &c.office) == nil {
 			c.officeRevision = e.Version
+			c.setTerm(c.office, e.Version) // Both records are written in one transaction.
 		}
 	case e.Key == keyTerm:
-		if !e.Deleted && decode(e.Data, &c.term) == nil {
-			c.termRevision = e.Version
-			c.noteTerm(c.term.Term)
+		var term office
+		if !e.Deleted && decode(e.Data, &term) == nil {
+			c.setTerm(term, e.Version)
 		}
 	case e.Key == keyStandby:
 		if !e.Deleted && decode(e.Data, &c.standby) == nil {
@@ -135,6 +142,15 @@
 	}
 }
 
+// setTerm stores the record of the last term. The caller holds the mutex.
+func (c *cellView) setTerm(term office, revision uint64) {
+	if revision < c.termRevision {
+		return
+	}
+	c.term, c.termRevision = term, revision
+	c.noteTerm(term.Term)
+}
+
 // noteReplaced records that the boot of the old record has ended, if another boot now
 // listens at its address. The caller holds the mutex.
 func (c *cellView) noteReplaced(old, next member) {
@@ -203,6 +219,32 @@
 	return c.members[node].Address
 }
 
+// eachMember calls f for the present records until f returns false.
+func (c *cellView) eachMember(f func(member) bool) {
+	c.mu.Lock()
+	members := slices.Collect(maps.Values(c.members))
+	c.mu.Unlock()
+	for _, m := range members {
+		if !f(m) {
+			return
+		}
+	}
+}
+
+// plannerAddress returns the address of the office's holder, or "" if the office is free.
+func (c *cellView) plannerAddress() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.office.Address
+}
+
+// currentTerm returns the last known term.
+func (c *cellView) currentTerm() office {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term
+}
+
 // noteEarlierBoot records that an earlier boot of this entry had ended when this one began.
 func (c *cellView) noteEarlierBoot(name string, began time.Time) {
 	c.mu.Lock()
@@ -217,13 +259,34 @@
 	c.mu.Lock()
 	c.initMembers()
 	c.office, c.officeRevision = office{}, 0
-	c.loaded = true
+	c.loaded, c.full = true, true
+	c.mu.Unlock()
+	for _, v := range values {
+		c.apply(winch.Event{Value: v})
+	}
+}
+
+// resetOffice replaces the office and the last term with those in the records that were read, and drops what is
+// known of the other records.
+func (c *cellView) resetOffice(values []winch.Value) {
+	c.mu.Lock()
+	c.members, c.nodes, c.byAddress = nil, nil, nil
+	c.office, c.officeRevision = office{}, 0
+	c.standby, c.standbyRevision = standbyRecord{}, 0
+	c.loaded, c.full = true, false
 	c.mu.Unlock()
 	for _, v := range values {
 		c.apply(winch.Event{Value: v})
 	}
 }
 
+// isFull reports whether all records are known.
+func (c *cellView) isFull() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.full
+}
+
 // holder returns the name of the office's holder, or "" if the office is free.
 func (c *cellView) holder() string {
 	c.mu.Lock()
@@ -245,35 +308,71 @@
 	return out
 }
 
-// PeerAddresses returns the addresses of the other entries.
-func (n *Node) PeerAddresses() []string {
-	var out []string
-	for _, m := range n.cell.list() {
-		if m.Name != n.Name {
-			out = append(out, m.Address)
-		}
-	}
-	return out
+// needsMembers reports whether this entry has to know all entries: it is the planner or its standby, or is
+// about to take the office.
+func (n *Node) needsMembers() bool {
+	return n.candidate.Load() || n.mirror.active()
 }
 
-// watchCell watches the cell's records until ctx ends.
+// watchCell follows the cell's records until ctx ends: all of them for as long as this entry needs to know all
+// entries, otherwise the office.
 func (n *Node) watchCell(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := n.candidateChanged.wait()
+		all := n.needsMembers()
+		duty.RunUntil(ctx, changed, func(ctx context.Context) {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			var group conc.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
+				defer cancel()
+				for ctx.Err() == nil && n.needsMembers() == all {
+					duty.Sleep(ctx, prefetchCheckInterval)
+				}
+			})
+			if all {
+				n.watchMembers(ctx)
+			} else {
+				n.watchOffice(ctx)
+			}
+		})
+	}
+}
+
+// watchMembers follows all records of the cell until ctx ends.
+func (n *Node) watchMembers(ctx context.Context) {
 	n.watch(ctx, prefixCell, watchOptions{wait: maxWatchWait}, func(values []winch.Value, _ uint64) {
 		n.cell.reset(values)
 		n.cellChanged()
-	}, func(events []winch.Event, _ uint64) {
-		for _, e := range events {
-			n.cell.apply(e)
-		}
+	}, n.applyCellEvents)
+}
+
+// watchOffice follows the office until ctx ends.
+func (n *Node) watchOffice(ctx context.Context) {
+	term, _, err := n.Table.Read(ctx, keyTerm)
+	for ; err != nil && ctx.Err() == nil; term, _, err = n.Table.Read(ctx, keyTerm) {
+		duty.Sleep(ctx, retryDelay)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	n.watch(ctx, keyOffice, watchOptions{wait: maxWatchWait}, func(values []winch.Value, _ uint64) {
+		n.cell.resetOffice(append(term, values...))
 		n.cellChanged()
-	})
+	}, n.applyCellEvents)
+}
+
+func (n *Node) applyCellEvents(events []winch.Event, _ uint64) {
+	for _, e := range events {
+		n.cell.apply(e)
+	}
+	n.cellChanged()
 }
 
 func (n *Node) cellChanged() {
 	n.wakeOffice()
-	if n.OnCellChange != nil {
-		n.OnCellChange()
-	}
+	n.contactsChanged()
 	l := n.leadership.Load()
 	if l == nil {
 		return
--- a/region/command.go
+++ b/region/command.go
@@ -77,6 +77,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
+	if !n.connect(ctx, name) {
+		return "", false
+	}
 	var response proto.CommandResponse
 	err := n.Peers.Request(ctx, name, proto.KindCommand, proto.CommandRequest{Job: job}, &response)
 	return response.Command, err == nil && response.Known
--- a/region/keys.go
+++ b/region/keys.go
@@ -83,6 +83,10 @@
 	Address string
 	// Lease is the lease that the record ends with. The standby ends it if the holder is silent.
 	Lease uint64
+	// Largest is the largest processor share of the entries that the holder knew when it took the office, and
+	// Strong how many of them were able to plan by that measure.
+	Largest int `cbor:",omitempty"`
+	Strong  int `cbor:",omitempty"`
 }
 
 // rosteredWorker is a worker that a planner may have given work to.
--- a/region/node.go
+++ b/region/node.go
@@ -77,15 +77,16 @@
 	Runner  winch.WorkerClient
 	Advisor winch.Advisor
 	Codec   winch.Codec
-	Peers   winch.Peers
+	Peers   winch.Links
 	Log     *zap.Logger
 	Metrics metrics.Registry
-	// OnCellChange, if set, is called after changes of the other entries' records.
-	OnCellChange func()
+	// OnContactsChange, if set, is called after PeerAddresses may have changed.
+	OnContactsChange func()
 
 	cell        cellView
 	settings    settings
 	evacuations evacuations
+	contacts    contacts
 	served      servedPeer
 	accept      acceptor
 	admission   admission
@@ -102,6 +103,10 @@
 	yielded     atomic.Pointer[time.Time] // yielded is when this entry last yielded the office to a stronger one.
 	stopping    atomic.Bool               // stopping is set when Stop begins.
 	leaving     atomic.Bool               // leaving is set once the office has been handed over.
+	// candidate is set while this entry takes or holds the office; candidateChanged is sent when it changes.
+	candidate        atomic.Bool
+	candidateChanged broadcast
+	unregistered     atomic.Bool // unregistered is set when the planner reports that this entry has no record.
 	// officeWake wakes the loop that takes the office after a change of the cell's records.
 	officeWake chan struct{}
 }
@@ -183,7 +188,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, run := range []func(context.Context){
-		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runPrefetch, n.runPreemption, n.runRefusals,
+		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runContacts, n.runPrefetch, n.runPreemption, n.runRefusals,
 	} {
 		group.Go(func() { run(ctx) })
 	}
--- a/region/office.go
+++ b/region/office.go
@@ -85,6 +85,9 @@
 // electionDelay returns how long this entry leaves a free office to others: to those ranked before it,
 // and longer to those that can plan better. It is bounded, since those before it may all be lost.
 func (n *Node) electionDelay() time.Duration {
+	if !n.cell.isFull() {
+		return n.spreadElectionDelay()
+	}
 	rank := n.rank()
 	wait := time.Duration(min(rank, maxRanks)) * rankDelay
 	if rank == 0 {
@@ -96,10 +99,30 @@
 	if !strong(n.Share, maxShare(slices.Values(n.cell.list()))) {
 		wait += weakDelay
 	}
+	return wait + n.yieldDelay()
+}
+
+// yieldDelay returns how much longer this entry waits because it has yielded the office lately.
+func (n *Node) yieldDelay() time.Duration {
 	if yielded := n.yielded.Load(); yielded != nil && time.Since(*yielded) < yieldBackoff {
-		wait += yieldBackoff
+		return yieldBackoff
+	}
+	return 0
+}
+
+// spreadElectionDelay returns the delay of an entry that does not know the others. The last planner has
+// recorded how many of them are strong: they are spread so that about one tries in each rankDelay.
+func (n *Node) spreadElectionDelay() time.Duration {
+	term := n.cell.currentTerm()
+	spread := maxRanks*rankDelay + spreadDelay
+	if term.Strong > 0 {
+		spread = min(spread, time.Duration(term.Strong)*rankDelay)
 	}
-	return wait
+	wait := rankDelay + rand.N(spread)
+	if !strong(n.Share, term.Largest) {
+		wait += weakDelay
+	}
+	return wait + n.yieldDelay()
 }
 
 // rank returns this entry's position among those that may take the office: first the standby of the
@@ -123,6 +146,11 @@
 // tryOffice takes the office if the store still shows it as free, and serves as planner until it is
 // lost or given up.
 func (n *Node) tryOffice(ctx context.Context) {
+	n.setCandidate(true)
+	defer n.setCandidate(false)
+	if !n.learnMembers(ctx) {
+		return
+	}
 	sent := time.Now()
 	lease, err := n.Table.GrantLease(ctx, officeTTL)
 	if err != nil {
@@ -134,6 +162,7 @@
 	lastStandby, lastStandbyAt := n.cell.standby, n.cell.standbyRevision
 	n.cell.mu.Unlock()
 	mine := office{Holder: n.Name, Term: lastTerm.Term + 1, Address: n.Address, Lease: lease}
+	mine.Largest, mine.Strong = n.strongEntries()
 	revision, err := n.Table.Commit(ctx, winch.Txn{
 		Expect: map[string]uint64{keyOffice: 0, keyTerm: lastTermAt, keyStandby: lastStandbyAt},
 		Writes: []winch.Write{
@@ -173,6 +202,41 @@
 	n.forgetOffice(revision)
 }
 
+// setCandidate records whether this entry takes or holds the office.
+func (n *Node) setCandidate(on bool) {
+	n.candidate.Store(on)
+	n.candidateChanged.send()
+}
+
+// learnMembers reads the cell's records unless this entry follows all of them, and reports whether it may
+// still try to take the office.
+func (n *Node) learnMembers(ctx context.Context) bool {
+	if n.cell.isFull() {
+		return true
+	}
+	values, _, err := n.Table.Read(ctx, prefixCell)
+	if err != nil {
+		duty.Sleep(ctx, retryDelay)
+		return false
+	}
+	n.cell.reset(values)
+	n.contactsChanged()
+	return n.mayTakeOffice()
+}
+
+// strongEntries returns the largest processor share of the entries, and how many are able to plan for a region
+// with such an entry.
+func (n *Node) strongEntries() (largest, count int) {
+	list := n.cell.list()
+	largest = max(n.Share, maxShare(slices.Values(list)))
+	for _, m := range list {
+		if strong(m.Share, largest) {
+			count++
+		}
+	}
+	return largest, count
+}
+
 // keepRuns keeps what this entry knows at the end of its term, for the case that it takes the office again. Runs
 // that were ordered and not confirmed are included. A planner that still waits for the runs of an earlier one
 // knows too little, and one that has handed the office over leaves it to its standby.
--- a/region/office_test.go
+++ b/region/office_test.go
@@ -14,6 +14,7 @@
 // were written by earlier boots of all of them.
 func largeCell(entries, own int) *Node {
 	n := &Node{Name: "new boot", Host: fmt.Sprintf("e%03d", own), Share: 400}
+	n.cell.full = true
 	for i := range entries {
 		host := fmt.Sprintf("e%03d", i)
 		n.cell.apply(winch.Event{Value: winch.Value{
@@ -55,3 +56,27 @@
 	is.Equal(largeCell(30, 0).rank(), 1)
 	is.Equal(largeCell(30, 0).electionDelay(), rankDelay)
 }
+
+// Guards against the same storm by entries that do not know the others: they must spread by what the last planner
+// recorded, and those on weak VMs must leave the office to strong ones.
+func TestEntriesThatKnowNoOthersSpreadTheirTries(t *testing.T) {
+	is := is.NewRelaxed(t)
+	const visible = 10 * time.Millisecond
+	waits := make(map[time.Duration]int)
+	entry := func(share int, last office) *Node {
+		n := &Node{Share: share}
+		n.cell.apply(winch.Event{Value: winch.Value{Key: keyTerm, Version: 1, Data: encode(last)}})
+		return n
+	}
+	for range 300 {
+		wait := entry(800, office{Term: 4, Largest: 800, Strong: 300}).electionDelay()
+		waits[wait/visible]++
+		is.True(wait >= rankDelay && wait <= maxRanks*rankDelay+spreadDelay+rankDelay)
+		is.True(entry(800, office{Term: 4, Largest: 800, Strong: 4}).electionDelay() <= 5*rankDelay)
+		is.True(entry(192, office{Term: 4, Largest: 800, Strong: 4}).electionDelay() >= weakDelay)
+		is.True(entry(192, office{Term: 4}).electionDelay() < weakDelay) // A planner of the build before records no shares.
+	}
+	for _, count := range waits {
+		is.True(count < 30)
+	}
+}
--- a/region/preempt.go
+++ b/region/preempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,7 +66,7 @@
 	}
 	last, yields, complete := n.mirror.contact(held.Term)
 	limit := maxPlannerSilence
-	if !slices.Contains(n.Peers.Names(), held.Holder) {
+	if !n.Peers.Linked(held.Holder) {
 		limit = maxUnlinkedSilence
 	}
 	silence := now.Sub(later(last, contact))
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -292,6 +292,7 @@
 		msg.Orders = append(msg.Orders, o)
 	}
 	for name, msg := range byKeeper {
+		msg.Addresses = l.originAddresses(msg.Origins)
 		l.proxies[name].send(proto.KindKeeperOrders, *msg)
 	}
 }
--- a/region/register.go
+++ b/region/register.go
@@ -41,12 +41,13 @@
 }
 
 // recordMissing reports whether the entry's record has been removed although its lease is
-// still renewed. Without a new record the other entries would never learn of this one.
+// still renewed. Without a new record the planner would never give this entry work.
 func (n *Node) recordMissing() bool {
 	n.cell.mu.Lock()
 	defer n.cell.mu.Unlock()
+	reported := n.unregistered.Swap(false)
 	_, listed := n.cell.members[n.Host]
-	return n.cell.loaded && !listed && n.storeResponsive()
+	return (reported || n.cell.full && !listed) && n.storeResponsive()
 }
 
 // earlierBoots returns the earlier boots of this entry that its stored record belongs to or
--- a/region/report.go
+++ b/region/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -15,16 +16,22 @@
 
 // runWaiting periodically sends all entries the number of jobs that have not begun, by queue.
 func (l *leadership) runWaiting(ctx context.Context) {
+	unlisted := make(map[string]time.Time)
 	for ctx.Err() == nil {
 		var msg proto.WaitingJobs
 		if l.duty.Do(ctx, func() {
-			msg = proto.WaitingJobs{Term: l.term, Queues: l.planner.Waiting(), Settings: l.node.settings.version(), Evacuations: l.node.knownEvacuations()}
+			msg = proto.WaitingJobs{
+				Term: l.term, Queues: l.planner.Waiting(), Settings: l.node.settings.version(),
+				Evacuations: l.node.knownEvacuations(), Standby: l.standbyAddress(),
+			}
 		}) == nil && l.validity.Load().remaining() > 0 {
 			l.node.updateWaiting(msg)
-			for _, name := range l.node.Peers.Names() {
+			names := l.node.Peers.Names()
+			for _, name := range names {
 				// A peer that gets no message reports the number as unknown.
 				_ = l.node.Peers.Notify(name, proto.KindWaitingJobs, msg)
 			}
+			l.notifyUnregistered(names, unlisted)
 		}
 		duty.Sleep(ctx, waitingInterval)
 	}
--- a/region/serve.go
+++ b/region/serve.go
@@ -158,7 +158,15 @@
 	case proto.KindAssignmentSet:
 		return handleMessage(read, func(m proto.AssignmentSet) any { n.keeper.SetAssignments(m); return nil })
 	case proto.KindKeeperOrders:
-		return handleMessage(read, func(m proto.KeeperOrders) any { n.keeper.QueueOrders(m); return nil })
+		return handleMessage(read, func(m proto.KeeperOrders) any {
+			n.contacts.noteAddresses(m.Addresses)
+			n.keeper.QueueOrders(m)
+			return nil
+		})
+	case proto.KindPeers:
+		return handleMessage(read, func(m proto.PeersRequest) any { return n.peersResponse(from, m) })
+	case proto.KindUnregistered:
+		return handleMessage(read, func(proto.Unregistered) any { n.unregistered.Store(true); return nil })
 	case proto.KindKeeperPoll:
 		return handleMessage(read, func(m proto.KeeperPollRequest) any { return n.keeper.Poll(ctx, m) })
 	case proto.KindCommand:
@@ -231,6 +239,9 @@
 		return
 	}
 	n.waiting.Store(&waitingView{term: m.Term, queues: m.Queues, at: time.Now()})
+	if n.contacts.setStandby(m.Standby) {
+		n.contactsChanged()
+	}
 }
 
 // advise calls the advice service in this entry's lane.
--- a/region/simpeers_test.go
+++ b/region/simpeers_test.go
@@ -26,12 +26,30 @@
 // networkDelay is how long a message takes in one direction.
 const networkDelay = time.Millisecond
 
+// connectedPair is a pair of processes that are linked because one has called Connect.
+type connectedPair struct{ a, b string }
+
+// reaches reports whether the network carries messages between two entries. The world's mutex is held.
+func (p *simPeers) reaches(n *Node) bool {
+	return p.world.canReach(p.node.Domain, n.Domain) && p.world.linked(p.node.Host, n.Host)
+}
+
+// hasLink reports whether there is a link to another process: one of the two wants it, or has called Connect.
+// The world's mutex is held.
+func (p *simPeers) hasLink(n *Node) bool {
+	if n == p.node || !p.reaches(n) {
+		return false
+	}
+	return p.world.connected[connectedPair{p.node.Name, n.Name}] || p.world.connected[connectedPair{n.Name, p.node.Name}] ||
+		slices.Contains(p.node.PeerAddresses(), n.Address) || slices.Contains(n.PeerAddresses(), p.node.Address)
+}
+
 func (p *simPeers) Names() []string {
 	p.world.mu.Lock()
 	defer p.world.mu.Unlock()
 	var out []string
 	for name, n := range p.world.liveNodes() {
-		if n != p.node && p.world.canReach(p.node.Domain, n.Domain) && p.world.linked(p.node.Host, n.Host) {
+		if p.hasLink(n) {
 			out = append(out, name)
 		}
 	}
@@ -39,12 +57,30 @@
 	return out
 }
 
+func (p *simPeers) Linked(name string) bool { return p.target(name) != nil }
+
+func (p *simPeers) OneWay() []string { return nil }
+
+func (p *simPeers) Connect(_ context.Context, name, address string) error {
+	if p.Linked(name) {
+		return nil
+	}
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	n := p.world.liveNodes()[name]
+	if n == nil || n.Address != address || !p.reaches(n) {
+		return winch.ErrNoPeer
+	}
+	p.world.connected[connectedPair{p.node.Name, name}] = true
+	return nil
+}
+
 // target returns the process named to if it is linked to this entry, else nil.
 func (p *simPeers) target(to string) *Node {
 	p.world.mu.Lock()
 	defer p.world.mu.Unlock()
 	n := p.world.liveNodes()[to]
-	if n == nil || !p.world.canReach(p.node.Domain, n.Domain) || !p.world.linked(p.node.Host, n.Host) || p.world.liveNodes()[p.node.Name] == nil {
+	if n == nil || !p.hasLink(n) || p.world.liveNodes()[p.node.Name] == nil {
 		return nil
 	}
 	return n
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -22,6 +22,7 @@
 	down           bool // down makes all calls time out without being carried out.
 	losesResponses bool // losesResponses drops the responses to half of the transactions.
 	calls          int  // calls counts the calls that were carried out.
+	cellEvents     int  // cellEvents counts the changes of the cell's records that watches returned.
 	// extraDelay is added to the duration of each call.
 	extraDelay time.Duration
 	// hangs makes calls that fail time out as late as those of a real client, not after a second.
@@ -101,6 +102,12 @@
 	}
 }
 
+func (s *simStore) noteCellEvents(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cellEvents += n
+}
+
 // simTable carries the calls of one entry to the store.
 type simTable struct {
 	store *simStore
@@ -189,6 +196,9 @@
 		if err == nil && compacted {
 			return nil, after, winch.ErrCompacted
 		}
+		if err == nil && strings.HasPrefix(prefix, prefixCell) {
+			t.store.noteCellEvents(len(out))
+		}
 		if err != nil || len(out) > 0 || time.Since(begin) >= wait {
 			return out, next, err
 		}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -40,6 +40,7 @@
 	// entry and a worker. brokenLinks counts those that have broken the link between two entries.
 	blockedPaths map[simPath]int
 	brokenLinks  map[simPath]int
+	connected    map[connectedPair]bool // connected holds the links that were made on demand.
 	// paused holds, by the host of a paused entry, the messages that arrived during the pause.
 	paused map[string]*pausedEntry
 	// slow holds how many times as long runs take at the workers that are slower than others.
@@ -93,7 +94,8 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)),
 		nodes: make(map[string]*simNode), workers: make(map[string]*simWorker), addresses: make(map[string]*simWorker),
 		partitioned: make(map[string]bool), blockedPaths: make(map[simPath]int), brokenLinks: make(map[simPath]int),
-		paused: make(map[string]*pausedEntry), gangs: make(map[runKey]*simGang), running: make(map[winch.RunID]int),
+		connected: make(map[connectedPair]bool),
+		paused:    make(map[string]*pausedEntry), gangs: make(map[runKey]*simGang), running: make(map[winch.RunID]int),
 		acknowledged: make(map[winch.RunID]bool), completed: make(map[winch.RunID][]*completedRun), failed: make(map[winch.RunID]int),
 		evacuatedAt: make(map[string]time.Time), copyChecks: newCopyChecker(),
 	}
@@ -105,13 +107,17 @@
 	for i := range workers {
 		w.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("d%d", i%domains))
 	}
+	var nodes []*simNode
 	for d := range domains {
 		for i := range entriesPerDomain {
 			n := &simNode{world: w, host: fmt.Sprintf("d%d-%d", d, i), domain: fmt.Sprintf("d%d", d)}
 			w.nodes[n.host] = n
-			n.start()
+			nodes = append(nodes, n)
 		}
 	}
+	for _, n := range nodes {
+		n.start()
+	}
 	return w
 }
 
@@ -167,6 +173,7 @@
 	node.Runner = &simRunner{world: n.world, node: node}
 	node.Peers = &simPeers{world: n.world, node: node}
 	node.Advisor = nil
+	node.OnContactsChange = n.world.noteLinks
 	node.Prepare()
 	n.world.mu.Lock()
 	n.node = node
@@ -281,6 +288,16 @@
 	return from == to || !w.partitioned[from] && !w.partitioned[to]
 }
 
+// noteLinks notifies the running entries that links may have been established.
+func (w *world) noteLinks() {
+	w.mu.Lock()
+	nodes := slices.Collect(maps.Values(w.liveNodes()))
+	w.mu.Unlock()
+	for _, n := range nodes {
+		n.LinkChanged()
+	}
+}
+
 // liveNodes returns the running entry processes by name. The world's mutex is held.
 func (w *world) liveNodes() map[string]*Node {
 	out := make(map[string]*Node)
--- a/server/region.go
+++ b/server/region.go
@@ -65,10 +65,11 @@
 		Self:  proto.Hello{Version: proto.Version, Cell: "region", Entry: boot, Domain: e.Domain},
 		Token: s.Settings.Peers.Token, Log: s.Log, Metrics: s.Metrics,
 	}
+	s.Mesh.Self.Address = cmp.Or(s.Settings.Listen.Announce, s.Settings.Listen.Peers)
 	s.table = platform.NewTable(s.Settings.Platform.Address)
 	s.workerClient = &platform.WorkerClient{}
 	s.Node = &region.Node{
-		Name: boot, Host: e.Name, Domain: e.Domain, Address: cmp.Or(s.Settings.Listen.Announce, s.Settings.Listen.Peers),
+		Name: boot, Host: e.Name, Domain: e.Domain, Address: s.Mesh.Self.Address,
 		Share:  int(1000 * s.Settings.Limits.Processors),
 		Timing: region.Timing{Lease: s.Settings.Timing.Lease, Retention: s.Settings.Timing.Keep},
 		Policy: s.Settings.Planner.Policy(),
@@ -80,7 +81,7 @@
 	s.Mesh.Handler = s.Node.Handle
 	s.Mesh.FirstMessage = s.Node.First
 	s.Mesh.Addresses = s.Node.PeerAddresses
-	s.Node.OnCellChange = s.Mesh.DialSoon
+	s.Node.OnContactsChange = s.Mesh.DialSoon
 	s.Mesh.OnLinkChange = func(hello proto.Hello, up bool) {
 		s.Log.Info("peer connection changed", zap.String("peer", hello.Entry), zap.String("domain", hello.Domain), zap.Bool("up", up))
 		s.Node.LinkChanged()
--- a/trans/peer/dial.go
+++ b/trans/peer/dial.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -10,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"plantainwinch/proto"
+	"plantainwinch/winch"
 )
 
 // DialSoon makes the mesh dial at once the peers that it has no link to, for example because the set of
@@ -41,18 +44,20 @@
 	}
 }
 
-// claim reserves an address for one goroutine and reports whether it was free.
-func (m *Mesh) claim(address string) bool {
+// claim reserves an address for one goroutine that dials it. The returned channel is closed once the attempt
+// has succeeded or failed; fresh reports whether the address was free.
+func (m *Mesh) claim(address string) (attempt chan struct{}, fresh bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.claimed == nil {
-		m.claimed = make(map[string]bool)
+		m.claimed = make(map[string]chan struct{})
 	}
-	if m.claimed[address] {
-		return false
+	if attempt, claimed := m.claimed[address]; claimed {
+		return attempt, false
 	}
-	m.claimed[address] = true
-	return true
+	attempt = make(chan struct{})
+	m.claimed[address] = attempt
+	return attempt, true
 }
 
 func (m *Mesh) unclaim(address string) {
@@ -61,27 +66,113 @@
 	delete(m.claimed, address)
 }
 
+// dialWanted dials the wanted addresses that the mesh has no link to.
+func (m *Mesh) dialWanted(wanted []string) {
+	linked := m.linkedAddresses()
+	for _, address := range wanted {
+		if !linked[address] {
+			m.startDial(address)
+		}
+	}
+}
+
+// startDial starts an attempt to connect to an address, unless there is one or the mesh is stopping, and
+// returns the channel that is closed when the attempt ends.
+func (m *Mesh) startDial(address string) <-chan struct{} {
+	attempt, fresh := m.claim(address)
+	if !fresh {
+		return attempt
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dialers == nil {
+		delete(m.claimed, address)
+		close(attempt)
+		return attempt
+	}
+	ctx := m.dialCtx
+	m.dialers.Go(func() {
+		defer m.unclaim(address)
+		m.connect(ctx, address, attempt)
+	})
+	return attempt
+}
+
 // connect dials an address once and runs the link until it breaks. Run dials it again with its next look
-// at the addresses.
-func (m *Mesh) connect(ctx context.Context, address string) {
+// at the addresses. The channel is closed once the link is established or the attempt has failed.
+func (m *Mesh) connect(ctx context.Context, address string, attempt chan struct{}) {
+	ended := sync.OnceFunc(func() { close(attempt) })
+	defer ended()
 	l, err := m.dial(ctx, address)
 	if err != nil {
 		metrics.GetOrRegisterCounter("Peer.DialFailed", m.Metrics).Inc(1)
 		return
 	}
-	if m.FirstMessage != nil {
-		kind, body := m.FirstMessage(l.hello.Entry)
-		_ = l.enqueue(proto.Frame{Kind: kind, Body: encode(body)})
-	}
+	l.dialled = address
+	m.sendFirst(l)
 	if !m.add(l) {
 		_ = l.conn.CloseNow()
+		ended()
 		sleep(ctx, 10*redialInterval)
 		return
 	}
 	m.OnLinkChange(l.hello, true)
-	l.run(ctx, nil)
-	m.remove(l)
-	m.OnLinkChange(l.hello, false)
+	ended()
+	l.run(ctx, m.dialledHandler(l))
+	if m.remove(l) {
+		m.OnLinkChange(l.hello, false)
+	}
+}
+
+// dialledHandler returns the handler of requests on a link that this entry has dialled. A peer without an
+// address in its hello sends none.
+func (m *Mesh) dialledHandler(l *link) winch.Handler {
+	if !m.twoWay(l) {
+		return nil
+	}
+	return m.Handler
+}
+
+// sendFirst queues the first message of a link.
+func (m *Mesh) sendFirst(l *link) {
+	if m.FirstMessage != nil {
+		kind, body := m.FirstMessage(l.hello.Entry)
+		_ = l.enqueue(proto.Frame{Kind: kind, Body: encode(body)})
+	}
+}
+
+// Connect establishes a link to an entry unless there is one, and returns winch.ErrNoPeer if that fails. The
+// link is closed once it is idle, unless its address is one of Addresses.
+func (m *Mesh) Connect(ctx context.Context, name, address string) error {
+	if m.Linked(name) {
+		return nil
+	}
+	if address == "" {
+		return winch.ErrNoPeer
+	}
+	select {
+	case <-m.startDial(address):
+	case <-ctx.Done():
+	}
+	if !m.Linked(name) {
+		return winch.ErrNoPeer
+	}
+	return nil
+}
+
+// closeIdle closes the links that this entry has dialled and that are neither wanted nor used. It does so
+// only in a mesh with two-way links; in others all links are wanted.
+func (m *Mesh) closeIdle(wanted []string) {
+	if m.Self.Address == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.dialled != "" && !slices.Contains(wanted, l.dialled) && time.Since(l.lastUsed()) > idleTimeout {
+			_ = l.conn.CloseNow()
+		}
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -126,9 +217,11 @@
 		_ = conn.Close(websocket.StatusPolicyViolation, "version or cell differs")
 		return nil, merry.Errorf("peer %s has protocol version %d and belongs to cell %s", hello.Entry, hello.Version, hello.Cell)
 	}
-	return &link{
-		hello: hello, conn: conn, mesh: m,
+	l := &link{
+		hello: hello, conn: conn, mesh: m, since: time.Now(),
 		queue: make(chan *proto.Frame, sendQueueSize), waiting: make(map[uint64]chan proto.Frame), closed: make(chan struct{}),
 		pingRequested: make(chan struct{}, 1),
-	}, nil
+	}
+	l.touch()
+	return l, nil
 }
--- a/trans/peer/link.go
+++ b/trans/peer/link.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/rcrowley/go-metrics"
@@ -24,8 +26,17 @@
 	waiting       map[uint64]chan proto.Frame
 	closed        chan struct{}
 	pingRequested chan struct{} // pingRequested makes pingLoop check the link.
+	dialled       string        // dialled is the address that this entry dialled; "" if the peer dialled.
+	since         time.Time     // since is when the link was established.
+	used          atomic.Int64  // used is when the last frame was sent or received, in Unix nanoseconds.
 }
 
+// touch records that the link is being used.
+func (l *link) touch() { l.used.Store(time.Now().UnixNano()) }
+
+// lastUsed returns when the last frame was sent or received.
+func (l *link) lastUsed() time.Time { return time.Unix(0, l.used.Load()) }
+
 // run reads and writes frames until the link breaks. With a handler it serves the
 // peer's requests; without one it only delivers responses to this entry's requests.
 func (l *link) run(ctx context.Context, handler winch.Handler) {
@@ -119,6 +130,7 @@
 		if err != nil || l.mesh.isBlocked(l.hello.Entry) {
 			return
 		}
+		l.touch()
 		for _, f := range frames {
 			switch {
 			case f.Reply:
@@ -173,6 +185,7 @@
 }
 
 func (l *link) enqueue(f proto.Frame) error {
+	l.touch()
 	select {
 	case l.queue <- &f:
 		return nil
--- a/trans/peer/peer.go
+++ b/trans/peer/peer.go
@@ -1,6 +1,6 @@
-// Package peer maintains the links between entries. Each pair of entries has one
-// WebSocket in each direction, which carries CBOR frames. An entry sends requests on
-// the links that it dialled and responses on those that it accepted.
+// Package peer maintains the links between entries. A link is a WebSocket that carries CBOR frames.
+// Entries that name their address in the hello send requests on a link in both directions, so that one
+// link serves a pair. Others send requests on the links that they dialled only.
 package peer
 
 import (
@@ -47,6 +47,11 @@
 	maxBatchFrames = 64
 	maxBatchBytes  = 64 << 10
 	helloTimeout   = 2 * time.Second
+	// simultaneousDial is how long after a link was established another one of the same pair counts as
+	// dialled at the same time. A peer that dials later than that has lost the earlier link.
+	simultaneousDial = time.Second
+	// idleTimeout is how long a link that no entry wants to keep may be unused.
+	idleTimeout = 5 * time.Second
 	// pingTimeout limits the response time to a ping, which is sent after a request has
 	// timed out. After a network partition has healed, an old connection resumes only
 	// seconds later or never, while a new connection works immediately. A peer that is
@@ -71,7 +76,12 @@
 	mu      sync.Mutex
 	dialNow chan struct{} // dialNow is closed by DialSoon; nil if nothing waits for that.
 	links   map[string]*link
-	claimed map[string]bool // claimed holds the addresses that a goroutine dials or has a link to.
+	// claimed holds the addresses that a goroutine dials or has a link to. The channels are closed once
+	// the attempt to connect has ended.
+	claimed map[string]chan struct{}
+	// dialers runs the goroutines that dial, with dialCtx; nil while Run is not running.
+	dialers *conc.WaitGroup
+	dialCtx context.Context
 	blocked map[string]bool // blocked holds the peers named by Partition.
 	// accepted holds the links that peers dialled. After stopped is set no more are
 	// accepted.
@@ -81,7 +91,7 @@
 	frames   atomic.Int64
 }
 
-var _ winch.Peers = (*Mesh)(nil)
+var _ winch.Links = (*Mesh)(nil)
 
 // Cost returns the number of frames and bytes sent and received so far.
 func (m *Mesh) Cost() (frames, bytes int64) {
@@ -119,46 +129,105 @@
 	return out
 }
 
-// Run connects to peers until ctx ends.
+// Linked reports whether there is a link to an entry.
+func (m *Mesh) Linked(name string) bool {
+	return m.linkTo(name) != nil
+}
+
+// OneWay returns the peers that have dialled this entry and accept no requests on that link, since they name
+// no address in their hello.
+func (m *Mesh) OneWay() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for l := range m.accepted {
+		if !m.twoWay(l) {
+			out = append(out, l.hello.Entry)
+		}
+	}
+	return out
+}
+
+// twoWay reports whether both entries send requests on a link.
+func (m *Mesh) twoWay(l *link) bool {
+	return m.Self.Address != "" && l.hello.Address != ""
+}
+
+// linkedAddresses returns the addresses of the peers that this entry has links to, as far as they name them.
+func (m *Mesh) linkedAddresses() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]bool, len(m.links))
+	for _, l := range m.links {
+		if m.twoWay(l) {
+			out[l.hello.Address] = true
+		}
+	}
+	return out
+}
+
+// Run connects to the entries at the addresses that Addresses returns, and connects again to those
+// whose links break, until ctx ends.
 func (m *Mesh) Run(ctx context.Context) {
 	var group conc.WaitGroup
-	defer group.Wait()
-	defer m.closeAccepted()
+	m.mu.Lock()
+	m.dialers, m.dialCtx = &group, ctx
+	m.mu.Unlock()
 	for ctx.Err() == nil {
-		for _, address := range m.Addresses() {
-			if m.claim(address) {
-				group.Go(func() {
-					defer m.unclaim(address)
-					m.connect(ctx, address)
-				})
-			}
-		}
+		wanted := m.Addresses()
+		m.dialWanted(wanted)
+		m.closeIdle(wanted)
 		m.pause(ctx)
 	}
+	m.closeAccepted()
+	m.mu.Lock()
+	m.dialers = nil
+	m.mu.Unlock()
+	group.Wait()
 }
 
-// add registers a dialled link. It returns false if there already is a link to the
-// peer, which happens when a peer has two addresses, if the peer is this entry itself,
-// or if links with the peer are blocked.
+// add registers a link for messages to its peer. It reports false if the link must not be used: the peer is
+// partitioned or this entry itself, or another link to it serves.
 func (m *Mesh) add(l *link) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.links == nil {
 		m.links = make(map[string]*link)
 	}
-	if m.links[l.hello.Entry] != nil || l.hello.Entry == m.Self.Entry || m.blocked[l.hello.Entry] {
+	old := m.links[l.hello.Entry]
+	if l.hello.Entry == m.Self.Entry || m.blocked[l.hello.Entry] || old != nil && !m.replaces(l, old) {
 		return false
 	}
+	if old != nil {
+		_ = old.conn.CloseNow()
+	}
 	m.links[l.hello.Entry] = l
 	return true
 }
 
-func (m *Mesh) remove(l *link) {
+// replaces reports whether a new link is to be used instead of an older one to the same peer. If both
+// entries have dialled at the same time, both keep the link that the one with the smaller name dialled.
+func (m *Mesh) replaces(l, old *link) bool {
+	switch {
+	case !m.twoWay(l):
+		return false
+	case (l.dialled == "") == (old.dialled == ""):
+		return l.dialled == ""
+	case l.dialled == "" && time.Since(old.since) > simultaneousDial:
+		return true
+	}
+	return (l.dialled != "") == (m.Self.Entry < l.hello.Entry)
+}
+
+// remove unregisters a link that has broken, and reports whether it was the one to its peer.
+func (m *Mesh) remove(l *link) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.links[l.hello.Entry] == l {
-		delete(m.links, l.hello.Entry)
+	if m.links[l.hello.Entry] != l {
+		return false
 	}
+	delete(m.links, l.hello.Entry)
+	return true
 }
 
 // ServeHTTP accepts a link and runs it until it breaks.
@@ -189,7 +258,20 @@
 		return
 	}
 	defer m.trackAccepted(l, false)
+	if !m.twoWay(l) {
+		l.run(r.Context(), m.Handler)
+		return
+	}
+	m.sendFirst(l)
+	if !m.add(l) {
+		_ = l.conn.CloseNow()
+		return
+	}
+	m.OnLinkChange(l.hello, true)
 	l.run(r.Context(), m.Handler)
+	if m.remove(l) {
+		m.OnLinkChange(l.hello, false)
+	}
 }
 
 // trackAccepted registers an accepted link, or unregisters it if open is false. It
--- a/winch/iface.go
+++ b/winch/iface.go
@@ -142,6 +142,18 @@
 	Names() []string
 }
 
+// Links is implemented by peers that make links on demand.
+type Links interface {
+	Peers
+	// Linked reports whether there is a link to an entry.
+	Linked(name string) bool
+	// Connect establishes a link to an entry unless there is one, and returns ErrNoPeer if that fails. The
+	// link is closed once it is idle.
+	Connect(ctx context.Context, name, address string) error
+	// OneWay returns the entries that have linked to this one and accept no messages on that link.
+	OneWay() []string
+}
+
 // Handler handles messages from other entries. It decodes the body with the given
 // function and returns the response, or nil for a notification.
 type Handler func(ctx context.Context, from string, kind Kind, decode func(into any) error) any
