region: a standby of another failure domain replaces one of the planner's own

Cause: the planner of a fresh term chooses its standby some 90 ms after it has taken the office. With links that entries make once they know of the planner, only the first few are linked by then, and the standby was of the planner's own domain. A strong standby was never replaced.

--- a/region/standby.go
+++ b/region/standby.go
@@ -39,7 +39,7 @@
 	best := l.bestStandby(live, largest)
 	if s := l.standby; s != nil {
 		current, ok := live[s.name]
-		if ok && (strong(current.Share, largest) || best == "" || !strong(live[best].Share, largest)) {
+		if ok && (best == "" || !l.muchBetter(live[best], current, largest)) {
 			return
 		}
 		l.dropStandby()
@@ -52,6 +52,15 @@
 	l.sendQueued()
 }
 
+// muchBetter reports whether an entry is so much better as standby than the current one that it replaces it. The
+// first standby of a term is chosen while most entries have not linked to the planner yet.
+func (l *leadership) muchBetter(best, current member, largest int) bool {
+	if !strong(best.Share, largest) {
+		return false
+	}
+	return !strong(current.Share, largest) || current.Domain == l.node.Domain && best.Domain != l.node.Domain
+}
+
 func (l *leadership) bestStandby(live map[string]member, largest int) string {
 	best := ""
 	better := func(a, b string) bool {
