region: followers' watches wait longer and are renewed when the planner is silent or knows more

The wait was short because a call may be stuck for good.

An entry that hears from the planner now waits for 15 s. It sends its watches again when the planner has been silent for 1.5 s, reports a later term or announces a newer configuration, and without a pause.

--- a/region/cell.go
+++ b/region/cell.go
@@ -342,7 +342,7 @@
 
 // watchMembers follows all records of the cell until ctx ends.
 func (n *Node) watchMembers(ctx context.Context) {
-	n.watch(ctx, prefixCell, watchOptions{wait: maxWatchWait}, func(values []winch.Value, _ uint64) {
+	n.watch(ctx, prefixCell, watchOptions{wait: n.watchWait}, func(values []winch.Value, _ uint64) {
 		n.cell.reset(values)
 		n.cellChanged()
 	}, n.applyCellEvents)
@@ -357,7 +357,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	n.watch(ctx, keyOffice, watchOptions{wait: maxWatchWait}, func(values []winch.Value, _ uint64) {
+	n.watch(ctx, keyOffice, watchOptions{wait: n.watchWait}, func(values []winch.Value, _ uint64) {
 		n.cell.resetOffice(append(term, values...))
 		n.cellChanged()
 	}, n.applyCellEvents)
--- a/region/contacts.go
+++ b/region/contacts.go
@@ -135,10 +135,11 @@
 	return slices.Compact(out)
 }
 
-// runContacts keeps the neighbours up to date until ctx ends. The planner needs none, since all entries link
-// to it.
+// runContacts keeps the neighbours up to date until ctx ends, and notices that the planner is silent. The
+// planner needs no neighbours, since all entries link to it.
 func (n *Node) runContacts(ctx context.Context) {
 	for ; ctx.Err() == nil; duty.Sleep(ctx, contactsInterval) {
+		n.renewStaleWatches()
 		planner := n.cell.holder()
 		if planner == "" || planner == n.Name || !n.Peers.Linked(planner) {
 			continue
--- a/region/contacts_test.go
+++ b/region/contacts_test.go
@@ -120,3 +120,54 @@
 		w.end()
 	})
 }
+
+// Guards against entries that do not learn that the office is free because their calls that wait for changes are
+// stuck: without reports of the planner they must send the calls again.
+func TestEntriesWithStuckWatchesTakeAFreeOffice(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 5)
+		old := w.planner()
+		w.setStore(func(s *simStore) { s.stuckBefore = time.Now() })
+		for _, n := range w.nodes {
+			if n == old || n.node.mirror.active() {
+				n.kill()
+			}
+		}
+		is.True(w.awaitOtherPlanner(old) < officeTTL+2*watchRenewInterval+weakDelay)
+		time.Sleep(watchRenewInterval)
+		planner := w.planner().node
+		for _, n := range w.nodes {
+			if n.node != nil {
+				is.Equal(n.node.cell.holder(), planner.Name) // holder
+			}
+		}
+		w.end()
+	})
+}
+
+// Guards against a planner whose link is full after a change of the configuration that the store did not report:
+// all entries learned of it from the planner and fetched their copies there. They must read the store first.
+func TestUnreportedConfigurationIsReadFromTheStore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 10)
+		w.setStore(func(s *simStore) {
+			s.stuckBefore = time.Now()
+			s.put("op/config", mustJSON(simConfig(2)), 0)
+		})
+		w.mu.Lock()
+		before := w.configCopies
+		w.mu.Unlock()
+		time.Sleep(maxWatchWait + waitingInterval + time.Second)
+		for _, n := range w.nodes {
+			is.Equal(n.node.Config().Version, uint64(2)) // version
+		}
+		w.mu.Lock()
+		is.True(w.configCopies-before <= 2)
+		w.mu.Unlock()
+		w.end()
+	})
+}
--- a/region/node.go
+++ b/region/node.go
@@ -59,6 +59,9 @@
 	// maxWatchWait is how long one call of a watch waits for changes. Its connection may become
 	// unresponsive for good; the next call then opens another.
 	maxWatchWait = 3 * time.Second
+	// followerWatchWait is maxWatchWait of an entry that hears from the planner. It sends its watches again
+	// as soon as the planner is silent or knows more.
+	followerWatchWait = 15 * time.Second
 	// retryDelay is the pause after a failed call.
 	retryDelay = 150 * time.Millisecond
 )
@@ -97,12 +100,14 @@
 	leadership  atomic.Pointer[leadership]
 	waiting     atomic.Pointer[waitingView]
 	health      storeHealth
-	storeBack   broadcast // storeBack is sent when the store answers again.
-	storeLost   broadcast // storeLost is sent when the store has become unresponsive.
-	started     time.Time
-	yielded     atomic.Pointer[time.Time] // yielded is when this entry last yielded the office to a stronger one.
-	stopping    atomic.Bool               // stopping is set when Stop begins.
-	leaving     atomic.Bool               // leaving is set once the office has been handed over.
+	// abandonWatches is sent when calls that wait for changes of the store are to be sent again.
+	abandonWatches broadcast
+	watchesRenewed atomic.Pointer[time.Time]
+	storeLost      broadcast // storeLost is sent when the store has become unresponsive.
+	started        time.Time
+	yielded        atomic.Pointer[time.Time] // yielded is when this entry last yielded the office to a stronger one.
+	stopping       atomic.Bool               // stopping is set when Stop begins.
+	leaving        atomic.Bool               // leaving is set once the office has been handed over.
 	// candidate is set while this entry takes or holds the office; candidateChanged is sent when it changes.
 	candidate        atomic.Bool
 	candidateChanged broadcast
@@ -136,7 +141,7 @@
 	wasResponsive := n.storeResponsive()
 	n.health.answered(time.Now())
 	if !wasResponsive {
-		n.storeBack.send()
+		n.abandonWatches.send()
 	}
 }
 
--- a/region/office.go
+++ b/region/office.go
@@ -206,6 +206,9 @@
 func (n *Node) setCandidate(on bool) {
 	n.candidate.Store(on)
 	n.candidateChanged.send()
+	if on {
+		n.abandonWatches.send() // They were sent by a follower.
+	}
 }
 
 // learnMembers reads the cell's records unless this entry follows all of them, and reports whether it may
--- a/region/serve.go
+++ b/region/serve.go
@@ -239,6 +239,9 @@
 		return
 	}
 	n.waiting.Store(&waitingView{term: m.Term, queues: m.Queues, at: time.Now()})
+	if m.Term > n.cell.currentTerm().Term {
+		n.renewWatches()
+	}
 	if n.contacts.setStandby(m.Standby) {
 		n.contactsChanged()
 	}
--- a/region/settings.go
+++ b/region/settings.go
@@ -18,6 +18,9 @@
 	// store to send it. The store notifies all entries within a few milliseconds, and copies
 	// from peers to each of them would saturate the links of small VMs.
 	peerFetchDelay = 150 * time.Millisecond
+	// maxNeighbourFetches is how many random peers are asked before the one that announced the version,
+	// which is mostly the planner: all entries learn of it from the planner at the same time.
+	maxNeighbourFetches = 2
 	// peerPollInterval is how often an entry that the store does not answer asks a peer for a
 	// newer configuration. A withdrawn key has to stop working there within two seconds, too.
 	peerPollInterval = 300 * time.Millisecond
@@ -49,7 +52,7 @@
 // domains, until ctx ends.
 func (s *settings) run(ctx context.Context) {
 	codec := s.node.Codec
-	options := watchOptions{wait: maxWatchWait, onResponse: func(ok bool) { s.watchFailed.Store(!ok) }}
+	options := watchOptions{wait: s.node.watchWait, onResponse: func(ok bool) { s.watchFailed.Store(!ok) }}
 	s.node.watch(ctx, codec.OperatorPrefix(), options, func(values []winch.Value, asOf uint64) {
 		s.node.applyEvacuations(readEvacuations(codec.EvacuationPrefix(), values, asOf), "store")
 		for _, v := range values {
@@ -80,8 +83,7 @@
 		case <-ctx.Done():
 			return
 		case name := <-s.newerPeer:
-			s.waitForStore(ctx)
-			s.fetch(ctx, name)
+			s.fetchNewer(ctx, name)
 		case <-ticker.C:
 			if names := s.node.Peers.Names(); s.needsPeers() && len(names) > 0 {
 				s.fetch(ctx, names[rand.IntN(len(names))])
@@ -90,6 +92,22 @@
 	}
 }
 
+// fetchNewer gets the newer configuration that a peer has announced: from the store if it answers, whose
+// notification may have been lost, else from a peer.
+func (s *settings) fetchNewer(ctx context.Context, announcer string) {
+	before := s.version()
+	s.node.renewWatches()
+	s.waitForStore(ctx)
+	names := s.node.Peers.Names()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range append(names[:min(len(names), maxNeighbourFetches)], announcer) {
+		if s.version() > before {
+			return
+		}
+		s.fetch(ctx, name)
+	}
+}
+
 // waitForStore gives the store time to send the configuration, unless the entry has none yet.
 func (s *settings) waitForStore(ctx context.Context) {
 	if s.config.Load() == nil {
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -22,7 +22,9 @@
 	down           bool // down makes all calls time out without being carried out.
 	losesResponses bool // losesResponses drops the responses to half of the transactions.
 	calls          int  // calls counts the calls that were carried out.
-	cellEvents     int  // cellEvents counts the changes of the cell's records that watches returned.
+	// stuckBefore makes watch calls that began before it return no changes.
+	stuckBefore time.Time
+	cellEvents  int // cellEvents counts the changes of the cell's records that watches returned.
 	// extraDelay is added to the duration of each call.
 	extraDelay time.Duration
 	// hangs makes calls that fail time out as late as those of a real client, not after a second.
@@ -117,6 +119,11 @@
 // call runs f, with the store's mutex held, if the entry can reach the store. If not, the call times
 // out.
 func (t *simTable) call(ctx context.Context, f func()) error {
+	return t.callWithWait(ctx, maxWatchWait, f)
+}
+
+// callWithWait is call for a call that the store may keep open for wait.
+func (t *simTable) callWithWait(ctx context.Context, wait time.Duration, f func()) error {
 	w := t.store.world
 	t.store.mu.Lock()
 	delay := 2*time.Millisecond + t.store.extraDelay/2
@@ -146,7 +153,7 @@
 	}
 	timeout := time.Second
 	if t.store.hangs {
-		timeout = maxWatchWait + 1500*time.Millisecond
+		timeout = wait + 1500*time.Millisecond
 	}
 	t.store.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -174,12 +181,12 @@
 	begin := time.Now()
 	for {
 		compacted := false
-		err = t.call(ctx, func() {
+		err = t.callWithWait(ctx, max(wait, maxWatchWait), func() {
 			if compacted = after < t.store.compactedAt; compacted {
 				return
 			}
 			next = t.store.revision
-			if t.store.silentWatches {
+			if t.store.silentWatches || begin.Before(t.store.stuckBefore) {
 				next = after
 				return
 			}
--- a/region/watch.go
+++ b/region/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"plantainwinch/duty"
@@ -14,10 +15,18 @@
 // fullBatch is the number of changes in one response of the store that suggests that more are pending.
 const fullBatch = 100
 
+// watchRenewInterval is the minimum time between two renewals of an entry's watches: three reports of the
+// planner.
+const watchRenewInterval = 3 * waitingInterval
+
+// errAbandoned says that a call that waits for changes was abandoned, to be sent again at once.
+var errAbandoned = merry.New("call abandoned")
+
 // watchOptions says how changes are watched. Either each call waits for a change, or calls
 // are separated by a delay and return all changes since the last one.
 type watchOptions struct {
-	wait  time.Duration // wait is how long one call waits for a change.
+	// wait returns how long one call waits for a change; nil means that it does not wait.
+	wait  func() time.Duration
 	delay time.Duration // delay is the pause between calls.
 	// after is the revision after which changes are watched. If it is zero, all values are read first.
 	after uint64
@@ -28,6 +37,14 @@
 	onSuccess func(at time.Time)
 }
 
+// maxWait returns how long the next call waits for a change.
+func (o watchOptions) maxWait() time.Duration {
+	if o.wait == nil {
+		return 0
+	}
+	return o.wait()
+}
+
 func (o watchOptions) notify(sent time.Time, ok bool) {
 	if o.onResponse != nil {
 		o.onResponse(ok)
@@ -57,11 +74,12 @@
 			after = asOf
 			options.notify(sent, true)
 		}
-		events, next, err := n.watchOnce(ctx, prefix, after, options.wait)
+		events, next, err := n.watchOnce(ctx, prefix, after, options.maxWait())
 		switch {
 		case errors.Is(err, winch.ErrCompacted):
 			n.Log.Info("store has compacted the change history; reading all records again", zap.String("prefix", prefix), zap.Uint64("after", after))
 			after = 0
+		case errors.Is(err, errAbandoned):
 		case err != nil:
 			options.notify(sent, false)
 			duty.Sleep(ctx, retryDelay)
@@ -78,12 +96,42 @@
 	}
 }
 
+// watchWait returns how long a call of a watch that is always open waits for a change. The planner and its
+// standby have nobody who tells them that such a call is stuck.
+func (n *Node) watchWait() time.Duration {
+	if n.needsMembers() {
+		return maxWatchWait
+	}
+	return followerWatchWait
+}
+
+// renewWatches has all calls that wait for changes abandoned and sent again, at most once per
+// watchRenewInterval.
+func (n *Node) renewWatches() {
+	now := time.Now()
+	if last := n.watchesRenewed.Load(); last != nil && now.Sub(*last) < watchRenewInterval {
+		return
+	}
+	n.watchesRenewed.Store(&now)
+	n.abandonWatches.send()
+}
+
+// renewStaleWatches renews the watches if the planner has been silent, as their calls may be stuck.
+func (n *Node) renewStaleWatches() {
+	if v := n.waiting.Load(); v == nil || time.Since(v.at) > watchRenewInterval {
+		n.renewWatches()
+	}
+}
+
 // watchOnce makes one call that waits for changes. The call is abandoned when the store
-// answers again after an outage: a call sent into the outage may never be answered, and the
-// changes that it waits for would be seen seconds late.
+// answers again after an outage, and by renewWatches: a call sent into the outage may never be answered,
+// and the changes that it waits for would be seen seconds late.
 func (n *Node) watchOnce(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []winch.Event, next uint64, err error) {
-	duty.RunUntil(ctx, n.storeBack.wait(), func(ctx context.Context) {
+	abandoned := duty.RunUntil(ctx, n.abandonWatches.wait(), func(ctx context.Context) {
 		events, next, err = n.Table.Watch(ctx, prefix, after, wait)
 	})
+	if err != nil && abandoned {
+		err = errAbandoned
+	}
 	return events, next, err
 }
