region: callers of the overload test wait as long as callers do

The trace shows callers that wait for ever: the test submitted without a deadline, the submission was passed to another entry, that entry was killed, and the simulated link never reports a request to a killed entry as lost before the caller's deadline. Callers state a deadline with each submission, so the test's callers have one, too (3 s). No check is changed: a submission without an answer counts as one that may have been stored.

--- a/region/forward_test.go
+++ b/region/forward_test.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -11,9 +12,14 @@
 	"plantainwinch/winch"
 )
 
+// callerDeadline is how long a caller waits for the answer to a submission.
+const callerDeadline = 3 * time.Second
+
 // submitTo submits a job to one entry.
 func (w *world) submitTo(n *Node, id string) winch.Result {
-	return n.Submit(w.ctx, &winch.PhasedJob{
+	ctx, cancel := context.WithTimeout(w.ctx, callerDeadline)
+	defer cancel()
+	return n.Submit(ctx, &winch.PhasedJob{
 		ID: id, Queue: "preview", Team: "choir", Command: "work", Accepted: time.Now(), Phases: []winch.Phase{simPhase(2)},
 	})
 }
