region: the roster is stored in parts, one for each failure domain

Cause: the roster was one value with a row for each worker. Encoded, 6,000 workers take 434 kB without earlier keepers, 537 kB with one each and 747 kB with three; 10,000 workers with three take 1.25 MB, more than a value of the store may hold. A planner that cannot write its roster starts nothing. Each change of one keeper wrote all rows.

A part holds the workers of one failure domain; a change writes the parts that differ, or whose content in the store is not certain.

--- a/region/expiry.go
+++ b/region/expiry.go
@@ -33,6 +33,8 @@
 	keeper     string
 	// address is the keeper's address as recorded in the roster.
 	address string
+	// revision is that of the roster's record that names the keeper.
+	revision uint64
 	// expiry is when the leases under the assignment are guaranteed to have expired.
 	expiry time.Time
 }
@@ -102,15 +104,20 @@
 }
 
 // endKeepers applies the ends of keepers' processes, and returns the workers whose leases expire earlier than was
-// known. It asks once for each keeper, since a keeper has many workers.
+// known. It asks once for each keeper and record that names it, since a keeper has many workers.
 func (s *leaseExpiries) endKeepers(endingOf func(assignment) keeperEnding) (shortened []string) {
-	endings := make(map[string]keeperEnding)
+	type recordedKeeper struct {
+		name     string
+		revision uint64
+	}
+	endings := make(map[recordedKeeper]keeperEnding)
 	for id, list := range s.earlier {
 		for _, a := range list {
-			ending, known := endings[a.keeper]
+			recorded := recordedKeeper{a.keeper, a.revision}
+			ending, known := endings[recorded]
 			if !known {
 				ending = endingOf(a)
-				endings[a.keeper] = ending
+				endings[recorded] = ending
 			}
 			if ending.ended && s.endKeeper(id, a.keeper, ending.at.Add(keep.ExpiryBound(maxLease))) {
 				shortened = append(shortened, id)
@@ -199,7 +206,7 @@
 		}
 		if l.copiedExpiries[id] == nil {
 			for _, k := range append([]earlierKeeper{{w.Keeper, w.Address, w.Generation}}, w.Earlier...) {
-				l.expiries.add(id, assignment{generation: k.Generation, keeper: k.Keeper, address: k.Address, expiry: expiry})
+				l.expiries.add(id, assignment{generation: k.Generation, keeper: k.Keeper, address: k.Address, revision: w.Revision, expiry: expiry})
 			}
 		}
 		l.expiries.earlier[id] = append(l.expiries.earlier[id], l.copiedExpiries[id]...)
@@ -239,7 +246,7 @@
 	case a.address == l.node.Address:
 		l.node.cell.noteEarlierBoot(a.keeper, l.node.started)
 	default:
-		l.node.cell.noteSuccessor(a.keeper, a.address, l.loadedRosterRevision)
+		l.node.cell.noteSuccessor(a.keeper, a.address, a.revision)
 	}
 }
 
--- a/region/keys.go
+++ b/region/keys.go
@@ -116,6 +116,8 @@
 	// Bound, if not zero, is a term from whose beginning on nobody can have renewed a lease at
 	// the worker or started work there.
 	Bound uint64
+	// Revision is that of the stored record that the worker was read from; zero if it was not.
+	Revision uint64
 }
 
 // earlierKeeper is an earlier keeper of a worker, with the generation of its assignment.
@@ -124,8 +126,8 @@
 	Generation      uint64
 }
 
-// roster is the stored form of the rostered workers. It is compact because thousands of them
-// have to fit into one value, which each change writes as a whole. Of a worker's VM it holds
+// roster is the stored form of the rostered workers of one failure domain. It is compact because
+// thousands of them have to fit into one value, which each change writes as a whole. Of a worker's VM it holds
 // only what is needed to reach it.
 type roster struct {
 	Keepers   []string
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -102,9 +102,7 @@
 	roster         map[string]rosteredWorker
 	previousRoster map[string]rosteredWorker // previousRoster is the roster of the earlier planner.
 	maybeSettled   map[string]bool           // maybeSettled holds the workers that the stored roster may list as settled.
-	// rosterRevision is the revision of the roster's record, loadedRosterRevision that of the record
-	// read at the start of the term.
-	rosterRevision, loadedRosterRevision uint64
+	rosterStore    rosterStore               // rosterStore is guarded by rosterLock once the term has begun.
 	// pendingRenewals holds, by worker, orders to allow renewal that wait until the stored roster is known
 	// to hold no bound for the worker.
 	pendingRenewals map[string]proto.Order
@@ -173,7 +171,7 @@
 	reassignTime    time.Duration // reassignTime is how long the last computation took.
 
 	// rosterLock is a mutex of capacity one, held by whoever writes the roster; it guards
-	// rosterRevision.
+	// rosterStore.
 	rosterLock chan struct{}
 
 	urgentSave chan struct{}
@@ -198,7 +196,7 @@
 		urgentSave: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
 		standbyCh: make(chan struct{}, 1), admissionCh: make(chan struct{}, 1), standbyBackoff: make(map[string]time.Time), expiries: newLeaseExpiries(),
 		standbyExpiries: make(map[string]bool), askedKeepers: make(map[string]bool),
-		rosterLock: make(chan struct{}, 1), group: conc.NewWaitGroup(), startedAt: time.Now(),
+		rosterStore: newRosterStore(), rosterLock: make(chan struct{}, 1), group: conc.NewWaitGroup(), startedAt: time.Now(),
 	}
 	v := newValidity(until)
 	l.validity.Store(&v)
--- a/region/record.go
+++ b/region/record.go
@@ -223,9 +223,9 @@
 			return
 		case <-l.rosterCh:
 		}
-		var wanted map[string]rosteredWorker
+		var wanted, recorded map[string]rosteredWorker
 		if l.duty.Do(ctx, func() {
-			wanted = maps.Clone(l.desired)
+			wanted, recorded = maps.Clone(l.desired), l.roster
 			for id, w := range wanted {
 				if w.Bound != 0 && l.planner.RunsKnown(id) {
 					w.Bound = 0 // The worker has responded since.
@@ -242,7 +242,7 @@
 		}) != nil {
 			return
 		}
-		if err := l.writeRoster(ctx, wanted); err != nil {
+		if err := l.writeRoster(ctx, wanted, recorded); err != nil {
 			l.node.Log.Info("roster not written; retrying", zap.Error(err))
 			duty.Sleep(ctx, retryDelay)
 			duty.Signal(l.rosterCh)
@@ -266,29 +266,6 @@
 	}
 }
 
-// writeRoster writes the roster, on condition that this planner still holds the office and that
-// the stored roster is the one last seen.
-func (l *leadership) writeRoster(ctx context.Context, workers map[string]rosteredWorker) error {
-	select {
-	case l.rosterLock <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { <-l.rosterLock }()
-	revision, err := l.node.Table.Commit(ctx, winch.Txn{
-		Expect: map[string]uint64{keyOffice: l.revision, keyRoster: l.rosterRevision},
-		Writes: []winch.Write{{Key: keyRoster, Data: encode(newRoster(workers))}},
-	})
-	var conflict *winch.ConflictError
-	if errors.As(err, &conflict) {
-		l.rosterRevision = conflict.Current[keyRoster].Version
-	}
-	if err == nil {
-		l.rosterRevision = revision
-	}
-	return err
-}
-
 // recordRuns records in the roster all that may run at each worker, once nothing more is
 // started, so that the next planner need not wait for a worker that does not respond. Of an
 // unresponsive worker the runs are not known, but the time at which its lease expires is: no
@@ -307,7 +284,7 @@
 	}) != nil || len(workers) == 0 {
 		return
 	}
-	if err := l.writeRoster(ctx, workers); err != nil {
+	if err := l.writeRoster(ctx, workers, nil); err != nil {
 		l.node.Log.Info("recording runs for the next planner failed", zap.Error(err))
 	}
 }
--- a/region/staleinfo_test.go
+++ b/region/staleinfo_test.go
@@ -162,13 +162,15 @@
 func (w *world) rosterKeeper(worker string) string {
 	w.store.mu.Lock()
 	defer w.store.mu.Unlock()
-	var r roster
-	if decode(w.store.items[keyRoster].Data, &r) != nil {
-		return ""
-	}
-	for _, x := range r.list() {
-		if x.VM.ID == worker {
-			return x.Keeper
+	for key, v := range w.store.items {
+		var r roster
+		if !strings.HasPrefix(key, keyRoster) || decode(v.Data, &r) != nil {
+			continue
+		}
+		for _, x := range r.list() {
+			if x.VM.ID == worker {
+				return x.Keeper
+			}
 		}
 	}
 	return ""
@@ -441,7 +443,7 @@
 			}
 			w.store.mu.Lock()
 			w.store.commitOutcome = func(txn winch.Txn) (applied, responded bool) {
-				ok := !slices.ContainsFunc(txn.Writes, func(x winch.Write) bool { return x.Key == keyRoster })
+				ok := !slices.ContainsFunc(txn.Writes, func(x winch.Write) bool { return strings.HasPrefix(x.Key, keyRoster) })
 				return ok, ok
 			}
 			w.store.mu.Unlock()
--- a/region/takeover.go
+++ b/region/takeover.go
@@ -53,7 +53,7 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
-	for _, v := range rosters {
+	for _, v := range l.rosterStore.note(rosters) {
 		if err := l.loadRoster(v); err != nil {
 			return err
 		}
@@ -68,7 +68,7 @@
 	return nil
 }
 
-// loadRoster applies the roster that the earlier planner left.
+// loadRoster applies a part of the roster that the earlier planner left.
 func (l *leadership) loadRoster(v winch.Value) error {
 	var r roster
 	if err := decode(v.Data, &r); err != nil {
@@ -76,6 +76,7 @@
 	}
 	var ids []string
 	for _, w := range r.list() {
+		w.Revision = v.Version
 		l.previousRoster[w.VM.ID] = w
 		l.roster[w.VM.ID] = w
 		l.desired[w.VM.ID] = rosteredWorker{
@@ -91,7 +92,6 @@
 		ids = append(ids, w.VM.ID)
 	}
 	l.planner.SetRoster(ids)
-	l.rosterRevision, l.loadedRosterRevision = v.Version, v.Version
 	if left, all := l.handedOverLeft(); all {
 		l.planner.Barrier = l.startedAt.Add(left)
 	}
