region: the test of the state at a job's end looks at the planner before it asks

It asked for the state, and compared the response with what the planner knew after the response had travelled for a millisecond: a task that ended in between made a correct response wrong. It now looks first: a request made after the end must get the final state.

--- a/region/jobs_test.go
+++ b/region/jobs_test.go
@@ -21,6 +21,9 @@
 		w.submit(id, simPhase(1))
 		entry := w.nodes["d0-0"].node
 		for w.ctx.Err() == nil {
+			l := w.planner().node.leadership.Load()
+			ended := false
+			_ = l.duty.Do(w.ctx, func() { ended = l.planner.HasUnsaved() || l.planner.Counts().Done+l.planner.Counts().Failed > 0 })
 			begin := time.Now()
 			state, result := entry.State(w.ctx, id)
 			is.True(result.OK())
@@ -28,9 +31,6 @@
 			if state.Final() {
 				break
 			}
-			l := w.planner().node.leadership.Load()
-			ended := false
-			_ = l.duty.Do(w.ctx, func() { ended = l.planner.HasUnsaved() || l.planner.Counts().Done+l.planner.Counts().Failed > 0 })
 			is.True(!ended) // A request after the end gets the final state.
 			time.Sleep(time.Millisecond)
 		}
