--- a/region/cell.go
+++ b/region/cell.go
@@ -2,17 +2,12 @@
 
 import (
 	"cmp"
-	"context"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-	"go.uber.org/zap"
-
-	"plantainwinch/duty"
 	"plantainwinch/winch"
 )
 
@@ -308,83 +303,6 @@
 	return out
 }
 
-// needsMembers reports whether this entry has to know all entries: it is the planner or its standby, or is
-// about to take the office.
-func (n *Node) needsMembers() bool {
-	return n.candidate.Load() || n.mirror.active()
-}
-
-// watchCell follows the cell's records until ctx ends: all of them for as long as this entry needs to know all
-// entries, otherwise the office.
-func (n *Node) watchCell(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := n.candidateChanged.wait()
-		all := n.needsMembers()
-		duty.RunUntil(ctx, changed, func(ctx context.Context) {
-			ctx, cancel := context.WithCancel(ctx)
-			defer cancel()
-			var group conc.WaitGroup
-			defer group.Wait()
-			group.Go(func() {
-				defer cancel()
-				for ctx.Err() == nil && n.needsMembers() == all {
-					duty.Sleep(ctx, prefetchCheckInterval)
-				}
-			})
-			if all {
-				n.watchMembers(ctx)
-			} else {
-				n.watchOffice(ctx)
-			}
-		})
-	}
-}
-
-// watchMembers follows all records of the cell until ctx ends.
-func (n *Node) watchMembers(ctx context.Context) {
-	n.watch(ctx, prefixCell, watchOptions{wait: n.watchWait}, func(values []winch.Value, _ uint64) {
-		n.cell.reset(values)
-		n.cellChanged()
-	}, n.applyCellEvents)
-}
-
-// watchOffice follows the office until ctx ends.
-func (n *Node) watchOffice(ctx context.Context) {
-	term, _, err := n.Table.Read(ctx, keyTerm)
-	for ; err != nil && ctx.Err() == nil; term, _, err = n.Table.Read(ctx, keyTerm) {
-		duty.Sleep(ctx, retryDelay)
-	}
-	if ctx.Err() != nil {
-		return
-	}
-	n.watch(ctx, keyOffice, watchOptions{wait: n.watchWait}, func(values []winch.Value, _ uint64) {
-		n.cell.resetOffice(append(term, values...))
-		n.cellChanged()
-	}, n.applyCellEvents)
-}
-
-func (n *Node) applyCellEvents(events []winch.Event, _ uint64) {
-	for _, e := range events {
-		n.cell.apply(e)
-	}
-	n.cellChanged()
-}
-
-func (n *Node) cellChanged() {
-	n.wakeOffice()
-	n.contactsChanged()
-	l := n.leadership.Load()
-	if l == nil {
-		return
-	}
-	if n.cell.replaced(l.revision) {
-		n.Log.Info("another planner holds the office; ending this term", zap.Uint64("term", l.term))
-		l.cancel()
-		return
-	}
-	l.post(l.reassignSoon)
-}
-
 // replaced reports whether the office was taken after the given revision, at which it was taken last as
 // far as the caller knows.
 func (c *cellView) replaced(revision uint64) bool {
