region: entries of small failure domains rarely ask for neighbours

Cause: an entry whose failure domain has fewer than three entries asked the planner for neighbours twice a second for ever, and the planner goes over the entries for each request: in a region of many small domains that grows with the square of the entries. After a request without result it now waits for 10 s. 5 domains of two entries: at most three requests an entry in 30 s (tested), 60 before.

--- a/region/contacts.go
+++ b/region/contacts.go
@@ -18,6 +18,9 @@
 	insideNeighbours, outsideNeighbours = 2, 3
 	// contactsInterval is how often an entry looks for missing neighbours.
 	contactsInterval = 500 * time.Millisecond
+	// vainRequestDelay is the pause after a request for neighbours that the planner could not name any for, as in
+	// a failure domain with few entries.
+	vainRequestDelay = 10 * time.Second
 	// neighbourTimeout is how long a neighbour may be without a link before another one replaces it.
 	neighbourTimeout = 3 * time.Second
 	// maxOriginAddresses bounds the addresses that a keeper remembers of entries that accepted jobs.
@@ -138,27 +141,31 @@
 // runContacts keeps the neighbours up to date until ctx ends, and notices that the planner is silent. The
 // planner needs no neighbours, since all entries link to it.
 func (n *Node) runContacts(ctx context.Context) {
+	var vainAt time.Time
 	for ; ctx.Err() == nil; duty.Sleep(ctx, contactsInterval) {
 		n.renewStaleWatches()
 		planner := n.cell.holder()
 		if planner == "" || planner == n.Name || !n.Peers.Linked(planner) {
 			continue
 		}
-		if request, missing := n.contacts.request(n.Domain, n.Peers.Names()); missing {
-			n.requestPeers(ctx, planner, request)
+		request, missing := n.contacts.request(n.Domain, n.Peers.Names())
+		if missing && time.Since(vainAt) > vainRequestDelay && !n.requestPeers(ctx, planner, request) {
+			vainAt = time.Now()
 		}
 	}
 }
 
-// requestPeers asks the planner for neighbours.
-func (n *Node) requestPeers(ctx context.Context, planner string, request proto.PeersRequest) {
+// requestPeers asks the planner for neighbours, and reports whether it has named some or has not answered.
+func (n *Node) requestPeers(ctx context.Context, planner string, request proto.PeersRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
 	var response proto.PeersResponse
-	if n.Peers.Request(ctx, planner, proto.KindPeers, request, &response) == nil && len(response.Peers) > 0 {
-		n.contacts.add(response.Peers)
-		n.contactsChanged()
+	if n.Peers.Request(ctx, planner, proto.KindPeers, request, &response) != nil {
+		return true
 	}
+	n.contacts.add(response.Peers)
+	n.contactsChanged()
+	return len(response.Peers) > 0
 }
 
 // peersResponse names entries that are linked to this one.
--- a/region/contacts_test.go
+++ b/region/contacts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
 
@@ -171,3 +172,25 @@
 		w.end()
 	})
 }
+
+// Guards against requests for neighbours without end in failure domains that have too few entries: the planner of a
+// region of many small domains would be asked twice a second by each entry.
+func TestEntriesOfSmallDomainsRarelyAskForNeighbours(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 5)
+		asked := 0
+		w.setRequestLoss(func(_, _ string, kind winch.Kind) bool {
+			if kind == proto.KindPeers {
+				asked++
+			}
+			return false
+		})
+		time.Sleep(3 * vainRequestDelay)
+		w.mu.Lock()
+		is.True(asked <= 3*len(w.nodes))
+		w.mu.Unlock()
+		w.end()
+	})
+}
