region: when an entry last heard of the configuration, and who has a newer one

The logs of a late configuration do not tell whether the entry's call for changes was stuck or whether nobody told it. A line for each call that was not answered, one for each announcement of a newer version with the age of the last answer, and gauges of version and age. No decision changes.

--- a/region/node.go
+++ b/region/node.go
@@ -133,6 +133,7 @@
 	n.accept.prepare(n)
 	n.admission.prepare()
 	n.settings.prepare(n)
+	n.settings.registerGauges(n.Metrics)
 	n.Table = observedTable{n.Table, &n.health}
 }
 
--- a/region/settings.go
+++ b/region/settings.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"plantainwinch/proto"
@@ -41,6 +42,8 @@
 	newerPeer chan string
 	// watchFailed says that the store did not answer the last call of the watch.
 	watchFailed atomic.Bool
+	// watchedAt is when the last answered call of the watch was sent.
+	watchedAt atomic.Pointer[time.Time]
 }
 
 func (s *settings) prepare(n *Node) {
@@ -48,11 +51,28 @@
 	s.newerPeer = make(chan string, 1)
 }
 
+// registerGauges registers the metrics of the configuration.
+func (s *settings) registerGauges(registry metrics.Registry) {
+	_ = registry.Register("Settings.Version", metrics.NewFunctionalGauge(func() int64 { return int64(s.version()) }))
+	_ = registry.Register("Settings.WatchAgeMillis", metrics.NewFunctionalGauge(func() int64 { return s.watchAge().Milliseconds() }))
+}
+
+// watchAge returns how long ago the last answered call of the watch was sent; zero if none was answered yet.
+func (s *settings) watchAge() time.Duration {
+	if at := s.watchedAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return 0
+}
+
 // run watches what the operator writes into the store, the configuration and the evacuated failure
 // domains, until ctx ends.
 func (s *settings) run(ctx context.Context) {
 	codec := s.node.Codec
-	options := watchOptions{wait: s.node.watchWait, onResponse: func(ok bool) { s.watchFailed.Store(!ok) }}
+	options := watchOptions{
+		wait: s.node.watchWait, onResponse: func(ok bool) { s.watchFailed.Store(!ok) },
+		onSuccess: func(at time.Time) { s.watchedAt.Store(&at) },
+	}
 	s.node.watch(ctx, codec.OperatorPrefix(), options, func(values []winch.Value, asOf uint64) {
 		s.node.applyEvacuations(readEvacuations(codec.EvacuationPrefix(), values, asOf), "store")
 		for _, v := range values {
@@ -142,9 +162,12 @@
 
 // noteVersion records which version a peer has.
 func (s *settings) noteVersion(name string, version uint64) {
-	if version <= s.version() {
+	have := s.version()
+	if version <= have {
 		return
 	}
+	s.node.Log.Info("newer configuration announced", zap.String("from", name), zap.Uint64("version", version),
+		zap.Uint64("have", have), zap.Duration("watchAge", s.watchAge()))
 	select {
 	case s.newerPeer <- name:
 	default: // Another peer with a newer version is about to be asked.
--- a/region/watch.go
+++ b/region/watch.go
@@ -81,6 +81,10 @@
 			after = 0
 		case errors.Is(err, errAbandoned):
 		case err != nil:
+			if ctx.Err() == nil {
+				n.Log.Info("call for changes was not answered", zap.String("prefix", prefix), zap.Uint64("after", after),
+					zap.Duration("waited", time.Since(sent)), zap.NamedError("cause", err))
+			}
 			options.notify(sent, false)
 			duty.Sleep(ctx, retryDelay)
 		default:
