region: failing tests of a configuration that is late because the call for changes hangs

The store confirms a version right after the response of a waiting call was lost, with its connection left open.

The simulated store learns to leave a waiting call without a response; it could only answer such calls with no changes.

--- /dev/null
+++ b/region/currency_test.go
@@ -0,0 +1,135 @@
+package region
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// configBound is how long after the store's confirmation requests may be handled by an older configuration.
+const configBound = 2 * time.Second
+
+// writeConfig has the operator write a version of the configuration, and returns when the store confirmed it.
+func (w *world) writeConfig(version uint64) time.Time {
+	w.setStore(func(s *simStore) { s.put("op/config", mustJSON(simConfig(version)), 0) })
+	return time.Now()
+}
+
+// handledBy returns the version of the configuration by which an entry handles a request that arrives now.
+func (n *simNode) handledBy() uint64 {
+	return n.node.Config().Version
+}
+
+// checkInForce waits until a configuration has to be in force, and checks that all running entries handle
+// requests by it or a newer one.
+func (w *world) checkInForce(version uint64, confirmedAt time.Time) {
+	w.t.Helper()
+	time.Sleep(time.Until(confirmedAt.Add(configBound)))
+	for _, n := range w.nodes {
+		if n.node == nil {
+			continue
+		}
+		if got := n.handledBy(); got < version {
+			w.t.Errorf("%s (planner %t) handles requests by version %d, %v after version %d was confirmed",
+				n.host, n.node.leadership.Load() != nil, got, time.Since(confirmedAt), version)
+		}
+	}
+}
+
+// hangOperatorWatches makes the calls for the operator's changes of some entries that began in a period get
+// no response.
+func (w *world) hangOperatorWatches(from, to time.Time, of func(host string) bool) {
+	w.setStore(func(s *simStore) {
+		s.hangsWatch = func(host, prefix string, begin time.Time) bool {
+			return strings.HasPrefix(prefix, "op/") && of(host) && !begin.Before(from) && begin.Before(to)
+		}
+	})
+}
+
+// follower returns an entry that is neither planner nor standby.
+func (w *world) follower() *simNode {
+	for _, n := range w.nodes {
+		if n.node != nil && !n.node.needsMembers() {
+			return n
+		}
+	}
+	return nil
+}
+
+// Guards against a confirmed configuration that is not in force in time because the call by which an entry learns of
+// changes hangs, while the store answers its other calls: nobody tells the planner, and followers learn only from it.
+func TestConfigurationIsInForceThoughCallsForChangesHang(t *testing.T) {
+	t.Parallel()
+	long := 20 * time.Second
+	everywhere := func(string) bool { return true }
+	for _, c := range []struct {
+		name  string
+		fault func(w *world)
+	}{
+		{"one call of the planner", func(w *world) {
+			planner := w.planner().host
+			w.hangOperatorWatches(time.Time{}, time.Now(), func(host string) bool { return host == planner })
+		}},
+		{"one call of each entry", func(w *world) {
+			w.hangOperatorWatches(time.Time{}, time.Now(), everywhere)
+		}},
+		{"all calls of the planner", func(w *world) {
+			planner := w.planner().host
+			w.hangOperatorWatches(time.Time{}, time.Now().Add(long), func(host string) bool { return host == planner })
+		}},
+		{"all calls of all entries", func(w *world) {
+			w.hangOperatorWatches(time.Time{}, time.Now().Add(long), everywhere)
+		}},
+		{"all calls of an entry without a link to the planner", func(w *world) {
+			planner, lost := w.planner().host, w.follower().host
+			w.hangOperatorWatches(time.Time{}, time.Now().Add(long), func(host string) bool { return host == lost })
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.brokenLinks[simPath{planner, lost}]++
+		}},
+		{"the planner is lost, and one call of each entry", func(w *world) {
+			w.hangOperatorWatches(time.Time{}, time.Now(), everywhere)
+			w.planner().kill()
+		}},
+		{"the first calls after an outage", func(w *world) {
+			w.setStoreUnavailable(true)
+			time.Sleep(5 * time.Second)
+			w.setStoreUnavailable(false)
+			w.hangOperatorWatches(time.Time{}, time.Now().Add(time.Second), everywhere)
+			time.Sleep(500 * time.Millisecond)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := regionOf(t, 3)
+				c.fault(w)
+				w.writeConfig(2)
+				time.Sleep(40 * time.Millisecond)
+				w.writeConfig(3)
+				time.Sleep(40 * time.Millisecond)
+				w.checkInForce(4, w.writeConfig(4))
+				w.end()
+			})
+		})
+	}
+}
+
+// Guards against an evacuation that the planner does not know in time because its call for changes hangs.
+func TestEvacuationIsKnownThoughCallsForChangesHang(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 3)
+		w.hangOperatorWatches(time.Time{}, time.Now().Add(20*time.Second), func(string) bool { return true })
+		w.setStore(func(s *simStore) { s.put("op/evacuate/d1", []byte("{}"), 0) })
+		time.Sleep(configBound)
+		for _, n := range w.nodes {
+			is.True(n.node.evacuations.load().Contains("d1")) // d1 is evacuated
+		}
+		w.end()
+	})
+}
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -24,6 +24,9 @@
 	calls          int  // calls counts the calls that were carried out.
 	// stuckBefore makes watch calls that began before it return no changes.
 	stuckBefore time.Time
+	// hangsWatch, if set, reports whether a watch call of an entry that began at a time gets no response: the
+	// connection stays open, and the call ends with the client's timeout.
+	hangsWatch func(host, prefix string, begin time.Time) bool
 	cellEvents  int // cellEvents counts the changes of the cell's records that watches returned.
 	// extraDelay is added to the duration of each call.
 	extraDelay time.Duration
@@ -153,7 +156,7 @@
 	}
 	timeout := time.Second
 	if t.store.hangs {
-		timeout = wait + 1500*time.Millisecond
+		timeout = wait + clientTimeout
 	}
 	t.store.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -162,6 +165,24 @@
 	return winch.ErrUncertain
 }
 
+// clientTimeout is how long a client waits for a response beyond the time that the store may take.
+const clientTimeout = 1500 * time.Millisecond
+
+// hangs reports whether a watch call gets no response.
+func (t *simTable) hangs(prefix string, begin time.Time) bool {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	return t.store.hangsWatch != nil && t.store.hangsWatch(t.node.Host, prefix, begin)
+}
+
+// awaitTimeout waits until a call without a response times out.
+func (t *simTable) awaitTimeout(ctx context.Context, at time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, at)
+	defer cancel()
+	<-ctx.Done()
+	return winch.ErrUncertain
+}
+
 func (t *simTable) Read(ctx context.Context, prefix string) (out []winch.Value, asOf uint64, err error) {
 	err = t.call(ctx, func() {
 		if t.store.onRead != nil {
@@ -180,6 +201,9 @@
 func (t *simTable) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (out []winch.Event, next uint64, err error) {
 	begin := time.Now()
 	for {
+		if t.hangs(prefix, begin) {
+			return nil, after, t.awaitTimeout(ctx, begin.Add(wait+clientTimeout))
+		}
 		compacted := false
 		err = t.callWithWait(ctx, max(wait, maxWatchWait), func() {
 			if compacted = after < t.store.compactedAt; compacted {
