--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -27,7 +27,7 @@
 	// hangsWatch, if set, reports whether a watch call of an entry that began at a time gets no response: the
 	// connection stays open, and the call ends with the client's timeout.
 	hangsWatch func(host, prefix string, begin time.Time) bool
-	cellEvents  int // cellEvents counts the changes of the cell's records that watches returned.
+	cellEvents int // cellEvents counts the changes of the cell's records that watches returned.
 	// extraDelay is added to the duration of each call.
 	extraDelay time.Duration
 	// hangs makes calls that fail time out as late as those of a real client, not after a second.
