region: an entry knows as of when its configuration is the newest

Callers saw a request handled by a configuration four versions old, more than two seconds after the store had confirmed the newer ones.

Cause: an entry learned of changes by one call that waits for them, and took "no change has come" for "nothing has changed". Such a call hangs without an error if its response is lost, and other calls that succeed say nothing of it: 4.5 s at the planner and 16.5 s at a follower. Followers relied on the planner's reports, and nobody told the planner.

An entry now keeps as of when it was shown to know the newest: by a read of the store, by the planner, which reads before each report and passes its age on, or by a peer that states its own. Past half of the bound, which the operator sets ([Timing] Config, 2 s), it asks by itself; past nine tenths requests wait for an answer, then get 503. An entry that reaches neither goes on with what it has, but no longer says for good that a queue or key does not exist. The bound holds since each step has a time of its own and no try waits for the one before.

Reads of settings that do not change: two a second by the planner, none by others (test). Poll of peers by an entry that the store does not answer: folded into the refresh.

--- a/conf/region.go
+++ b/conf/region.go
@@ -50,6 +50,9 @@
 	Processors float64 `conf:"required"`
 }
 
+// minConfigBound is the least value of Timing.Config: entries have to ask for changes several times within it.
+const minConfigBound = 500 * time.Millisecond
+
 // RegionTiming holds the times that the platform's operator sets.
 type RegionTiming struct {
 	// Lease is the maximum duration of a lease that workers grant.
@@ -58,6 +61,8 @@
 	Keep time.Duration
 	// Grace is the time that the process has between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// Config is how long after the store has confirmed a configuration an entry may act by an older one.
+	Config time.Duration
 }
 
 // RegionPlanner holds what an operator may change about the planner's decisions.
@@ -146,7 +151,7 @@
 
 // DecodeRegion decodes the settings of an entry of a region. Name is used in errors.
 func DecodeRegion(name string, text []byte) (Region, error) {
-	s := Region{Timing: RegionTiming{Lease: 6 * time.Second, Keep: 2 * time.Minute, Grace: 6 * time.Second}}
+	s := Region{Timing: RegionTiming{Lease: 6 * time.Second, Keep: 2 * time.Minute, Grace: 6 * time.Second, Config: 2 * time.Second}}
 	f, err := Parse(name, text)
 	if err != nil {
 		return s, err
@@ -197,6 +202,9 @@
 	if s.Timing.Lease < time.Second || s.Timing.Grace < time.Second {
 		return f.Errorf("Timing", "", "Lease and Grace: write at least one second")
 	}
+	if s.Timing.Config < minConfigBound {
+		return f.Errorf("Timing", "Config", "Config = %v: write at least %v", s.Timing.Config, minConfigBound)
+	}
 	return s.Planner.check(f)
 }
 
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -283,6 +283,11 @@
 	Evacuations *winch.Evacuations `cbor:"4,keyasint,omitempty"`
 	// Standby is the address of the planner's standby, to which each entry keeps a link.
 	Standby string `cbor:"5,keyasint,omitempty"`
+	// SettingsAge is how long ago the planner was shown that what it knows of the operator's settings is the
+	// newest; zero if it does not know.
+	SettingsAge time.Duration `cbor:"6,keyasint,omitempty"`
+	// SentAt is for how long the sender's process has run.
+	SentAt time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // PeersRequest asks the planner for entries to keep links to: Inside of the sender's failure domain and
@@ -319,6 +324,9 @@
 	Evacuations *winch.Evacuations `cbor:"3,keyasint,omitempty"`
 	// Unserved is set in a response if the store does not answer the sender.
 	Unserved bool `cbor:"4,keyasint,omitempty"`
+	// Age is how long ago the sender of a response was shown that what it knows is the newest; zero if it
+	// does not know.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // SettingsRequest asks for the configuration, which is sent only if it is newer than Have, and for the
--- a/region/currency_test.go
+++ b/region/currency_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"plantainwinch/winch"
 )
 
 // configBound is how long after the store's confirmation requests may be handled by an older configuration.
@@ -20,7 +22,8 @@
 
 // handledBy returns the version of the configuration by which an entry handles a request that arrives now.
 func (n *simNode) handledBy() uint64 {
-	return n.node.Config().Version
+	config, _ := n.node.CurrentConfig(n.world.ctx)
+	return config.Version
 }
 
 // checkInForce waits until a configuration has to be in force, and checks that all running entries handle
@@ -94,6 +97,26 @@
 			w.hangOperatorWatches(time.Time{}, time.Now(), everywhere)
 			w.planner().kill()
 		}},
+		{"a slow store, and one call of each entry", func(w *world) {
+			w.setStore(func(s *simStore) { s.extraDelay = 300 * time.Millisecond })
+			w.hangOperatorWatches(time.Time{}, time.Now(), everywhere)
+		}},
+		{"the store refuses the planner, and all calls of all entries", func(w *world) {
+			w.refuseEntry(w.planner().node.Name)
+			w.hangOperatorWatches(time.Time{}, time.Now().Add(long), everywhere)
+		}},
+		{"the change history is gone, and one call of each entry", func(w *world) {
+			w.hangOperatorWatches(time.Time{}, time.Now(), everywhere)
+			w.setStore(func(s *simStore) { s.compact() })
+		}},
+		{"planner and standby are lost, and all calls of all entries", func(w *world) {
+			w.hangOperatorWatches(time.Time{}, time.Now().Add(long), everywhere)
+			for _, n := range w.nodes {
+				if n.node.needsMembers() {
+					n.kill()
+				}
+			}
+		}},
 		{"the first calls after an outage", func(w *world) {
 			w.setStoreUnavailable(true)
 			time.Sleep(5 * time.Second)
@@ -133,3 +156,67 @@
 		w.end()
 	})
 }
+
+// Guards against a store that is read by each entry in vain: only the planner reads the operator's settings while
+// nothing changes, and the others learn from its reports that theirs are the newest.
+func TestOnlyThePlannerReadsSettingsThatDoNotChange(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 10)
+		reads := make(map[string]int)
+		w.setStore(func(s *simStore) {
+			s.onRead = func(host, prefix string) {
+				if prefix == "op/" {
+					reads[host]++
+				}
+			}
+		})
+		time.Sleep(10 * time.Second)
+		w.store.mu.Lock()
+		is.True(reads[w.planner().host] <= int(10*time.Second/waitingInterval)+1)
+		is.Equal(len(reads), 1) // entries that read the settings
+		w.store.mu.Unlock()
+		for _, n := range w.nodes {
+			is.True(n.node.settings.age() < n.node.Timing.refreshAge())
+		}
+		w.end()
+	})
+}
+
+// Guards against requests that are held up or refused during an outage of the store: an entry that reaches neither the
+// store nor an entry that does goes on with the configuration that it has.
+func TestRequestsAreHandledAtOnceDuringAnOutage(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 3)
+		w.setStoreUnavailable(true)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			for _, n := range w.nodes {
+				begin := time.Now()
+				config, state := n.node.CurrentConfig(w.ctx)
+				is.True(config != nil && state != winch.ConfigUnconfirmed)
+				is.True(time.Since(begin) <= probeTimeout+refreshedPeers*networkDelay)
+			}
+		}
+		w.setStoreUnavailable(false)
+		w.checkInForce(2, w.writeConfig(2))
+		w.end()
+	})
+}
+
+// Guards against a configuration that counts as confirmed although the report that confirms it waited on its way, as
+// in the buffers of a process that was paused.
+func TestReportsThatWaitedConfirmNothingRecent(t *testing.T) {
+	is := is.NewRelaxed(t)
+	var x transit
+	second := time.Second
+	is.Equal(x.delay("a", 100*second, 10*second), time.Duration(0))
+	is.Equal(x.delay("a", 101*second, 11*second), time.Duration(0))
+	late := x.delay("a", 102*second, 17*second)
+	is.True(late > 4500*time.Millisecond && late <= 5*second)
+	is.True(x.delay("a", 108*second, 18*second) < 200*time.Millisecond)
+	is.Equal(x.delay("b", 5*second, 19*second), time.Duration(0))
+}
--- /dev/null
+++ b/region/current.go
@@ -0,0 +1,232 @@
+package region
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"plantainwinch/duty"
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+const (
+	// defaultConfigBound is Timing.Config if the operator sets none.
+	defaultConfigBound = 2 * time.Second
+	// maxConfirmWait bounds how long a request waits for the confirmation of the configuration. A slow store
+	// takes about 300 ms to answer.
+	maxConfirmWait = 300 * time.Millisecond
+	// refreshedPeers is how many peers one refresh asks.
+	refreshedPeers = 2
+	// currentCheckInterval is how often it is checked whether a refresh is due.
+	currentCheckInterval = 50 * time.Millisecond
+)
+
+// The times below follow from Timing.Config, which bounds the age at which an entry may act by a configuration
+// without having been shown that it is the newest. They add up to less than the bound if one call gets no
+// response and the store is slow.
+
+// maxAge is the age from which on a request waits for a confirmation. The rest of the bound allows for clocks
+// and for the time to handle the request.
+func (t Timing) maxAge() time.Duration { return t.Config * 9 / 10 }
+
+// refreshAge is the age from which on an entry asks by itself. It is longer than the planner's reports are apart.
+func (t Timing) refreshAge() time.Duration { return t.Config / 2 }
+
+// refreshInterval is the time between two refreshes. The earlier one may still be waiting for an answer.
+func (t Timing) refreshInterval() time.Duration { return t.Config / 8 }
+
+// refreshTimeout bounds one refresh.
+func (t Timing) refreshTimeout() time.Duration { return t.Config / 2 }
+
+// age returns how long ago this entry was last shown to know all that the operator has written. The age is
+// taken on two clocks, like validity.
+func (s *settings) age() time.Duration {
+	at := s.confirmed.Load()
+	if at == nil {
+		return math.MaxInt64
+	}
+	now := time.Now()
+	return max(now.Sub(*at), now.Round(0).Sub(at.Round(0)))
+}
+
+// confirm records that this entry knows all that the operator had written by asOf.
+func (s *settings) confirm(asOf time.Time) {
+	s.mu.Lock()
+	if at := s.confirmed.Load(); at == nil || asOf.After(*at) {
+		s.confirmed.Store(&asOf)
+	}
+	s.mu.Unlock()
+	if s.age() < s.node.Timing.refreshAge() {
+		s.unreachable.Store(false)
+	}
+	s.confirmedOrFailed.send()
+}
+
+// confirmAge returns the age to be passed on to another entry, or zero if it is not known. It has to be taken
+// before the configuration that it is sent with.
+func (s *settings) confirmAge() time.Duration {
+	if s.confirmed.Load() == nil {
+		return 0
+	}
+	return max(s.age(), 1)
+}
+
+// noteReport takes the planner's report as a confirmation, unless the planner has a newer configuration.
+func (s *settings) noteReport(from string, m proto.WaitingJobs) {
+	s.noteVersion(from, m.Settings)
+	s.node.applyReceived(m.Evacuations, from)
+	s.mu.Lock()
+	delay := s.transit.delay(from, m.SentAt, time.Since(s.node.started))
+	s.mu.Unlock()
+	if m.SettingsAge > 0 && s.version() >= m.Settings {
+		s.confirm(time.Now().Add(-m.SettingsAge - delay))
+	}
+}
+
+// runRefresh makes the configuration current whenever it has not been confirmed for a while, until ctx ends.
+// A refresh that gets no answer does not delay the next one.
+func (s *settings) runRefresh(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	timing := s.node.Timing
+	due := timing.refreshAge()
+	var confirmed *time.Time
+	for ctx.Err() == nil {
+		if at := s.confirmed.Load(); at != confirmed {
+			// One report confirms all entries of a region; they do not ask all at once.
+			confirmed, due = at, timing.refreshAge()+rand.N(timing.refreshInterval())
+		}
+		s.logAge()
+		pause := currentCheckInterval
+		if s.age() > due {
+			group.Go(func() { s.refresh(ctx) })
+			pause = timing.refreshInterval()
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-s.storeBack:
+			group.Go(func() {
+				duty.Sleep(ctx, rand.N(timing.refreshInterval()))
+				s.refresh(ctx)
+			})
+		}
+		timer.Stop()
+	}
+}
+
+// refresh asks peers, and the store if these have no recent confirmation.
+func (s *settings) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
+	defer cancel()
+	var group conc.WaitGroup
+	defer group.Wait()
+	names := s.node.Peers.Names()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names[:min(len(names), refreshedPeers)] {
+		group.Go(func() { s.fetch(ctx, name) })
+	}
+	if !s.awaitConfirmed(ctx, probeTimeout) && s.node.storeResponsive() {
+		s.read(ctx)
+	}
+	if s.age() < s.node.Timing.refreshAge() {
+		return
+	}
+	s.unreachable.Store(true)
+	s.confirmedOrFailed.send()
+}
+
+// awaitConfirmed waits until the configuration is confirmed, and reports whether it is within the limit.
+func (s *settings) awaitConfirmed(ctx context.Context, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		changed := s.confirmedOrFailed.wait()
+		if s.age() < s.node.Timing.refreshAge() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// read reads all that the operator has written from the store.
+func (s *settings) read(ctx context.Context) {
+	sent := time.Now()
+	values, asOf, err := s.node.Table.Read(ctx, s.node.Codec.OperatorPrefix())
+	if err != nil {
+		return
+	}
+	s.applyValues(values, asOf)
+	s.confirm(sent)
+}
+
+// logAge logs when the configuration has not been confirmed within the bound, and when it is again.
+func (s *settings) logAge() {
+	age := s.age()
+	if late := age > s.node.Timing.Config && s.config.Load() != nil; late != s.late {
+		s.late = late
+		message := "configuration is confirmed again"
+		if late {
+			message = "configuration has not been confirmed in time"
+		}
+		s.node.Log.Info(message, zap.Uint64("version", s.version()), zap.Duration("age", age),
+			zap.Bool("storeAnswers", s.node.storeResponsive()), zap.Bool("unreachable", s.unreachable.Load()))
+	}
+}
+
+// CurrentConfig implements winch.Region.
+func (n *Node) CurrentConfig(ctx context.Context) (*winch.RegionConfig, winch.ConfigState) {
+	s := &n.settings
+	switch {
+	case s.config.Load() == nil:
+		return nil, winch.ConfigUnreachable
+	case s.age() <= n.Timing.maxAge():
+		return s.config.Load(), winch.ConfigCurrent
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxConfirmWait)
+	defer cancel()
+	for {
+		changed := s.confirmedOrFailed.wait()
+		switch {
+		case s.age() <= n.Timing.maxAge():
+			return s.config.Load(), winch.ConfigCurrent
+		case s.unreachable.Load():
+			return s.config.Load(), winch.ConfigUnreachable
+		}
+		select {
+		case <-ctx.Done():
+			return s.config.Load(), winch.ConfigUnconfirmed
+		case <-changed:
+		}
+	}
+}
+
+// transit estimates how long the reports of one sender take. One that waits in the buffers of a link, or for a
+// process that is paused, was not sent when it is read.
+type transit struct {
+	sender string
+	offset time.Duration // offset is the smallest difference seen between the receiver's and the sender's time.
+	at     time.Duration // at is the receiver's time of the last report.
+}
+
+// delay returns how much longer a report took than the fastest one of its sender so far, given the time at which
+// it was sent by the sender's clock, and the time now by the receiver's.
+func (t *transit) delay(sender string, sent, now time.Duration) time.Duration {
+	if t.sender != sender {
+		*t = transit{sender: sender, offset: now - sent, at: now}
+		return 0
+	}
+	t.offset += time.Duration(maxClockDrift * float64(now-t.at))
+	t.offset, t.at = min(t.offset, now-sent), now
+	return now - sent - t.offset
+}
--- a/region/node.go
+++ b/region/node.go
@@ -27,6 +27,9 @@
 	Lease time.Duration
 	// Retention is how long the state of an ended job remains available to callers.
 	Retention time.Duration
+	// Config is how long after the store has confirmed a configuration an older one may be in force. Zero
+	// stands for two seconds.
+	Config time.Duration
 }
 
 const (
@@ -124,6 +127,9 @@
 	if n.Policy == (winch.Policy{}) {
 		n.Policy = winch.DefaultPolicy()
 	}
+	if n.Timing.Config == 0 {
+		n.Timing.Config = defaultConfigBound
+	}
 	n.officeWake = make(chan struct{}, 1)
 	n.keeper = &keep.Keeper{
 		Client: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, maxLease), FetchCommand: n.command,
@@ -143,6 +149,7 @@
 	n.health.answered(time.Now())
 	if !wasResponsive {
 		n.abandonWatches.send()
+		duty.Signal(n.settings.storeBack)
 	}
 }
 
@@ -194,7 +201,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, run := range []func(context.Context){
-		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runPeerFetch, n.accept.run, n.runOffice, n.runContacts, n.runPrefetch, n.runPreemption, n.runRefusals,
+		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runAnnouncements, n.settings.runRefresh, n.accept.run, n.runOffice, n.runContacts, n.runPrefetch, n.runPreemption, n.runRefusals,
 	} {
 		group.Go(func() { run(ctx) })
 	}
@@ -228,7 +235,7 @@
 	return n.stopping.Load()
 }
 
-// Config implements winch.Region.
+// Config returns the configuration in force, or nil.
 func (n *Node) Config() *winch.RegionConfig {
 	return n.settings.config.Load()
 }
--- a/region/report.go
+++ b/region/report.go
@@ -14,17 +14,22 @@
 	"plantainwinch/proto"
 )
 
-// runWaiting periodically sends all entries the number of jobs that have not begun, by queue.
+const (
+	// maxConfirmDelay bounds how long a report waits for the confirmation of the configuration that it passes on.
+	maxConfirmDelay = 350 * time.Millisecond
+	// minReportPause is the pause after a report that took longer than waitingInterval.
+	minReportPause = 50 * time.Millisecond
+)
+
+// runWaiting periodically sends all entries the number of jobs that have not begun, by queue, and as of when this
+// entry was shown that its configuration is the newest.
 func (l *leadership) runWaiting(ctx context.Context) {
 	unlisted := make(map[string]time.Time)
 	for ctx.Err() == nil {
+		next := time.Now().Add(waitingInterval)
+		l.confirmSettings(ctx)
 		var msg proto.WaitingJobs
-		if l.duty.Do(ctx, func() {
-			msg = proto.WaitingJobs{
-				Term: l.term, Queues: l.planner.Waiting(), Settings: l.node.settings.version(),
-				Evacuations: l.node.knownEvacuations(), Standby: l.standbyAddress(),
-			}
-		}) == nil && l.validity.Load().remaining() > 0 {
+		if l.duty.Do(ctx, func() { msg = l.report() }) == nil && l.validity.Load().remaining() > 0 {
 			l.node.updateWaiting(msg)
 			names := l.node.Peers.Names()
 			for _, name := range names {
@@ -33,7 +38,41 @@
 			}
 			l.notifyUnregistered(names, unlisted)
 		}
-		duty.Sleep(ctx, waitingInterval)
+		duty.Sleep(ctx, max(time.Until(next), minReportPause))
+	}
+}
+
+// report returns a report to all entries. It is called in the planner's goroutine.
+func (l *leadership) report() proto.WaitingJobs {
+	s := &l.node.settings
+	age := s.confirmAge()
+	return proto.WaitingJobs{
+		Term: l.term, Queues: l.planner.Waiting(), Settings: s.version(), SettingsAge: age,
+		SentAt: time.Since(l.node.started), Evacuations: l.node.knownEvacuations(), Standby: l.standbyAddress(),
+	}
+}
+
+// confirmSettings reads what the operator has written if the entries would otherwise have to ask by themselves
+// before the report after the next one. It waits for the store for a limited time; a later answer counts for
+// the next report.
+func (l *leadership) confirmSettings(ctx context.Context) {
+	s := &l.node.settings
+	if s.age() < l.node.Timing.refreshAge()-2*waitingInterval || !l.node.storeResponsive() {
+		return
+	}
+	done := make(chan struct{})
+	l.group.Go(func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(ctx, l.node.Timing.refreshTimeout())
+		defer cancel()
+		s.read(ctx)
+	})
+	timer := time.NewTimer(maxConfirmDelay)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/region/serve.go
+++ b/region/serve.go
@@ -189,8 +189,7 @@
 		return handleMessage(read, func(m proto.SettingsRequest) any { return n.settings.respond(m) })
 	case proto.KindWaitingJobs:
 		return handleMessage(read, func(m proto.WaitingJobs) any {
-			n.settings.noteVersion(from, m.Settings)
-			n.applyReceived(m.Evacuations, from)
+			n.settings.noteReport(from, m)
 			n.updateWaiting(m)
 			return nil
 		})
--- a/region/settings.go
+++ b/region/settings.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -22,62 +23,57 @@
 	// maxNeighbourFetches is how many random peers are asked before the one that announced the version,
 	// which is mostly the planner: all entries learn of it from the planner at the same time.
 	maxNeighbourFetches = 2
-	// peerPollInterval is how often an entry that the store does not answer asks a peer for a
-	// newer configuration. A withdrawn key has to stop working there within two seconds, too.
-	peerPollInterval = 300 * time.Millisecond
 	// settingsTimeout bounds one request to a peer.
 	settingsTimeout = 500 * time.Millisecond
 )
 
 // settings holds the operator's configuration, and follows all that the operator writes into the
-// store. Each entry reads it from the store. An entry that the store does not answer asks its peers,
-// so that it is current if it reaches either. The version never decreases during a boot, and the
-// configuration stays in force while the store is unresponsive.
+// store. Each entry watches the store. Since a call that waits for changes can hang without an error, it also
+// keeps as of when it was shown that it knows the newest configuration: by a read of the store, by the planner,
+// which reads the store and reports to all entries, or by another peer. The version never decreases during a boot,
+// and the configuration stays in force while neither the store nor a peer that it answers is reached.
 type settings struct {
 	node   *Node
 	mu     sync.Mutex
 	data   []byte
 	config atomic.Pointer[winch.RegionConfig]
-	// newerPeer holds the name of a peer that has a newer version than this entry.
-	newerPeer chan string
-	// watchFailed says that the store did not answer the last call of the watch.
-	watchFailed atomic.Bool
-	// watchedAt is when the last answered call of the watch was sent.
-	watchedAt atomic.Pointer[time.Time]
+	// confirmed is a time as of which this entry was shown to know all that the operator had written.
+	confirmed atomic.Pointer[time.Time]
+	// unreachable says that neither the store nor a peer gave a recent confirmation when they were last asked.
+	unreachable atomic.Bool
+	// confirmedOrFailed is sent after each confirmation and each refresh without one.
+	confirmedOrFailed broadcast
+	storeBack         chan struct{} // storeBack is signalled when the store answers again.
+	transit           transit       // transit is guarded by mu.
+	late              bool          // late says that the log shows the configuration as not confirmed in time.
+	// newer holds the last announcement of a newer version than this entry has.
+	newer chan announcement
+}
+
+// announcement says that a peer has a version of the configuration.
+type announcement struct {
+	peer    string
+	version uint64
 }
 
 func (s *settings) prepare(n *Node) {
 	s.node = n
-	s.newerPeer = make(chan string, 1)
+	s.newer = make(chan announcement, 1)
+	s.storeBack = make(chan struct{}, 1)
 }
 
 // registerGauges registers the metrics of the configuration.
 func (s *settings) registerGauges(registry metrics.Registry) {
 	_ = registry.Register("Settings.Version", metrics.NewFunctionalGauge(func() int64 { return int64(s.version()) }))
-	_ = registry.Register("Settings.WatchAgeMillis", metrics.NewFunctionalGauge(func() int64 { return s.watchAge().Milliseconds() }))
-}
-
-// watchAge returns how long ago the last answered call of the watch was sent; zero if none was answered yet.
-func (s *settings) watchAge() time.Duration {
-	if at := s.watchedAt.Load(); at != nil {
-		return time.Since(*at)
-	}
-	return 0
+	_ = registry.Register("Settings.AgeMillis", metrics.NewFunctionalGauge(func() int64 { return s.age().Milliseconds() }))
 }
 
 // run watches what the operator writes into the store, the configuration and the evacuated failure
 // domains, until ctx ends.
 func (s *settings) run(ctx context.Context) {
 	codec := s.node.Codec
-	options := watchOptions{
-		wait: s.node.watchWait, onResponse: func(ok bool) { s.watchFailed.Store(!ok) },
-		onSuccess: func(at time.Time) { s.watchedAt.Store(&at) },
-	}
-	s.node.watch(ctx, codec.OperatorPrefix(), options, func(values []winch.Value, asOf uint64) {
-		s.node.applyEvacuations(readEvacuations(codec.EvacuationPrefix(), values, asOf), "store")
-		for _, v := range values {
-			s.apply(v.Key, v.Data, "store")
-		}
+	s.node.watch(ctx, codec.OperatorPrefix(), watchOptions{wait: s.node.watchWait, onRead: s.confirm}, func(values []winch.Value, asOf uint64) {
+		s.applyValues(values, asOf)
 	}, func(events []winch.Event, asOf uint64) {
 		s.node.applyEvacuations(s.node.evacuations.changed(codec.EvacuationPrefix(), events, asOf), "store")
 		for _, e := range events {
@@ -88,40 +84,35 @@
 	})
 }
 
-// needsPeers reports whether the entry has to ask its peers for the configuration: the store is
-// unresponsive, or it answers other calls but not the watch of the configuration.
-func (s *settings) needsPeers() bool {
-	return s.watchFailed.Load() || !s.node.storeResponsive()
+// applyValues puts in force what was read from the store.
+func (s *settings) applyValues(values []winch.Value, asOf uint64) {
+	s.node.applyEvacuations(readEvacuations(s.node.Codec.EvacuationPrefix(), values, asOf), "store")
+	for _, v := range values {
+		s.apply(v.Key, v.Data, "store")
+	}
 }
 
-// runPeerFetch fetches the configuration from peers if the store has not sent it, until ctx ends.
-func (s *settings) runPeerFetch(ctx context.Context) {
-	ticker := time.NewTicker(peerPollInterval)
-	defer ticker.Stop()
+// runAnnouncements gets the newer configurations that peers announce until ctx ends.
+func (s *settings) runAnnouncements(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case name := <-s.newerPeer:
-			s.fetchNewer(ctx, name)
-		case <-ticker.C:
-			if names := s.node.Peers.Names(); s.needsPeers() && len(names) > 0 {
-				s.fetch(ctx, names[rand.IntN(len(names))])
-			}
+		case a := <-s.newer:
+			s.fetchNewer(ctx, a)
 		}
 	}
 }
 
 // fetchNewer gets the newer configuration that a peer has announced: from the store if it answers, whose
 // notification may have been lost, else from a peer.
-func (s *settings) fetchNewer(ctx context.Context, announcer string) {
-	before := s.version()
+func (s *settings) fetchNewer(ctx context.Context, a announcement) {
 	s.node.renewWatches()
 	s.waitForStore(ctx)
 	names := s.node.Peers.Names()
 	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range append(names[:min(len(names), maxNeighbourFetches)], announcer) {
-		if s.version() > before {
+	for _, name := range append(names[:min(len(names), maxNeighbourFetches)], a.peer) {
+		if s.version() >= a.version {
 			return
 		}
 		s.fetch(ctx, name)
@@ -145,6 +136,7 @@
 func (s *settings) fetch(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
+	sent := time.Now()
 	var response proto.Settings
 	if s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, s.request(), &response) != nil {
 		return
@@ -153,6 +145,9 @@
 	if len(response.Data) > 0 {
 		s.apply(s.node.Codec.ConfigKey(), response.Data, name)
 	}
+	if response.Age > 0 && s.version() >= response.Version {
+		s.confirm(sent.Add(-response.Age))
+	}
 }
 
 // request asks for what is newer than what this entry has.
@@ -167,18 +162,18 @@
 		return
 	}
 	s.node.Log.Info("newer configuration announced", zap.String("from", name), zap.Uint64("version", version),
-		zap.Uint64("have", have), zap.Duration("watchAge", s.watchAge()))
+		zap.Uint64("have", have), zap.Duration("age", s.age()))
 	select {
-	case s.newerPeer <- name:
+	case s.newer <- announcement{name, version}:
 	default: // Another peer with a newer version is about to be asked.
 	}
 }
 
 // respond answers a peer's request with what is newer than the peer's.
 func (s *settings) respond(request proto.SettingsRequest) proto.Settings {
+	out := proto.Settings{Unserved: !s.node.storeResponsive(), Age: s.confirmAge()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := proto.Settings{Unserved: !s.node.storeResponsive()}
 	if e := s.node.knownEvacuations(); e != nil && e.AsOf > request.EvacuationsAsOf {
 		out.Evacuations = e
 	}
@@ -201,6 +196,9 @@
 	if key != s.node.Codec.ConfigKey() {
 		return
 	}
+	if s.has(data) {
+		return
+	}
 	config, err := s.node.Codec.Config(data)
 	if err != nil {
 		s.node.Log.Error("configuration cannot be decoded; keeping the present one", zap.String("from", from), zap.Error(err))
@@ -216,6 +214,13 @@
 	}
 }
 
+// has reports whether the configuration in force was decoded from the same data.
+func (s *settings) has(data []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.data != nil && bytes.Equal(s.data, data)
+}
+
 // replace stores a configuration and reports whether it is newer than the present one.
 func (s *settings) replace(config *winch.RegionConfig, data []byte) bool {
 	s.mu.Lock()
--- a/region/watch.go
+++ b/region/watch.go
@@ -30,8 +30,8 @@
 	delay time.Duration // delay is the pause between calls.
 	// after is the revision after which changes are watched. If it is zero, all values are read first.
 	after uint64
-	// onResponse, if set, is called after each call with whether the store responded.
-	onResponse func(ok bool)
+	// onRead, if set, is called after all values have been read, with the time at which the call was sent.
+	onRead func(sent time.Time)
 	// onSuccess, if set, is called after each answered call with the time at which the
 	// call was sent.
 	onSuccess func(at time.Time)
@@ -45,11 +45,8 @@
 	return o.wait()
 }
 
-func (o watchOptions) notify(sent time.Time, ok bool) {
-	if o.onResponse != nil {
-		o.onResponse(ok)
-	}
-	if o.onSuccess != nil && ok {
+func (o watchOptions) notify(sent time.Time) {
+	if o.onSuccess != nil {
 		o.onSuccess(sent)
 	}
 }
@@ -66,13 +63,15 @@
 		if after == 0 {
 			values, asOf, err := n.Table.Read(ctx, prefix)
 			if err != nil {
-				options.notify(sent, false)
 				duty.Sleep(ctx, retryDelay)
 				continue
 			}
 			onValues(values, asOf)
 			after = asOf
-			options.notify(sent, true)
+			if options.onRead != nil {
+				options.onRead(sent)
+			}
+			options.notify(sent)
 		}
 		events, next, err := n.watchOnce(ctx, prefix, after, options.maxWait())
 		switch {
@@ -85,14 +84,13 @@
 				n.Log.Info("call for changes was not answered", zap.String("prefix", prefix), zap.Uint64("after", after),
 					zap.Duration("waited", time.Since(sent)), zap.NamedError("cause", err))
 			}
-			options.notify(sent, false)
 			duty.Sleep(ctx, retryDelay)
 		default:
 			after = max(after, next)
 			if len(events) > 0 {
 				onChanges(events, after)
 			}
-			options.notify(sent, true)
+			options.notify(sent)
 			if options.delay > 0 && len(events) < fullBatch {
 				duty.Sleep(ctx, options.delay)
 			}
--- a/server/region.go
+++ b/server/region.go
@@ -71,7 +71,7 @@
 	s.Node = &region.Node{
 		Name: boot, Host: e.Name, Domain: e.Domain, Address: s.Mesh.Self.Address,
 		Share:  int(1000 * s.Settings.Limits.Processors),
-		Timing: region.Timing{Lease: s.Settings.Timing.Lease, Retention: s.Settings.Timing.Keep},
+		Timing: region.Timing{Lease: s.Settings.Timing.Lease, Retention: s.Settings.Timing.Keep, Config: s.Settings.Timing.Config},
 		Policy: s.Settings.Planner.Policy(),
 		Table:  s.table, Runner: s.workerClient, Advisor: platform.NewAdvisor(s.Settings.Platform.Advice),
 		Codec: platform.Codec{}, Peers: s.Mesh, Log: s.Log, Metrics: s.Metrics,
--- a/trans/front/phases.go
+++ b/trans/front/phases.go
@@ -142,18 +142,31 @@
 // calls the handler, or writes an error response.
 func (p phasesHandler) withQueue(handle func(c phasesRequest)) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-		config := p.region.Config()
+		config, state := p.region.CurrentConfig(r.Context())
 		if config == nil {
 			writeResult(w, winch.RefuseFor(winch.StoreUnavailable, "no configuration has been read yet", time.Second))
 			return
 		}
+		unconfirmed := winch.RefuseFor(winch.StoreUnavailable, "a newer configuration may be in force", time.Second)
+		if state == winch.ConfigUnconfirmed {
+			writeResult(w, unconfirmed)
+			return
+		}
 		c := phasesRequest{w: w, r: r, queue: ps.ByName("Queue"), id: ps.ByName("ID")}
 		i := slices.IndexFunc(config.Queues, func(q winch.Queue) bool { return q.Name == c.queue })
+		if i < 0 && state != winch.ConfigCurrent {
+			writeResult(w, unconfirmed)
+			return
+		}
 		if i < 0 {
 			writeResult(w, winch.Refuse(winch.UnknownService, "no queue "+c.queue))
 			return
 		}
 		team, known := config.TeamOf(bearerToken(r))
+		if !known && !config.Queues[i].Public && state != winch.ConfigCurrent {
+			writeResult(w, unconfirmed)
+			return
+		}
 		if !known && !config.Queues[i].Public {
 			writeResult(w, winch.Refuse(winch.UnknownKey, "the key is not known"))
 			return
--- a/winch/region.go
+++ b/winch/region.go
@@ -206,10 +206,24 @@
 	Worker(key string, data []byte) (WorkerVM, bool)
 }
 
+// ConfigState says what an entry knows of the configuration that it returns.
+type ConfigState int
+
+const (
+	// ConfigCurrent: the configuration was in force within the bound that the operator sets.
+	ConfigCurrent ConfigState = iota
+	// ConfigUnreachable: the entry reaches neither the store nor an entry that the store answers. It goes on
+	// with what it has, but a queue or key that is not in it may exist.
+	ConfigUnreachable
+	// ConfigUnconfirmed: the store or a peer has not answered yet.
+	ConfigUnconfirmed
+)
+
 // Region is the interface through which the HTTP front end for callers uses an entry.
 type Region interface {
-	// Config returns the configuration in force, or nil.
-	Config() *RegionConfig
+	// CurrentConfig returns the configuration by which a request is to be handled, or nil if the entry has
+	// none. If the entry has not been shown lately that no newer one is in force, it first waits a moment for that.
+	CurrentConfig(ctx context.Context) (*RegionConfig, ConfigState)
 	// Submit accepts a job, or returns the reason for refusing it.
 	Submit(ctx context.Context, job *PhasedJob) Result
 	// State returns the state of a job, or a result with UnknownJob if there is no such job.
