--- a/winch/region.go
+++ b/winch/region.go
@@ -210,12 +210,12 @@
 type ConfigState int
 
 const (
-	// ConfigCurrent: the configuration was in force within the bound that the operator sets.
+	// ConfigCurrent says that the configuration was in force within the bound that the operator sets.
 	ConfigCurrent ConfigState = iota
-	// ConfigUnreachable: the entry reaches neither the store nor an entry that the store answers. It goes on
+	// ConfigUnreachable says that the entry reaches neither the store nor an entry that the store answers. It goes on
 	// with what it has, but a queue or key that is not in it may exist.
 	ConfigUnreachable
-	// ConfigUnconfirmed: the store or a peer has not answered yet.
+	// ConfigUnconfirmed says that neither the store nor a peer has answered yet.
 	ConfigUnconfirmed
 )
 
