region: a planner learns of a configuration with the jobs accepted by it

A job that was accepted by a version that the planner does not know yet waited as "queue not configured" until the planner's own read. The entry that accepts jobs now says by which version; a planner with an older one gets it as from any announcement. The test fails without the change. The field is optional: the build before ignores it.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -235,6 +235,8 @@
 // AcceptedJobs notifies the planner of jobs that were committed.
 type AcceptedJobs struct {
 	Jobs []AcceptedJob `cbor:"1,keyasint"`
+	// Settings is the version of the configuration by which they were accepted.
+	Settings uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // AcceptedJob is a committed job with its revision.
--- a/region/accept.go
+++ b/region/accept.go
@@ -186,7 +186,7 @@
 
 // confirmAccepted answers the stored submissions of a batch and notifies the planner of them.
 func (a *acceptor) confirmAccepted(batch []*submission, revision uint64) {
-	var msg proto.AcceptedJobs
+	msg := proto.AcceptedJobs{Settings: a.node.settings.version()}
 	for _, s := range batch {
 		s.job.Revision = revision
 		a.node.commands.Add(s.job.ID, s.job.Command)
--- a/region/currency_test.go
+++ b/region/currency_test.go
@@ -220,3 +220,23 @@
 	is.True(x.delay("a", 108*second, 18*second) < 200*time.Millisecond)
 	is.Equal(x.delay("b", 5*second, 19*second), time.Duration(0))
 }
+
+// Guards against a job that waits for the planner to learn of its queue: the entry that accepted the job knows the
+// configuration that names the queue, and tells the planner.
+func TestPlannerLearnsOfAConfigurationWithTheFirstJob(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 3)
+		planner := w.planner()
+		w.hangOperatorWatches(time.Time{}, time.Now().Add(20*time.Second), func(host string) bool { return host == planner.host })
+		w.refuseEntry(planner.node.Name)
+		w.writeConfig(2)
+		time.Sleep(20 * time.Millisecond)
+		job := &winch.PhasedJob{ID: "00000000000000c1", Queue: "preview", Team: "choir", Command: "work", Phases: []winch.Phase{{Count: 1}}}
+		is.True(w.follower().node.Submit(w.ctx, job).OK())
+		time.Sleep(peerFetchDelay + 50*time.Millisecond)
+		is.Equal(planner.node.Config().Version, uint64(2))
+		w.end()
+	})
+}
--- a/region/serve.go
+++ b/region/serve.go
@@ -198,7 +198,11 @@
 	case proto.KindRefusedJobs:
 		return handleMessage(read, func(m proto.RefusedJobs) any { n.applyAsPlanner(m); return nil })
 	case proto.KindAcceptedJobs:
-		return handleMessage(read, func(m proto.AcceptedJobs) any { n.applyAsPlanner(m); return nil })
+		return handleMessage(read, func(m proto.AcceptedJobs) any {
+			n.settings.noteVersion(from, m.Settings)
+			n.applyAsPlanner(m)
+			return nil
+		})
 	case proto.KindCancel:
 		return handleMessage(read, func(m proto.CancelJob) any { n.applyAsPlanner(m); return nil })
 	case proto.KindState:
