region: a poll of the store that hangs is repeated after 0.7 s

The call after a failed one keeps the client's timeout, so that a long response on a thin link is received in the end.

--- a/region/watch.go
+++ b/region/watch.go
@@ -19,6 +19,10 @@
 // planner.
 const watchRenewInterval = 3 * waitingInterval
 
+// changesTimeout bounds a call that does not wait for changes. If it passes, the next call has the client's own
+// timeout, so that a response that takes long on a thin link is received in the end.
+const changesTimeout = 700 * time.Millisecond
+
 // errAbandoned says that a call that waits for changes was abandoned, to be sent again at once.
 var errAbandoned = merry.New("call abandoned")
 
@@ -58,6 +62,7 @@
 	onValues func([]winch.Value, uint64), onChanges func([]winch.Event, uint64),
 ) {
 	after := options.after
+	var failed error // failed is the error of the last call.
 	for ctx.Err() == nil {
 		sent := time.Now()
 		if after == 0 {
@@ -73,7 +78,8 @@
 			}
 			options.notify(sent)
 		}
-		events, next, err := n.watchOnce(ctx, prefix, after, options.maxWait())
+		events, next, err := n.watchOnce(ctx, prefix, after, options, failed == nil)
+		failed = err
 		switch {
 		case errors.Is(err, winch.ErrCompacted):
 			n.Log.Info("store has compacted the change history; reading all records again", zap.String("prefix", prefix), zap.Uint64("after", after))
@@ -125,12 +131,17 @@
 	}
 }
 
-// watchOnce makes one call that waits for changes. The call is abandoned when the store
-// answers again after an outage, and by renewWatches: a call sent into the outage may never be answered,
+// watchOnce makes one call for changes; answered says that the last one was answered. The call is abandoned when
+// the store answers again after an outage, and by renewWatches: a call sent into the outage may never be answered,
 // and the changes that it waits for would be seen seconds late.
-func (n *Node) watchOnce(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []winch.Event, next uint64, err error) {
+func (n *Node) watchOnce(ctx context.Context, prefix string, after uint64, options watchOptions, answered bool) (events []winch.Event, next uint64, err error) {
 	abandoned := duty.RunUntil(ctx, n.abandonWatches.wait(), func(ctx context.Context) {
-		events, next, err = n.Table.Watch(ctx, prefix, after, wait)
+		if options.wait == nil && answered {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, changesTimeout)
+			defer cancel()
+		}
+		events, next, err = n.Table.Watch(ctx, prefix, after, options.maxWait())
 	})
 	if err != nil && abandoned {
 		err = errAbandoned
