--- a/region/admission_test.go
+++ b/region/admission_test.go
@@ -283,7 +283,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for i := range sent[1:] {
-				if sent[i+1].Sub(sent[i]) < admissionInterval-50*time.Millisecond {
+				if sent[i+1].Sub(sent[i]) < admissionInterval {
 					n++
 				}
 			}
