--- a/region/contacts_test.go
+++ b/region/contacts_test.go
@@ -162,7 +162,7 @@
 		w.mu.Lock()
 		before := w.configCopies
 		w.mu.Unlock()
-		time.Sleep(maxWatchWait + waitingInterval + time.Second)
+		time.Sleep(configBound)
 		for _, n := range w.nodes {
 			is.Equal(n.node.Config().Version, uint64(2)) // version
 		}
