region, platform: an entry counts as cut off only after its peers have answered

Found in reading the change: a refresh gave up after 0.1 s although a slow peer would have confirmed the configuration; until it did, requests were handled by an old one.

--- a/region/current.go
+++ b/region/current.go
@@ -126,7 +126,6 @@
 	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
 	defer cancel()
 	var group conc.WaitGroup
-	defer group.Wait()
 	names := s.node.Peers.Names()
 	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	for _, name := range names[:min(len(names), refreshedPeers)] {
@@ -135,6 +134,7 @@
 	if !s.awaitConfirmed(ctx, probeTimeout) && s.node.storeResponsive() {
 		s.read(ctx)
 	}
+	group.Wait()
 	if s.age() < s.node.Timing.refreshAge() {
 		return
 	}
@@ -173,7 +173,7 @@
 // logAge logs when the configuration has not been confirmed within the bound, and when it is again.
 func (s *settings) logAge() {
 	age := s.age()
-	if late := age > s.node.Timing.Config && s.config.Load() != nil; late != s.late {
+	if late := min(age, time.Since(s.node.started)) > s.node.Timing.Config; late != s.late {
 		s.late = late
 		message := "configuration is confirmed again"
 		if late {
--- a/trans/front/phases.go
+++ b/trans/front/phases.go
@@ -147,27 +147,19 @@
 			writeResult(w, winch.RefuseFor(winch.StoreUnavailable, "no configuration has been read yet", time.Second))
 			return
 		}
-		unconfirmed := winch.RefuseFor(winch.StoreUnavailable, "a newer configuration may be in force", time.Second)
-		if state == winch.ConfigUnconfirmed {
-			writeResult(w, unconfirmed)
-			return
-		}
 		c := phasesRequest{w: w, r: r, queue: ps.ByName("Queue"), id: ps.ByName("ID")}
 		i := slices.IndexFunc(config.Queues, func(q winch.Queue) bool { return q.Name == c.queue })
-		if i < 0 && state != winch.ConfigCurrent {
-			writeResult(w, unconfirmed)
+		team, known := config.TeamOf(bearerToken(r))
+		permitted := i >= 0 && (known || config.Queues[i].Public)
+		if state == winch.ConfigUnconfirmed || state == winch.ConfigUnreachable && !permitted {
+			writeResult(w, winch.RefuseFor(winch.StoreUnavailable, "a newer configuration may be in force", time.Second))
 			return
 		}
 		if i < 0 {
 			writeResult(w, winch.Refuse(winch.UnknownService, "no queue "+c.queue))
 			return
 		}
-		team, known := config.TeamOf(bearerToken(r))
-		if !known && !config.Queues[i].Public && state != winch.ConfigCurrent {
-			writeResult(w, unconfirmed)
-			return
-		}
-		if !known && !config.Queues[i].Public {
+		if !permitted {
 			writeResult(w, winch.Refuse(winch.UnknownKey, "the key is not known"))
 			return
 		}
