--- a/server/region.go
+++ b/server/region.go
@@ -90,7 +90,8 @@
 	return nil
 }
 
-// Reload applies changed settings. Changes of addresses and of the planner's policy take effect at the next start.
+// Reload applies changed settings. Of the times only Grace takes effect at once; changes of the others, of addresses
+// and of the planner's policy take effect at the next start.
 func (s *Region) Reload(settings conf.Region) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,8 +101,10 @@
 		return
 	}
 	s.Settings = settings
+	timing := settings.Timing
+	timing.Grace = old.Timing.Grace
 	s.Log.Info("settings reloaded", zap.Any("timing", settings.Timing), zap.Any("limits", settings.Limits),
-		zap.Bool("restart", settings.Listen != old.Listen || settings.Platform != old.Platform || settings.Planner.Policy() != old.Planner.Policy()))
+		zap.Bool("restart", timing != old.Timing || settings.Listen != old.Listen || settings.Platform != old.Platform || settings.Planner.Policy() != old.Planner.Policy()))
 	tuneRegionMemory(settings.Limits.Memory)
 }
 
