--- a/region/admission_test.go
+++ b/region/admission_test.go
@@ -293,6 +293,10 @@
 		x := newLoadTrial(w)
 		x.play(loadCapacity/2, 10*time.Second)
 		idleEarly, idle := early()
+		mu.Lock()
+		next := sent[len(sent)-1].Add(admissionInterval)
+		mu.Unlock()
+		time.Sleep(time.Until(next) + time.Millisecond) // The burst begins with a turn, so that refusing begins between two.
 		x.play(10*loadCapacity, 3*time.Second)
 		busyEarly, busy := early()
 		t.Log("messages in ten seconds, in three of the burst, and early ones:", idle, idleEarly, busy, busyEarly)
