region: a configuration that only the planner knows is not fetched from it

Cause: the planner now reads a version that the store reports to nobody, and announces it; no neighbour has it either, so all entries fetched their copies from the planner at the same moment. Its link was full, and its standby took over. That grows with the fleet.

Entries wait for a random time, ask neighbours that are not the planner, then read the store; the planner is asked only if the store does not answer. TestEntriesDoNotFetchAConfigurationFromThePlanner fails on the code before (3 of 3) and passes 20 of 20.

--- a/region/contacts.go
+++ b/region/contacts.go
@@ -73,6 +73,19 @@
 	return c.addresses[name]
 }
 
+// linkedNeighbours returns which of the linked entries are neighbours.
+func (c *contacts) linkedNeighbours(linked []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, name := range linked {
+		if _, ok := c.neighbours[name]; ok {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // wanted returns the addresses of the standby and the neighbours.
 func (c *contacts) wanted() []string {
 	c.mu.Lock()
--- a/region/current.go
+++ b/region/current.go
@@ -126,9 +126,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
 	defer cancel()
 	var group conc.WaitGroup
-	names := s.node.Peers.Names()
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range names[:min(len(names), refreshedPeers)] {
+	for _, name := range s.askedPeers(refreshedPeers) {
 		group.Go(func() { s.fetch(ctx, name) })
 	}
 	if !s.awaitConfirmed(ctx, probeTimeout) && s.node.storeResponsive() {
--- a/region/current_test.go
+++ b/region/current_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
 
@@ -240,3 +241,27 @@
 		w.end()
 	})
 }
+
+// Guards against a planner whose link is full, so that its standby replaces it: a configuration that the store reports
+// to nobody is known to the planner first, and all entries fetched their copies from it.
+func TestEntriesDoNotFetchAConfigurationFromThePlanner(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 10)
+		planner := w.planner().node.Name
+		asked := 0
+		w.setRequestLoss(func(_, to string, kind winch.Kind) bool {
+			if kind == proto.KindSettingsRequest && to == planner {
+				asked++
+			}
+			return false
+		})
+		w.hangOperatorWatches(time.Time{}, time.Now().Add(20*time.Second), func(string) bool { return true })
+		w.checkInForce(2, w.writeConfig(2))
+		w.mu.Lock()
+		is.True(asked <= 1) // requests to the planner
+		w.mu.Unlock()
+		w.end()
+	})
+}
--- a/region/settings.go
+++ b/region/settings.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -20,8 +22,7 @@
 	// store to send it. The store notifies all entries within a few milliseconds, and copies
 	// from peers to each of them would saturate the links of small VMs.
 	peerFetchDelay = 150 * time.Millisecond
-	// maxNeighbourFetches is how many random peers are asked before the one that announced the version,
-	// which is mostly the planner: all entries learn of it from the planner at the same time.
+	// maxNeighbourFetches is how many random peers are asked for a version that was announced.
 	maxNeighbourFetches = 2
 	// settingsTimeout bounds one request to a peer.
 	settingsTimeout = 500 * time.Millisecond
@@ -104,32 +105,53 @@
 	}
 }
 
-// fetchNewer gets the newer configuration that a peer has announced: from the store if it answers, whose
-// notification may have been lost, else from a peer.
+// fetchNewer gets the newer configuration that a peer has announced: from the store if it sends it, whose
+// notification may have been lost, else from a neighbour, and if none has it from the store again. All entries learn
+// of it from the planner at the same time: they ask at random times, and the planner only if the store does not answer.
 func (s *settings) fetchNewer(ctx context.Context, a announcement) {
 	s.node.renewWatches()
-	s.waitForStore(ctx)
-	names := s.node.Peers.Names()
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range append(names[:min(len(names), maxNeighbourFetches)], a.peer) {
-		if s.version() >= a.version {
-			return
+	s.awaitVersion(ctx, a.version, peerFetchDelay)
+	if s.config.Load() != nil && s.node.leadership.Load() == nil {
+		s.awaitVersion(ctx, a.version, rand.N(s.node.Timing.refreshInterval()))
+	}
+	for _, name := range s.askedPeers(maxNeighbourFetches) {
+		if s.version() < a.version {
+			s.fetch(ctx, name)
 		}
-		s.fetch(ctx, name)
+	}
+	switch {
+	case s.version() >= a.version:
+	case s.node.storeResponsive():
+		ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
+		defer cancel()
+		s.read(ctx)
+	default:
+		s.fetch(ctx, a.peer)
 	}
 }
 
-// waitForStore gives the store time to send the configuration, unless the entry has none yet.
-func (s *settings) waitForStore(ctx context.Context) {
-	if s.config.Load() == nil {
-		return
+// awaitVersion waits until a version is in force, at most for a time.
+func (s *settings) awaitVersion(ctx context.Context, version uint64, limit time.Duration) {
+	for end := time.Now().Add(limit); s.version() < version && ctx.Err() == nil; {
+		left := time.Until(end)
+		if left <= 0 {
+			return
+		}
+		duty.Sleep(ctx, min(left, currentCheckInterval))
 	}
-	timer := time.NewTimer(peerFetchDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+}
+
+// askedPeers returns random peers to ask for the configuration: neighbours if there are any, since all entries are
+// linked to the planner and its standby.
+func (s *settings) askedPeers(count int) []string {
+	names, planner := s.node.Peers.Names(), s.node.cell.holder()
+	neighbours := s.node.contacts.linkedNeighbours(names)
+	neighbours = slices.DeleteFunc(neighbours, func(name string) bool { return name == planner })
+	if len(neighbours) > 0 {
+		names = neighbours
 	}
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(len(names), count)]
 }
 
 // fetch asks a peer for what the operator has written, as far as it is newer than what this entry has.
