region: entries wait for their settings, and ask for them, in one way each

Found in reading the change once more; what callers see stays. Three loops waited for a condition on the settings, one of them by polling: one function serves them, woken by each new version, too. Two constants and two shuffles that chose peers are one each, also for the entry that looks for a peer that the store answers. The bound of a read stands in the read. An announcement is logged when it leads to a fetch, not for each message that repeats it.

--- a/region/current.go
+++ b/region/current.go
@@ -20,10 +20,8 @@
 	// maxConfirmWait bounds how long a request waits for the confirmation of the configuration. A slow store
 	// takes about 300 ms to answer.
 	maxConfirmWait = 300 * time.Millisecond
-	// refreshedPeers is how many peers one refresh asks.
-	refreshedPeers = 2
-	// currentCheckInterval is how often it is checked whether a refresh is due.
-	currentCheckInterval = 50 * time.Millisecond
+	// askedPeers is how many peers are asked at once for what the operator has written.
+	askedPeers = 2
 )
 
 // The times below follow from Timing.Config, which bounds the age at which an entry may act by a configuration
@@ -64,7 +62,7 @@
 	if s.age() < s.node.Timing.refreshAge() {
 		s.unreachable.Store(false)
 	}
-	s.confirmedOrFailed.send()
+	s.changed.send()
 }
 
 // confirmAge returns the age to be passed on to another entry, or zero if it is not known. It has to be taken
@@ -102,10 +100,11 @@
 			confirmed, due = at, timing.refreshAge()+rand.N(timing.refreshInterval())
 		}
 		s.logAge()
-		pause := currentCheckInterval
-		if s.age() > due {
+		pause := timing.refreshInterval()
+		if left := due - s.age(); left > 0 {
+			pause = min(pause, left)
+		} else {
 			group.Go(func() { s.refresh(ctx) })
-			pause = timing.refreshInterval()
 		}
 		timer := time.NewTimer(pause)
 		select {
@@ -126,27 +125,28 @@
 	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
 	defer cancel()
 	var group conc.WaitGroup
-	for _, name := range s.askedPeers(refreshedPeers) {
+	for _, name := range s.peersToAsk() {
 		group.Go(func() { s.fetch(ctx, name) })
 	}
-	if !s.awaitConfirmed(ctx, probeTimeout) && s.node.storeResponsive() {
+	confirmed := func() bool { return s.age() < s.node.Timing.refreshAge() }
+	if !s.await(ctx, probeTimeout, confirmed) && s.node.storeResponsive() {
 		s.read(ctx)
 	}
 	group.Wait()
-	if s.age() < s.node.Timing.refreshAge() {
+	if confirmed() {
 		return
 	}
 	s.unreachable.Store(true)
-	s.confirmedOrFailed.send()
+	s.changed.send()
 }
 
-// awaitConfirmed waits until the configuration is confirmed, and reports whether it is within the limit.
-func (s *settings) awaitConfirmed(ctx context.Context, limit time.Duration) bool {
+// await waits until a condition on the settings holds, and reports whether it does within the limit.
+func (s *settings) await(ctx context.Context, limit time.Duration, condition func() bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
-		changed := s.confirmedOrFailed.wait()
-		if s.age() < s.node.Timing.refreshAge() {
+		changed := s.changed.wait()
+		if condition() {
 			return true
 		}
 		select {
@@ -159,6 +159,8 @@
 
 // read reads all that the operator has written from the store.
 func (s *settings) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
+	defer cancel()
 	sent := time.Now()
 	values, asOf, err := s.node.Table.Read(ctx, s.node.Codec.OperatorPrefix())
 	if err != nil {
@@ -185,28 +187,17 @@
 // CurrentConfig implements winch.Region.
 func (n *Node) CurrentConfig(ctx context.Context) (*winch.RegionConfig, winch.ConfigState) {
 	s := &n.settings
-	switch {
-	case s.config.Load() == nil:
+	if s.config.Load() == nil {
 		return nil, winch.ConfigUnreachable
-	case s.age() <= n.Timing.maxAge():
-		return s.config.Load(), winch.ConfigCurrent
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxConfirmWait)
-	defer cancel()
-	for {
-		changed := s.confirmedOrFailed.wait()
-		switch {
-		case s.age() <= n.Timing.maxAge():
-			return s.config.Load(), winch.ConfigCurrent
-		case s.unreachable.Load():
-			return s.config.Load(), winch.ConfigUnreachable
-		}
-		select {
-		case <-ctx.Done():
-			return s.config.Load(), winch.ConfigUnconfirmed
-		case <-changed:
-		}
+	current := func() bool { return s.age() <= n.Timing.maxAge() }
+	state := winch.ConfigCurrent
+	if !current() && !s.await(ctx, maxConfirmWait, func() bool { return current() || s.unreachable.Load() }) {
+		state = winch.ConfigUnconfirmed
+	} else if !current() {
+		state = winch.ConfigUnreachable
 	}
+	return s.config.Load(), state
 }
 
 // transit estimates how long the reports of one sender take. One that waits in the buffers of a link, or for a
--- a/region/current_test.go
+++ b/region/current_test.go
@@ -199,7 +199,7 @@
 				begin := time.Now()
 				config, state := n.node.CurrentConfig(w.ctx)
 				is.True(config != nil && state != winch.ConfigUnconfirmed)
-				is.True(time.Since(begin) <= probeTimeout+refreshedPeers*networkDelay)
+				is.True(time.Since(begin) <= probeTimeout+askedPeers*networkDelay)
 			}
 		}
 		w.setStoreUnavailable(false)
--- a/region/forward.go
+++ b/region/forward.go
@@ -62,8 +62,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	names := slices.DeleteFunc(n.Peers.Names(), func(name string) bool { return slices.Contains(except, name) })
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	names = names[:min(len(names), probedPeers)]
+	names = sample(names, probedPeers)
 	found := make(chan string, len(names))
 	var group conc.WaitGroup
 	for _, name := range names {
@@ -84,6 +83,12 @@
 	}
 }
 
+// sample returns at most count random elements of names, which it reorders.
+func sample(names []string, count int) []string {
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(len(names), count)]
+}
+
 // probe reports whether a peer responds and the store answers it.
 func (n *Node) probe(ctx context.Context, name string) bool {
 	var response proto.Settings
--- a/region/report.go
+++ b/region/report.go
@@ -63,8 +63,6 @@
 	done := make(chan struct{})
 	l.group.Go(func() {
 		defer close(done)
-		ctx, cancel := context.WithTimeout(ctx, l.node.Timing.refreshTimeout())
-		defer cancel()
 		s.read(ctx)
 	})
 	timer := time.NewTimer(maxConfirmDelay)
--- a/region/settings.go
+++ b/region/settings.go
@@ -12,7 +12,6 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
-	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -22,8 +21,6 @@
 	// store to send it. The store notifies all entries within a few milliseconds, and copies
 	// from peers to each of them would saturate the links of small VMs.
 	peerFetchDelay = 150 * time.Millisecond
-	// maxNeighbourFetches is how many random peers are asked for a version that was announced.
-	maxNeighbourFetches = 2
 	// settingsTimeout bounds one request to a peer.
 	settingsTimeout = 500 * time.Millisecond
 )
@@ -42,11 +39,11 @@
 	confirmed atomic.Pointer[time.Time]
 	// unreachable says that neither the store nor a peer gave a recent confirmation when they were last asked.
 	unreachable atomic.Bool
-	// confirmedOrFailed is sent after each confirmation and each refresh without one.
-	confirmedOrFailed broadcast
-	storeBack         chan struct{} // storeBack is signalled when the store answers again.
-	transit           transit       // transit is guarded by mu.
-	late              bool          // late says that the log shows the configuration as not confirmed in time.
+	// changed is sent after each new version, each confirmation and each refresh without one.
+	changed   broadcast
+	storeBack chan struct{} // storeBack is signalled when the store answers again.
+	transit   transit       // transit is guarded by mu.
+	late      bool          // late says that the log shows the configuration as not confirmed in time.
 	// newer holds the last announcement of a newer version than this entry has.
 	newer chan announcement
 }
@@ -109,49 +106,37 @@
 // notification may have been lost, else from a neighbour, and if none has it from the store again. All entries learn
 // of it from the planner at the same time: they ask at random times, and the planner only if the store does not answer.
 func (s *settings) fetchNewer(ctx context.Context, a announcement) {
+	known := func() bool { return s.version() >= a.version }
 	s.node.renewWatches()
-	s.awaitVersion(ctx, a.version, peerFetchDelay)
+	delay := peerFetchDelay
 	if s.config.Load() != nil && s.node.leadership.Load() == nil {
-		s.awaitVersion(ctx, a.version, rand.N(s.node.Timing.refreshInterval()))
+		delay += rand.N(s.node.Timing.refreshInterval())
 	}
-	for _, name := range s.askedPeers(maxNeighbourFetches) {
-		if s.version() < a.version {
+	s.await(ctx, delay, known)
+	for _, name := range s.peersToAsk() {
+		if !known() {
 			s.fetch(ctx, name)
 		}
 	}
 	switch {
-	case s.version() >= a.version:
+	case known():
 	case s.node.storeResponsive():
-		ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
-		defer cancel()
 		s.read(ctx)
 	default:
 		s.fetch(ctx, a.peer)
 	}
 }
 
-// awaitVersion waits until a version is in force, at most for a time.
-func (s *settings) awaitVersion(ctx context.Context, version uint64, limit time.Duration) {
-	for end := time.Now().Add(limit); s.version() < version && ctx.Err() == nil; {
-		left := time.Until(end)
-		if left <= 0 {
-			return
-		}
-		duty.Sleep(ctx, min(left, currentCheckInterval))
-	}
-}
-
-// askedPeers returns random peers to ask for the configuration: neighbours if there are any, since all entries are
+// peersToAsk returns random peers to ask for the configuration: neighbours if there are any, since all entries are
 // linked to the planner and its standby.
-func (s *settings) askedPeers(count int) []string {
+func (s *settings) peersToAsk() []string {
 	names, planner := s.node.Peers.Names(), s.node.cell.holder()
 	neighbours := s.node.contacts.linkedNeighbours(names)
 	neighbours = slices.DeleteFunc(neighbours, func(name string) bool { return name == planner })
 	if len(neighbours) > 0 {
 		names = neighbours
 	}
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(len(names), count)]
+	return sample(names, askedPeers)
 }
 
 // fetch asks a peer for what the operator has written, as far as it is newer than what this entry has.
@@ -183,10 +168,10 @@
 	if version <= have {
 		return
 	}
-	s.node.Log.Info("newer configuration announced", zap.String("from", name), zap.Uint64("version", version),
-		zap.Uint64("have", have), zap.Duration("age", s.age()))
 	select {
 	case s.newer <- announcement{name, version}:
+		s.node.Log.Info("newer configuration announced", zap.String("from", name), zap.Uint64("version", version),
+			zap.Uint64("have", have), zap.Duration("age", s.age()))
 	default: // Another peer with a newer version is about to be asked.
 	}
 }
@@ -252,5 +237,6 @@
 	}
 	s.data = data
 	s.config.Store(config)
+	s.changed.send()
 	return true
 }
