region: requests handled by a replaced configuration are reported

Callers see that a configuration was not in force in time; the entry does not. A version now travels with the time for which it has been known (new optional fields of Settings and WaitingJobs), and an entry that learns of it looks at the requests that it has handled by an older one: log line with the request, metric Settings.HandledReplaced. The conclusion that neither the store nor a peer is reached is logged with its grounds, and the version by which the planner decides. No decision is changed.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -288,6 +288,8 @@
 	// SettingsAge is how long ago the planner was shown that what it knows of the operator's settings is the
 	// newest; zero if it does not know.
 	SettingsAge time.Duration `cbor:"6,keyasint,omitempty"`
+	// SettingsKnown is for how long the version in Settings has been known to an entry, at least.
+	SettingsKnown time.Duration `cbor:"8,keyasint,omitempty"`
 	// SentAt is for how long the sender's process has run.
 	SentAt time.Duration `cbor:"7,keyasint,omitempty"`
 }
@@ -329,6 +331,8 @@
 	// Age is how long ago the sender of a response was shown that what it knows is the newest; zero if it
 	// does not know.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Known is for how long the version has been known, at least, to the sender or to an entry that it has it from.
+	Known time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // SettingsRequest asks for the configuration, which is sent only if it is newer than Have, and for the
--- a/region/current.go
+++ b/region/current.go
@@ -77,6 +77,7 @@
 // noteReport takes the planner's report as a confirmation, unless the planner has a newer configuration.
 func (s *settings) noteReport(from string, m proto.WaitingJobs) {
 	s.noteVersion(from, m.Settings)
+	s.noteKnown(m.Settings, m.SettingsKnown)
 	s.node.applyReceived(m.Evacuations, from)
 	s.mu.Lock()
 	delay := s.transit.delay(from, m.SentAt, time.Since(s.node.started))
@@ -122,6 +123,7 @@
 
 // refresh asks peers, and the store if these have no recent confirmation.
 func (s *settings) refresh(ctx context.Context) {
+	begin := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
 	defer cancel()
 	var group conc.WaitGroup
@@ -129,14 +131,18 @@
 		group.Go(func() { s.fetch(ctx, name) })
 	}
 	confirmed := func() bool { return s.age() < s.node.Timing.refreshAge() }
+	var readError error
 	if !s.await(ctx, probeTimeout, confirmed) && s.node.storeResponsive() {
-		s.read(ctx)
+		readError = s.read(ctx)
 	}
 	group.Wait()
 	if confirmed() {
 		return
 	}
-	s.unreachable.Store(true)
+	if !s.unreachable.Swap(true) {
+		s.node.Log.Info("neither the store nor a peer confirms the configuration", zap.Uint64("version", s.version()), zap.Duration("age", s.age()),
+			zap.Duration("took", time.Since(begin)), zap.Bool("storeAnswers", s.node.storeResponsive()), zap.NamedError("read", readError))
+	}
 	s.changed.send()
 }
 
@@ -158,16 +164,17 @@
 }
 
 // read reads all that the operator has written from the store.
-func (s *settings) read(ctx context.Context) {
+func (s *settings) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
 	defer cancel()
 	sent := time.Now()
 	values, asOf, err := s.node.Table.Read(ctx, s.node.Codec.OperatorPrefix())
 	if err != nil {
-		return
+		return err
 	}
 	s.applyValues(values, asOf)
 	s.confirm(sent)
+	return nil
 }
 
 // logAge logs when the configuration has not been confirmed within the bound, and when it is again.
@@ -185,7 +192,7 @@
 }
 
 // CurrentConfig implements winch.Region.
-func (n *Node) CurrentConfig(ctx context.Context) (*winch.RegionConfig, winch.ConfigState) {
+func (n *Node) CurrentConfig(ctx context.Context, request string) (*winch.RegionConfig, winch.ConfigState) {
 	s := &n.settings
 	if s.config.Load() == nil {
 		return nil, winch.ConfigUnreachable
@@ -197,7 +204,9 @@
 	} else if !current() {
 		state = winch.ConfigUnreachable
 	}
-	return s.config.Load(), state
+	config := s.config.Load()
+	s.noteHandled(request, config.Version, state)
+	return config, state
 }
 
 // transit estimates how long the reports of one sender take. One that waits in the buffers of a link, or for a
--- a/region/current_test.go
+++ b/region/current_test.go
@@ -23,7 +23,7 @@
 
 // handledBy returns the version of the configuration by which an entry handles a request that arrives now.
 func (n *simNode) handledBy() uint64 {
-	config, _ := n.node.CurrentConfig(n.world.ctx)
+	config, _ := n.node.CurrentConfig(n.world.ctx, "check")
 	return config.Version
 }
 
@@ -197,7 +197,7 @@
 			time.Sleep(50 * time.Millisecond)
 			for _, n := range w.nodes {
 				begin := time.Now()
-				config, state := n.node.CurrentConfig(w.ctx)
+				config, state := n.node.CurrentConfig(w.ctx, "check")
 				is.True(config != nil && state != winch.ConfigUnconfirmed)
 				is.True(time.Since(begin) <= probeTimeout+askedPeers*networkDelay)
 			}
--- a/region/currentrand_test.go
+++ b/region/currentrand_test.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		reachable := c.reachable()
-		config, state := node.CurrentConfig(c.ctx)
+		config, state := node.CurrentConfig(c.ctx, "check")
 		if reachable && state != winch.ConfigCurrent || state == winch.ConfigCurrent && config.Version < version {
 			c.mu.Lock()
 			c.reportViolation("%s handles a request by version %d (state %d) %v after version %d was confirmed", n.host, config.Version, state, configBound, version)
--- a/region/report.go
+++ b/region/report.go
@@ -48,7 +48,8 @@
 	age := s.confirmAge()
 	return proto.WaitingJobs{
 		Term: l.term, Queues: l.planner.Waiting(), Settings: s.version(), SettingsAge: age,
-		SentAt: time.Since(l.node.started), Evacuations: l.node.knownEvacuations(), Standby: l.standbyAddress(),
+		SettingsKnown: s.witness.known(s.version()),
+		SentAt:        time.Since(l.node.started), Evacuations: l.node.knownEvacuations(), Standby: l.standbyAddress(),
 	}
 }
 
@@ -63,7 +64,7 @@
 	done := make(chan struct{})
 	l.group.Go(func() {
 		defer close(done)
-		s.read(ctx)
+		_ = s.read(ctx) // The age shows that it failed.
 	})
 	timer := time.NewTimer(maxConfirmDelay)
 	defer timer.Stop()
--- a/region/settings.go
+++ b/region/settings.go
@@ -45,7 +45,8 @@
 	transit   transit       // transit is guarded by mu.
 	late      bool          // late says that the log shows the configuration as not confirmed in time.
 	// newer holds the last announcement of a newer version than this entry has.
-	newer chan announcement
+	newer   chan announcement
+	witness witness
 }
 
 // announcement says that a peer has a version of the configuration.
@@ -58,11 +59,18 @@
 	s.node = n
 	s.newer = make(chan announcement, 1)
 	s.storeBack = make(chan struct{}, 1)
+	s.witness.replaced = metrics.GetOrRegisterCounter("Settings.HandledReplaced", n.Metrics)
 }
 
 // registerGauges registers the metrics of the configuration.
 func (s *settings) registerGauges(registry metrics.Registry) {
 	_ = registry.Register("Settings.Version", metrics.NewFunctionalGauge(func() int64 { return int64(s.version()) }))
+	_ = registry.Register("Settings.Unreachable", metrics.NewFunctionalGauge(func() int64 {
+		if s.unreachable.Load() {
+			return 1
+		}
+		return 0
+	}))
 	_ = registry.Register("Settings.AgeMillis", metrics.NewFunctionalGauge(func() int64 { return s.age().Milliseconds() }))
 }
 
@@ -121,7 +129,7 @@
 	switch {
 	case known():
 	case s.node.storeResponsive():
-		s.read(ctx)
+		_ = s.read(ctx) // The next report announces the version again.
 	default:
 		s.fetch(ctx, a.peer)
 	}
@@ -149,6 +157,7 @@
 		return
 	}
 	s.node.applyReceived(response.Evacuations, name)
+	s.noteKnown(response.Version, response.Known)
 	if len(response.Data) > 0 {
 		s.apply(s.node.Codec.ConfigKey(), response.Data, name)
 	}
@@ -185,7 +194,7 @@
 		out.Evacuations = e
 	}
 	if c := s.config.Load(); c != nil && c.Version > request.Have {
-		out.Version, out.Data = c.Version, s.data
+		out.Version, out.Data, out.Known = c.Version, s.data, s.witness.known(c.Version)
 	}
 	return out
 }
@@ -214,10 +223,15 @@
 	if !s.replace(config, data) {
 		return
 	}
+	s.noteKnown(config.Version, 0)
 	s.node.Log.Info("configuration applied", zap.Uint64("version", config.Version), zap.String("from", from),
 		zap.Int("queues", len(config.Queues)), zap.Int("teams", len(config.Teams)))
 	if l := s.node.leadership.Load(); l != nil {
-		l.post(func() { l.planner.SetConfig(config); l.decideSoon() })
+		l.post(func() {
+			l.planner.SetConfig(config)
+			l.decideSoon()
+			s.node.Log.Info("planner decides by a new configuration", zap.Uint64("version", config.Version))
+		})
 	}
 }
 
--- a/trans/front/phases.go
+++ b/trans/front/phases.go
@@ -142,7 +142,7 @@
 // calls the handler, or writes an error response.
 func (p phasesHandler) withQueue(handle func(c phasesRequest)) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-		config, state := p.region.CurrentConfig(r.Context())
+		config, state := p.region.CurrentConfig(r.Context(), r.URL.Path)
 		if config == nil {
 			writeResult(w, winch.RefuseFor(winch.StoreUnavailable, "no configuration has been read yet", time.Second))
 			return
--- a/winch/region.go
+++ b/winch/region.go
@@ -223,7 +223,8 @@
 type Region interface {
 	// CurrentConfig returns the configuration by which a request is to be handled, or nil if the entry has
 	// none. If the entry has not been shown lately that no newer one is in force, it first waits a moment for that.
-	CurrentConfig(ctx context.Context) (*RegionConfig, ConfigState)
+	// The request is named in logs.
+	CurrentConfig(ctx context.Context, request string) (*RegionConfig, ConfigState)
 	// Submit accepts a job, or returns the reason for refusing it.
 	Submit(ctx context.Context, job *PhasedJob) Result
 	// State returns the state of a job, or a result with UnknownJob if there is no such job.
