--- a/region/witness_test.go
+++ b/region/witness_test.go
@@ -15,7 +15,7 @@
 	is := is.NewRelaxed(t)
 	const bound = 2 * time.Second
 	var w witness
-	begin := time.Now()
+	begin := time.Now().Add(-time.Minute)
 	at := func(seconds float64) time.Time { return begin.Add(time.Duration(seconds * float64(time.Second))) }
 	is.Equal(len(w.learn(1, at(0), bound)), 0)
 	for _, r := range []handledRequest{{"early", 1, 0, at(1)}, {"in time", 1, 0, at(3.5)}, {"late", 1, winch.ConfigUnreachable, at(4.5)}} {
