--- a/region/simpeers_test.go
+++ b/region/simpeers_test.go
@@ -207,8 +207,32 @@
 	handle := func() {
 		n.Handle(context.Background(), p.node.Name, kind, func(into any) error { return proto.Decode(data, into) })
 	}
-	if !p.world.queueIfPaused(n, true, handle) {
-		handle()
+	deliver := func() {
+		if !p.world.queueIfPaused(n, true, handle) {
+			handle()
+		}
+	}
+	p.world.mu.Lock()
+	delay := p.world.notifyDelay
+	p.world.mu.Unlock()
+	if delay == nil {
+		deliver()
+		return nil
+	}
+	if wait, arrives := delay(p.node.Host, n.Host, kind); arrives && wait == 0 {
+		deliver()
+	} else if arrives {
+		p.world.group.Go(func() {
+			time.Sleep(wait)
+			deliver()
+		})
 	}
 	return nil
 }
+
+// setNotifyDelay sets how long notifications between hosts wait on their way, and whether they arrive.
+func (w *world) setNotifyDelay(delay func(from, to string, kind winch.Kind) (time.Duration, bool)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notifyDelay = delay
+}
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -27,6 +27,9 @@
 	// hangsWatch, if set, reports whether a watch call of an entry that began at a time gets no response: the
 	// connection stays open, and the call ends with the client's timeout.
 	hangsWatch func(host, prefix string, begin time.Time) bool
+	// failsRead, if set, says how a read of an entry that began at a time fails: it gets no response while the
+	// connection stays open, or it is refused.
+	failsRead  func(host, prefix string, begin time.Time) readFailure
 	cellEvents int // cellEvents counts the changes of the cell's records that watches returned.
 	// extraDelay is added to the duration of each call.
 	extraDelay time.Duration
@@ -180,7 +183,33 @@
 	return winch.ErrUncertain
 }
 
+// readFailure is how a read of the simulated store fails.
+type readFailure int
+
+const (
+	readAnswered readFailure = iota
+	readHangs
+	readRefused
+)
+
+// readFailure returns how a read that begins now fails.
+func (t *simTable) readFailure(prefix string) readFailure {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	if t.store.failsRead == nil {
+		return readAnswered
+	}
+	return t.store.failsRead(t.node.Host, prefix, time.Now())
+}
+
 func (t *simTable) Read(ctx context.Context, prefix string) (out []winch.Value, asOf uint64, err error) {
+	switch t.readFailure(prefix) {
+	case readHangs:
+		return nil, 0, t.awaitTimeout(ctx, time.Now().Add(clientTimeout))
+	case readRefused:
+		time.Sleep(networkDelay)
+		return nil, 0, winch.ErrUnavailable
+	}
 	err = t.call(ctx, func() {
 		if t.store.onRead != nil {
 			t.store.onRead(t.node.Host, prefix)
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -289,6 +289,9 @@
 		default:
 			x.leaseUntil = max(x.leaseUntil, c.Until)
 			r.world.checkEvacuated(x, key, r.node)
+			if r.world.onStart != nil {
+				r.world.onStart(r.node)
+			}
 			x.startRun(r.world, key, c)
 		}
 		return nil
--- a/region/witness_test.go
+++ b/region/witness_test.go
@@ -24,10 +24,10 @@
 	late := w.learn(2, at(2), bound)
 	is.Equal(len(late), 1)
 	is.Equal(late[0].id, "late")
-	is.Equal(len(w.learn(2, at(1), bound)), 1)                                     // An earlier time finds one more.
-	is.Equal(len(w.learn(2, at(1), bound)), 0)                                     // Each is reported once.
-	is.Equal(w.handle(handledRequest{"after", 1, 0, at(6)}), at(6).Sub(at(1)))     // It is known to be late when it is handled.
-	is.Equal(w.handle(handledRequest{"current", 2, 0, at(6)}), time.Duration(0))   // The version is the newest.
-	is.Equal(len(w.learn(1, at(0), bound)), 0)                                     // An older version is no news.
+	is.Equal(len(w.learn(2, at(1), bound)), 1)                                                // An earlier time finds one more.
+	is.Equal(len(w.learn(2, at(1), bound)), 0)                                                // Each is reported once.
+	is.Equal(w.handle(handledRequest{"after", 1, 0, at(6)}), at(6).Sub(at(1)))                // It is known to be late when it is handled.
+	is.Equal(w.handle(handledRequest{"current", 2, 0, at(6)}), time.Duration(0))              // The version is the newest.
+	is.Equal(len(w.learn(1, at(0), bound)), 0)                                                // An older version is no news.
 	is.True(w.known(2) >= time.Minute-at(2).Sub(begin) && w.known(1) == 0 && w.newest() == 2) // It is passed on with its age.
 }
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,6 +67,10 @@
 	// requestDelay returns how long a request waits at the receiving entry before it is handled,
 	// as in the receive buffers of a paused process. The entry need not be reachable by then.
 	requestDelay func(from, to string, kind winch.Kind) time.Duration
+	// notifyDelay, if set, returns how long a notification between two entries waits on its way, and whether it
+	// arrives.
+	notifyDelay  func(from, to string, kind winch.Kind) (time.Duration, bool)
+	onStart      func(node *Node)      // onStart is called when a worker is told by an entry to start a run.
 	notifySeen   func(kind winch.Kind) // notifySeen is called for each notification between two entries.
 	configCopies int                   // configCopies counts the configurations sent from entry to entry.
 	violations   []string              // violations holds the invariant violations seen so far.
@@ -232,6 +237,7 @@
 
 // simLog collects the log lines of all entries. They are printed if the test fails.
 type simLog struct {
+	onLine    atomic.Pointer[func(line string)] // onLine, if set, is called with each line before the caller goes on.
 	mu        sync.Mutex
 	startedAt time.Time
 	lines     []string
@@ -246,6 +252,9 @@
 
 // Write implements io.Writer.
 func (l *simLog) Write(line []byte) (int, error) {
+	if f := l.onLine.Load(); f != nil {
+		(*f)(string(line))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lines = append(l.lines, fmt.Sprintf("%8.3f %s", time.Since(l.startedAt).Seconds(), line))
