region: an entry that the store answers does not go on by an unconfirmed configuration

Callers: requests handled by a configuration that had been replaced, without a bound. Cause: an entry took one refresh without a confirmation for a store that nobody reaches, and kept that conclusion until the next confirmation, whatever the store answered meanwhile. A read that hung, was refused for the rate of calls or was not read in time by a process without processor time was enough; and of the peers only two were asked, who may be refused by the store like the entry itself. Now: the conclusion needs that the store has answered no call at all since the refresh began, that none of the linked peers says that it is answered, and that the process was not held up. The first answer of the store to any call ends it and has the configuration read. Until it is confirmed, requests wait 0.3 s and get 503. TestRequestsAreHandledAtOnceDuringAnOutage still holds: entries in a real outage go on.

--- a/region/current.go
+++ b/region/current.go
@@ -4,6 +4,8 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -22,6 +24,12 @@
 	maxConfirmWait = 300 * time.Millisecond
 	// askedPeers is how many peers are asked at once for what the operator has written.
 	askedPeers = 2
+	// maxAskedPeers bounds the others that are asked before an entry concludes that it reaches nobody. Only the planner and
+	// its standby have links to more.
+	maxAskedPeers = 16
+	// maxStoreDelay is how long the store may take to answer before the other peers are asked. A slow store takes about
+	// 300 ms.
+	maxStoreDelay = 350 * time.Millisecond
 )
 
 // The times below follow from Timing.Config, which bounds the age at which an entry may act by a configuration
@@ -60,7 +68,7 @@
 	}
 	s.mu.Unlock()
 	if s.age() < s.node.Timing.refreshAge() {
-		s.unreachable.Store(false)
+		s.unreachable.Store(nil)
 	}
 	s.changed.send()
 }
@@ -121,31 +129,77 @@
 	}
 }
 
-// refresh asks peers, and the store if these have no recent confirmation.
+// refresh makes the configuration current: by peers, the store, or the other peers that this entry is linked to. If the
+// store has not answered any call meanwhile, and no peer says that it is answered, this entry reaches nobody who knows
+// more. A process that was held up cannot tell.
 func (s *settings) refresh(ctx context.Context) {
 	begin := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
+	timing := s.node.Timing
+	ctx, cancel := context.WithTimeout(ctx, timing.refreshTimeout())
 	defer cancel()
 	var group conc.WaitGroup
-	for _, name := range s.peersToAsk() {
-		group.Go(func() { s.fetch(ctx, name) })
-	}
-	confirmed := func() bool { return s.age() < s.node.Timing.refreshAge() }
+	var served atomic.Bool // served says that the store answers a peer.
 	var readError error
-	if !s.await(ctx, probeTimeout, confirmed) && s.node.storeResponsive() {
-		readError = s.read(ctx)
+	ask := func(names []string) {
+		for _, name := range names {
+			group.Go(func() {
+				if s.fetch(ctx, name) {
+					served.Store(true)
+				}
+			})
+		}
+	}
+	confirmed := func() bool { return s.age() < timing.refreshAge() }
+	asked := s.peersToAsk()
+	ask(asked)
+	current := s.await(ctx, probeTimeout, confirmed)
+	if !current && s.node.storeResponsive() {
+		group.Go(func() { readError = s.read(ctx) })
+		current = s.await(ctx, maxStoreDelay, confirmed)
+	}
+	if !current && s.mayAskAll() {
+		ask(s.otherPeers(asked))
 	}
 	group.Wait()
-	if confirmed() {
+	switch {
+	case confirmed(), served.Load(), s.node.health.answeredSince(begin):
+		s.unreachable.Store(nil)
+		return
+	case time.Since(begin) > timing.refreshTimeout()+timing.refreshInterval():
 		return
 	}
-	if !s.unreachable.Swap(true) {
-		s.node.Log.Info("neither the store nor a peer confirms the configuration", zap.Uint64("version", s.version()), zap.Duration("age", s.age()),
-			zap.Duration("took", time.Since(begin)), zap.Bool("storeAnswers", s.node.storeResponsive()), zap.NamedError("read", readError))
+	if s.unreachable.Swap(&begin) == nil {
+		s.node.Log.Info("neither the store nor a peer confirms the configuration", zap.Uint64("version", s.version()),
+			zap.Duration("age", s.age()), zap.Int("linked", len(s.node.Peers.Names())), zap.NamedError("read", readError))
 	}
 	s.changed.send()
 }
 
+// isUnreachable reports whether this entry reaches neither the store nor a peer that the store answers, as far as it
+// knows. An answer of the store ends that, to whatever call.
+func (s *settings) isUnreachable() bool {
+	since := s.unreachable.Load()
+	return since != nil && !s.node.health.answeredSince(*since)
+}
+
+// mayAskAll reports whether all linked peers may be asked now. While none of them knew more the last time, that is done
+// less often than a refresh.
+func (s *settings) mayAskAll() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isUnreachable() && time.Since(s.askedAllAt) < s.node.Timing.refreshTimeout() {
+		return false
+	}
+	s.askedAllAt = time.Now()
+	return true
+}
+
+// otherPeers returns the linked peers beside those that were asked, at most maxAskedPeers.
+func (s *settings) otherPeers(asked []string) []string {
+	names := slices.DeleteFunc(s.node.Peers.Names(), func(name string) bool { return slices.Contains(asked, name) })
+	return sample(names, maxAskedPeers)
+}
+
 // await waits until a condition on the settings holds, and reports whether it does within the limit.
 func (s *settings) await(ctx context.Context, limit time.Duration, condition func() bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -187,7 +241,7 @@
 			message = "configuration has not been confirmed in time"
 		}
 		s.node.Log.Info(message, zap.Uint64("version", s.version()), zap.Duration("age", age),
-			zap.Bool("storeAnswers", s.node.storeResponsive()), zap.Bool("unreachable", s.unreachable.Load()))
+			zap.Bool("storeAnswers", s.node.storeResponsive()), zap.Bool("unreachable", s.isUnreachable()))
 	}
 }
 
@@ -199,7 +253,7 @@
 	}
 	current := func() bool { return s.age() <= n.Timing.maxAge() }
 	state := winch.ConfigCurrent
-	if !current() && !s.await(ctx, maxConfirmWait, func() bool { return current() || s.unreachable.Load() }) {
+	if !current() && !s.await(ctx, maxConfirmWait, func() bool { return current() || s.isUnreachable() }) {
 		state = winch.ConfigUnconfirmed
 	} else if !current() {
 		state = winch.ConfigUnreachable
--- a/region/node.go
+++ b/region/node.go
@@ -145,10 +145,12 @@
 
 // NoteStoreResponse records that the store has just answered.
 func (n *Node) NoteStoreResponse() {
-	wasResponsive := n.storeResponsive()
+	wasResponsive, wasUnreachable := n.storeResponsive(), n.settings.isUnreachable()
 	n.health.answered(time.Now())
 	if !wasResponsive {
 		n.abandonWatches.send()
+	}
+	if !wasResponsive || wasUnreachable {
 		duty.Signal(n.settings.storeBack)
 	}
 }
--- a/region/settings.go
+++ b/region/settings.go
@@ -37,8 +37,10 @@
 	config atomic.Pointer[winch.RegionConfig]
 	// confirmed is a time as of which this entry was shown to know all that the operator had written.
 	confirmed atomic.Pointer[time.Time]
-	// unreachable says that neither the store nor a peer gave a recent confirmation when they were last asked.
-	unreachable atomic.Bool
+	// unreachable is when the last refresh began in which neither the store nor a peer that it answers was reached;
+	// nil if one was reached since.
+	unreachable atomic.Pointer[time.Time]
+	askedAllAt  time.Time // askedAllAt is when all linked peers were last asked. It is guarded by mu.
 	// changed is sent after each new version, each confirmation and each refresh without one.
 	changed   broadcast
 	storeBack chan struct{} // storeBack is signalled when the store answers again.
@@ -66,7 +68,7 @@
 func (s *settings) registerGauges(registry metrics.Registry) {
 	_ = registry.Register("Settings.Version", metrics.NewFunctionalGauge(func() int64 { return int64(s.version()) }))
 	_ = registry.Register("Settings.Unreachable", metrics.NewFunctionalGauge(func() int64 {
-		if s.unreachable.Load() {
+		if s.isUnreachable() {
 			return 1
 		}
 		return 0
@@ -147,14 +149,15 @@
 	return sample(names, askedPeers)
 }
 
-// fetch asks a peer for what the operator has written, as far as it is newer than what this entry has.
-func (s *settings) fetch(ctx context.Context, name string) {
+// fetch asks a peer for what the operator has written, as far as it is newer than what this entry has. It reports
+// whether the peer says that the store answers it.
+func (s *settings) fetch(ctx context.Context, name string) (served bool) {
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
 	sent := time.Now()
 	var response proto.Settings
 	if s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, s.request(), &response) != nil {
-		return
+		return false
 	}
 	s.node.applyReceived(response.Evacuations, name)
 	s.noteKnown(response.Version, response.Known)
@@ -164,6 +167,7 @@
 	if response.Age > 0 && s.version() >= response.Version {
 		s.confirm(sent.Add(-response.Age))
 	}
+	return !response.Unserved
 }
 
 // request asks for what is newer than what this entry has.
--- a/region/storehealth.go
+++ b/region/storehealth.go
@@ -91,6 +91,13 @@
 	clear(h.pending)
 }
 
+// answeredSince reports whether the store has answered a call after a time.
+func (h *storeHealth) answeredSince(t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answeredAt.After(t)
+}
+
 // silence returns for how long calls have been without an answer. The caller holds the mutex.
 func (h *storeHealth) silence(now time.Time) time.Duration {
 	longest := time.Duration(0)
--- a/winch/region.go
+++ b/winch/region.go
@@ -215,7 +215,8 @@
 	// ConfigUnreachable says that the entry reaches neither the store nor an entry that the store answers. It goes on
 	// with what it has, but a queue or key that is not in it may exist.
 	ConfigUnreachable
-	// ConfigUnconfirmed says that neither the store nor a peer has answered yet.
+	// ConfigUnconfirmed says that the entry may reach the store, or a peer that it answers, and has not been shown yet that
+	// it knows the newest configuration. A request is refused.
 	ConfigUnconfirmed
 )
 
