region: a planner's report is dated by the planner's clock

Callers: requests handled by an old configuration while the entry took it for current. Cause: the delay of a report was measured against the fastest report of the same planner so far, so the first one counted as not delayed, whatever it had waited in a full link or in a paused process; and the measure was dropped whenever another planner reported. Now an entry compares its clock with the planner's by a request that it sends itself: the planner reads its clock after the request was sent, which bounds the difference from below. A report whose sender's clock is not known confirms nothing. TestReportsThatWaitedConfirmNothingRecent asserted the estimate (a first report has no delay); it is replaced by one that checks the bound, that it is close, and that reports of an unknown clock confirm nothing.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -22,6 +22,7 @@
 	KindCommand         winch.Kind = "Command"
 	KindTerm            winch.Kind = "Term"
 	KindSubmit          winch.Kind = "Submit"
+	KindClock           winch.Kind = "Clock"
 	KindPeers           winch.Kind = "Peers"
 	KindUnregistered    winch.Kind = "Unregistered"
 )
@@ -294,6 +295,14 @@
 	SentAt time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// ClockRequest asks an entry for how long its process has run.
+type ClockRequest struct{}
+
+// Clock is the response to a ClockRequest.
+type Clock struct {
+	Uptime time.Duration `cbor:"1,keyasint"`
+}
+
 // PeersRequest asks the planner for entries to keep links to: Inside of the sender's failure domain and
 // Outside of others, beside those named in Except.
 type PeersRequest struct {
--- a/region/current.go
+++ b/region/current.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"plantainwinch/duty"
-	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
 
@@ -82,19 +81,6 @@
 	return max(s.age(), 1)
 }
 
-// noteReport takes the planner's report as a confirmation, unless the planner has a newer configuration.
-func (s *settings) noteReport(from string, m proto.WaitingJobs) {
-	s.noteVersion(from, m.Settings)
-	s.noteKnown(m.Settings, m.SettingsKnown)
-	s.node.applyReceived(m.Evacuations, from)
-	s.mu.Lock()
-	delay := s.transit.delay(from, m.SentAt, time.Since(s.node.started))
-	s.mu.Unlock()
-	if m.SettingsAge > 0 && s.version() >= m.Settings {
-		s.confirm(time.Now().Add(-m.SettingsAge - delay))
-	}
-}
-
 // runRefresh makes the configuration current whenever it has not been confirmed for a while, until ctx ends.
 // A refresh that gets no answer does not delay the next one.
 func (s *settings) runRefresh(ctx context.Context) {
@@ -262,23 +248,3 @@
 	s.noteHandled(request, config.Version, state)
 	return config, state
 }
-
-// transit estimates how long the reports of one sender take. One that waits in the buffers of a link, or for a
-// process that is paused, was not sent when it is read.
-type transit struct {
-	sender string
-	offset time.Duration // offset is the smallest difference seen between the receiver's and the sender's time.
-	at     time.Duration // at is the receiver's time of the last report.
-}
-
-// delay returns how much longer a report took than the fastest one of its sender so far, given the time at which
-// it was sent by the sender's clock, and the time now by the receiver's.
-func (t *transit) delay(sender string, sent, now time.Duration) time.Duration {
-	if t.sender != sender {
-		*t = transit{sender: sender, offset: now - sent, at: now}
-		return 0
-	}
-	t.offset += time.Duration(maxClockDrift * float64(now-t.at))
-	t.offset, t.at = min(t.offset, now-sent), now
-	return now - sent - t.offset
-}
--- a/region/current_test.go
+++ b/region/current_test.go
@@ -209,17 +209,31 @@
 }
 
 // Guards against a configuration that counts as confirmed although the report that confirms it waited on its way, as
-// in the buffers of a process that was paused.
+// in the buffers of a process that was paused: it is dated by the planner's clock, which is compared by a request.
 func TestReportsThatWaitedConfirmNothingRecent(t *testing.T) {
-	is := is.NewRelaxed(t)
-	var x transit
-	second := time.Second
-	is.Equal(x.delay("a", 100*second, 10*second), time.Duration(0))
-	is.Equal(x.delay("a", 101*second, 11*second), time.Duration(0))
-	late := x.delay("a", 102*second, 17*second)
-	is.True(late > 4500*time.Millisecond && late <= 5*second)
-	is.True(x.delay("a", 108*second, 18*second) < 200*time.Millisecond)
-	is.Equal(x.delay("b", 5*second, 19*second), time.Duration(0))
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 3)
+		f, planner := w.follower().node, w.planner().node
+		is.True(f.settings.age() < time.Second)
+		f.settings.mu.Lock()
+		clock := f.settings.clocks[planner.Name]
+		f.settings.mu.Unlock()
+		ahead := f.uptime() - planner.uptime()
+		is.True(clock.lowest(f.uptime()) <= ahead)                                        // it is a bound
+		is.True(ahead-clock.lowest(f.uptime()) <= 2*networkDelay+clock.slack(f.uptime())) // and a close one
+		w.setNotifyDelay(func(_, _ string, kind winch.Kind) (time.Duration, bool) { return 0, kind != proto.KindWaitingJobs })
+		w.setRequestLoss(func(_, _ string, kind winch.Kind) bool { return kind == proto.KindSettingsRequest })
+		w.setStoreUnavailable(true)
+		time.Sleep(5 * time.Second)
+		late := proto.WaitingJobs{Settings: 1, SettingsAge: time.Second, SentAt: planner.uptime() - 3*time.Second}
+		f.settings.noteReport("other", late)
+		is.True(f.settings.age() > 5*time.Second) // the sender's clock is not known
+		f.settings.noteReport(planner.Name, late)
+		is.True(f.settings.age() >= 4*time.Second && f.settings.age() < 4500*time.Millisecond)
+		w.end()
+	})
 }
 
 // Guards against a job that waits for the planner to learn of its queue: the entry that accepted the job knows the
--- a/region/report.go
+++ b/region/report.go
@@ -49,7 +49,7 @@
 	return proto.WaitingJobs{
 		Term: l.term, Queues: l.planner.Waiting(), Settings: s.version(), SettingsAge: age,
 		SettingsKnown: s.witness.known(s.version()),
-		SentAt:        time.Since(l.node.started), Evacuations: l.node.knownEvacuations(), Standby: l.standbyAddress(),
+		SentAt:        l.node.uptime(), Evacuations: l.node.knownEvacuations(), Standby: l.standbyAddress(),
 	}
 }
 
--- a/region/serve.go
+++ b/region/serve.go
@@ -187,6 +187,8 @@
 		return handleMessage(read, func(m proto.SubmitRequest) any { return n.submitForPeer(ctx, m) })
 	case proto.KindSettingsRequest:
 		return handleMessage(read, func(m proto.SettingsRequest) any { return n.settings.respond(m) })
+	case proto.KindClock:
+		return proto.Clock{Uptime: n.uptime()}
 	case proto.KindWaitingJobs:
 		return handleMessage(read, func(m proto.WaitingJobs) any {
 			n.settings.noteReport(from, m)
--- a/region/settings.go
+++ b/region/settings.go
@@ -44,8 +44,12 @@
 	// changed is sent after each new version, each confirmation and each refresh without one.
 	changed   broadcast
 	storeBack chan struct{} // storeBack is signalled when the store answers again.
-	transit   transit       // transit is guarded by mu.
-	late      bool          // late says that the log shows the configuration as not confirmed in time.
+	// lastReport is the last report of a planner, clocks relates the times of planners to this entry's. Both are guarded by
+	// mu. clockWanted is signalled when the clock of the last report's sender is to be compared.
+	lastReport  report
+	clocks      map[string]peerClock
+	clockWanted chan struct{}
+	late        bool // late says that the log shows the configuration as not confirmed in time.
 	// newer holds the last announcement of a newer version than this entry has.
 	newer   chan announcement
 	witness witness
@@ -60,7 +64,8 @@
 func (s *settings) prepare(n *Node) {
 	s.node = n
 	s.newer = make(chan announcement, 1)
-	s.storeBack = make(chan struct{}, 1)
+	s.storeBack, s.clockWanted = make(chan struct{}, 1), make(chan struct{}, 1)
+	s.clocks = make(map[string]peerClock)
 	s.witness.replaced = metrics.GetOrRegisterCounter("Settings.HandledReplaced", n.Metrics)
 }
 
