region: the planner decides by the newest configuration, in whatever order versions arrive

Callers: work run by the service of an older version, and caps and queues of one, until the configuration changed again. Cause: versions reach an entry by its call for changes, by reads and by peers, in goroutines of their own. Each passed the version that it had applied to the planner's decisions after that, so that two versions could reach the decisions in the other order. Now what is passed on is the occasion; the planner takes the newest version itself. Evacuations were read at the decision already.

--- a/region/evacuate.go
+++ b/region/evacuate.go
@@ -99,10 +99,19 @@
 // applyOperatorState passes what the operator may have changed while the records were read to the
 // planner's decisions.
 func (l *leadership) applyOperatorState() {
-	l.planner.SetConfig(l.node.Config())
+	l.applyConfig()
 	l.applyEvacuations()
 }
 
+// applyConfig has the planner decide by the newest configuration. Versions arrive by several ways at once, so the one
+// whose arrival caused the call need not be the newest.
+func (l *leadership) applyConfig() {
+	config := l.node.Config()
+	l.planner.SetConfig(config)
+	l.decideSoon()
+	l.node.Log.Info("planner decides by a configuration", zap.Uint64("version", config.Version))
+}
+
 // applyEvacuations passes what is known to the planner's decisions.
 func (l *leadership) applyEvacuations() {
 	l.planner.SetEvacuated(l.node.evacuations.load().Domains)
--- a/region/settings.go
+++ b/region/settings.go
@@ -236,11 +236,7 @@
 	s.node.Log.Info("configuration applied", zap.Uint64("version", config.Version), zap.String("from", from),
 		zap.Int("queues", len(config.Queues)), zap.Int("teams", len(config.Teams)))
 	if l := s.node.leadership.Load(); l != nil {
-		l.post(func() {
-			l.planner.SetConfig(config)
-			l.decideSoon()
-			s.node.Log.Info("planner decides by a new configuration", zap.Uint64("version", config.Version))
-		})
+		l.post(l.applyConfig)
 	}
 }
 
