region: an entry that starts work by a version handles no request by an older one

Callers: a configuration that goes back. An entry starts work by a version, and a request sent to it 0.25 s later is handled by an older one. Cause: a keeper acts for a planner that may know a newer version; nothing told it so. It could be behind for 1.35 s by its own bound. Now orders that start work name the planner's version (new optional field). The keeper carries them out at once, and its requests wait for that version, 0.3 s at most; a request that waits has neighbours and the store asked without the usual delay, and what does not answer within 0.1 s is not waited for. TestConfigReachesAnEntryThatTheStoreRefuses, which counts copies, fails instead of hanging now when it fails.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -105,6 +105,8 @@
 	Origins map[string]string `cbor:"3,keyasint,omitempty"`
 	// Addresses holds where peers reach the entries of Origins, as far as they are live.
 	Addresses map[string]string `cbor:"4,keyasint,omitempty"`
+	// Settings is the version of the configuration by which the planner decided to start work; zero if nothing is started.
+	Settings uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // CommandRequest asks the entry that accepted a job for its command.
--- a/region/current.go
+++ b/region/current.go
@@ -96,7 +96,7 @@
 		}
 		s.logAge()
 		pause := timing.refreshInterval()
-		if left := due - s.age(); left > 0 {
+		if left := due - s.age(); left > 0 && s.version() >= s.required.Load() {
 			pause = min(pause, left)
 		} else {
 			group.Go(func() { s.refresh(ctx) })
@@ -115,50 +115,59 @@
 	}
 }
 
-// refresh makes the configuration current: by peers, the store, or the other peers that this entry is linked to. If the
-// store has not answered any call meanwhile, and no peer says that it is answered, this entry reaches nobody who knows
-// more. A process that was held up cannot tell.
+// refresh makes the configuration current. If the store has not answered any call meanwhile, and no peer says that it is
+// answered, this entry reaches nobody who knows more. A process that was held up cannot tell.
 func (s *settings) refresh(ctx context.Context) {
 	begin := time.Now()
 	timing := s.node.Timing
-	ctx, cancel := context.WithTimeout(ctx, timing.refreshTimeout())
+	confirmed := func() bool { return s.age() < timing.refreshAge() && s.version() >= s.required.Load() }
+	served, err := s.obtain(ctx, confirmed)
+	switch {
+	case confirmed(), served, s.node.health.answeredSince(begin):
+		s.unreachable.Store(nil)
+		return
+	case time.Since(begin) > timing.refreshTimeout()+timing.refreshInterval():
+		return
+	}
+	if s.unreachable.Swap(&begin) == nil {
+		s.node.Log.Info("neither the store nor a peer confirms the configuration", zap.Uint64("version", s.version()),
+			zap.Duration("age", s.age()), zap.Int("linked", len(s.node.Peers.Names())), zap.NamedError("read", err))
+	}
+	s.changed.send()
+}
+
+// obtain asks peers, the store, and the other peers that this entry is linked to, until a condition on the settings holds.
+// It reports whether the store answers one of them, and the error of the store, if that was asked.
+func (s *settings) obtain(ctx context.Context, done func() bool) (served bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
 	defer cancel()
 	var group conc.WaitGroup
-	var served atomic.Bool // served says that the store answers a peer.
-	var readError error
+	var peerServed atomic.Bool
 	ask := func(names []string) {
 		for _, name := range names {
 			group.Go(func() {
 				if s.fetch(ctx, name) {
-					served.Store(true)
+					peerServed.Store(true)
 				}
 			})
 		}
 	}
-	confirmed := func() bool { return s.age() < timing.refreshAge() }
 	asked := s.peersToAsk()
-	ask(asked)
-	current := s.await(ctx, probeTimeout, confirmed)
+	if s.witness.newest() > s.version() {
+		served = s.askInTurn(ctx, asked, done, &group)
+	} else {
+		ask(asked)
+	}
+	current := s.await(ctx, probeTimeout, done)
 	if !current && s.node.storeResponsive() {
-		group.Go(func() { readError = s.read(ctx) })
-		current = s.await(ctx, maxStoreDelay, confirmed)
+		group.Go(func() { err = s.read(ctx) })
+		current = s.await(ctx, maxStoreDelay, done)
 	}
 	if !current && s.mayAskAll() {
 		ask(s.otherPeers(asked))
 	}
 	group.Wait()
-	switch {
-	case confirmed(), served.Load(), s.node.health.answeredSince(begin):
-		s.unreachable.Store(nil)
-		return
-	case time.Since(begin) > timing.refreshTimeout()+timing.refreshInterval():
-		return
-	}
-	if s.unreachable.Swap(&begin) == nil {
-		s.node.Log.Info("neither the store nor a peer confirms the configuration", zap.Uint64("version", s.version()),
-			zap.Duration("age", s.age()), zap.Int("linked", len(s.node.Peers.Names())), zap.NamedError("read", readError))
-	}
-	s.changed.send()
+	return served || peerServed.Load(), err
 }
 
 // isUnreachable reports whether this entry reaches neither the store nor a peer that the store answers, as far as it
@@ -168,6 +177,31 @@
 	return since != nil && !s.node.health.answeredSince(*since)
 }
 
+// mayGoOn reports whether requests may be handled by the present version though it is not confirmed.
+func (s *settings) mayGoOn() bool { return s.isUnreachable() && s.version() >= s.required.Load() }
+
+// awaitRequested waits until a condition that a request needs holds, and reports whether it does in time.
+func (s *settings) awaitRequested(ctx context.Context, condition func() bool) bool {
+	s.requests.Add(1)
+	defer s.requests.Add(-1)
+	s.changed.send()
+	return s.await(ctx, maxConfirmWait, condition)
+}
+
+// require makes requests wait for a version, since this entry is about to act by it.
+func (s *settings) require(from string, version uint64) {
+	for {
+		required := s.required.Load()
+		if version <= required || version <= s.version() {
+			break
+		}
+		if s.required.CompareAndSwap(required, version) {
+			break
+		}
+	}
+	s.noteVersion(from, version)
+}
+
 // mayAskAll reports whether all linked peers may be asked now. While none of them knew more the last time, that is done
 // less often than a refresh.
 func (s *settings) mayAskAll() bool {
@@ -237,11 +271,13 @@
 	if s.config.Load() == nil {
 		return nil, winch.ConfigUnreachable
 	}
-	current := func() bool { return s.age() <= n.Timing.maxAge() }
+	current := func() bool { return s.age() <= n.Timing.maxAge() && s.version() >= s.required.Load() }
 	state := winch.ConfigCurrent
-	if !current() && !s.await(ctx, maxConfirmWait, func() bool { return current() || s.isUnreachable() }) {
+	switch {
+	case current():
+	case !s.awaitRequested(ctx, func() bool { return current() || s.mayGoOn() }):
 		state = winch.ConfigUnconfirmed
-	} else if !current() {
+	case !current():
 		state = winch.ConfigUnreachable
 	}
 	config := s.config.Load()
--- a/region/currentrand_test.go
+++ b/region/currentrand_test.go
@@ -98,7 +98,7 @@
 		config, state := node.CurrentConfig(c.ctx, "check")
 		if reachable && state != winch.ConfigCurrent || state == winch.ConfigCurrent && config.Version < version {
 			c.mu.Lock()
-			c.reportViolation("%s handles a request by version %d (state %d) %v after version %d was confirmed", n.host, config.Version, state, configBound, version)
+			c.reportViolation("%s handles a request by version %d (state %d) %v after version %d was confirmed; age %v, required %d, at %.3f", n.host, config.Version, state, configBound, version, node.settings.age(), node.settings.required.Load(), time.Since(c.log.startedAt).Seconds())
 			c.mu.Unlock()
 		}
 	}
--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -279,8 +279,9 @@
 			is.Equal(x.node.Config().Version, uint64(2))
 		}
 		w.mu.Lock()
-		is.Equal(w.configCopies-before, 1)
+		copies := w.configCopies - before
 		w.mu.Unlock()
+		is.Equal(copies, 1)
 		w.setStore(func(s *simStore) { s.refusedHosts = nil })
 		w.end()
 	})
--- a/region/serve.go
+++ b/region/serve.go
@@ -160,6 +160,7 @@
 	case proto.KindKeeperOrders:
 		return handleMessage(read, func(m proto.KeeperOrders) any {
 			n.contacts.noteAddresses(m.Addresses)
+			n.settings.require(from, m.Settings)
 			n.keeper.QueueOrders(m)
 			return nil
 		})
--- a/region/settings.go
+++ b/region/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"plantainwinch/proto"
@@ -40,7 +41,10 @@
 	// unreachable is when the last refresh began in which neither the store nor a peer that it answers was reached;
 	// nil if one was reached since.
 	unreachable atomic.Pointer[time.Time]
-	askedAllAt  time.Time // askedAllAt is when all linked peers were last asked. It is guarded by mu.
+	// required is the version that this entry needs at least, requests counts the requests that wait for a confirmation.
+	required   atomic.Uint64
+	requests   atomic.Int64
+	askedAllAt time.Time // askedAllAt is when all linked peers were last asked. It is guarded by mu.
 	// changed is sent after each new version, each confirmation and each refresh without one.
 	changed   broadcast
 	storeBack chan struct{} // storeBack is signalled when the store answers again.
@@ -105,14 +109,17 @@
 	}
 }
 
-// runAnnouncements gets the newer configurations that peers announce until ctx ends.
+// runAnnouncements gets the newer configurations that peers announce until ctx ends. A call that gets no answer does not
+// delay the next announcement.
 func (s *settings) runAnnouncements(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case a := <-s.newer:
-			s.fetchNewer(ctx, a)
+			s.fetchNewer(ctx, a, &group)
 		}
 	}
 }
@@ -120,28 +127,54 @@
 // fetchNewer gets the newer configuration that a peer has announced: from the store if it sends it, whose
 // notification may have been lost, else from a neighbour, and if none has it from the store again. All entries learn
 // of it from the planner at the same time: they ask at random times, and the planner only if the store does not answer.
-func (s *settings) fetchNewer(ctx context.Context, a announcement) {
+// If a request waits for it, neighbours and the store are asked at once.
+func (s *settings) fetchNewer(ctx context.Context, a announcement, group *conc.WaitGroup) {
 	known := func() bool { return s.version() >= a.version }
+	read := func() (wait time.Duration) {
+		if !s.node.storeResponsive() {
+			return 0
+		}
+		group.Go(func() { _ = s.read(ctx) }) // The next report announces the version again.
+		return maxStoreDelay
+	}
 	s.node.renewWatches()
 	delay := peerFetchDelay
 	if s.config.Load() != nil && s.node.leadership.Load() == nil {
 		delay += rand.N(s.node.Timing.refreshInterval())
 	}
-	s.await(ctx, delay, known)
-	for _, name := range s.peersToAsk() {
-		if !known() {
-			s.fetch(ctx, name)
-		}
+	if s.await(ctx, delay, func() bool { return known() || s.requests.Load() > 0 }) && !known() {
+		read()
 	}
-	switch {
-	case known():
-	case s.node.storeResponsive():
-		_ = s.read(ctx) // The next report announces the version again.
-	default:
+	s.askInTurn(ctx, s.peersToAsk(), known, group)
+	if !known() {
+		s.await(ctx, read(), known)
+	}
+	if !known() {
 		s.fetch(ctx, a.peer)
 	}
 }
 
+// askInTurn asks peers one after the other, so that not several of them send a copy, until a condition holds. It does not
+// wait for one that takes long. It reports whether the store answers one of them.
+func (s *settings) askInTurn(ctx context.Context, names []string, done func() bool, group *conc.WaitGroup) (served bool) {
+	for _, name := range names {
+		if done() {
+			break
+		}
+		answered := make(chan bool, 1)
+		group.Go(func() { answered <- s.fetch(ctx, name) })
+		timer := time.NewTimer(probeTimeout)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case one := <-answered:
+			served = served || one
+		}
+		timer.Stop()
+	}
+	return served
+}
+
 // peersToAsk returns random peers to ask for the configuration: neighbours if there are any, since all entries are
 // linked to the planner and its standby.
 func (s *settings) peersToAsk() []string {
