region: a job that is passed on is judged by the newer configuration

Callers: a job is accepted for a queue that is gone, or with a key that was withdrawn. Cause: an entry that the store refuses allows by the configuration that it has and passes the job to a peer that the store answers. The peer may know a newer one, and stored the job without a look at queue or key. The same for an entry that reaches the store again between the request and its storing. Now a job carries the version by which it was allowed (stored with it, optional) and, to the peer only, its key. Whoever stores a job that an older version allowed judges it again, by a configuration that is current, and the caller gets 404 or 401.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -254,6 +254,8 @@
 type SubmitRequest struct {
 	Job     winch.PhasedJob `cbor:"1,keyasint"`
 	Command string          `cbor:"2,keyasint,omitempty"`
+	// Key is the key with which the job was submitted. The receiver may know a newer configuration.
+	Key string `cbor:"3,keyasint,omitempty"`
 }
 
 // SubmitResponse is the response to a SubmitRequest.
--- a/region/accept.go
+++ b/region/accept.go
@@ -188,6 +188,7 @@
 func (a *acceptor) confirmAccepted(batch []*submission, revision uint64) {
 	msg := proto.AcceptedJobs{Settings: a.node.settings.version()}
 	for _, s := range batch {
+		msg.Settings = max(msg.Settings, s.job.Settings)
 		s.job.Revision = revision
 		a.node.commands.Add(s.job.ID, s.job.Command)
 		s.done <- winch.Result{Outcome: winch.Done}
@@ -211,12 +212,50 @@
 	return result
 }
 
+// judge decides again whether a job is allowed, if this entry knows a newer configuration than the one by which the job
+// was allowed: another entry has passed it on, or this one has reached the store again since.
+func (n *Node) judge(ctx context.Context, job *winch.PhasedJob) (winch.Result, bool) {
+	if job.Settings == 0 {
+		return winch.Result{}, false
+	}
+	config, state := n.CurrentConfig(ctx, job.ID)
+	if config == nil || state != winch.ConfigCurrent {
+		return winch.RefuseFor(winch.StoreUnavailable, "a newer configuration may be in force", retryAfter), true
+	}
+	if config.Version <= job.Settings {
+		return winch.Result{}, false
+	}
+	result := allowedBy(config, job)
+	if !result.OK() {
+		n.Log.Info("job is not allowed by a newer configuration", zap.String("job", job.ID), zap.Uint64("allowedBy", job.Settings),
+			zap.Uint64("version", config.Version), zap.String("reason", string(result.Reason)))
+		return result, true
+	}
+	job.Settings = config.Version
+	return winch.Result{}, false
+}
+
+// allowedBy returns whether a configuration allows a job, or the reason why not.
+func allowedBy(config *winch.RegionConfig, job *winch.PhasedJob) winch.Result {
+	i := slices.IndexFunc(config.Queues, func(q winch.Queue) bool { return q.Name == job.Queue })
+	if i < 0 {
+		return winch.Refuse(winch.UnknownService, "no queue "+job.Queue)
+	}
+	if team, known := config.TeamOf(job.Key); !config.Queues[i].Public && (!known || team != job.Team) {
+		return winch.Refuse(winch.UnknownKey, "the key is not known")
+	}
+	return winch.Result{}
+}
+
 // store stores a job through this entry.
 func (n *Node) store(ctx context.Context, job *winch.PhasedJob) winch.Result {
 	lost := n.storeLost.wait()
 	if !n.storeResponsive() {
 		return refuseUnstored()
 	}
+	if result, refused := n.judge(ctx, job); refused {
+		return result
+	}
 	job.Origin = n.Name
 	n.admission.remember(job.ID)
 	s := &submission{job: job, done: make(chan winch.Result, 1)}
--- a/region/configpath_test.go
+++ b/region/configpath_test.go
@@ -224,15 +224,18 @@
 		time.Sleep(time.Second)
 		next := simConfig(2)
 		next.Queues = next.Queues[:1]
+		next.Teams[0].Keys = []string{"valid"}
 		w.setStore(func(s *simStore) { s.put("op/config", mustJSON(next), 0) })
 		time.Sleep(50 * time.Millisecond)
 		is.Equal(f.node.Config().Version, uint64(1))
-		job := func(id, queue string) *winch.PhasedJob {
-			return &winch.PhasedJob{ID: id, Queue: queue, Team: "choir", Command: "work", Phases: []winch.Phase{{Count: 1}}}
+		submit := func(id, queue, key string) winch.Result {
+			return f.node.Submit(w.ctx, &winch.PhasedJob{
+				ID: id, Queue: queue, Team: "choir", Settings: 1, Key: key, Command: "work", Phases: []winch.Phase{{Count: 1}},
+			})
 		}
-		result := f.node.Submit(w.ctx, job("00000000000000f1", "mix"))
-		is.Equal(result.Outcome, winch.NotRun) // the queue is gone
-		is.True(f.node.Submit(w.ctx, job("00000000000000f2", "preview")).OK())
+		is.Equal(submit("00000000000000f1", "mix", "valid").Reason, winch.UnknownService) // the queue is gone
+		is.Equal(submit("00000000000000f2", "preview", "withdrawn").Reason, winch.UnknownKey)
+		is.True(submit("00000000000000f3", "preview", "valid").OK())
 		w.end()
 	})
 }
--- a/region/forward.go
+++ b/region/forward.go
@@ -109,7 +109,7 @@
 		tried = append(tried, name)
 		n.admission.remember(job.ID)
 		var response proto.SubmitResponse
-		err := n.Peers.Request(ctx, name, proto.KindSubmit, proto.SubmitRequest{Job: *job, Command: job.Command}, &response)
+		err := n.Peers.Request(ctx, name, proto.KindSubmit, proto.SubmitRequest{Job: *job, Command: job.Command, Key: job.Key}, &response)
 		switch {
 		case err == nil && response.Result.OK():
 			metrics.GetOrRegisterCounter("Accept.Forwarded", n.Metrics).Inc(1)
@@ -131,6 +131,6 @@
 // submitForPeer stores a submission on behalf of an entry that the store does not answer.
 func (n *Node) submitForPeer(ctx context.Context, request proto.SubmitRequest) proto.SubmitResponse {
 	job := request.Job
-	job.Command = request.Command
+	job.Command, job.Key = request.Command, request.Key
 	return proto.SubmitResponse{Result: n.store(ctx, &job)}
 }
--- a/trans/front/phases.go
+++ b/trans/front/phases.go
@@ -136,6 +136,7 @@
 	w               http.ResponseWriter
 	r               *http.Request
 	queue, team, id string
+	version         uint64 // version is that of the configuration that allows the request.
 }
 
 // withQueue looks up the request's queue and team in the current configuration and
@@ -167,7 +168,7 @@
 			writeResult(w, winch.Refuse(winch.BadRequest, "a job's name has 16 hexadecimal digits"))
 			return
 		}
-		c.team = team
+		c.team, c.version = team, config.Version
 		handle(c)
 	}
 }
@@ -188,6 +189,7 @@
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Accepted = c.id, c.queue, c.team, time.Now()
+	job.Settings, job.Key = c.version, bearerToken(c.r)
 	writeJSONOrError(c.w, p.region.Submit(c.r.Context(), job), PhasedState{ID: c.id, State: winch.JobQueued})
 }
 
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -97,6 +97,10 @@
 	Times int           `cbor:"7,keyasint,omitempty"`
 	First time.Time     `cbor:"8,keyasint,omitzero"`
 	Every time.Duration `cbor:"9,keyasint,omitempty"`
+	// Settings is the version of the configuration by which the job was allowed; zero if it is not known.
+	Settings uint64 `cbor:"10,keyasint,omitempty"`
+	// Key is the key with which the job was submitted. It is not stored.
+	Key string `cbor:"-" json:"-"`
 	// Revision is the store's revision at which the job was accepted.
 	Revision uint64 `cbor:"-"`
 }
