region: a job waits for the configuration that allowed it

Callers: work run by a service that its queue has no more. Cause: the planner placed a job by the configuration that it had, although the entry that accepted the job knew a newer one and said so. The planner then fetched it, after the start. Now the job's record names the version, and the planner treats the queue as unknown until it has that version: also for jobs that it reads from the store, as after a takeover.

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -63,6 +63,7 @@
 	byID     []*worker
 	unsorted bool
 	queues   map[string]*queue
+	settings uint64 // settings is the version of the configuration.
 	teams    map[string]*team
 	// roster holds the workers that earlier planners may have used and that have not yet listed
 	// their runs.
@@ -203,9 +204,10 @@
 	for _, t := range c.Teams {
 		p.team(t.Name).RegionTeam = t
 	}
+	p.settings = c.Version
 	for _, j := range p.active {
 		if j.queue == nil {
-			j.queue = p.queues[j.rec.Queue]
+			j.queue = p.queueOf(j.rec)
 		}
 		j.updateCriticalPaths()
 		j.enqueueReady()
@@ -213,6 +215,15 @@
 	p.recountUrgent()
 }
 
+// queueOf returns the queue of a job, or nil if the job was allowed by a later configuration than the planner has, which may
+// name another service for the queue.
+func (p *Planner) queueOf(rec *winch.PhasedJob) *queue {
+	if rec.Settings > p.settings {
+		return nil
+	}
+	return p.queues[rec.Queue]
+}
+
 func (p *Planner) team(name string) *team {
 	t := p.teams[name]
 	if t == nil {
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -11,7 +11,7 @@
 type job struct {
 	planner *Planner
 	rec     *winch.PhasedJob
-	queue   *queue // queue is nil until a configuration contains it.
+	queue   *queue // queue is nil until the planner has the configuration by which the job was allowed.
 	team    *team
 	phases  []*phase
 	// state is the current state as this planner knows it, visibleState the recorded one, which
@@ -146,7 +146,7 @@
 		return
 	}
 	j := &job{
-		rec: rec, queue: p.queues[rec.Queue], team: p.team(rec.Team), state: winch.JobQueued, visibleState: winch.JobQueued,
+		rec: rec, queue: p.queueOf(rec), team: p.team(rec.Team), state: winch.JobQueued, visibleState: winch.JobQueued,
 		revision: revision, failed: make(map[string][]uint64), addedAt: p.now(),
 		planner: p,
 	}
