region: a follower learns of a new planner from its neighbours

Cause: a follower learned who holds the office by one call for changes or by a link from the planner. If the call hung and the new planner had no link to it, it stayed with the lost one. A peer's response names the last term that it knows (new optional field); an entry with an earlier one reads the office.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -344,6 +344,8 @@
 	// Age is how long ago the sender of a response was shown that what it knows is the newest; zero if it
 	// does not know.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Term is the last term of a planner that the sender of a response knows.
+	Term uint64 `cbor:"7,keyasint,omitempty"`
 	// Known is for how long the version has been known, at least, to the sender or to an entry that it has it from.
 	Known time.Duration `cbor:"6,keyasint,omitempty"`
 }
--- a/region/follow.go
+++ b/region/follow.go
@@ -50,6 +50,24 @@
 	}, n.applyCellEvents)
 }
 
+// readOffice reads who holds the office, since a peer knows of a later term. The call that waits for changes may hang, and
+// the planner may have no link to this entry.
+func (n *Node) readOffice(ctx context.Context) {
+	if n.needsMembers() || !n.storeResponsive() {
+		return
+	}
+	term, _, err := n.Table.Read(ctx, keyTerm)
+	if err != nil {
+		return // The next response of a peer names the term again.
+	}
+	held, _, err := n.Table.Read(ctx, keyOffice)
+	if err != nil || n.needsMembers() {
+		return
+	}
+	n.cell.resetOffice(append(term, held...))
+	n.cellChanged()
+}
+
 // watchOffice follows the office until ctx ends.
 func (n *Node) watchOffice(ctx context.Context) {
 	term, _, err := n.Table.Read(ctx, keyTerm)
--- a/region/settings.go
+++ b/region/settings.go
@@ -205,6 +205,9 @@
 	if response.Age > 0 && s.version() >= response.Version {
 		s.confirm(sent.Add(-response.Age))
 	}
+	if response.Term > s.node.cell.currentTerm().Term {
+		s.node.readOffice(ctx)
+	}
 	return !response.Unserved
 }
 
@@ -229,7 +232,7 @@
 
 // respond answers a peer's request with what is newer than the peer's.
 func (s *settings) respond(request proto.SettingsRequest) proto.Settings {
-	out := proto.Settings{Unserved: !s.node.storeResponsive(), Age: s.confirmAge()}
+	out := proto.Settings{Unserved: !s.node.storeResponsive(), Age: s.confirmAge(), Term: s.node.cell.currentTerm().Term}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.node.knownEvacuations(); e != nil && e.AsOf > request.EvacuationsAsOf {
