region: the planner reads the records of linked entries that it does not know

Cause: the planner learned of a new entry by one call for changes of the records; if that hung, the entry got no workers for 4.5 s. The planner sees a link to an entry without a record at its reports; from the second report on it reads the records and takes those of the linked boots.

--- a/region/contacts.go
+++ b/region/contacts.go
@@ -9,6 +9,7 @@
 
 	"plantainwinch/duty"
 	"plantainwinch/proto"
+	"plantainwinch/winch"
 )
 
 const (
@@ -239,10 +240,10 @@
 	return l.node.cell.addressOf(l.standby.name)
 }
 
-// notifyUnregistered tells the linked entries that have had no record in the store for a while. Their lease
-// may have been renewed although the record is gone.
+// notifyUnregistered has the records read of linked entries that were missing at the last report, and tells those that
+// have had no record in the store for a while. Their lease may have been renewed although the record is gone.
 func (l *leadership) notifyUnregistered(names []string, since map[string]time.Time) {
-	linked := make(map[string]bool, len(names))
+	linked, missing := make(map[string]bool, len(names)), make(map[string]bool)
 	for _, name := range names {
 		linked[name] = true
 		if l.node.cell.addressOf(name) != "" {
@@ -250,6 +251,9 @@
 			continue
 		}
 		first, noted := since[name]
+		if noted && time.Since(first) >= waitingInterval/2 {
+			missing[name] = true
+		}
 		switch {
 		case !noted:
 			since[name] = time.Now()
@@ -259,4 +263,27 @@
 		}
 	}
 	maps.DeleteFunc(since, func(name string, _ time.Time) bool { return !linked[name] })
+	if len(missing) > 0 && l.node.storeResponsive() {
+		l.group.Go(func() { l.node.readRecords(l.ctx, missing) })
+	}
+}
+
+// readRecords reads the records of linked entries that this entry does not know. The call that waits for changes of the
+// records may hang.
+func (n *Node) readRecords(ctx context.Context, names map[string]bool) {
+	values, _, err := n.Table.Read(ctx, prefixNode)
+	if err != nil {
+		return // The next report finds them missing again.
+	}
+	found := false
+	for _, v := range values {
+		var m member
+		if decode(v.Data, &m) == nil && names[m.Name] && n.cell.addressOf(m.Name) == "" {
+			n.cell.apply(winch.Event{Value: v})
+			found = true
+		}
+	}
+	if found {
+		n.cellChanged()
+	}
 }
