soak: requests that were handled by a replaced configuration are problems

The entries' logs are read at the end of a run. The time of a request is that of its arrival now: a process that is paused while it handles one is not to blame.

--- a/region/current.go
+++ b/region/current.go
@@ -271,6 +271,7 @@
 	if s.config.Load() == nil {
 		return nil, winch.ConfigUnreachable
 	}
+	arrived := time.Now()
 	current := func() bool { return s.age() <= n.Timing.maxAge() && s.version() >= s.required.Load() }
 	state := winch.ConfigCurrent
 	switch {
@@ -281,6 +282,6 @@
 		state = winch.ConfigUnreachable
 	}
 	config := s.config.Load()
-	s.noteHandled(request, config.Version, state)
+	s.noteHandled(request, config.Version, state, arrived)
 	return config, state
 }
--- a/region/witness.go
+++ b/region/witness.go
@@ -30,7 +30,7 @@
 	id      string
 	version uint64
 	state   winch.ConfigState
-	at      time.Time
+	at      time.Time // at is when the request arrived.
 }
 
 // handle remembers a request, and returns how long the version by which it is handled has been replaced.
@@ -83,12 +83,12 @@
 	}
 }
 
-// noteHandled records that a request is handled now.
-func (s *settings) noteHandled(id string, version uint64, state winch.ConfigState) {
+// noteHandled records that a request that arrived at a time is handled.
+func (s *settings) noteHandled(id string, version uint64, state winch.ConfigState, at time.Time) {
 	if state == winch.ConfigUnconfirmed {
 		return // It is refused.
 	}
-	r := handledRequest{id, version, state, time.Now()}
+	r := handledRequest{id, version, state, at}
 	if late := s.witness.handle(r); late > s.node.Timing.Config {
 		s.reportReplaced(r, s.witness.newest(), late)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -116,6 +116,7 @@
 	s.runFinalGangs(ctx, &callers)
 	endPlanned()
 	callers.Wait()
+	s.checkLogs()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.Problems = append(s.report.Problems, s.platform.Checker.Problems()...)
