region: an entry that refuses requests for want of a confirmation is not ready

It answers 503 to all callers while its configuration is older than the bound, although the store answers it; callers were still sent to it.

--- a/region/configpath_test.go
+++ b/region/configpath_test.go
@@ -73,6 +73,11 @@
 				c.fault(w)
 				time.Sleep(50 * time.Millisecond) // Calls that the store is answering have ended.
 				w.checkNoneHandlesOlder(2, w.writeConfig(2).Add(configBound))
+				for _, n := range w.nodes {
+					if n.node.Config().Version < 2 && n.node.Ready() {
+						t.Errorf("%s refuses requests and is ready for more", n.host)
+					}
+				}
 				w.end()
 			})
 		})
--- a/region/node.go
+++ b/region/node.go
@@ -229,7 +229,7 @@
 
 // Ready implements winch.Region.
 func (n *Node) Ready() bool {
-	return n.Config() != nil && n.storeResponsive() && !n.stopping.Load()
+	return n.Config() != nil && n.storeResponsive() && n.settings.age() <= n.Timing.Config && !n.stopping.Load()
 }
 
 // Stopping implements winch.Region.
