--- a/region/cell.go
+++ b/region/cell.go
@@ -235,6 +235,13 @@
 	return c.term
 }
 
+// lastTermRevision returns the revision of the record of the last known term.
+func (c *cellView) lastTermRevision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.termRevision
+}
+
 // noteEarlierBoot records that an earlier boot of this entry had ended when this one began.
 func (c *cellView) noteEarlierBoot(name string, began time.Time) {
 	c.mu.Lock()
--- a/region/follow.go
+++ b/region/follow.go
@@ -61,8 +61,8 @@
 		return // The next response of a peer names the term again.
 	}
 	held, _, err := n.Table.Read(ctx, keyOffice)
-	if err != nil || n.needsMembers() {
-		return
+	if err != nil || n.needsMembers() || len(term) == 0 || term[0].Version <= n.cell.lastTermRevision() {
+		return // The call for changes was faster.
 	}
 	n.cell.resetOffice(append(term, held...))
 	n.cellChanged()
