--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -33,6 +33,7 @@
 	maxForget uint64
 	stops     int
 	tries     int // tries counts the holds, also those without a response.
+	maxListed int // maxListed bounds the completions of one response; zero means that there is no bound.
 }
 
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.begin) }
@@ -70,7 +71,11 @@
 		time.Sleep(c.Wait)
 		w.mu.Lock()
 	}
-	return winch.HoldResponse{Clock: w.clock(), Running: append([]winch.Running(nil), w.running...), Ended: append([]winch.Completion(nil), w.ended...)}, nil
+	listed := w.ended
+	if w.maxListed > 0 {
+		listed = listed[:min(w.maxListed, len(listed))]
+	}
+	return winch.HoldResponse{Clock: w.clock(), Running: append([]winch.Running(nil), w.running...), Ended: append([]winch.Completion(nil), listed...)}, nil
 }
 
 func (w *fakeWorker) Start(ctx context.Context, _ winch.WorkerVM, c winch.StartRequest) (winch.StartResult, time.Duration) {
@@ -118,7 +123,11 @@
 }
 
 func newFixture(ctx context.Context) *fixture {
-	r := &fixture{worker: &fakeWorker{begin: time.Now()}, session: proto.Session{Term: 1, Number: 1}}
+	return newFixtureOf(ctx, &fakeWorker{begin: time.Now()})
+}
+
+func newFixtureOf(ctx context.Context, worker *fakeWorker) *fixture {
+	r := &fixture{worker: worker, session: proto.Session{Term: 1, Number: 1}}
 	r.keeper = &Keeper{Client: r.worker, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Lease: 6 * time.Second}
 	r.keeper.Prepare()
 	r.keeper.group.Go(func() { r.poll(ctx) })
