coord/fleet, region: log unusual completions and why the previous run counts as ended

The hypotheses on tasks that were started again could not be told apart: a completion that was skipped, one of a job that the planner does not know, and a task that was started after a run of it had completed left no line and no counter. No decision changes.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -69,7 +69,7 @@
 	p.handleCompletions(w, e.Ended)
 	for key, r := range w.runs {
 		if !seen[key] {
-			p.endRun(r)
+			p.endRun(r, endNotListed)
 			p.closeRun(w, key)
 			p.handleLostRun(r)
 		}
@@ -155,7 +155,7 @@
 		return
 	}
 	p.counts.NotStarted++
-	p.endRun(r)
+	p.endRun(r, endNotStarted)
 	p.closeRun(w, r.key)
 	if r.task == nil {
 		return
@@ -180,7 +180,7 @@
 
 func (p *Planner) handleVanished(w *worker, key runKey) {
 	if r := w.runs[key]; r != nil {
-		p.endRun(r)
+		p.endRun(r, endVanished)
 		p.closeRun(w, key)
 		p.handleLostRun(r)
 	}
@@ -199,6 +199,9 @@
 func (p *Planner) handleCompletions(w *worker, list []winch.Completion) {
 	for _, e := range list {
 		if e.Number <= w.lastCompletion {
+			if w.runs[runKey{e.Task, e.Run}] != nil {
+				p.noteAnomaly(AnomalyOvertaken, w, p.task(e.Task), e)
+			}
 			continue
 		}
 		w.lastCompletion = e.Number
@@ -214,9 +217,10 @@
 	if r != nil {
 		p.clearIfSurvived(r, p.now())
 		r.noteStopped(e, p.now())
-		p.endRun(r)
+		p.endRun(r, string(e.Kind))
 	}
 	t := p.task(e.Task)
+	p.checkCompletion(w, t, e)
 	mark := pendingCompletion{number: e.Number, key: runKey{e.Task, e.Run}}
 	if t != nil {
 		t.saveCheckpoint(r, e.Checkpoint)
@@ -234,6 +238,17 @@
 	p.pendingWorkers[w] = true
 }
 
+// checkCompletion notes what is unusual about a completion.
+func (p *Planner) checkCompletion(w *worker, t *task, e winch.Completion) {
+	switch {
+	case e.Kind != winch.CompletionDone:
+	case t == nil && p.jobs[e.Task.Job] == nil:
+		p.noteAnomaly(AnomalyUnknownJob, w, nil, e)
+	case t != nil && t.latestRun > e.Run && !t.phase.permitsCopies():
+		p.noteAnomaly(AnomalyStartedAgain, w, t, e)
+	}
+}
+
 // applyCompletion applies a completion to the task and reports whether it must be recorded.
 func (p *Planner) applyCompletion(w *worker, t *task, r *run, e winch.Completion) bool {
 	s := t.phase
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -124,6 +124,7 @@
 	summaries      []JobSummary
 	losses         []Loss
 	countedCrashes []CountedCrash
+	anomalies      []Anomaly
 	evictionLog    []Eviction
 	savedChanges   []SavedCheckpoint
 	copyStarts     []CopyStart
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -124,6 +124,7 @@
 		r.need, r.charge, r.team = spec.Need, spec.Charge(), t.phase.job.team
 		r.team.used = r.team.used.Add(r.need)
 		t.runs = append(t.runs, r)
+		t.latestRun = max(t.latestRun, number)
 		t.evicted = false
 		t.updateCounts()
 		w.countRun(spec, 1)
@@ -142,8 +143,8 @@
 	return r
 }
 
-// endRun releases the charges of a run that is guaranteed to have ended.
-func (p *Planner) endRun(r *run) {
+// endRun releases the charges of a run that is guaranteed to have ended; how says why that is known.
+func (p *Planner) endRun(r *run, how string) {
 	w := r.worker
 	if w.runs[r.key] != r {
 		return
@@ -160,6 +161,7 @@
 	w.countRun(r.task.phase.spec, -1)
 	p.updateReporting(w)
 	r.team.used = r.team.used.Sub(r.need)
+	r.task.lastEnd = RunEnd{Run: r.key.run, Worker: w.vm.ID, How: how}
 	r.task.lastWorkedAt = later(r.task.lastWorkedAt, r.lastActive(p.now()))
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(x *run) bool { return x == r })
 	p.probeEnded(r)
--- a/coord/fleet/task.go
+++ b/coord/fleet/task.go
@@ -26,6 +26,9 @@
 	evicted   bool
 	stops     int
 	resumesAt float64
+	// latestRun is the highest run known of the task, lastEnd the last end of a run.
+	latestRun uint64
+	lastEnd   RunEnd
 	// lastWorkedAt is when a run that has since ended was last known to do the task's work.
 	lastWorkedAt time.Time
 }
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -252,9 +252,13 @@
 	p.rememberBoot(w, crashed)
 	w.ready = false
 	defer w.updateContact()
+	how := endLost
+	if crashed {
+		how = endReplaced
+	}
 	for _, r := range w.runs {
 		p.counts.Lost++
-		p.endRun(r)
+		p.endRun(r, how)
 		p.closeRun(w, r.key)
 		if r.task != nil {
 			p.gangMemberFailed(r)
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -325,6 +325,7 @@
 	l.signalSave()
 	l.logCompletions()
 	l.logLosses()
+	l.logAnomalies()
 	l.reportSpeeds()
 	l.logEvictions()
 	l.reportCopies()
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -363,8 +363,9 @@
 func (l *leadership) logOrder(o proto.Order) {
 	switch o.Kind {
 	case proto.OrderStart:
+		previous, _ := l.planner.PreviousRun(o.Task)
 		l.node.Log.Info("run start ordered", zap.String("job", o.Task.Job), zap.Int("phase", o.Task.Phase), zap.Int("index", o.Task.Index),
-			zap.Uint64("run", o.Run), zap.String("worker", o.Worker))
+			zap.Uint64("run", o.Run), zap.String("worker", o.Worker), previousRun(previous))
 	case proto.OrderStop:
 		l.node.Log.Info("run stop ordered", zap.String("job", o.Task.Job), zap.Int("phase", o.Task.Phase), zap.Int("index", o.Task.Index),
 			zap.Uint64("run", o.Run), zap.String("worker", o.Worker))
@@ -384,6 +385,6 @@
 	}
 	for _, x := range e.Ended {
 		l.node.Log.Info("run ended", zap.String("job", x.Task.Job), zap.Int("phase", x.Task.Phase), zap.Int("index", x.Task.Index),
-			zap.Uint64("run", x.Run), zap.String("worker", e.Worker), zap.String("kind", string(x.Kind)))
+			zap.Uint64("run", x.Run), zap.Uint64("number", x.Number), zap.String("worker", e.Worker), zap.String("kind", string(x.Kind)))
 	}
 }
--- a/region/report.go
+++ b/region/report.go
@@ -126,6 +126,33 @@
 	}
 }
 
+// logAnomalies logs the unusual completions and counts them by kind. A task that was started again although it had
+// completed is an error: its work was done twice.
+func (l *leadership) logAnomalies() {
+	for _, a := range l.planner.Anomalies() {
+		name, log := "Planner.Completions.Overtaken", l.node.Log.Info
+		switch a.Kind {
+		case fleet.AnomalyUnknownJob:
+			name = "Planner.Completions.UnknownJob"
+		case fleet.AnomalyStartedAgain:
+			name, log = "Planner.Completions.StartedAgain", l.node.Log.Error
+		}
+		metrics.GetOrRegisterCounter(name, l.node.Metrics).Inc(1)
+		x := a.Completion
+		log("unusual completion", zap.String("reason", string(a.Kind)), zap.String("job", x.Task.Job), zap.Int("k", x.Task.K),
+			zap.Int("phase", x.Task.Phase), zap.Int("index", x.Task.Index), zap.Uint64("run", x.Run), zap.Uint64("number", x.Number),
+			zap.String("worker", a.Worker), zap.Uint64("latestRun", a.LatestRun), previousRun(a.Previous))
+	}
+}
+
+// previousRun returns the log field that describes the end of an earlier run of a task.
+func previousRun(e fleet.RunEnd) zap.Field {
+	if e.Run == 0 {
+		return zap.Skip()
+	}
+	return zap.Dict("previous", zap.Uint64("run", e.Run), zap.String("worker", e.Worker), zap.String("end", e.How))
+}
+
 // maxLossRuns bounds the runs that are named in the log line of a lost worker: the most recent starts,
 // one of which may have been the cause.
 const maxLossRuns = 8
