coord/keep: events leave in the order in which the worker's lists were applied

Callers saw tasks run a second time after they had completed. The planner takes the completions of a worker in the order in which its keeper reports them. A keeper applied a worker's lists under the lock of the worker's holder and queued the events after it had released it; the waiting hold, the lists that are requested after an uncertain start and the confirmations of orders do so beside each other. So a later completion, or the report that a run has vanished, could overtake an earlier completion.

A holder now adds its events in the critical section that changes its state, and the keeper collects them from there, all that there are.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -200,10 +200,11 @@
 	left := time.Until(h.leaseExpiry())
 	expired := left <= 0
 	state := h.logFields(err)
-	h.mu.Unlock()
 	if first {
-		h.emit(proto.KeeperEvent{Kind: proto.EventUnresponsive, Left: max(0, left)})
+		h.addEvents(proto.KeeperEvent{Kind: proto.EventUnresponsive, Left: max(0, left)})
 	}
+	h.mu.Unlock()
+	h.keeper.collectEvents(h)
 	switch {
 	case errors.Is(err, winch.ErrFenced):
 		h.keeper.Log.Info("worker has a newer fencing token, assignment ended", state...)
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -105,8 +105,11 @@
 	// completionsRecorded wakes the next hold once no reported completion is left to record.
 	completionsRecorded chan struct{}
 
-	mu                sync.Mutex
-	runs              map[runKey]*runState
+	mu   sync.Mutex
+	runs map[runKey]*runState
+	// events holds the events that the keeper has not collected yet, in the order of the changes of
+	// state that they report. They are added in the same critical section as the change.
+	events            []proto.KeeperEvent
 	recordedUpTo      uint64             // recordedUpTo is the number up to which completions are recorded.
 	listedCompletions []winch.Completion // listedCompletions holds the completions that the worker listed last.
 	// workerClock is the worker's time when the local time was clockReadAt.
@@ -216,7 +219,28 @@
 	h.emit(proto.KeeperEvent{Kind: proto.EventNotStarted, Task: o.Task, Run: o.Run, Result: winch.StartRefused})
 }
 
+// emit reports an event to the planner.
 func (h *holder) emit(e proto.KeeperEvent) {
-	e.Token = h.token
-	h.keeper.emit(h, e)
+	h.mu.Lock()
+	h.addEvents(e)
+	h.mu.Unlock()
+	h.keeper.collectEvents(h)
+}
+
+// addEvents adds events for the keeper to collect. The caller holds the mutex, and calls collectEvents
+// after it has released it.
+func (h *holder) addEvents(events ...proto.KeeperEvent) {
+	for _, e := range events {
+		e.Token = h.token
+		h.events = append(h.events, e)
+	}
+}
+
+// takeEvents returns the events to be collected and removes them.
+func (h *holder) takeEvents() []proto.KeeperEvent {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := h.events
+	h.events = nil
+	return out
 }
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -340,12 +340,13 @@
 	return out
 }
 
-// emit queues events for the planner. Events of a replaced holder and events beyond maxEvents are
-// dropped.
-func (k *Keeper) emit(h *holder, events ...proto.KeeperEvent) {
+// collectEvents queues a holder's events for the planner. Events of a replaced holder and events beyond
+// maxEvents are dropped.
+func (k *Keeper) collectEvents(h *holder) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.holders[h.vm.ID] != h || len(k.events) > maxEvents {
+	events := h.takeEvents()
+	if len(events) == 0 || k.holders[h.vm.ID] != h || len(k.events) > maxEvents {
 		return
 	}
 	k.events = append(k.events, events...)
--- a/coord/keep/lists.go
+++ b/coord/keep/lists.go
@@ -9,21 +9,21 @@
 	"plantainwinch/winch"
 )
 
-// handleResponse applies the lists in a worker's response and emits the resulting events.
+// handleResponse applies the lists in a worker's response and reports the resulting events.
 func (h *holder) handleResponse(sent time.Time, resp winch.HoldResponse) {
-	for _, e := range h.applyLists(sent, resp) {
-		h.emit(e)
-		if e.Kind == proto.EventResponsive {
-			h.keeper.notifyDomainBack(h.vm.Domain)
-		}
+	h.mu.Lock()
+	wasUnresponsive := h.unresponsive
+	h.addEvents(h.applyLists(sent, resp)...)
+	back := wasUnresponsive && !h.unresponsive
+	h.mu.Unlock()
+	h.keeper.collectEvents(h)
+	if back {
+		h.keeper.notifyDomainBack(h.vm.Domain)
 	}
 }
 
-// applyLists applies a worker's lists and returns the resulting events. It doesn't emit
-// them itself: the keeper's lock is never acquired while the holder's is held.
+// applyLists applies a worker's lists and returns the resulting events. The caller holds the mutex.
 func (h *holder) applyLists(sent time.Time, resp winch.HoldResponse) []proto.KeeperEvent {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if h.listed && h.outdated(resp) {
 		return nil
 	}
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -70,8 +70,7 @@
 	}
 	switch result {
 	case winch.StartOK:
-		h.confirm(key, false)
-		h.emit(proto.KeeperEvent{Kind: proto.EventStarted, Task: c.Task, Run: c.Run})
+		h.confirm(key, false, proto.KeeperEvent{Kind: proto.EventStarted, Task: c.Task, Run: c.Run})
 	case winch.StartUncertain:
 		h.keeper.Log.Info("no response to a start, stopping the run", zap.String("job", c.Task.Job),
 			zap.Any("task", c.Task), zap.Uint64("run", c.Run), zap.String("worker", h.vm.ID))
@@ -80,12 +79,13 @@
 		h.emit(proto.KeeperEvent{Kind: proto.EventLost, Result: winch.StartOtherBoot})
 		h.cancel()
 	default:
+		h.keeper.Log.Info("worker refused a start", zap.String("job", c.Task.Job), zap.Any("task", c.Task), zap.Uint64("run", c.Run),
+			zap.String("worker", h.vm.ID), zap.Stringer("reason", result))
 		h.mu.Lock()
 		delete(h.runs, key)
+		h.addEvents(proto.KeeperEvent{Kind: proto.EventNotStarted, Task: c.Task, Run: c.Run, Result: result})
 		h.mu.Unlock()
-		h.keeper.Log.Info("worker refused a start", zap.String("job", c.Task.Job), zap.Any("task", c.Task), zap.Uint64("run", c.Run),
-			zap.String("worker", h.vm.ID), zap.Stringer("reason", result))
-		h.emit(proto.KeeperEvent{Kind: proto.EventNotStarted, Task: c.Task, Run: c.Run, Result: result})
+		h.keeper.collectEvents(h)
 	}
 }
 
@@ -120,22 +120,22 @@
 	return h.workerTime(now) + startTimeout, true
 }
 
-// confirm records that the worker has responded to an order about a run; startUncertain reports
-// that the run's start got no response.
-func (h *holder) confirm(key runKey, startUncertain bool) {
+// confirm records that the worker has responded to an order about a run, and reports events;
+// startUncertain says that the run's start got no response.
+func (h *holder) confirm(key runKey, startUncertain bool, events ...proto.KeeperEvent) {
 	h.mu.Lock()
-	r, listed := h.runs[key], h.listed
-	if r != nil {
+	if r := h.runs[key]; r != nil {
 		r.confirmedAt = time.Now()
 		r.startUncertain = startUncertain
-	}
-	h.mu.Unlock()
-	if r == nil && listed {
+	} else if h.listed {
 		// Its completion was already listed, or the run belongs to an earlier session and
 		// was not listed in this one. Before the first lists its state is unknown: they may
 		// contain its completion, which must be reported to the planner first.
-		h.emit(proto.KeeperEvent{Kind: proto.EventVanished, Task: key.task, Run: key.run})
+		h.addEvents(proto.KeeperEvent{Kind: proto.EventVanished, Task: key.task, Run: key.run})
 	}
+	h.addEvents(events...)
+	h.mu.Unlock()
+	h.keeper.collectEvents(h)
 }
 
 // stopUntilResponse stops a run and retries until the worker has responded. After the
