coord/keep: a session ends when its events are dropped

A keeper dropped events beyond the bound of its queue and went on with the session. The planner took the higher numbers that came later for proof that it had handled the dropped completions, which were then forgotten by the worker.

The keeper now answers the next poll as one of another session, so that the planner begins a new one, in which the workers list everything again. TestSessionEndsWhenEventsAreDropped failed before.

--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// maxEvents bounds the events queued for the planner. A planner that lets so many pile
-	// up has lost the session, and in a new session everything is listed again anyway.
+	// maxEvents bounds the events queued for the planner. A session in which more pile up ends,
+	// and in a new one everything is listed again.
 	maxEvents = 20_000
 	// orderQueueSize bounds the orders queued for one worker.
 	orderQueueSize = 128
@@ -58,6 +58,8 @@
 	byToken  map[uint64]*holder
 	commands Commands
 	events   []proto.KeeperEvent
+	// overflowed is set once events were dropped: the planner must begin a new session.
+	overflowed bool
 	// ended holds the ended assignments whose lease expiry the planner may not know yet;
 	// endedSent is how many of them the last response reported.
 	ended     []endedAssignment
@@ -170,7 +172,7 @@
 // beginSession ends all assignments and begins a session. If the session belongs to a later
 // planner, the runs and lease expiries known so far are reported to that planner.
 func (k *Keeper) beginSession(s proto.Session) {
-	k.events = nil
+	k.events, k.overflowed = nil, false
 	k.endedSent = 0
 	if s.Term > k.session.Term {
 		k.ended = k.lastEndedAssignments() // A later planner starts from the stored record, which may be outdated.
@@ -314,7 +316,7 @@
 func (k *Keeper) collect(req proto.KeeperPollRequest) (proto.KeeperPollResponse, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if req.Session != k.session {
+	if req.Session != k.session || k.overflowed {
 		return proto.KeeperPollResponse{Term: k.session.Term}, true
 	}
 	if until := k.started.Add(req.Stamp + req.Authority); req.Stamp > 0 && until.After(k.authorityUntil) {
@@ -340,16 +342,21 @@
 	return out
 }
 
-// collectEvents queues a holder's events for the planner. Events of a replaced holder and events beyond
-// maxEvents are dropped.
+// collectEvents queues a holder's events for the planner. Events of a replaced holder are dropped, and so are
+// all that are queued once there are more than maxEvents.
 func (k *Keeper) collectEvents(h *holder) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	events := h.takeEvents()
-	if len(events) == 0 || k.holders[h.vm.ID] != h || len(k.events) > maxEvents {
+	if len(events) == 0 || k.holders[h.vm.ID] != h || k.overflowed {
 		return
 	}
 	k.events = append(k.events, events...)
+	if len(k.events) > maxEvents {
+		k.Log.Error("event queue of the keeper is full; its session ends", zap.Int("events", len(k.events)))
+		k.events, k.overflowed = nil, true
+		k.count("Keep.Overflowed")
+	}
 	duty.Signal(k.wake)
 }
 
