coord/keep: first lists are reported only when they are complete

A worker lists at most 500 completions at a time. A keeper reported such first lists as complete, so that a run whose completion came later counted as one that had never started, and its task was started again. The comparison of later lists allowed for that already.

Completions of lists that may be cut off are now reported as such, and the worker counts as listed once its list is shorter. TestFirstListsAreReportedOnlyWhenTheyAreComplete failed before.

--- a/coord/keep/lists.go
+++ b/coord/keep/lists.go
@@ -49,10 +49,17 @@
 		}
 		delete(h.runs, runKey{e.Task, e.Run})
 	}
+	var out []proto.KeeperEvent
+	if !h.listed && len(resp.Ended) >= maxListed {
+		// Some completions may be missing. They are listed once these are recorded and forgotten.
+		if len(completed) > 0 {
+			out = append(out, proto.KeeperEvent{Kind: proto.EventEnded, Ended: completed})
+		}
+		return out
+	}
 	if !h.listed {
-		return []proto.KeeperEvent{h.firstLists(resp, completed)}
+		return append(out, h.firstLists(resp, completed))
 	}
-	var out []proto.KeeperEvent
 	if wasUnresponsive {
 		out = append(out, proto.KeeperEvent{Kind: proto.EventResponsive, Spell: h.unresponsivePeriods})
 	}
