coord/keep: a worker is told to forget only what this boot has listed

An order to forget names a worker and the highest number of its completions that are recorded. If it reaches the next boot of the worker under the same ID, which numbers its completions from one again, their acknowledgement precedes them: they are dropped unseen, and their tasks run again until the old number is reached.

A holder now acknowledges at most the highest number that its boot has listed. TestOnlyListedCompletionsAreForgotten failed before. TestNextBootGetsNoCompletionNumbersOfThePreviousBoot ordered to forget numbers that its worker had never listed, which shows nothing any more; the worker now lists them first, and the test checks that they were acknowledged.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -185,7 +185,8 @@
 	switch o.Kind {
 	case proto.OrderForget:
 		h.mu.Lock()
-		h.recordedUpTo = max(h.recordedUpTo, o.Forget)
+		// A number that this boot has not listed is that of another boot.
+		h.recordedUpTo = max(h.recordedUpTo, min(o.Forget, h.lastCompletion))
 		caughtUp := h.recordedUpTo >= h.lastCompletion
 		h.mu.Unlock()
 		if caughtUp {
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -369,10 +369,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
-		r := newFixture(ctx)
+		r := newFixtureOf(ctx, &fakeWorker{begin: time.Now(), ended: completionsUpTo(40)})
+		time.Sleep(time.Second)
 		r.keeper.QueueOrders(proto.KeeperOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderForget, Worker: "w", Token: 5, Forget: 40}}})
 		time.Sleep(5 * time.Second)
 		r.worker.mu.Lock()
+		is.Equal(r.worker.maxForget, uint64(40))
 		r.worker.unresponsive = true
 		r.worker.mu.Unlock()
 		time.Sleep(3 * time.Second)
