coord/fleet: a completion is identified, not compared with the highest number

The planner skipped a completion whose number was below the highest that it had handled, and then had the worker forget both: the task's run no longer existed at the next first lists, so the task was started again after an acknowledged completion. And what was dropped with a lost worker was forgotten unrecorded once that worker had responded again and a later completion was recorded.

A completion now counts as handled if it is among those that were handled and not forgotten yet, which are kept in the order of their numbers, so that the order to forget never covers one whose record is missing; below the number that was ordered to be forgotten it counts as handled unless its run still counts as running.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -198,18 +199,30 @@
 
 func (p *Planner) handleCompletions(w *worker, list []winch.Completion) {
 	for _, e := range list {
-		if e.Number <= w.lastCompletion {
-			if w.runs[runKey{e.Task, e.Run}] != nil {
-				p.noteAnomaly(AnomalyOvertaken, w, p.task(e.Task), e)
-			}
-			continue
+		if !w.handled(e) {
+			p.handleCompletion(w, e)
 		}
-		w.lastCompletion = e.Number
-		p.handleCompletion(w, e)
 	}
 	p.forgetRecorded(w)
 }
 
+// handled reports whether a completion was handled before. Its number alone does not show that: it may have been
+// overtaken by a higher one. A completion that the worker was ordered to forget was handled unless its run still counts
+// as running.
+func (w *worker) handled(e winch.Completion) bool {
+	if e.Number <= w.forgottenUpTo {
+		return w.runs[runKey{e.Task, e.Run}] == nil
+	}
+	_, found := w.findCompletion(e.Number)
+	return found
+}
+
+// findCompletion returns the position of a completion among those that were handled and not forgotten, or where it
+// belongs.
+func (w *worker) findCompletion(number uint64) (int, bool) {
+	return slices.BinarySearchFunc(w.completions, number, func(x pendingCompletion, n uint64) int { return cmp.Compare(x.number, n) })
+}
+
 // handleCompletion applies one completion, whether or not this planner knew of the run: a
 // completion that an earlier planner did not record is listed again.
 func (p *Planner) handleCompletion(w *worker, e winch.Completion) {
@@ -234,12 +247,16 @@
 		}
 		j.updateState()
 	}
-	w.completions = append(w.completions, mark)
+	i, _ := w.findCompletion(e.Number)
+	w.completions = slices.Insert(w.completions, i, mark)
 	p.pendingWorkers[w] = true
 }
 
 // checkCompletion notes what is unusual about a completion.
 func (p *Planner) checkCompletion(w *worker, t *task, e winch.Completion) {
+	if n := len(w.completions); e.Number <= w.forgottenUpTo || n > 0 && e.Number < w.completions[n-1].number {
+		p.noteAnomaly(AnomalyOvertaken, w, t, e)
+	}
 	switch {
 	case e.Kind != winch.CompletionDone:
 	case t == nil && p.jobs[e.Task.Job] == nil:
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -30,12 +30,10 @@
 	// all its runs have ended, and nothing was ordered since.
 	empty bool
 	runs  map[runKey]*run
-	// completions holds the completions that are not recorded yet, in the order of their numbers.
-	completions []pendingCompletion
-	// lastCompletion is the highest completion number received, forgottenUpTo the highest one that
-	// the worker was ordered to forget.
-	lastCompletion uint64
-	forgottenUpTo  uint64
+	// completions holds the completions that were handled and may not be recorded yet, in the order
+	// of their numbers. The worker was ordered to forget the ones up to forgottenUpTo.
+	completions   []pendingCompletion
+	forgottenUpTo uint64
 	// fillingMilli is the sum of what the runs of filling tasks (see winch.Phase.Fills) could use, in
 	// thousandths of a processor.
 	fillingMilli int64
