coord/fleet: orders for a boot are dropped when another one replaces it

Orders wait in the planner until its next decision and get the fencing token of the worker's keeper then. An order to forget that was made for one boot could so reach the next one under the same ID, whose completions would be dropped unseen. TestOrderToForgetDoesNotReachTheNextBoot failed before.

--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"plantainwinch/proto"
@@ -92,6 +93,7 @@
 		if w != nil && w.vm.Born != vm.Born && vm.Born != 0 {
 			p.WorkerLost(vm.ID, true)
 			delete(p.workers, vm.ID)
+			p.dropOrders(vm.ID)
 			p.unsorted = true
 			p.speeds.table.Rebooted(vm.ID)
 			w = nil
@@ -125,6 +127,11 @@
 	}
 }
 
+// dropOrders drops the orders for a boot that has ended. Numbers of completions in them mean others at the next boot.
+func (p *Planner) dropOrders(id string) {
+	p.orders = slices.DeleteFunc(p.orders, func(o proto.Order) bool { return o.Worker == id })
+}
+
 // Empty reports whether a worker is guaranteed to run nothing.
 func (p *Planner) Empty(id string) bool {
 	w := p.workers[id]
