region: events of an earlier boot are not applied to the next one

A worker that starts again under its ID is listed as another boot, while its keeper may still report events of the earlier one: its lists, or completions that waited in the keeper's queue. The planner applied them to the new boot. Their numbers then counted for it, so that its own completions were acknowledged before anybody had seen them.

Only a loss was compared with the listed boot; now all events but a refused fencing token are. TestEventsOfAnEarlierBootAreDropped failed before: the new boot was ordered to forget completions up to the earlier boot's number.

--- a/region/proxy.go
+++ b/region/proxy.go
@@ -186,9 +186,11 @@
 			continue
 		}
 		l.applyExpiryEvent(e)
-		if vm, listed := l.workers[e.Worker]; listed && e.Kind == proto.EventLost && l.assignments[e.Worker].VM.Born != vm.Born {
-			// The lost boot is not the listed one, which may be alive.
-			l.unassignLost(e.Worker)
+		if vm, listed := l.workers[e.Worker]; listed && e.Kind != proto.EventFenced && l.assignments[e.Worker].VM.Born != vm.Born {
+			// The boot is not the listed one, which may be alive and has completions and runs of its own.
+			if e.Kind == proto.EventLost {
+				l.unassignLost(e.Worker)
+			}
 			continue
 		}
 		l.planner.HandleEvent(e)
