coord/fleet, region: what workers report of unknown jobs is kept until the store is asked

A planner took a completion of a job that it does not know for one of a job that had ended long ago, and had the worker forget it at once; a run of such a job was stopped. But the job may have been accepted after the planner had read the jobs and been started by the planner before, whose standby had acknowledged the start while the store was still answering the transaction for the office. When the planner learned of the job, it started its tasks again.

Such completions are now kept, and such runs neither stopped nor counted as absent, until the job is added or the store shows that it has ended: the planner then applies the completions and adopts the runs, or has the completions forgotten and stops the runs. A job that has ended costs one read, of its ended record.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -108,6 +108,10 @@
 		}
 		r := p.addRun(w, t, x.Task, x.Run)
 		r.started, r.adopted, r.throttle = true, true, throttleUnknown
+		if p.jobs[x.Task.Job] == nil {
+			p.awaitJob(x.Task.Job, w)
+			continue
+		}
 		if !adopt {
 			p.stopRun(r)
 			continue
@@ -232,26 +236,38 @@
 		r.noteStopped(e, p.now())
 		p.endRun(r, string(e.Kind))
 	}
-	t := p.task(e.Task)
-	p.checkCompletion(w, t, e)
+	p.checkCompletion(w, p.task(e.Task), e)
 	mark := pendingCompletion{number: e.Number, key: runKey{e.Task, e.Run}}
-	if t != nil {
-		t.saveCheckpoint(r, e.Checkpoint)
-		p.noteSaved(t, e)
-		j := t.phase.job
-		if p.applyCompletion(w, t, r, e) {
-			mark.job, mark.changes = j, j.changes
-			if !slices.Contains(j.completionWorkers, w) {
-				j.completionWorkers = append(j.completionWorkers, w)
-			}
-		}
-		j.updateState()
-	}
+	p.settleCompletion(w, r, e, &mark)
 	i, _ := w.findCompletion(e.Number)
 	w.completions = slices.Insert(w.completions, i, mark)
 	p.pendingWorkers[w] = true
 }
 
+// settleCompletion applies a completion to its task and sets in mark what must be recorded before the worker may forget
+// it.
+func (p *Planner) settleCompletion(w *worker, r *run, e winch.Completion, mark *pendingCompletion) {
+	mark.unknown = nil
+	t := p.task(e.Task)
+	if t == nil {
+		if p.jobs[e.Task.Job] == nil {
+			mark.unknown = &e
+			p.awaitJob(e.Task.Job, w)
+		}
+		return
+	}
+	t.saveCheckpoint(r, e.Checkpoint)
+	p.noteSaved(t, e)
+	j := t.phase.job
+	if p.applyCompletion(w, t, r, e) {
+		mark.job, mark.changes = j, j.changes
+		if !slices.Contains(j.completionWorkers, w) {
+			j.completionWorkers = append(j.completionWorkers, w)
+		}
+	}
+	j.updateState()
+}
+
 // checkCompletion notes what is unusual about a completion.
 func (p *Planner) checkCompletion(w *worker, t *task, e winch.Completion) {
 	if n := len(w.completions); e.Number <= w.forgottenUpTo || n > 0 && e.Number < w.completions[n-1].number {
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -170,6 +170,7 @@
 	}
 	p.orderAdded(j)
 	j.enqueueReady()
+	p.jobFound(rec.ID)
 }
 
 // enqueueReady adds the job's phases that may be ready to the planner's ready list.
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -65,6 +65,7 @@
 	key     runKey
 	job     *job
 	changes uint64
+	unknown *winch.Completion // unknown is the completion if its job is not known, see awaitJob.
 }
 
 // ClosedRun is a run that no longer exists and whose result, if it must be recorded, is in the
@@ -191,6 +192,9 @@
 	upTo := w.forgottenUpTo
 	for len(w.completions) > 0 {
 		e := w.completions[0]
+		if e.unknown != nil {
+			break
+		}
 		if e.job != nil && e.job.savedChanges < e.changes && p.jobs[e.job.rec.ID] == e.job {
 			break
 		}
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -181,6 +181,8 @@
 	standbyCh chan struct{}
 	// admissionCh wakes the goroutine that sends the forecast for new jobs.
 	admissionCh chan struct{}
+	// unknownCh wakes the goroutine that looks up unknown jobs.
+	unknownCh chan struct{}
 }
 
 func newLeadership(n *Node, term, revision, lease uint64, until time.Time) *leadership {
@@ -194,7 +196,7 @@
 		desired: make(map[string]rosteredWorker), pendingRenewals: make(map[string]proto.Order),
 		maybeBound: make(map[string]bool), maybeSettled: make(map[string]bool),
 		urgentSave: make(chan struct{}, 1), unsaved: make(chan struct{}, 1), rosterCh: make(chan struct{}, 1),
-		standbyCh: make(chan struct{}, 1), admissionCh: make(chan struct{}, 1), standbyBackoff: make(map[string]time.Time), expiries: newLeaseExpiries(),
+		standbyCh: make(chan struct{}, 1), admissionCh: make(chan struct{}, 1), unknownCh: make(chan struct{}, 1), standbyBackoff: make(map[string]time.Time), expiries: newLeaseExpiries(),
 		standbyExpiries: make(map[string]bool), askedKeepers: make(map[string]bool),
 		rosterStore: newRosterStore(), rosterLock: make(chan struct{}, 1), group: conc.NewWaitGroup(), startedAt: time.Now(),
 	}
@@ -233,7 +235,7 @@
 		}
 		for _, f := range []func(context.Context){
 			l.followJobs, l.followWorkers, l.runCommits, l.runRoster,
-			l.runWaiting, l.runAdmission, l.runSweep, l.runLoad, l.runStallMonitor, l.runStandby, l.findAdoptedRevision, l.readCommands,
+			l.runWaiting, l.runAdmission, l.runSweep, l.runLoad, l.runStallMonitor, l.runStandby, l.findAdoptedRevision, l.readCommands, l.runUnknownJobs,
 		} {
 			l.group.Go(func() { f(l.ctx) })
 		}
@@ -323,6 +325,7 @@
 	l.dispatch()
 	l.requestAdvice()
 	l.signalSave()
+	l.signalUnknown()
 	l.logCompletions()
 	l.logLosses()
 	l.logAnomalies()
