coord/keep: no start is sent without the planner's authority

Holds renew leases only while the planner's authority lasts, since the next planner takes for certain that nothing runs at an unresponsive worker after it. A start extends the lease as well, and was sent whenever an order came: by a planner that had been paused between its decision and its message, to a keeper that the next planner cannot reach, the task could run beside the one that this planner has started elsewhere. Found by reading, not seen.

A start now needs authority, and is accepted by the worker no longer than that lasts. TestNoStartIsSentWithoutAuthority failed before.

--- a/coord/keep/order_test.go
+++ b/coord/keep/order_test.go
@@ -124,3 +124,23 @@
 		r.end(cancel)
 	})
 }
+
+// Guards against a start that is sent after the planner's authority has ended: the next planner may have started the
+// task elsewhere by then, and the start would extend the lease of everything at the worker.
+func TestNoStartIsSentWithoutAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		polling, stopPolling := context.WithCancel(ctx)
+		r := newFixture(polling)
+		time.Sleep(time.Second)
+		stopPolling()
+		time.Sleep(9 * time.Second)
+		r.keeper.QueueOrders(proto.KeeperOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 3}}})
+		time.Sleep(time.Second)
+		r.worker.mu.Lock()
+		is.Equal(len(r.worker.running), 0)
+		r.worker.mu.Unlock()
+		r.end(cancel)
+	})
+}
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -108,16 +108,18 @@
 
 // prepareStart records a start that is about to be sent and returns until when the worker
 // accepts it. A start extends the lease at the worker, so none is sent to a worker that
-// doesn't respond to holds: its tasks would run on after it counts as lost.
+// doesn't respond to holds, or without the planner's authority: its tasks would run on after
+// it counts as lost.
 func (h *holder) prepareStart(key runKey, now time.Time) (time.Duration, bool) {
+	timeout := min(startTimeout, h.keeper.authorityLeft())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.closed || !h.renewalAllowed {
+	if h.closed || !h.renewalAllowed || timeout <= 0 {
 		return 0, false
 	}
 	h.runs[key] = &runState{}
-	h.ownExpiry = later(h.ownExpiry, now.Add(ExpiryBound(startTimeout)))
-	return h.workerTime(now) + startTimeout, true
+	h.ownExpiry = later(h.ownExpiry, now.Add(ExpiryBound(timeout)))
+	return h.workerTime(now) + timeout, true
 }
 
 // confirm records that the worker has responded to an order about a run, and reports events;
