coord/fleet: the order to forget is repeated for lists that are cut off

First lists of the longest length are reported as completions, and only complete first lists made the planner repeat an order to forget that may have been lost. A worker that listed 500 completions of which the planner had already handled all would have listed them for good and never have counted as listed.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -30,6 +30,9 @@
 		p.handleNotStarted(w, e)
 	case proto.EventEnded:
 		p.accountLateCompletions(e)
+		if len(e.Ended) > 0 && e.Ended[0].Number <= w.forgottenUpTo {
+			p.orderForget(w) // First lists that are cut off are reported like this, and the last order may have been lost.
+		}
 		p.handleCompletions(w, e.Ended)
 	case proto.EventVanished:
 		p.handleVanished(w, runKey{e.Task, e.Run})
@@ -86,11 +89,9 @@
 	p.handleStatus(w, e.Running)
 	w.ready, w.respondsAgain = true, true
 	delete(p.roster, w.vm.ID)
-	// The order to forget recorded completions is repeated since it may have been lost.
 	if w.forgottenUpTo > 0 {
-		p.orders = append(p.orders, proto.Order{Kind: proto.OrderForget, Worker: w.vm.ID, Forget: w.forgottenUpTo})
+		p.orderForget(w) // The order may have been lost.
 	}
-	p.forgetRecorded(w)
 }
 
 // handleFound handles runs that were not ordered in this session: it adopts those whose work is
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -207,6 +207,11 @@
 	}
 	if upTo > w.forgottenUpTo {
 		w.forgottenUpTo = upTo
-		p.orders = append(p.orders, proto.Order{Kind: proto.OrderForget, Worker: w.vm.ID, Forget: upTo})
+		p.orderForget(w)
 	}
 }
+
+// orderForget orders a worker to forget its recorded completions.
+func (p *Planner) orderForget(w *worker) {
+	p.orders = append(p.orders, proto.Order{Kind: proto.OrderForget, Worker: w.vm.ID, Forget: w.forgottenUpTo})
+}
