coord/fleet: a worker that left the list is kept until its completions are recorded

A worker without runs was dropped as soon as it left the platform's list, also with completions whose record was not written. The next planner then learned of them from nobody; a worker that came back counted as one at which nothing had run; and once the record was written, an order to forget went to whoever had the worker's ID by then, which may have been the next boot. Found by the review; TestUnlistedWorkerWithAnUnrecordedCompletionIsNotEmpty and TestOrderToForgetOfAnUnlistedWorkerDoesNotReachTheNextBoot failed before.

--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -120,7 +120,7 @@
 		}
 		w.removed = true
 		w.updateContact()
-		if len(w.runs) == 0 && (w.ready || w.empty) {
+		if len(w.runs) == 0 && len(w.completions) == 0 && (w.ready || w.empty) {
 			delete(p.workers, id)
 			p.unsorted = true
 		}
