coord/fleet: runs of unknown jobs count against the limits of all teams

While a job is looked up, its runs are known but not its team. They were charged to none, so that other tasks of the team could be started beside them and bring it over its limit once the job was added. Each team with a limit is now charged for them meanwhile, as it is for workers that have not reported.

--- a/coord/fleet/completions_test.go
+++ b/coord/fleet/completions_test.go
@@ -145,3 +145,23 @@
 		is.Equal(c.forgetOrders()["w0"], uint64(0))
 	})
 }
+
+// Guards against a team that stays charged for the run of an unknown job after the job was found to have ended.
+func TestChargeForRunsOfUnknownJobsEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := newSimRegion(t, 2, normalQueue())
+		c.planner.SetConfig(&winch.RegionConfig{Version: 2, Queues: []winch.Queue{normalQueue()}, Teams: []winch.RegionTeam{{Name: "choir", Cap: winch.Capacity{Milli: 2000}}}})
+		c.planner.SetUnready([]string{"w0"})
+		gone := winch.RunID{Job: "gone"}
+		c.listed("w0", []winch.Running{{Task: gone, Run: 7}})
+		c.add("a", "mix", "choir", tasks(2, 1000))
+		is.Equal(len(c.schedule()), 0)
+		is.Equal(c.planner.UnknownJobs(), []string{"gone"})
+		c.planner.JobMissing("gone")
+		is.Equal(c.planner.UnknownJobs(), []string(nil))
+		c.ended(proto.Order{Worker: "w0", Task: gone, Run: 7}, 1)
+		c.planner.JobMissing("gone")
+		is.Equal(len(c.schedule()), 2)
+	})
+}
--- a/coord/fleet/unknown.go
+++ b/coord/fleet/unknown.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"plantainwinch/winch"
 )
@@ -15,6 +16,7 @@
 		p.awaited[id] = make(map[*worker]bool)
 	}
 	p.awaited[id][w] = true
+	p.unreportedAt = time.Time{}
 }
 
 // UnknownJobs returns the jobs of which workers report runs or completions and which the planner does not know. For
@@ -72,6 +74,7 @@
 func (p *Planner) takeAwaited(id string) map[*worker]bool {
 	out := p.awaited[id]
 	delete(p.awaited, id)
+	p.unreportedAt = time.Time{}
 	maps.DeleteFunc(out, func(w *worker, _ bool) bool { return p.workers[w.vm.ID] != w })
 	return out
 }
--- a/coord/fleet/unreported.go
+++ b/coord/fleet/unreported.go
@@ -11,10 +11,10 @@
 const unreportedInterval = 50 * time.Millisecond
 
 // chargeUnreported charges the teams that have a limit for the runs of earlier planners that may exist at workers
-// that have not reported yet. Jobs that were accepted later start meanwhile and must not bring the team over its
-// limit together with these runs.
+// that have not reported yet, and for runs of jobs that are not known yet. Jobs that were accepted later start
+// meanwhile and must not bring the team over its limit together with these runs.
 func (p *Planner) chargeUnreported(now time.Time) {
-	if len(p.roster) == 0 {
+	if len(p.roster) == 0 && len(p.awaited) == 0 {
 		if p.unreportedCharged {
 			p.unreportedCharged = false
 			for _, t := range p.teams {
@@ -42,11 +42,29 @@
 			j.addUnreported(filling)
 		}
 	}
+	unknown := p.unknownRunsCharge()
 	for _, t := range p.teams {
 		t.unreported = leastCapacity(t.unreported, room)
 		// Filling tasks use processors beyond the capacity of their workers.
 		t.unreported.Milli += filling[t]
+		if t.Cap != (winch.Capacity{}) {
+			t.unreported = t.unreported.Add(unknown)
+		}
+	}
+}
+
+// unknownRunsCharge returns the capacity that the runs of unknown jobs are charged with. They may belong to any team.
+func (p *Planner) unknownRunsCharge() (sum winch.Capacity) {
+	for job, workers := range p.awaited {
+		for w := range workers {
+			for key, r := range w.runs {
+				if key.task.Job == job {
+					sum = sum.Add(r.charge)
+				}
+			}
+		}
 	}
+	return sum
 }
 
 // addUnreported adds what the job's tasks need of which an earlier planner may have started a run that is not known.
