region: a run that is ordered again stays in the standby's copy

A message to the standby added runs and then removed those that had ended. If a worker refused the start of a gang member and the member was started there again under the gang's number before the next message, its run was in both and missing from the copy: a standby that took over would have started the member beside it. Found by the review; TestRunThatIsStartedAgainStaysInTheCopy failed before. A run that is added and ends within one message stays in the copy until the next full one, which costs a look at its worker after a takeover at most.

--- a/region/mirror.go
+++ b/region/mirror.go
@@ -97,12 +97,12 @@
 		return false
 	}
 	m.lastContact, m.yields = time.Now(), msg.Yield
-	for _, r := range msg.Add {
-		m.runs[r] = true
-	}
 	for _, r := range msg.Remove {
 		delete(m.runs, r)
 	}
+	for _, r := range msg.Add { // A refused start of a gang member may be removed and ordered again under its number.
+		m.runs[r] = true
+	}
 	m.applySpeeds(msg.Speeds)
 	m.speedsAt = m.lastContact
 	for _, x := range msg.Saved {
