coord/keep: runs that another boot may have started are stopped before the loss is reported

A worker that starts again under its ID may carry out a start that was meant for its last boot. Its clock shows that only if the last boot was three seconds older. Otherwise the start counted as confirmed, the next hold found the other boot, and the planner started the task elsewhere while it ran there.

Runs that the intended boot has not listed are now stopped at the other one first, which then refuses a start that is still on its way.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -41,6 +41,9 @@
 		if h.shouldRetry(err) {
 			continue
 		}
+		if errors.Is(err, winch.ErrOtherBoot) {
+			h.stopUnlisted(ctx)
+		}
 		if h.handleFailure(err) {
 			return
 		}
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -77,6 +77,8 @@
 	// confirmedAt is when the worker last confirmed an order about the run; zero while
 	// the first order is in flight.
 	confirmedAt time.Time
+	// listed is set once the worker has listed the run as running.
+	listed bool
 	// startUncertain reports that the start got no response and the run is being stopped.
 	startUncertain bool
 	// reported is set once the run's status was sent to the planner; percent and checkpoint
--- a/coord/keep/lists.go
+++ b/coord/keep/lists.go
@@ -89,7 +89,7 @@
 		h.priorExpiry = until
 	}
 	for _, r := range resp.Running {
-		h.runs[runKey{r.Task, r.Run}] = &runState{confirmedAt: h.began}
+		h.runs[runKey{r.Task, r.Run}] = &runState{confirmedAt: h.began, listed: true}
 	}
 	return proto.KeeperEvent{Kind: proto.EventListed, Running: resp.Running, Ended: completed, Spell: h.unresponsivePeriods}
 }
@@ -108,6 +108,7 @@
 			h.runs[key] = &runState{confirmedAt: sent}
 			found = append(found, r)
 		}
+		h.runs[key].listed = true
 	}
 	if len(found) > 0 {
 		out = append(out, proto.KeeperEvent{Kind: proto.EventFound, Running: found})
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -106,6 +106,26 @@
 	h.cancel()
 }
 
+// stopUnlisted stops the runs that the worker has not listed, after another boot has responded: their starts may have
+// reached that boot, or still reach it, while the planner restarts all tasks of the intended one elsewhere. If that boot
+// does not respond any more, they wait until its leases have expired.
+func (h *holder) stopUnlisted(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*h.keeper.Lease)
+	defer cancel()
+	h.mu.Lock()
+	h.renewalAllowed = false // No further start is sent.
+	var pending []runKey
+	for key, r := range h.runs {
+		if !r.listed {
+			pending = append(pending, key)
+		}
+	}
+	h.mu.Unlock()
+	for _, key := range pending {
+		h.stopUntilResponse(ctx, key, true)
+	}
+}
+
 // prepareStart records a start that is about to be sent and returns until when the worker
 // accepts it. A start extends the lease at the worker, so none is sent to a worker that
 // doesn't respond to holds, or without the planner's authority: its tasks would run on after
