region, coord/fleet: a wrong record of a worker does not end its runs

Records of workers may lack fields, and an earlier boot may write its record late. A record without the start of the boot, or with an earlier one, counted as that of another boot: the planner started the tasks of the worker again while they ran on, and the worker got no work any more, since its keeper went on in the assignment of before, whose events were dropped. Nor did a worker that left the list and came back before the keepers were chosen again.

A record without the start is now taken for one of the known boot. One of an earlier start is put aside until the keeper finds that the known boot was replaced. And the assignment of a worker of which the planner knows nothing, or of another boot, ends at once, so that its lists are reported in a new one; this replaces the comparison of boots when events are handled.

--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -82,15 +82,15 @@
 	return w.ready && !w.unresponsive && !w.removed && !w.vm.Draining
 }
 
-// SetWorkers sets the platform's list of workers. Workers that are missing get no new work; their
-// runs stay charged until they are guaranteed to have ended.
-func (p *Planner) SetWorkers(list []winch.WorkerVM) {
+// SetWorkers sets the platform's list of workers, and returns those that were added. Workers that are missing get no
+// new work; their runs stay charged until they are guaranteed to have ended.
+func (p *Planner) SetWorkers(list []winch.WorkerVM) (added []string) {
 	listed := make(map[string]bool, len(list))
 	for _, vm := range list {
 		listed[vm.ID] = true
 		p.noteBoot(vm)
 		w := p.workers[vm.ID]
-		if w != nil && w.vm.Born != vm.Born && vm.Born != 0 {
+		if w != nil && !w.vm.SameBoot(vm) {
 			p.WorkerLost(vm.ID, true)
 			delete(p.workers, vm.ID)
 			p.dropOrders(vm.ID)
@@ -102,6 +102,7 @@
 			w = &worker{planner: p, runs: make(map[runKey]*run), empty: !p.roster[vm.ID]}
 			p.workers[vm.ID] = w
 			p.unsorted = true
+			added = append(added, vm.ID)
 		}
 		w.replaced = w.replaced && w.vm.Born == vm.Born
 		if w.vm.ColdLeft != vm.ColdLeft {
@@ -125,6 +126,7 @@
 			p.unsorted = true
 		}
 	}
+	return added
 }
 
 // dropOrders drops the orders for a boot that has ended. Numbers of completions in them mean others at the next boot.
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -96,6 +96,7 @@
 	workers       map[string]winch.WorkerVM
 	listAsOf      time.Time // listAsOf is the time at which the known worker list was current.
 	missing       map[string]time.Time
+	earlierBoots  map[string]winch.WorkerVM // earlierBoots holds records of a start before that of the listed boot.
 	keeperBackoff map[string]bool // keeperBackoff holds the keepers to which no session is opened for the moment.
 	// desired is the roster to be recorded, roster the one that is recorded.
 	desired        map[string]rosteredWorker
@@ -191,7 +192,7 @@
 		duty: duty.New("Planner", eventQueueSize, nil), planner: fleet.New(term),
 		proxies: make(map[string]*proxy), keepers: make(map[string]string), workersOf: make(map[string]map[string]bool), assignments: make(map[string]proto.Assignment),
 		byToken: make(map[uint64]string), stateWaiters: make(map[string][]stateWaiter),
-		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time),
+		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), earlierBoots: make(map[string]winch.WorkerVM),
 		keeperBackoff: make(map[string]bool), previousRoster: make(map[string]rosteredWorker), roster: make(map[string]rosteredWorker),
 		desired: make(map[string]rosteredWorker), pendingRenewals: make(map[string]proto.Order),
 		maybeBound: make(map[string]bool), maybeSettled: make(map[string]bool),
--- a/region/otherboot_test.go
+++ b/region/otherboot_test.go
@@ -21,12 +21,12 @@
 		l := w.planner().node.leadership.Load()
 		is.NoErr(l.duty.Do(w.ctx, func() {
 			const id = "w0"
-			old := l.assignments[id]
+			old, keeper := l.assignments[id], l.proxies[l.keepers[id]]
 			next := l.workers[id]
 			next.Born++
 			l.listWorker(next)
 			l.setWorkers()
-			l.handleEvents(l.proxies[l.keepers[id]], []proto.KeeperEvent{
+			l.handleEvents(keeper, []proto.KeeperEvent{
 				{Kind: proto.EventListed, Token: old.Token, Worker: id},
 				{Kind: proto.EventEnded, Token: old.Token, Worker: id, Ended: []winch.Completion{
 					{Number: 57, Task: winch.RunID{Job: "00000000000000a1"}, Run: 7, Kind: winch.CompletionStopped},
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -186,13 +186,6 @@
 			continue
 		}
 		l.applyExpiryEvent(e)
-		if vm, listed := l.workers[e.Worker]; listed && e.Kind != proto.EventFenced && l.assignments[e.Worker].VM.Born != vm.Born {
-			// The boot is not the listed one, which may be alive and has completions and runs of its own.
-			if e.Kind == proto.EventLost {
-				l.unassignLost(e.Worker)
-			}
-			continue
-		}
 		l.planner.HandleEvent(e)
 		switch e.Kind {
 		case proto.EventFenced:
@@ -201,6 +194,9 @@
 			return
 		case proto.EventLost:
 			l.unassignLost(e.Worker)
+			if e.Result == winch.StartOtherBoot {
+				l.workerReplaced(e.Worker)
+			}
 		case proto.EventUnresponsive, proto.EventResponsive, proto.EventListed:
 			unresponsive, _ := l.planner.Unresponsive(e.Worker)
 			changed = changed || unresponsive || len(l.roster[e.Worker].Earlier) > 0
--- a/region/workerlist.go
+++ b/region/workerlist.go
@@ -46,11 +46,32 @@
 	l.post(func() { l.listAsOf = at })
 }
 
+// listWorker applies a worker's record. A record without the start of the boot is taken for one of the known boot. One of
+// an earlier start may have been written late by an earlier boot, so it is put aside until the known boot is found to have
+// been replaced: the clock of the VM may have been set back.
 func (l *leadership) listWorker(vm winch.WorkerVM) {
 	delete(l.missing, vm.ID)
+	known, ok := l.workers[vm.ID]
+	switch {
+	case ok && vm.Born == 0:
+		vm.Born = known.Born
+	case ok && vm.Born < known.Born:
+		l.earlierBoots[vm.ID] = vm
+		return
+	}
+	delete(l.earlierBoots, vm.ID)
 	l.workers[vm.ID] = vm
 }
 
+// workerReplaced applies the record that was put aside if another boot than the listed one responds.
+func (l *leadership) workerReplaced(id string) {
+	if vm, ok := l.earlierBoots[id]; ok {
+		delete(l.earlierBoots, id)
+		l.workers[id] = vm
+		l.setWorkers()
+	}
+}
+
 // unlistWorker records that a worker's record has disappeared. Records also expire while the store is
 // down and then come back, so a worker counts as removed only after workerReturnTimeout.
 func (l *leadership) unlistWorker(id string) {
@@ -76,13 +97,34 @@
 	}
 }
 
+// endAssignmentOf ends the assignment of a worker of which the planner knows nothing any more, or of another boot of it.
+// Its lists are reported in the next assignment.
+func (l *leadership) endAssignmentOf(id string) {
+	keeper, assigned := l.keepers[id]
+	if !assigned {
+		return
+	}
+	if a := l.assignments[id]; a.VM.SameBoot(l.workers[id]) {
+		l.expiries.endAssignment(id, keeper, a.Token, l.authority())
+		l.expiriesChanged = true
+	} else {
+		l.expiries.forget(id)
+	}
+	l.removeAssignment(id)
+	if l.proxies[keeper] != nil {
+		l.sendAssignments(keeper)
+	}
+}
+
 // setWorkers passes the list to the planner and has new workers recorded.
 func (l *leadership) setWorkers() {
 	list := make([]winch.WorkerVM, 0, len(l.workers))
 	for _, vm := range l.workers {
 		list = append(list, vm)
 	}
-	l.planner.SetWorkers(list)
+	for _, id := range l.planner.SetWorkers(list) {
+		l.endAssignmentOf(id)
+	}
 	l.planner.SetRemoved(l.earlierWorkers())
 	l.reassignSoon()
 }
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -237,6 +237,11 @@
 	ColdLeft time.Duration `cbor:"-"`
 }
 
+// SameBoot reports whether two records of a VM can be of the same boot. A record may lack the start of the boot.
+func (vm WorkerVM) SameBoot(other WorkerVM) bool {
+	return vm.Born == 0 || other.Born == 0 || vm.Born == other.Born
+}
+
 // Kind returns the VM's kind: its first label other than the rack, or "" if it has none.
 func (vm WorkerVM) Kind() string {
 	for _, label := range vm.Labels {
