region: a planner insists on the revision of its office for what it reads

Cause: catchUp took a call without changes for the end of them, and read values for new enough. Now a call that brings the copy no further leads to one reading of all values, and if these are older than asked for, catchUp returns an error: load tries again after retryDelay. A usual takeover makes no further call. The same check covers the roster, the evacuations, and the term whose revision becomes the adopted revision: a lower one would let jobs count as never started that an earlier planner may have started. Checked without a change: followJobs goes on until the term ends, and a partial response is followed by the next call; result copies both maps under the lock that followPrefix holds when it replaces a copy; the standby's record is a condition of the transaction for the office; readOffice compares versions; the records of ended jobs and the commands are not read for decisions on starts.

--- a/region/prefetch.go
+++ b/region/prefetch.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 
 	"plantainwinch/duty"
@@ -50,17 +51,41 @@
 	c.revision = max(c.revision, revision)
 }
 
+// errOutdated says that the store has returned an older state than one that it is known to have reached.
+var errOutdated = merry.New("the store returned an outdated state")
+
 // catchUp reads what has changed since the copy's revision, up to the given revision, or all values if
-// the changes have been compacted. One response of the store may hold only some of the changes.
+// the changes have been compacted or do not lead there. One response of the store may hold only some of
+// the changes. If the values are older than the given revision as well, it returns errOutdated.
 func (c *prefixCopy) catchUp(ctx context.Context, table winch.Table, prefix string, until uint64) error {
 	for {
+		before := c.revision
 		changes, err := c.advance(ctx, table, prefix)
-		if err != nil || changes == 0 || c.revision >= until {
+		switch {
+		case err != nil || c.revision >= until:
 			return err
+		case changes > 0 && c.revision > before:
+		case before == 0:
+			return outdated(prefix, c.revision, until)
+		default:
+			*c = prefixCopy{}
 		}
 	}
 }
 
+func outdated(prefix string, asOf, until uint64) error {
+	return merry.Wrap(errOutdated, merry.AppendMessagef("%s as of revision %d, want %d", prefix, asOf, until))
+}
+
+// readSince reads all values under a prefix, as of the given revision or a later one. An older state is errOutdated.
+func readSince(ctx context.Context, table winch.Table, prefix string, since uint64) ([]winch.Value, uint64, error) {
+	values, asOf, err := table.Read(ctx, prefix)
+	if err == nil && asOf < since {
+		err = outdated(prefix, asOf, since)
+	}
+	return values, asOf, err
+}
+
 // advance makes one call to the store, applies the changes or values that it returns, and returns the
 // number of changes.
 func (c *prefixCopy) advance(ctx context.Context, table winch.Table, prefix string) (int, error) {
--- a/region/takeover.go
+++ b/region/takeover.go
@@ -38,14 +38,14 @@
 	group := pool.New().WithErrors()
 	group.Go(func() error {
 		prefix := l.node.Codec.EvacuationPrefix()
-		values, asOf, err := l.node.Table.Read(ctx, prefix)
+		values, asOf, err := readSince(ctx, l.node.Table, prefix, l.revision)
 		if err == nil {
 			l.node.applyEvacuations(readEvacuations(prefix, values, asOf), "store")
 		}
 		return err
 	})
 	group.Go(func() (err error) {
-		rosters, _, err = l.node.Table.Read(ctx, keyRoster)
+		rosters, _, err = readSince(ctx, l.node.Table, keyRoster, l.revision)
 		return err
 	})
 	group.Go(func() error { return jobs.catchUp(ctx, l.node.Table, prefixJobs, l.revision) })
@@ -125,7 +125,7 @@
 		}
 	}
 	for ctx.Err() == nil {
-		_, asOf, err := l.node.Table.Read(ctx, keyTerm)
+		_, asOf, err := readSince(ctx, l.node.Table, keyTerm, l.jobsRevision)
 		if err == nil {
 			l.post(func() {
 				l.planner.AdoptedRevision = asOf
