region: a test of jobs that a new planner learns of after their completions

The planner is turned away by the store and asks its standby to take over. The store executes the transaction for the office, and its response takes a second. Meanwhile 24 jobs of one task are accepted; other entries do not know of the new planner and notify the old one, which starts the tasks with the standby's acknowledgement. The tasks end, unrecorded. The standby then reads on from its copy: a response of the store holds five changes, and the first one that ends beyond the revision of the office counts as all. Its next call for changes hangs. Completions of the jobs that it has not read are listed to it, it drops them as those of jobs that have ended, and starts the tasks again when it reads the jobs. The slow response alone is no fault.

--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"plantainwinch/duty"
 	"plantainwinch/winch"
 )
 
@@ -38,8 +39,10 @@
 	maxChanges int // maxChanges bounds the changes in one response; zero is no bound.
 	// commitOutcome decides whether a transaction takes effect and whether its response arrives.
 	commitOutcome func(txn winch.Txn) (applied, responded bool)
-	onRead        func(host, prefix string) // onRead is called on each read.
-	refusedHosts  map[string]bool           // refusedHosts holds the entries whose calls are refused.
+	// commitDelay, if set, returns how late the response to an entry's transaction arrives, which has taken effect.
+	commitDelay  func(host string, txn winch.Txn) time.Duration
+	onRead       func(host, prefix string) // onRead is called on each read.
+	refusedHosts map[string]bool           // refusedHosts holds the entries whose calls are refused.
 	// silentWatches makes watches report no changes. compactedAt is the revision up to which the change
 	// history was removed.
 	silentWatches bool
@@ -268,7 +271,7 @@
 
 func (t *simTable) Commit(ctx context.Context, txn winch.Txn) (revision uint64, err error) {
 	var result error
-	responseLost := false
+	responseLost, late := false, time.Duration(0)
 	err = t.call(ctx, func() {
 		applied, responded := true, true
 		if t.store.commitOutcome != nil {
@@ -310,8 +313,12 @@
 			t.store.events[len(t.store.events)-len(txn.Writes)+i].Version = t.store.revision
 		}
 		revision = t.store.revision
+		if t.store.commitDelay != nil {
+			late = t.store.commitDelay(t.node.Host, txn)
+		}
 		responseLost = responseLost || t.store.losesResponses && t.store.world.intn(2) == 0
 	})
+	duty.Sleep(ctx, late)
 	if err == nil && responseLost {
 		time.Sleep(300 * time.Millisecond)
 		return 0, winch.ErrUncertain
