region: a test of runs that a new planner finds before it knows their jobs

The new planner has the runs of the copy before it knows their jobs, so they have no task. The jobs are added a moment later, and a completion that is listed then is applied to the task together with a run without one: recordRunTime ends in run.away with a nil pointer.

--- a/region/lateoffice_test.go
+++ b/region/lateoffice_test.go
@@ -118,3 +118,27 @@
 	}
 	return ids
 }
+
+// Guards against a planner that panics when a run that it found at a worker, before it knew the run's job, completes
+// after that job was added.
+func TestRunsThatAreFoundBeforeTheirJobsComplete(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(t, 410+seed, 3, 9)
+				settle()
+				ids := w.takeOverLate(is, 0)
+				w.awaitAll(ids, 40*time.Second)
+				time.Sleep(5 * time.Second)
+				defer func() {
+					if x := recover(); x != nil {
+						t.Errorf("an entry panicked: %v", x)
+					}
+				}()
+				w.end()
+			})
+		})
+	}
+}
