region: a new planner reads the jobs of all runs that its copy names

Cause: a response that holds only some of the changes and ends beyond the revision of the office counts as all, so jobs that were accepted later and started by the planner before, with this entry's acknowledgement, may be missing. The reads of the roster and the evacuations, which are sent after the copying has ended, name revisions at which all of them are stored. If a run of the copy belongs to a job that was not read, the jobs are read up to the lower of these. A run stays in the copy until its completion is recorded, so the copy names each such job. The planner still drops completions of jobs that it does not know.

--- a/region/takeover.go
+++ b/region/takeover.go
@@ -35,6 +35,7 @@
 	// A failed attempt keeps what it has read for the next one.
 	jobs, progress := &l.prefetched.jobs, &l.prefetched.progress
 	var rosters []winch.Value
+	var rosterAsOf, evacuationsAsOf uint64
 	group := pool.New().WithErrors()
 	group.Go(func() error {
 		prefix := l.node.Codec.EvacuationPrefix()
@@ -42,10 +43,11 @@
 		if err == nil {
 			l.node.applyEvacuations(readEvacuations(prefix, values, asOf), "store")
 		}
+		evacuationsAsOf = asOf
 		return err
 	})
 	group.Go(func() (err error) {
-		rosters, _, err = readSince(ctx, l.node.Table, keyRoster, l.revision)
+		rosters, rosterAsOf, err = readSince(ctx, l.node.Table, keyRoster, l.revision)
 		return err
 	})
 	group.Go(func() error { return jobs.catchUp(ctx, l.node.Table, prefixJobs, l.revision) })
@@ -53,6 +55,12 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
+	// These were read after the copying had ended, when the jobs of all copied runs were stored.
+	if stored := min(rosterAsOf, evacuationsAsOf); jobs.revision < stored && l.copiesUnknownJob(jobs) {
+		if err := jobs.catchUp(ctx, l.node.Table, prefixJobs, stored); err != nil {
+			return err
+		}
+	}
 	for _, v := range l.rosterStore.note(rosters) {
 		if err := l.loadRoster(v); err != nil {
 			return err
@@ -68,6 +76,19 @@
 	return nil
 }
 
+// copiesUnknownJob reports whether a run that this entry knew as standby belongs to a job that the copy lacks: the job
+// has ended, or its record is yet to be read.
+func (l *leadership) copiesUnknownJob(jobs *prefixCopy) bool {
+	for _, runs := range l.copiedRuns {
+		for _, r := range runs {
+			if _, known := jobs.values[keyJob(r.Task.Job)]; !known {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // loadRoster applies a part of the roster that the earlier planner left.
 func (l *leadership) loadRoster(v winch.Value) error {
 	var r roster
