region: a test of jobs that are started after the new planner has read the jobs

The planner is turned away by the store. Its standby ends the office, but its transactions for the office do not take effect, and an entry that is neither takes it. That entry has read the jobs and waits 0.8 s for its read of the roster. Meanwhile the planner before is notified of jobs and starts them; the standby goes on acknowledging them, as it does until it takes the office itself. The new planner opens its sessions, completions of jobs that it does not know are listed to it, and its next call for changes hangs for a second. No response is cut here, and no reading of the new planner could show the jobs: only completions that are kept until their job is known help.

--- a/region/lateoffice_test.go
+++ b/region/lateoffice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,29 +42,16 @@
 // next call for changes hangs for a time. It returns the jobs' IDs.
 func (w *world) takeOverLate(is *is.I, hang time.Duration) []string {
 	planner := w.planner()
-	l := planner.node.leadership.Load()
-	standby := ""
-	is.True(w.awaitLeadState(l, 3*time.Second, func() bool {
-		if l.standby != nil && l.standby.name == l.namedStandby {
-			standby, _, _ = strings.Cut(l.standby.name, "/")
-		}
-		return standby != ""
-	}))
-	var loadedAt atomic.Pointer[time.Time]
-	onLine := func(line string) {
-		if now := time.Now(); strings.Contains(line, "jobs read from the store") {
-			loadedAt.Store(&now)
-		}
-	}
-	w.log.onLine.Store(&onLine)
+	successor := w.namedStandby()
+	is.True(successor != nil)
+	standby, loadedAt := successor.host, w.noteLoad()
 	taken := make(chan struct{})
 	late := lateOffice{delay: time.Second, onTaken: func() { close(taken) }}
 	w.setStore(func(s *simStore) {
 		s.maxChanges, s.commitDelay = 5, late.commitDelay
 		s.hangsWatch = func(host, prefix string, begin time.Time) bool {
 			if host == standby {
-				at := loadedAt.Load()
-				return prefix == prefixJobs && at != nil && !begin.Before(*at) && begin.Before(at.Add(hang))
+				return prefix == prefixJobs && hangsAfter(loadedAt, begin, hang)
 			}
 			return strings.HasPrefix(prefix, prefixCell)
 		}
@@ -142,3 +130,97 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice because another entry than the standby takes the office: the standby goes on
+// acknowledging the starts of the planner before. Jobs are accepted after the new planner has read the jobs, while its
+// read of the roster takes long; their completions are listed to it before it knows them.
+func TestJobsStartedAfterTheNewPlannersReadingRunOnce(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(t, 420+seed, 3, 9)
+				settle()
+				planner, standby := w.planner(), w.namedStandby()
+				is.True(standby != nil)
+				var next *simNode
+				for i := range len(w.nodes) {
+					if n := w.nodeAt(i); n != planner && n != standby && n.domain != planner.domain {
+						next = n
+					}
+				}
+				loadedAt := w.noteLoad()
+				reads := make(chan struct{})
+				var once sync.Once
+				w.setStore(func(s *simStore) {
+					s.commitOutcome = func(txn winch.Txn) (applied, responded bool) {
+						refused := slices.ContainsFunc(txn.Writes, func(x winch.Write) bool {
+							var held office
+							return x.Key == keyOffice && decode(x.Data, &held) == nil && held.Holder == standby.node.Name
+						})
+						return !refused, !refused
+					}
+					s.readDelay = func(host, prefix string) (late time.Duration) {
+						if host == next.host && prefix == keyRoster {
+							once.Do(func() {
+								late = 800 * time.Millisecond
+								close(reads)
+							})
+						}
+						return late
+					}
+					s.hangsWatch = func(host, prefix string, begin time.Time) bool {
+						switch host {
+						case next.host:
+							return prefix == prefixJobs && hangsAfter(loadedAt, begin, time.Second)
+						case standby.host:
+							return false
+						}
+						return strings.HasPrefix(prefix, prefixCell)
+					}
+				})
+				w.refuseEntry(planner.node.Name)
+				<-reads
+				time.Sleep(10 * time.Millisecond)
+				ids := w.submitBurst(16, planner.host, standby.host, next.host)
+				time.Sleep(2 * time.Second)
+				w.setStore(func(s *simStore) { s.refusedHosts, s.commitOutcome = nil, nil })
+				w.awaitAll(ids, 40*time.Second)
+				time.Sleep(5 * time.Second)
+				w.end()
+			})
+		})
+	}
+}
+
+// namedStandby returns the planner's standby once the store names it, or nil.
+func (w *world) namedStandby() (standby *simNode) {
+	l := w.planner().node.leadership.Load()
+	w.awaitLeadState(l, 3*time.Second, func() bool {
+		if l.standby != nil && l.standby.name == l.namedStandby {
+			host, _, _ := strings.Cut(l.standby.name, "/")
+			standby = w.nodes[host]
+		}
+		return standby != nil
+	})
+	return standby
+}
+
+// noteLoad returns when a planner last had read the region's records, from now on.
+func (w *world) noteLoad() *atomic.Pointer[time.Time] {
+	var loadedAt atomic.Pointer[time.Time]
+	onLine := func(line string) {
+		if now := time.Now(); strings.Contains(line, "jobs read from the store") {
+			loadedAt.Store(&now)
+		}
+	}
+	w.log.onLine.Store(&onLine)
+	return &loadedAt
+}
+
+// hangsAfter reports whether a call begins within a time after the records were read.
+func hangsAfter(loadedAt *atomic.Pointer[time.Time], begin time.Time, length time.Duration) bool {
+	at := loadedAt.Load()
+	return at != nil && !begin.Before(*at) && begin.Before(at.Add(length))
+}
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -40,7 +40,9 @@
 	// commitOutcome decides whether a transaction takes effect and whether its response arrives.
 	commitOutcome func(txn winch.Txn) (applied, responded bool)
 	// commitDelay, if set, returns how late the response to an entry's transaction arrives, which has taken effect.
-	commitDelay  func(host string, txn winch.Txn) time.Duration
+	commitDelay func(host string, txn winch.Txn) time.Duration
+	// readDelay, if set, returns how late the response to an entry\'s read arrives.
+	readDelay    func(host, prefix string) time.Duration
 	onRead       func(host, prefix string) // onRead is called on each read.
 	refusedHosts map[string]bool           // refusedHosts holds the entries whose calls are refused.
 	// silentWatches makes watches report no changes. compactedAt is the revision up to which the change
@@ -213,7 +215,11 @@
 		time.Sleep(networkDelay)
 		return nil, 0, winch.ErrUnavailable
 	}
+	late := time.Duration(0)
 	err = t.call(ctx, func() {
+		if t.store.readDelay != nil {
+			late = t.store.readDelay(t.node.Host, prefix)
+		}
 		if t.store.onRead != nil {
 			t.store.onRead(t.node.Host, prefix)
 		}
@@ -224,6 +230,7 @@
 		}
 		asOf = t.store.revision
 	})
+	duty.Sleep(ctx, late)
 	return out, asOf, err
 }
 
