--- a/region/takeovercopy_test.go
+++ b/region/takeovercopy_test.go
@@ -37,6 +37,10 @@
 	return []winch.Event{{Value: winch.Value{Key: prefix + "a", Version: 10}}}, 10, nil
 }
 
+func (t *lateTable) Read(_ context.Context, prefix string) ([]winch.Value, uint64, error) {
+	return []winch.Value{{Key: prefix + "a", Version: 10}}, 10, nil
+}
+
 // Guards against a takeover with records older than the office: what the planner before has recorded since would be
 // started again.
 func TestCatchUpReachesTheRequestedRevision(t *testing.T) {
