region: a worker forgets a checkpoint once the standby knows it

In the traced run, a task's stop ended with the checkpoint 2890 ms at 5.900 s, its worker forgot the completion at 6.019 s, the planner was killed at 6.108 s, and the standby started the task without a checkpoint at 6.243 s. The two tasks whose completions had been followed by a start resumed.

Cause: the order to forget a completion went out at once. The checkpoint was sent to the standby with the next message, which a start causes directly; without one it is the heartbeat, up to 90 ms later. If the planner was lost in between, nobody knew the checkpoint any more, and all work that the task had saved was done again.

While the planner keeps checkpoints of stopped tasks, orders to forget now go the way of starts: they are sent once the standby has acknowledged the message with the checkpoints. Without a standby they go out once the store names none, as before; a checkpoint is then lost with the planner.

The number of messages to the standby was not measured.

--- a/coord/fleet/checkpoints.go
+++ b/coord/fleet/checkpoints.go
@@ -32,6 +32,11 @@
 	}
 }
 
+// KeepsCheckpoints reports whether checkpoints of stopped tasks are kept.
+func (p *Planner) KeepsCheckpoints() bool {
+	return len(p.saved) > 0
+}
+
 // SavedCheckpoints returns the checkpoints of stopped tasks that changed since the last call or, if
 // all is set, all of them.
 func (p *Planner) SavedCheckpoints(all bool) []SavedCheckpoint {
--- a/region/evictions_test.go
+++ b/region/evictions_test.go
@@ -153,6 +153,59 @@
 	})
 }
 
+// Guards against checkpoints that are lost with the planner: a worker must not forget the completion of
+// a stopped run before the standby knows the checkpoint.
+func TestCheckpointIsForgottenOnceStandbyKnowsIt(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(t, seed, 3, 9)
+				settle()
+				forgotten, unknown := 0, 0
+				w.mu.Lock()
+				w.onForget = func(e winch.Completion) {
+					if e.Checkpoint == "" {
+						return
+					}
+					forgotten++
+					if !w.anyMirrorKnows(e) {
+						unknown++
+					}
+				}
+				w.mu.Unlock()
+				w.submitSaving("00000000000000f0", 9*int(simVM("", "", "").Room.Milli)/taskMilli)
+				time.Sleep(2 * time.Second)
+				w.submit("00000000000000f1", longUrgentPhase(3))
+				is.Equal(w.await("00000000000000f0", 60*time.Second), winch.JobDone)
+				is.Equal(w.log.count("taking over"), 0)
+				w.end()
+				is.True(forgotten > 0)
+				is.Equal(unknown, 0)
+			})
+		})
+	}
+}
+
+// anyMirrorKnows reports whether an entry has the checkpoint of a completion as standby, or a run of the
+// task that has started since. The world's mutex is held.
+func (w *world) anyMirrorKnows(e winch.Completion) bool {
+	for _, n := range w.liveNodes() {
+		n.mirror.mu.Lock()
+		known := n.mirror.saved[e.Task] == e.Checkpoint
+		for r := range n.mirror.runs {
+			known = known || r.Task == e.Task && r.Run > e.Run
+		}
+		n.mirror.mu.Unlock()
+		if known {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against jobs that never end, tasks that run twice at once, and starts beyond a worker's
 // capacity, while urgent jobs evict batch tasks and faults of all kinds overlap.
 func TestRandomEvictions(t *testing.T) {
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -114,11 +114,11 @@
 	tokens      uint64
 	generations uint64
 	sessions    uint64
-	// queuedOrders holds the starts that have not been sent to the standby yet, mirroredOrders those
-	// that the standby has acknowledged, and removedRuns the runs that ended since the last update to
-	// it. mirrorPending says that a response of the standby is awaited. The store names namedStandby
-	// as of namedRevision. It may name one of maybeNamed instead, if such a name was written after
-	// that revision with unknown result.
+	// queuedOrders holds the orders, such as starts, that are sent once the standby has acknowledged a
+	// message, mirroredOrders those for which it has, and removedRuns the runs that ended since the last
+	// update to it. mirrorPending says that a response of the standby is awaited. The store names
+	// namedStandby as of namedRevision. It may name one of maybeNamed instead, if such a name was written
+	// after that revision with unknown result.
 	standby         *standby
 	queuedOrders    []proto.Order
 	mirroredOrders  []proto.Order
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -253,12 +253,13 @@
 }
 
 // dispatch sends the planner's orders to the keepers: starts once the standby has acknowledged
-// them, the others at once.
+// them, and most others at once. A worker that forgets a completion forgets its checkpoint, so while
+// checkpoints are kept, the standby is sent them first.
 func (l *leadership) dispatch() {
 	var now []proto.Order
 	for _, o := range l.planner.Orders() {
 		o.Token = l.assignments[o.Worker].Token
-		if o.Kind == proto.OrderStart {
+		if o.Kind == proto.OrderStart || o.Kind == proto.OrderForget && l.planner.KeepsCheckpoints() {
 			l.queuedOrders = append(l.queuedOrders, o)
 		} else {
 			now = append(now, o)
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -257,6 +257,9 @@
 					r.world.acknowledged[e.Task] = r.world.acknowledged[e.Task] || x.heldLeaseSince(r.world, e.Task, e.Run)
 					r.world.log.note("completion of %v of %s at %s is acknowledged by %s", e.Task, e.Task.Job, x.vm.ID, r.node.Name)
 				}
+				if e.Number <= c.Forget && r.world.onForget != nil {
+					r.world.onForget(e)
+				}
 				return e.Number <= c.Forget
 			})
 			out = winch.HoldResponse{Clock: x.clock(), Ended: slices.Clone(x.ended)}
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -70,10 +70,11 @@
 	// notifyDelay, if set, returns how long a notification between two entries waits on its way, and whether it
 	// arrives.
 	notifyDelay  func(from, to string, kind winch.Kind) (time.Duration, bool)
-	onStart      func(node *Node)      // onStart is called when a worker is told by an entry to start a run.
-	notifySeen   func(kind winch.Kind) // notifySeen is called for each notification between two entries.
-	configCopies int                   // configCopies counts the configurations sent from entry to entry.
-	violations   []string              // violations holds the invariant violations seen so far.
+	onStart      func(node *Node)       // onStart is called when a worker is told by an entry to start a run.
+	onForget     func(winch.Completion) // onForget, if set, is called when a worker forgets a completion.
+	notifySeen   func(kind winch.Kind)  // notifySeen is called for each notification between two entries.
+	configCopies int                    // configCopies counts the configurations sent from entry to entry.
+	violations   []string               // violations holds the invariant violations seen so far.
 	log          *simLog
 	group        conc.WaitGroup
 	ctx          context.Context
