office: failing test of a read of the ledger that is applied late

A change of a ledger partition makes the planner read it. If the response is delayed by more than the time a short job takes to end, be recorded and be removed from the planner, the record in it, in which the job is unfinished, is submitted as a new job, and its tasks start again, though their completions were acknowledged to the workers. Non-repeatable tasks too. Seen: the job is in the planner again.

--- /dev/null
+++ b/coord/office/late_test.go
@@ -0,0 +1,38 @@
+package office
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"plantainwinch/winch"
+)
+
+// Guards against a response of the ledger that arrives after the job in it has ended and was removed from
+// the planner: the job's tasks would start again.
+func TestLateReadOfTheLedgerDoesNotBringAnEndedJobBack(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.group = &conc.WaitGroup{}
+		p.loadJobs(t.Context())
+		is.True(p.hasJob(t.Context()))
+		p.store.afterGet = func() {
+			p.store.afterGet = nil
+			_ = p.Duty.Do(t.Context(), func() {
+				vm := winch.VM{ID: "w0", Size: winch.Resources{Processors: 1, Memory: 1}}
+				p.Planner.SetVM(vm)
+				run := winch.Task{ID: winch.TaskID{Job: p.job.ID}, Attempt: 1, Need: vm.Size, State: winch.TaskDone}
+				p.handleCompletions(&workerState{vm: vm}, winch.Report{Tasks: []winch.Task{run}}, time.Now())
+				p.recordFinishedJobs(t.Context())
+			})
+			p.group.Wait()
+			_ = p.Duty.Do(t.Context(), p.recordCompletions)
+		}
+		p.JobsChanged(t.Context(), p.Ledger.Key(0))
+		is.Equal(p.hasJob(t.Context()), false)
+		p.loadJobs(t.Context())
+		is.Equal(p.hasJob(t.Context()), false)
+	})
+}
