office: a late read of the ledger does not bring an ended job back

Callers saw, with a store that answers late, tasks of a job that had ended start again. A read of the ledger that was in progress while a job ended and was removed from the planner holds the job as unfinished; the planner no longer knew it and took it for a new one. Each read in progress now keeps the jobs that were removed since it began. Their records in it are not applied, and the ledger is read again. A read is applied also if its context has expired, since only then it ends.

--- a/coord/office/events.go
+++ b/coord/office/events.go
@@ -14,21 +14,15 @@
 	if s == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	jobs, err := o.Ledger.JobsAt(ctx, key)
-	if err != nil {
-		s.markStale()
+	var read *ledgerRead
+	if o.Duty.Do(context.Background(), func() { read = s.reads.begin() }) != nil {
 		return
 	}
-	err = o.Duty.Do(ctx, func() {
-		for _, j := range jobs {
-			s.applyJob(j)
-		}
-	})
-	if err != nil {
-		s.markStale() // The process may have been paused until ctx expired, before the jobs were applied.
-	}
+	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	jobs, err := o.Ledger.JobsAt(readCtx, key)
+	// The process may have been paused until ctx expired. The jobs are applied all the same.
+	_ = o.Duty.Do(context.Background(), func() { s.applyRead(read, jobs, err, s.applyJob) })
 	o.PlanSoon()
 }
 
--- a/coord/office/planner.go
+++ b/coord/office/planner.go
@@ -25,6 +25,7 @@
 	startTime   time.Time
 	// loaded is set once the ledger has been read, stale if it must be read again.
 	loaded, stale bool
+	reads         ledgerReads
 	// lastRecording is when the completions of tasks were last written.
 	lastRecording time.Time
 	// finishedJobs holds the jobs whose end is recorded but whose tasks may still be stopping.
@@ -93,25 +94,23 @@
 // are stale. A change that is reported during the read marks them stale again, since the
 // read may not include it.
 func (s *plannerState) loadJobs(ctx context.Context) {
-	needed := false
+	var read *ledgerRead
 	_ = s.Duty.Do(ctx, func() {
-		needed = !s.loaded || s.stale
+		if !s.loaded || s.stale {
+			read = s.reads.begin()
+		}
 		s.stale = false
 	})
-	if !needed {
+	if read == nil {
 		return
 	}
 	jobs, err := s.Ledger.Jobs(ctx)
 	if err != nil {
 		metrics.GetOrRegisterCounter("Office.LoadFailed", s.Metrics).Inc(1)
-		s.markStale()
-		return
 	}
-	_ = s.Duty.Do(ctx, func() {
-		for _, j := range jobs {
-			s.submit(j)
-		}
-		s.loaded = true
+	_ = s.Duty.Do(context.Background(), func() {
+		s.applyRead(read, jobs, err, s.submit)
+		s.loaded = s.loaded || err == nil
 	})
 }
 
--- a/coord/office/results.go
+++ b/coord/office/results.go
@@ -33,6 +33,7 @@
 	s.lastRecording = time.Now()
 	for id := range s.finishedJobs {
 		if s.Planner.Forget(id) {
+			s.reads.outdate(id)
 			delete(s.finishedJobs, id)
 		}
 	}
