office: failing test of a read of the ledger from an earlier term

An entry that loses the office and acquires it again has one place.Planner for both terms. A change of the ledger that was being read in the first term is applied to the planner of the second. The job counts as accepted under the present epoch, so its tasks start at once, beside the runs of the planner in between or after their unread completions. Seen: the job is in the planner of the later term.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -36,3 +36,19 @@
 		is.Equal(p.hasJob(t.Context()), false)
 	})
 }
+
+// Guards against a read of the ledger of an earlier term that is applied in a later one: its jobs would
+// start before the barrier has opened, beside the runs of the planner in between.
+func TestReadOfAnEarlierTermIsNotApplied(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.loaded = true
+		next := &plannerState{Office: p.Office, term: &term{epoch: 3}}
+		p.store.afterGet = func() {
+			p.current.Store(next)
+			is.True(next.reset(t.Context()))
+		}
+		p.JobsChanged(t.Context(), p.Ledger.Key(0))
+		is.Equal(p.hasJob(t.Context()), false)
+	})
+}
