office: a read of the ledger is applied only in the term that began it

Callers saw, if an entry acquired the office again within a delayed read of the ledger, tasks that started before the workers had listed what they run. The terms of an entry share the planner, and only the goroutines of a term are waited for at its end; the reads that a notification or the watch begins are not among them. A read that ends in another term is dropped: the later term reads the whole ledger. TestReadOfAnEarlierTermIsNotApplied: failed 1 of 1 before, passes 5 of 5.

--- a/coord/office/reads.go
+++ b/coord/office/reads.go
@@ -31,9 +31,12 @@
 }
 
 // applyRead ends a read and applies its jobs. If it failed or a job's record in it is
-// outdated, the ledger is read again.
+// outdated, the ledger is read again. A read of an earlier term is dropped.
 func (s *plannerState) applyRead(read *ledgerRead, jobs []winch.Job, err error, apply func(winch.Job)) {
 	delete(s.reads, read)
+	if s.current.Load() != s {
+		return // The planner serves another term by now.
+	}
 	if err != nil {
 		s.stale = true
 		return
