place, office: failing tests of a completion that is listed before its job is known

A new planner reads the ledger once and learns of later jobs by notifications and its watch. A job that was accepted under the earlier epoch after that read may already have been started by the earlier planner, and its completion is listed to the new one before the job is known. The planner drops it; the office marks it as listed, records it in the ledger and lets the worker forget it, so nothing applies it later. If the record of the job that arrives then was read before, its task starts again.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -37,6 +37,34 @@
 	})
 }
 
+// Guards against a response of the ledger that was read before a completion was recorded and is applied
+// after the worker was told to forget that completion: the task would start again.
+func TestLateReadOfTheLedgerKeepsARecordedCompletion(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.group = &conc.WaitGroup{}
+		p.loaded = true
+		p.store.afterGet = func() {
+			p.store.afterGet = nil
+			_ = p.Duty.Do(t.Context(), func() {
+				vm := winch.VM{ID: "w0"}
+				run := winch.Task{ID: winch.TaskID{Job: p.job.ID}, Attempt: 1, State: winch.TaskDone}
+				p.handleCompletions(&workerState{vm: vm}, winch.Report{Tasks: []winch.Task{run}}, time.Now())
+				p.recordCompletions()
+			})
+			p.group.Wait()
+			_ = p.Duty.Do(t.Context(), func() { p.completions.takeForgettable("w0") })
+		}
+		p.JobsChanged(t.Context(), p.Ledger.Key(0))
+		p.loadJobs(t.Context())
+		_ = p.Duty.Do(t.Context(), func() {
+			rec, ok := p.Planner.Record(p.job.ID)
+			is.True(ok)
+			is.Equal(rec.EndedTasks, []int{0})
+		})
+	})
+}
+
 // Guards against a read of the ledger of an earlier term that is applied in a later one: its jobs would
 // start before the barrier has opened, beside the runs of the planner in between.
 func TestReadOfAnEarlierTermIsNotApplied(t *testing.T) {
--- /dev/null
+++ b/coord/place/late_test.go
@@ -0,0 +1,39 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/winch"
+)
+
+// oneTask returns the record of a job with one task that an earlier planner may have started.
+func oneTask(class winch.Class, intent ...int) winch.Job {
+	return winch.Job{
+		ID: "j", Team: "choir", Class: class.Name, State: winch.JobQueued, Submitted: startTime, Intent: intent,
+		Spec: winch.JobSpec{Kind: winch.Batch, Tasks: 1, Need: winch.Resources{Processors: 1, Memory: 1}},
+	}
+}
+
+// earlierRun returns the run of that task that the earlier planner started.
+func earlierRun(state winch.TaskState) winch.Task {
+	return winch.Task{ID: winch.TaskID{Job: "j"}, Team: "choir", Attempt: 1, Need: winch.Resources{Processors: 1, Memory: 1}, State: state}
+}
+
+// Guards against a completion that is dropped because its job is not known yet: the task would start again.
+func TestCompletionBeforeItsJobIsKept(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, size8)
+	r.limits.limit["choir"] = 8
+	r.submit("full", "choir", deferred, winch.Batch, 1, 8, time.Minute)
+	r.plan()
+	r.TaskEnded("w0", earlierRun(winch.TaskDone), r.now)
+	r.Submit(oneTask(deferred), deferred, true, r.now)
+	r.plan()
+	r.end(winch.TaskID{Job: "full"}, winch.TaskDone)
+	r.plan()
+	is.Equal(r.starts[winch.TaskID{Job: "j"}], 0)
+	is.Equal(r.results["j"].State, winch.JobDone)
+}
