place, office: a completion that is listed before its job is known is kept

Callers saw, after a takeover, a task start again whose completion was recorded and acknowledged, if its job became known to the new planner after its completion was listed. The result was dropped for lack of a job, or of free capacity at its worker, while the mark that the completion was listed kept it from being applied later. The planner keeps the results of unknown jobs and applies them when the job is submitted. They are dropped once they are recorded, and the reads of the ledger in progress then count as outdated for the job. A result takes no capacity to be applied, and no run time of zero enters the forecast.

--- a/coord/office/results.go
+++ b/coord/office/results.go
@@ -65,12 +65,22 @@
 		err = s.Ledger.Progress(ctx, id, succeeded)
 	}
 	if err == nil || errors.Is(err, ledger.ErrFinal) || errors.Is(err, winch.ErrNotFound) {
-		_ = s.Duty.Do(context.Background(), func() { s.completions.markRecorded(id, done) })
+		_ = s.Duty.Do(context.Background(), func() { s.handleTasksRecorded(id, done) })
 	} else {
 		_ = s.Duty.Do(context.Background(), func() { s.completions.retryRecording(id) })
 	}
 }
 
+// handleTasksRecorded lets the workers forget ended tasks that are in the ledger, or whose
+// job is not in the ledger any more.
+func (s *plannerState) handleTasksRecorded(id string, done []winch.Task) {
+	s.completions.markRecorded(id, done)
+	if _, known := s.Planner.Record(id); !known {
+		s.Planner.ForgetEarly(id, done)
+		s.reads.outdate(id)
+	}
+}
+
 // recordRetryDelay is the pause before the result of a job is written again.
 const recordRetryDelay = 500 * time.Millisecond
 
--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -94,24 +94,33 @@
 }
 
 // adopt takes over a task that an earlier planner started, or returns nil if it
-// cannot. The caller charges a unit for it or marks it as uncharged.
+// cannot. The caller charges a unit for it.
 func (p *Planner) adopt(n *node, t winch.Task, now time.Time) *placement {
 	j := p.jobs[t.ID.Job]
 	if j == nil || j.running[t.ID.Index] != nil || !t.Need.Fits(n.free) {
 		return nil
 	}
-	pos := slices.Index(j.pending, t.ID.Index)
-	if pos < 0 {
+	if !p.takePending(j, t.ID.Index) {
 		return nil
 	}
-	p.queue.remove(j)
-	j.pending = slices.Delete(j.pending, pos, pos+1)
 	adopted := p.commit(j, t.ID.Index, n, now)
 	adopted.attempt, adopted.confirmed = t.Attempt, true
 	p.push(j)
 	return adopted
 }
 
+// takePending removes a task from those that wait to be started, and the job from the
+// queue. It reports false if the task does not wait.
+func (p *Planner) takePending(j *job, i int) bool {
+	pos := slices.Index(j.pending, i)
+	if pos < 0 {
+		return false
+	}
+	p.queue.remove(j)
+	j.pending = slices.Delete(j.pending, pos, pos+1)
+	return true
+}
+
 // OpenBarrier releases the held jobs. It returns the stops of the adopted tasks of jobs that it
 // ends, and reports whether the barrier was closed before.
 // It must be called only once every worker has responded under the current epoch or its
--- a/coord/place/ended.go
+++ b/coord/place/ended.go
@@ -100,20 +100,70 @@
 // the task's unit and used it for another task. Returning the unit again would let the
 // team exceed its limit.
 func (p *Planner) adoptEnded(vmID string, task winch.Task, now time.Time) []Decision {
-	n, j := p.nodes[vmID], p.jobs[task.ID.Job]
-	if n == nil || j == nil || task.State == winch.TaskStopped || !j.need.Fits(n.free) {
+	if task.State == winch.TaskStopped {
 		return nil
 	}
-	t := p.adopt(n, task, now)
-	if t == nil {
+	j := p.jobs[task.ID.Job]
+	if j == nil {
+		p.keepEarly(vmID, task)
+		return nil
+	}
+	if !p.takePending(j, task.ID.Index) {
 		return nil
 	}
-	t.uncharged = true
-	return p.TaskEnded(vmID, task, now)
+	n := p.nodes[vmID]
+	if n == nil {
+		n = &node{vm: winch.VM{ID: vmID}} // The worker was removed after it had listed the task.
+	}
+	if j.started.IsZero() {
+		j.started = now
+	}
+	out := p.applyResult(j, &placement{id: task.ID, job: j, node: n, attempt: task.Attempt}, task, now)
+	if !j.rec.State.Final() {
+		p.push(j)
+	}
+	return out
+}
+
+// earlyResult is the result of a task whose job is not known yet.
+type earlyResult struct {
+	vmID string
+	task winch.Task
+}
+
+// keepEarly keeps a result until its job is submitted or ForgetEarly is called.
+func (p *Planner) keepEarly(vmID string, task winch.Task) {
+	list := p.early[task.ID.Job]
+	if !slices.ContainsFunc(list, func(e earlyResult) bool { return e.task.Ref() == task.Ref() }) {
+		p.early[task.ID.Job] = append(list, earlyResult{vmID, task})
+	}
+}
+
+// applyEarly applies the results that arrived before their job.
+func (p *Planner) applyEarly(j *job, now time.Time) {
+	list := p.early[j.rec.ID]
+	delete(p.early, j.rec.ID)
+	for _, e := range list {
+		p.adoptEnded(e.vmID, e.task, now)
+	}
+}
+
+// ForgetEarly drops results of a job that is not known. It must be called only once they are
+// in the ledger or the ledger has no such job to run, and the job must not be submitted
+// from an older read of the ledger after that.
+func (p *Planner) ForgetEarly(id string, tasks []winch.Task) {
+	list := slices.DeleteFunc(p.early[id], func(e earlyResult) bool {
+		return slices.ContainsFunc(tasks, func(t winch.Task) bool { return t.Ref() == e.task.Ref() })
+	})
+	if p.early[id] = list; len(list) == 0 {
+		delete(p.early, id)
+	}
 }
 
 func (p *Planner) taskSucceeded(j *job, t *placement, output string, now time.Time) []Decision {
-	p.recordRunTime(j, now.Sub(t.started))
+	if !t.started.IsZero() {
+		p.recordRunTime(j, now.Sub(t.started))
+	}
 	t.node.health.reset()
 	j.backoff = 0
 	if j.rec.Spec.Kind == winch.LongRunning {
--- a/coord/place/index.go
+++ b/coord/place/index.go
@@ -45,8 +45,6 @@
 	// stopping is set if the task is being stopped: evicted, cancelled, or stopped with
 	// its gang or job.
 	stopping bool
-	// uncharged is set if no unit of the team's limit was taken for the task.
-	uncharged bool
 }
 
 // index finds workers by free processors. Workers with accelerators are indexed
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -99,6 +99,8 @@
 	// barrierOpen is true once OpenBarrier was called.
 	barrierOpen bool
 	completions []Completion
+	// early holds the results of tasks whose jobs are not known yet, by job.
+	early map[string][]earlyResult
 	// LostRunTime is the total run time that evictions discarded.
 	LostRunTime time.Duration
 	// Evictions is the number of evicted tasks.
@@ -113,6 +115,7 @@
 		queue:   queue{shapes: make(map[shapeKey]*shape)},
 		used:    make(map[string]winch.Resources),
 		history: make(map[historyKey]*history),
+		early:   make(map[string][]earlyResult),
 	}
 }
 
@@ -212,9 +215,11 @@
 	p.jobs[rec.ID] = j
 	if len(j.ended) == rec.Spec.Tasks {
 		p.finish(j, winch.JobDone, "", "") // The earlier planner crashed before it recorded the job's completion.
+		delete(p.early, rec.ID)
 		return
 	}
 	p.queue.push(j)
+	p.applyEarly(j, now)
 }
 
 // latestStart returns the time by which a job must start to meet its target.
@@ -279,9 +284,7 @@
 	delete(t.node.tasks, t.id)
 	p.index.charge(t.node, winch.Resources{}.Sub(j.need))
 	p.used[j.rec.Team] = p.used[j.rec.Team].Sub(j.need)
-	if !t.uncharged {
-		p.Limits.Return(j.rec.Team, 1)
-	}
+	p.Limits.Return(j.rec.Team, 1)
 }
 
 func (p *Planner) findTask(id winch.TaskID) *placement {
