place: failing test of a run that is listed before its job is known

A worker lists a run of a job that the new planner does not know yet. The planner orders it to be stopped. If the job becomes known before the run has ended, its task is started at once: two runs at a time, and the first may end as done before the order arrives. Seen: one start beside the listed run.

--- a/coord/place/late_test.go
+++ b/coord/place/late_test.go
@@ -37,3 +37,21 @@
 	is.Equal(r.starts[winch.TaskID{Job: "j"}], 0)
 	is.Equal(r.results["j"].State, winch.JobDone)
 }
+
+// Guards against a task that starts beside a run that its worker listed before the job was known: that run
+// may end as done before the order to stop it arrives.
+func TestRunListedBeforeItsJobIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	r := newRig(0, size8)
+	r.limits.limit["choir"] = 8
+	r.SetVM(winch.VM{ID: "w0", Size: size8})
+	r.Reconcile("w0", []winch.Task{earlierRun(winch.TaskRunning)}, r.now)
+	r.Submit(oneTask(deferred), deferred, true, r.now)
+	r.plan()
+	is.Equal(r.starts[winch.TaskID{Job: "j"}], 0)
+	r.TaskEnded("w0", earlierRun(winch.TaskDone), r.now)
+	r.plan()
+	is.Equal(r.starts[winch.TaskID{Job: "j"}], 0)
+	is.Equal(r.results["j"].State, winch.JobDone)
+	is.Equal(r.limits.used["choir"], 0)
+}
