place: a task waits for a run that was listed before its job was known

Callers saw, after a takeover, a task that ran twice at a time, and once more after a run that ended as done. A run of an unknown job kept its capacity until it ended, but nothing kept its task from being started elsewhere once the job was known. When a job is submitted, its runs that were ordered to stop become its running tasks. The result of each counts, and only a run that was stopped is started again.

--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// adoptForeign takes over the runs of a job that were ordered to stop before the job was
+// known. Their tasks wait until they have ended: a run may end as done before the order
+// arrives.
+func (p *Planner) adoptForeign(j *job, now time.Time) {
+	for _, n := range p.sortedNodes() {
+		for a, t := range n.foreign {
+			if a.Task.Job != j.rec.ID || !slices.Contains(j.pending, a.Task.Index) {
+				continue
+			}
+			p.releaseForeign(n.vm.ID, a)
+			if adopted := p.adopt(n, t, now); adopted != nil {
+				adopted.stopping = true
+				p.Limits.Charge(t.Team, 1)
+			}
+		}
+	}
+}
+
 // ConfirmedOn lists the attempts that a worker has acknowledged and that have not
 // ended.
 func (p *Planner) ConfirmedOn(vmID string) []winch.Attempt {
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -220,6 +220,7 @@
 	}
 	p.queue.push(j)
 	p.applyEarly(j, now)
+	p.adoptForeign(j, now)
 }
 
 // latestStart returns the time by which a job must start to meet its target.
