place: failing test of an intent that becomes known after the barrier

The barrier ends a non-repeatable job as unknown if a task has a recorded intent to start and no worker has it. A job of an earlier epoch that becomes known after the barrier has opened is not checked, and the task starts a second time. Seen: one start.

--- a/coord/place/late_test.go
+++ b/coord/place/late_test.go
@@ -55,3 +55,15 @@
 	is.Equal(r.results["j"].State, winch.JobDone)
 	is.Equal(r.limits.used["choir"], 0)
 }
+
+// Guards against a non-repeatable task that is started a second time because its job becomes known only
+// after the barrier has opened.
+func TestIntentOfAJobKnownAfterTheBarrierIsRespected(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, size8)
+	r.limits.limit["choir"] = 8
+	r.Submit(oneTask(nonRepeatable, 0), nonRepeatable, true, r.now)
+	r.plan()
+	is.Equal(r.starts[winch.TaskID{Job: "j"}], 0)
+	is.Equal(r.results["j"].State, winch.JobUnknown)
+}
