place: an intent is respected also if its job becomes known after the barrier

Callers saw a non-repeatable task run twice: started by an earlier planner, and again by the next one, which learned of the job after its barrier had opened. Only the barrier looked at recorded intents. All runs of such a job have been listed by then, so a job that is submitted later is judged at once, after the results and runs that came before it.

--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -155,16 +155,24 @@
 			continue
 		}
 		j.held = false
-		if i := unresolvedIntent(j); i >= 0 {
-			out = append(out, p.stopRunning(j)...)
-			p.finish(j, winch.JobUnknown, winch.ExecutorFailed, fmt.Sprintf("task %d may have run under an earlier placer", i))
-			continue
-		}
+		out = append(out, p.finishUnresolved(j)...)
 		p.queue.push(j)
 	}
 	return out, true
 }
 
+// finishUnresolved ends a job as unknown if one of its tasks has a recorded start intent but
+// was found at no worker, and returns the stops of its other tasks.
+func (p *Planner) finishUnresolved(j *job) []Decision {
+	i := unresolvedIntent(j)
+	if i < 0 {
+		return nil
+	}
+	out := p.stopRunning(j)
+	p.finish(j, winch.JobUnknown, winch.ExecutorFailed, fmt.Sprintf("task %d may have run under an earlier placer", i))
+	return out
+}
+
 // unresolvedIntent returns the index of a pending task that has a recorded start
 // intent, or -1.
 func unresolvedIntent(j *job) int {
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -191,7 +191,8 @@
 }
 
 // Submit adds a job. A held job may have been started by an earlier planner, so its
-// tasks start only after OpenBarrier, unless they are found running.
+// tasks start only after OpenBarrier, unless they are found running. If the barrier is open,
+// what the workers have listed decides at once.
 func (p *Planner) Submit(rec winch.Job, class winch.Class, held bool, now time.Time) {
 	if p.jobs[rec.ID] != nil || rec.State.Final() {
 		return
@@ -221,6 +222,9 @@
 	p.queue.push(j)
 	p.applyEarly(j, now)
 	p.adoptForeign(j, now)
+	if held && p.barrierOpen {
+		p.finishUnresolved(j)
+	}
 }
 
 // latestStart returns the time by which a job must start to meet its target.
