office: failing test of a planner without the configuration

A planner that acquires the office before it has read the configuration counts the ledger as read, though it could submit no job. Its barrier opens with none: running tasks are stopped as those of unknown jobs, and the jobs of earlier terms come in after the barrier. Seen: the barrier is open when the jobs are submitted.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
+	"plantainwinch/coord/quota"
 	"plantainwinch/winch"
 )
 
@@ -65,6 +66,29 @@
 	})
 }
 
+// Guards against a barrier that opens before any job is known, because the planner has no configuration
+// yet: the tasks of an earlier planner would be stopped as those of unknown jobs.
+func TestBarrierStaysClosedWithoutTheConfiguration(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		doc := p.doc
+		p.doc = nil
+		p.Workers = func() ([]winch.VM, bool) { return nil, true }
+		p.Quota = p.Planner.Limits.(*quota.Holder)
+		p.loadJobs(t.Context())
+		_ = p.Duty.Do(t.Context(), func() {
+			p.planRound(t.Context())
+			p.doc = doc
+		})
+		p.loadJobs(t.Context())
+		is.True(p.hasJob(t.Context()))
+		_ = p.Duty.Do(t.Context(), func() {
+			_, opened := p.Planner.OpenBarrier()
+			is.True(opened)
+		})
+	})
+}
+
 // Guards against a read of the ledger of an earlier term that is applied in a later one: its jobs would
 // start before the barrier has opened, beside the runs of the planner in between.
 func TestReadOfAnEarlierTermIsNotApplied(t *testing.T) {
