office: the ledger is read once the configuration is known

Callers saw all running tasks of a domain stopped and started again if its new planner had no configuration yet. Without it no job could be submitted, but the ledger counted as read, and the barrier opened. The planner now waits for the configuration before it reads the ledger. TestBarrierStaysClosedWithoutTheConfiguration: failed 1 of 1 before, passes 5 of 5.

--- a/coord/office/planner.go
+++ b/coord/office/planner.go
@@ -94,6 +94,9 @@
 // are stale. A change that is reported during the read marks them stale again, since the
 // read may not include it.
 func (s *plannerState) loadJobs(ctx context.Context) {
+	if s.Document() == nil {
+		return // No job can be submitted, and the ledger would count as read.
+	}
 	var read *ledgerRead
 	_ = s.Duty.Do(ctx, func() {
 		if !s.loaded || s.stale {
