office: failing test of a late start that has ended before it is stopped

The response to a start is lost, the worker's list does not hold the task, and the planner tells the worker to refuse or stop it. If the start has arrived in between, the worker answers that it knows the run. The planner takes that for a stop without result and starts the task again, though the run may have ended as done: its completion is listed with the next renewal, too late. A non-repeatable job ends as unknown although it is done. Seen: one more start.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -1,6 +1,7 @@
 package office
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"plantainwinch/coord/quota"
+	"plantainwinch/stand"
 	"plantainwinch/winch"
 )
 
@@ -89,6 +91,71 @@
 	})
 }
 
+// lateStart is a worker that starts a task only after its start request has failed and a list without the
+// task was sent, and that has ended it when it is told to stop it.
+type lateStart struct {
+	*stand.Worker
+}
+
+func (w lateStart) Start(context.Context, winch.VM, uint64, winch.Task, time.Duration) error {
+	return context.DeadlineExceeded
+}
+
+func (w lateStart) Renew(ctx context.Context, _ winch.VM, call winch.Renewal) (winch.Report, error) {
+	return w.Worker.Renew(ctx, call)
+}
+
+func (w lateStart) Stop(ctx context.Context, _ winch.VM, epoch uint64, task winch.Task) (bool, error) {
+	_ = w.Worker.Start(ctx, epoch, task, time.Minute)
+	time.Sleep(2 * task.RunTime)
+	return w.Worker.Stop(ctx, epoch, task)
+}
+
+// Guards against a result that is lost because a worker that knows a run, when asked to stop it, counts as
+// having stopped it: the run may have ended as done before.
+func TestStopOfALateStartKeepsItsResult(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.group = &conc.WaitGroup{}
+		vm := winch.VM{ID: "w0", Size: winch.Resources{Processors: 2, Memory: 2}}
+		worker := lateStart{Worker: &stand.Worker{VM: vm}}
+		p.Worker, p.TaskLease = worker, time.Minute
+		w := &workerState{vm: vm}
+		p.workers["w0"] = w
+		p.loadJobs(t.Context())
+		task := winch.Task{ID: winch.TaskID{Job: p.job.ID}, Need: p.job.Spec.Need, RunTime: time.Second}
+		_ = p.Duty.Do(t.Context(), func() {
+			p.Planner.Team = func(string) winch.Team { return winch.Team{Limit: 8} }
+			p.Planner.Limits = unlimited{}
+			p.Planner.SetVM(vm)
+			p.Planner.Reconcile("w0", nil, time.Now())
+			p.Planner.OpenBarrier()
+			d := p.Planner.Plan(time.Now(), 1)
+			is.Equal(len(d), 1)
+			task.Attempt = d[0].Task.Attempt
+			p.Planner.StartUncertain(task.Ref())
+		})
+		p.blockStart(w, task)
+		_ = p.Duty.Do(t.Context(), func() { is.Equal(len(p.Planner.Plan(time.Now(), 1)), 0) })
+		report, err := worker.Renew(t.Context(), vm, winch.Renewal{Full: true})
+		is.NoErr(err)
+		_ = p.Duty.Do(t.Context(), func() {
+			p.handleCompletions(w, report, time.Now())
+			rec, _ := p.Planner.Record(p.job.ID)
+			is.Equal(rec.State, winch.JobDone)
+		})
+	})
+}
+
+// unlimited implements place.Limits without limits.
+type unlimited struct{}
+
+func (unlimited) TryTake(string, int) bool { return true }
+
+func (unlimited) Charge(string, int) {}
+
+func (unlimited) Return(string, int) {}
+
 // Guards against a read of the ledger of an earlier term that is applied in a later one: its jobs would
 // start before the barrier has opened, beside the runs of the planner in between.
 func TestReadOfAnEarlierTermIsNotApplied(t *testing.T) {
