office: the result of a late start is awaited after its stop

Callers saw a task run a second time, or a non-repeatable job end as unknown, after a start whose response was lost had arrived late and its run had ended as done. That a worker knows a run when asked to stop it does not say how the run ended. The start now counts as acknowledged, and the worker's list says whether the run is done or stopped; a run that its next full list does not hold counts as missing.

--- a/coord/office/renew.go
+++ b/coord/office/renew.go
@@ -184,8 +184,7 @@
 		case err != nil:
 			w.needsFullList = true
 		case found:
-			t.State = winch.TaskStopped
-			s.execute(s.Planner.TaskEnded(w.vm.ID, t, time.Now()))
+			s.Planner.StartConfirmed(t.Ref()) // The worker lists how the run ended; it may be done.
 		default:
 			s.execute(s.Planner.StartRefused(t.Ref(), time.Now()))
 		}
--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -187,7 +187,7 @@
 // StartConfirmed records that a worker acknowledged a start.
 func (p *Planner) StartConfirmed(a winch.Attempt) {
 	if t := p.findAttempt(a); t != nil {
-		t.confirmed = true
+		t.confirmed, t.uncertain = true, false
 	}
 }
 
