place, office: failing tests of a lost start beside an earlier attempt

The response to a start is lost, and the worker's list still holds an earlier, ended attempt of the same task, which it has not forgotten yet. List and start are compared by the task, not by the attempt: the start counts as acknowledged, the worker is not told to refuse the request if it still arrives, and once the attempt counts as missing the task starts elsewhere beside it. Seen: no uncertain start left, no order to the worker.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -171,3 +171,43 @@
 		is.Equal(p.hasJob(t.Context()), false)
 	})
 }
+
+// stopCounter is a worker that counts the orders to stop and knows no run.
+type stopCounter struct {
+	lateStart
+	stops int
+}
+
+func (w *stopCounter) Stop(context.Context, winch.VM, uint64, winch.Task) (bool, error) {
+	w.stops++
+	return false, nil
+}
+
+// Guards against a lost start that is not blocked because the worker lists an earlier attempt of the task:
+// the request may still arrive after the task was started elsewhere.
+func TestListedEarlierAttemptBlocksTheLostStart(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.group = &conc.WaitGroup{}
+		vm := winch.VM{ID: "w0", Size: winch.Resources{Processors: 2, Memory: 2}}
+		worker := &stopCounter{}
+		p.Worker, p.TaskLease = worker, time.Minute
+		w := &workerState{vm: vm}
+		p.workers["w0"] = w
+		p.loadJobs(t.Context())
+		_ = p.Duty.Do(t.Context(), func() {
+			p.Planner.Limits = unlimited{}
+			p.Planner.SetVM(vm)
+			p.Planner.Reconcile("w0", nil, time.Now())
+			p.Planner.OpenBarrier()
+			start := p.Planner.Plan(time.Now(), 1)[0].Task
+			p.Planner.StartUncertain(start.Ref())
+			earlier := start
+			earlier.Attempt--
+			earlier.State = winch.TaskStopped
+			p.handleReport(w, winch.Renewal{Full: true}, winch.Report{Tasks: []winch.Task{earlier}}, nil)
+		})
+		p.group.Wait()
+		is.Equal(worker.stops, 1)
+	})
+}
--- a/coord/place/late_test.go
+++ b/coord/place/late_test.go
@@ -67,3 +67,19 @@
 	is.Equal(r.starts[winch.TaskID{Job: "j"}], 0)
 	is.Equal(r.results["j"].State, winch.JobUnknown)
 }
+
+// Guards against a start that counts as acknowledged because the worker lists an earlier attempt of the
+// same task: the lost request would not be blocked.
+func TestListedEarlierAttemptConfirmsNoStart(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, size8)
+	r.submit("j", "choir", deferred, winch.Batch, 1, 1, time.Minute)
+	d := r.Plan(r.now, 1)[0]
+	r.StartUncertain(d.Task.Ref())
+	earlier := d.Task
+	earlier.Attempt--
+	earlier.State = winch.TaskStopped
+	r.Reconcile("w0", []winch.Task{earlier}, r.now)
+	is.Equal(len(r.UncertainOn("w0")), 1)
+	is.Equal(len(r.ConfirmedOn("w0")), 0)
+}
