place, office: a worker's list is compared with starts by the attempt

Callers saw, after a lost response to a start, a task that ran twice at a time, if its worker still listed an earlier attempt. An entry of the list confirms only the attempt that it names. An earlier attempt that still runs beside the present one is stopped like any run that the planner did not place.

--- a/coord/office/renew.go
+++ b/coord/office/renew.go
@@ -130,17 +130,22 @@
 // and the worker's full list does not contain the task. Starts that are still in progress
 // are not considered.
 func (s *plannerState) blockLostStarts(w *workerState, report winch.Report) {
-	listed := make(map[winch.TaskID]bool, len(report.Tasks))
-	for _, t := range report.Tasks {
-		listed[t.ID] = true
-	}
+	listed := listedAttempts(report)
 	for _, t := range s.Planner.UncertainOn(w.vm.ID) {
-		if !listed[t.ID] {
+		if !listed[t.Ref()] {
 			s.group.Go(func() { s.blockStart(w, t) })
 		}
 	}
 }
 
+func listedAttempts(report winch.Report) map[winch.Attempt]bool {
+	listed := make(map[winch.Attempt]bool, len(report.Tasks))
+	for _, t := range report.Tasks {
+		listed[t.Ref()] = true
+	}
+	return listed
+}
+
 // runsFewer reports whether a worker runs fewer tasks than it had acknowledged before the
 // renewal was sent, not counting those whose completion it reports.
 func (s *plannerState) runsFewer(w *workerState, report winch.Report) bool {
@@ -160,10 +165,7 @@
 // handleMissing reports to the planner the tasks that the worker had acknowledged but that
 // its full list does not contain. Otherwise they would count as running forever.
 func (s *plannerState) handleMissing(w *workerState, report winch.Report, now time.Time) {
-	listed := make(map[winch.Attempt]bool, len(report.Tasks))
-	for _, t := range report.Tasks {
-		listed[t.Ref()] = true
-	}
+	listed := listedAttempts(report)
 	for _, a := range w.acknowledged {
 		if !listed[a] {
 			s.execute(s.Planner.TaskMissing(w.vm.ID, a, now))
--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -20,7 +20,7 @@
 	p.capacityVersion++
 	var out []Decision
 	for _, t := range tasks {
-		if existing := n.tasks[t.ID]; existing != nil {
+		if existing := n.tasks[t.ID]; existing != nil && existing.attempt == t.Attempt {
 			existing.confirmed = true
 			existing.uncertain = false
 			continue
