place: failing test of a cancelled job whose task ends by itself

The tasks of a cancelled job are ordered to stop. If one fails first, it is queued and started again, as is a task of a long-running job that is done; if the last one of a batch job is done while others were stopped, the job stays unfinished for ever. Seen: one task runs a minute after the cancellation.

--- a/coord/place/late_test.go
+++ b/coord/place/late_test.go
@@ -83,3 +83,28 @@
 	is.Equal(len(r.UncertainOn("w0")), 1)
 	is.Equal(len(r.ConfirmedOn("w0")), 0)
 }
+
+// Guards against a cancelled job whose task is started again because it ended before the order to stop it
+// arrived.
+func TestResultOfACancelledTaskEndsTheJob(t *testing.T) {
+	for _, state := range []winch.TaskState{winch.TaskFailed, winch.TaskDone} {
+		for _, class := range []winch.Class{deferred, longRunning} {
+			is := is.New(t)
+			r := newRig(2, size8)
+			kind := winch.Batch
+			if class.Name == longRunning.Name {
+				kind = winch.LongRunning
+			}
+			r.submit("j", "choir", class, kind, 2, 1, time.Minute)
+			r.plan()
+			_, ok := r.Cancel("j")
+			is.True(ok)
+			r.end(winch.TaskID{Job: "j", Index: 0}, winch.TaskStopped)
+			r.end(winch.TaskID{Job: "j", Index: 1}, state)
+			r.now = r.now.Add(time.Minute)
+			r.plan()
+			is.Equal(r.count("j"), 0)
+			is.Equal(r.results["j"].State, winch.JobCancelled)
+		}
+	}
+}
