place: a task of a cancelled job is not started again

Callers saw tasks of a cancelled job start again, or the job stay unfinished, if a task failed or was done before the order to stop it arrived. Only a task that ended without a result looked at the cancellation. All results of a cancelled job do so now, and the last one ends it. TestResultOfACancelledTaskEndsTheJob: failed 1 of 1 before, passes 5 of 5.

--- a/coord/place/ended.go
+++ b/coord/place/ended.go
@@ -85,6 +85,10 @@
 }
 
 func (p *Planner) applyResult(j *job, t *placement, task winch.Task, now time.Time) []Decision {
+	if j.rec.Cancel {
+		p.applyAfterCancel(j, t, task, now)
+		return nil
+	}
 	switch task.State {
 	case winch.TaskDone:
 		return p.taskSucceeded(j, t, task.Output, now)
@@ -95,6 +99,19 @@
 	}
 }
 
+// applyAfterCancel applies a result of a cancelled job, whose tasks do not run again. The job
+// is done if all its tasks are.
+func (p *Planner) applyAfterCancel(j *job, t *placement, task winch.Task, now time.Time) {
+	switch {
+	case task.State == winch.TaskFailed:
+		p.recordFailure(t.node, j, now)
+		j.rec.Failed++
+	case task.State == winch.TaskDone && j.rec.Spec.Kind != winch.LongRunning:
+		p.taskSucceeded(j, t, task.Output, now)
+	}
+	p.finishCancelled(j)
+}
+
 // adoptEnded applies the result of a task that an earlier planner started and that
 // ended before this planner knew of it. The earlier planner may already have returned
 // the task's unit and used it for another task. Returning the unit again would let the
@@ -245,10 +262,6 @@
 // taskStopped handles a task that ended without a result: it was evicted, lost with
 // its worker or stopped on request. Only tasks of repeatable jobs run again.
 func (p *Planner) taskStopped(j *job, t *placement, now time.Time) []Decision {
-	if j.rec.Cancel {
-		p.finishCancelled(j)
-		return nil
-	}
 	if !j.class.Repeatable {
 		out := p.stopRunning(j)
 		p.finish(j, winch.JobUnknown, winch.ExecutorFailed, fmt.Sprintf("task %d was lost with its worker", t.id.Index))
