place: failing test of a completion of a worker that was lost

A worker is lost and returns after its task was started elsewhere, with the first run's completion. The office records the completion and lets the worker forget it, but the planner ignores it: the second run goes on, and if it is lost too, the task starts a third time, although the ledger holds it as ended. A failure of the second run counts against the job. Seen: no order to stop the second run, a third start.

--- a/coord/place/late_test.go
+++ b/coord/place/late_test.go
@@ -68,6 +68,31 @@
 	is.Equal(r.results["j"].State, winch.JobUnknown)
 }
 
+// Guards against a completion that is recorded and forgotten by its worker but not applied, because the
+// task was started again when the worker was lost: if the second run is lost too, a third one starts.
+func TestCompletionOfAReturningWorkerEndsTheTask(t *testing.T) {
+	is := is.New(t)
+	r := newRig(2, size8)
+	r.submit("j", "choir", deferred, winch.Batch, 1, 1, time.Minute)
+	r.plan()
+	id := winch.TaskID{Job: "j"}
+	first, attempt := r.running[id], r.attempt[id]
+	r.RemoveWorker(first, r.now)
+	r.plan()
+	second := r.running[id]
+	r.SetVM(winch.VM{ID: first, Size: size8})
+	out := r.TaskEnded(first, winch.Task{ID: id, Attempt: attempt, State: winch.TaskDone}, r.now)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Action, Stop)
+	is.Equal(out[0].VM.ID, second)
+	r.RemoveWorker(second, r.now)
+	r.Reconcile(first, nil, r.now)
+	r.plan()
+	is.Equal(r.starts[id], 2)
+	is.Equal(r.results["j"].State, winch.JobDone)
+	is.Equal(r.limits.used["choir"], 0)
+}
+
 // Guards against a start that counts as acknowledged because the worker lists an earlier attempt of the
 // same task: the lost request would not be blocked.
 func TestListedEarlierAttemptConfirmsNoStart(t *testing.T) {
