place: a task is done if a lost worker returns with its completion

Callers saw a task run a third time, or its job fail, although an earlier run was done and its completion recorded. A completion of an attempt before the running one was ignored by the planner but recorded by the office. If that attempt is done, the task now is, the running attempt is stopped, and its result does not count. Reports of earlier attempts without a result are ignored as before.

--- a/coord/place/ended.go
+++ b/coord/place/ended.go
@@ -29,8 +29,8 @@
 	if j.rec.State.Final() {
 		return nil // If queued again, the task would start although its job has ended.
 	}
-	if j.rec.Cancel {
-		p.finishCancelled(j)
+	if j.rec.Cancel || j.ended[t.id.Index] {
+		p.supersededEnded(j)
 		return nil
 	}
 	p.backOff(j, now)
@@ -62,7 +62,8 @@
 
 // TaskEnded handles a task that has ended at its worker or was lost with it. A worker
 // may report the completion of an attempt that was considered lost after the task was
-// started again, there or elsewhere. Such a report must not end the new attempt.
+// started again, there or elsewhere. If that attempt is done, so is the task; any other
+// such report must not end the new attempt.
 func (p *Planner) TaskEnded(vmID string, task winch.Task, now time.Time) []Decision {
 	p.releaseForeign(vmID, task.Ref())
 	t := p.findTask(task.ID)
@@ -70,13 +71,17 @@
 		return p.adoptEnded(vmID, task, now)
 	}
 	if t.node.vm.ID != vmID || t.attempt != task.Attempt {
-		return nil
+		return p.earlierEnded(t, task)
 	}
 	j := t.job
 	p.release(t)
 	if j.rec.State.Final() {
 		return nil
 	}
+	if j.ended[t.id.Index] {
+		p.supersededEnded(j)
+		return nil
+	}
 	out := p.applyResult(j, t, task, now)
 	if !j.rec.State.Final() {
 		p.push(j) // The rest of a gang may have waited for this task to end.
@@ -99,6 +104,32 @@
 	}
 }
 
+// earlierEnded handles a report of an attempt before the running one. If it is done, the
+// running one is stopped, and its result does not count.
+func (p *Planner) earlierEnded(t *placement, task winch.Task) []Decision {
+	j := t.job
+	if task.State != winch.TaskDone || j.rec.Spec.Kind == winch.LongRunning || j.rec.State.Final() || j.ended[t.id.Index] {
+		return nil
+	}
+	var out []Decision
+	if !t.stopping {
+		t.stopping = true
+		out = []Decision{{Action: Stop, Task: p.task(t), VM: t.node.vm}}
+	}
+	p.markEnded(j, t.id.Index, task.Output)
+	return out
+}
+
+// supersededEnded handles the end of a run that does not count, because its job was
+// cancelled or an earlier run of its task is done.
+func (p *Planner) supersededEnded(j *job) {
+	if j.rec.Cancel {
+		p.finishCancelled(j)
+		return
+	}
+	p.push(j) // The rest of a gang may have waited for it.
+}
+
 // applyAfterCancel applies a result of a cancelled job, whose tasks do not run again. The job
 // is done if all its tasks are.
 func (p *Planner) applyAfterCancel(j *job, t *placement, task winch.Task, now time.Time) {
@@ -187,15 +218,20 @@
 		p.requeue(j, t.id.Index) // A long-running job always keeps its number of tasks.
 		return nil
 	}
-	j.ended[t.id.Index] = true
-	j.rec.EndedTasks = append(j.rec.EndedTasks, t.id.Index)
+	p.markEnded(j, t.id.Index, output)
+	return nil
+}
+
+// markEnded records that a task is done, and ends its job if all of them are.
+func (p *Planner) markEnded(j *job, i int, output string) {
+	j.ended[i] = true
+	j.rec.EndedTasks = append(j.rec.EndedTasks, i)
 	if output != "" && len(j.rec.Output) < maxOutputs {
 		j.rec.Output = append(j.rec.Output, output)
 	}
 	if len(j.ended) == j.rec.Spec.Tasks {
 		p.finish(j, winch.JobDone, "", "")
 	}
-	return nil
 }
 
 // maxOutputs bounds the outputs in a job's record.
