office, place: failing tests of a barrier that opens on an old read of the ledger

A new planner reads the ledger when it takes the office. Until a worker has answered it, that worker obeys the earlier planner, which may still record a completion in the ledger and let the worker forget it, or record an intent and start a task. The new planner finds nothing at the worker, and its read is older: the recorded task starts again. A later read, after a change or a failed read, does not help, since the records of known jobs are ignored. Seen: no ended task in the planner; two starts in the planner's test.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -211,3 +211,27 @@
 		is.Equal(worker.stops, 1)
 	})
 }
+
+// Guards against a planner that starts tasks by a read of the ledger from before the workers refused the
+// planner before it: that one may have recorded completions and let the workers forget them meanwhile.
+func TestBarrierOpensAfterALaterReadOfTheLedger(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.term.epoch = 2
+		p.group = &conc.WaitGroup{}
+		p.Workers = func() ([]winch.VM, bool) { return nil, true }
+		p.Quota = p.Planner.Limits.(*quota.Holder)
+		p.loadJobs(t.Context())
+		is.NoErr(p.Ledger.Progress(t.Context(), p.job.ID, []int{0}))
+		for range 3 {
+			_ = p.Duty.Do(t.Context(), func() { p.planRound(t.Context()) })
+			p.loadJobs(t.Context())
+		}
+		_ = p.Duty.Do(t.Context(), func() {
+			rec, _ := p.Planner.Record(p.job.ID)
+			is.Equal(rec.EndedTasks, []int{0})
+			is.Equal(rec.State, winch.JobDone)
+		})
+		p.group.Wait()
+	})
+}
--- a/coord/place/late_test.go
+++ b/coord/place/late_test.go
@@ -133,3 +133,33 @@
 		}
 	}
 }
+
+// Guards against a later record of a known job that is ignored: an earlier planner may have recorded
+// completions and intents after the first read.
+func TestLaterRecordOfAKnownJobIsMerged(t *testing.T) {
+	is := is.New(t)
+	r := newRig(0, size8)
+	r.Planner = NewPlanner(r.limits, r.Team)
+	r.limits.limit["choir"] = 8
+	r.addWorker(0, size8)
+	for _, id := range []string{"done", "intended"} {
+		class := deferred
+		if id == "intended" {
+			class = nonRepeatable
+		}
+		rec := oneTask(class)
+		rec.ID = id
+		r.Submit(rec, class, true, r.now)
+		if id == "done" {
+			rec.EndedTasks = []int{0}
+		} else {
+			rec.Intent = []int{0}
+		}
+		r.Submit(rec, class, true, r.now)
+	}
+	r.OpenBarrier()
+	started, _ := r.plan()
+	is.Equal(len(started), 0)
+	is.Equal(r.results["done"].State, winch.JobDone)
+	is.Equal(r.results["intended"].State, winch.JobUnknown)
+}
