office, place: the barrier opens after a read of the ledger that is late enough

Callers saw, after a takeover, a task start again that was recorded as done and whose worker had been told to forget it, if the earlier planner did both after the next one had read the ledger. Once every worker has answered the new planner, or the leases have expired, nothing can be recorded and forgotten unseen. The ledger is read once more from then on, and the barrier opens after that read. The completions and intents in a later record of a known job are added to it. A takeover takes one more call to the store.

--- a/coord/office/planner.go
+++ b/coord/office/planner.go
@@ -26,6 +26,13 @@
 	// loaded is set once the ledger has been read, stale if it must be read again.
 	loaded, stale bool
 	reads         ledgerReads
+	// begun and applied are the numbers of the last read of the whole ledger that was begun
+	// and that was applied.
+	begun, applied uint64
+	// barrierRead is the number of the first read that began after every worker refused the
+	// earlier planner; zero if some may still obey it.
+	barrierRead uint64
+	barrierOpen bool
 	// lastRecording is when the completions of tasks were last written.
 	lastRecording time.Time
 	// finishedJobs holds the jobs whose end is recorded but whose tasks may still be stopping.
@@ -98,9 +105,12 @@
 		return // No job can be submitted, and the ledger would count as read.
 	}
 	var read *ledgerRead
+	var number uint64
 	_ = s.Duty.Do(ctx, func() {
 		if !s.loaded || s.stale {
 			read = s.reads.begin()
+			s.begun++
+			number = s.begun
 		}
 		s.stale = false
 	})
@@ -113,7 +123,9 @@
 	}
 	_ = s.Duty.Do(context.Background(), func() {
 		s.applyRead(read, jobs, err, s.submit)
-		s.loaded = s.loaded || err == nil
+		if err == nil {
+			s.loaded, s.applied = true, number
+		}
 	})
 }
 
@@ -279,8 +291,11 @@
 // cannot reach, so such a worker keeps the barrier closed until the platform removes it
 // from its list. Where workers do not compare epochs, the earlier planner has stopped by
 // its own clock, and it is enough to wait until the leases it granted have expired.
+//
+// The ledger is read once more before the barrier opens. Until then the earlier planner may
+// have recorded a completion and let the worker forget it.
 func (s *plannerState) checkBarrier() {
-	if _, ok := s.Workers(); !ok {
+	if _, ok := s.Workers(); !ok || s.barrierOpen {
 		return
 	}
 	unresponsive := false
@@ -288,8 +303,17 @@
 		unresponsive = unresponsive || !w.reconciled
 	}
 	if unresponsive && (s.FenceAtVM || time.Since(s.startTime) < s.TaskLease+2*clockDriftMargin) {
+		s.barrierRead = 0
+		return
+	}
+	if s.barrierRead == 0 {
+		s.barrierRead, s.stale = s.begun+1, true
+		s.PlanSoon()
+	}
+	if s.applied < s.barrierRead {
 		return
 	}
+	s.barrierOpen = true
 	if stops, opened := s.Planner.OpenBarrier(); opened {
 		s.execute(stops)
 		s.Quota.CompleteTakeover()
--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -161,6 +161,27 @@
 	return out, true
 }
 
+// mergeRecord adds the completions and intents in a record to a known job.
+func (p *Planner) mergeRecord(j *job, rec winch.Job) {
+	if j.rec.State.Final() {
+		return
+	}
+	for _, i := range rec.Intent {
+		if !slices.Contains(j.rec.Intent, i) {
+			j.rec.Intent = append(slices.Clone(j.rec.Intent), i)
+		}
+	}
+	for _, i := range rec.EndedTasks {
+		if !j.ended[i] {
+			p.takePending(j, i)
+			p.markEnded(j, i, "")
+		}
+	}
+	if !j.rec.State.Final() {
+		p.push(j)
+	}
+}
+
 // finishUnresolved ends a job as unknown if one of its tasks has a recorded start intent but
 // was found at no worker, and returns the stops of its other tasks.
 func (p *Planner) finishUnresolved(j *job) []Decision {
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -192,9 +192,14 @@
 
 // Submit adds a job. A held job may have been started by an earlier planner, so its
 // tasks start only after OpenBarrier, unless they are found running. If the barrier is open,
-// what the workers have listed decides at once.
+// what the workers have listed decides at once. A later record of a known job adds what an
+// earlier planner has recorded since.
 func (p *Planner) Submit(rec winch.Job, class winch.Class, held bool, now time.Time) {
-	if p.jobs[rec.ID] != nil || rec.State.Final() {
+	if rec.State.Final() {
+		return
+	}
+	if j := p.jobs[rec.ID]; j != nil {
+		p.mergeRecord(j, rec)
 		return
 	}
 	j := &job{
