office, place: failing tests of a long-running job whose run was done

A task of a long-running job that is done starts again. The run is recorded in the job's ended tasks all the same, and the next planner takes the task for ended: the job runs with fewer tasks, or ends as done if each of them was done once. Seen: one ended task in the ledger; no task started by the next planner.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -235,3 +235,19 @@
 		p.group.Wait()
 	})
 }
+
+// Guards against tasks of a long-running job that a later planner takes for ended because one of their runs
+// was done.
+func TestDoneRunOfALongRunningJobIsNotRecordedAsItsEnd(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		job := p.job
+		job.ID, job.Spec.Kind = "Jservice", winch.LongRunning
+		_, err := p.Ledger.Accept(t.Context(), job)
+		is.NoErr(err)
+		p.recordTasks(job.ID, []winch.Task{{ID: winch.TaskID{Job: job.ID}, State: winch.TaskDone}})
+		job, err = p.Ledger.Job(t.Context(), job.ID)
+		is.NoErr(err)
+		is.Equal(len(job.EndedTasks), 0)
+	})
+}
--- a/coord/place/late_test.go
+++ b/coord/place/late_test.go
@@ -163,3 +163,16 @@
 	is.Equal(r.results["done"].State, winch.JobDone)
 	is.Equal(r.results["intended"].State, winch.JobUnknown)
 }
+
+// Guards against a long-running job that a new planner takes for ended because runs of it are recorded as
+// done.
+func TestLongRunningJobGoesOnAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, size8)
+	r.limits.limit["choir"] = 8
+	rec := oneTask(longRunning)
+	rec.Spec.Kind, rec.EndedTasks = winch.LongRunning, []int{0}
+	r.Submit(rec, longRunning, true, r.now)
+	r.plan()
+	is.Equal(r.count("j"), 1)
+}
