ledger, place: a done run of a long-running job is not the end of its task

Callers saw a long-running job run with fewer tasks after a takeover, or end as done. Its planner starts a task again whose run was done, but the run was recorded like that of a batch job. It is no longer recorded, and what a record holds of such runs is not read.

--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -198,6 +198,9 @@
 	if rec.State.Final() {
 		return
 	}
+	if rec.Spec.Kind == winch.LongRunning {
+		rec.EndedTasks = nil // Its tasks run again after a run is done.
+	}
 	if j := p.jobs[rec.ID]; j != nil {
 		p.mergeRecord(j, rec)
 		return
--- a/state/ledger/jobs.go
+++ b/state/ledger/jobs.go
@@ -143,9 +143,12 @@
 }
 
 // Progress records tasks that completed successfully, before the workers are told
-// to forget them.
+// to forget them. Tasks of long-running jobs never complete.
 func (l *Ledger) Progress(ctx context.Context, id string, completed []int) error {
-	return l.changeJob(ctx, id, func(j *winch.Job) error {
+	err := l.changeJob(ctx, id, func(j *winch.Job) error {
+		if j.Spec.Kind == winch.LongRunning {
+			return swap.ErrUnchanged
+		}
 		for _, i := range completed {
 			if !slices.Contains(j.EndedTasks, i) {
 				j.EndedTasks = append(slices.Clone(j.EndedTasks), i)
@@ -153,4 +156,8 @@
 		}
 		return nil
 	})
+	if errors.Is(err, swap.ErrUnchanged) {
+		err = nil
+	}
+	return err
 }
