entry: a requested slot is listed over a new link

Callers saw no fault by themselves, but an executor could get one call more than it has slots when a link between entries was replaced under load. The home took a slot that was missing from the list for unused, although the response that granted it was still being handled. A slot is now listed from its request on, and removed from the list when the request fails or is refused, before the home is told to free it.

--- a/entry/grants.go
+++ b/entry/grants.go
@@ -7,16 +7,17 @@
 	"plantainwinch/proto"
 )
 
-// grantTable holds the slots that this entry uses, including those of executors whose home is another entry.
+// grantTable holds the slots that this entry uses or has requested, including those of executors whose home is another
+// entry.
 type grantTable struct {
 	mu   sync.Mutex
 	held map[string]*heldGrant
 }
 
-// heldGrant is a slot that this entry uses.
+// heldGrant is a slot that this entry uses or has requested.
 type heldGrant struct {
 	home     string
-	executor string
+	executor string // executor is empty until the slot is known to be granted.
 	team     string
 	expires  time.Time
 }
--- a/entry/links.go
+++ b/entry/links.go
@@ -12,8 +12,8 @@
 	"plantainwinch/winch"
 )
 
-// First returns the first message on a new connection to a peer. It lists the slots granted by the peer that this entry
-// uses.
+// First returns the first message on a new connection to a peer. It lists the slots of the peer that this entry
+// uses or has requested.
 func (e *Entry) First(peer string) (winch.Kind, any) {
 	return proto.KindHeldSlots, proto.HeldSlots{Held: e.grants.grantsOf(peer), Complete: true}
 }
--- a/entry/slot.go
+++ b/entry/slot.go
@@ -98,11 +98,15 @@
 	if request.Remaining <= 0 {
 		return nil, winch.RefuseFor(winch.DeadlinePassed, "no slot came free before the deadline", time.Second)
 	}
+	held := heldGrant{home: home, team: p.caller.team.Name, expires: time.Now().Add(request.Remaining + p.maxRun)}
+	e.grants.add(g.id, held) // The home may grant the slot long before this goroutine learns of it.
 	response, err := e.sendSlotRequest(ctx, home, request)
 	if err != nil {
+		e.grants.remove(g.id)
 		return nil, e.handleSlotError(ctx, g, err)
 	}
 	if !response.Refused.OK() {
+		e.grants.remove(g.id)
 		return nil, response.Refused
 	}
 	if ctx.Err() != nil {
@@ -110,7 +114,8 @@
 		return nil, winch.Refuse(winch.CallerGone, "the caller went away")
 	}
 	g.vm = response.Executor
-	e.grants.add(g.id, heldGrant{home: home, executor: g.vm.ID, team: p.caller.team.Name, expires: time.Now().Add(p.maxRun)})
+	held.executor, held.expires = g.vm.ID, time.Now().Add(p.maxRun)
+	e.grants.add(g.id, held)
 	return g, winch.Result{}
 }
 
