office: failing test of a completion after the recorded end of its job

A job fails, its end is recorded, and its other tasks still stop. The completion of one of them is marked as being recorded with the end of the job, which is in the ledger already: nobody lets the worker forget it, and the worker lists it with each renewal for the rest of the term. Seen: two of three completions may be forgotten.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -251,3 +251,42 @@
 		is.Equal(len(job.EndedTasks), 0)
 	})
 }
+
+// Guards against completions that workers list for the rest of a term, because they came after the end of
+// their job was recorded while other tasks of it were still stopping.
+func TestCompletionAfterTheRecordedEndOfItsJobIsForgotten(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.group = &conc.WaitGroup{}
+		p.Worker, p.TaskLease, p.semaphore = &stopCounter{}, time.Minute, make(chan struct{}, 1)
+		p.doc.Classes["billed"] = winch.Class{Name: "billed", By: "06:00"}
+		w := &workerState{vm: winch.VM{ID: "w0", Size: winch.Resources{Processors: 4, Memory: 4}}}
+		job := p.job
+		job.ID, job.Class, job.Spec.Tasks = "Jthree", "billed", 3
+		job, err := p.Ledger.Accept(t.Context(), job)
+		is.NoErr(err)
+		p.loadJobs(t.Context())
+		run := func(index int, state winch.TaskState) winch.Task {
+			return winch.Task{ID: winch.TaskID{Job: job.ID, Index: index}, Attempt: 1, Need: job.Spec.Need, State: state}
+		}
+		ends := func(index int, state winch.TaskState) {
+			_ = p.Duty.Do(t.Context(), func() {
+				p.handleCompletions(w, winch.Report{Tasks: []winch.Task{run(index, state)}}, time.Now())
+				p.recordFinishedJobs(t.Context())
+			})
+			p.group.Wait()
+			time.Sleep(recordInterval)
+			_ = p.Duty.Do(t.Context(), p.recordCompletions)
+			p.group.Wait()
+		}
+		_ = p.Duty.Do(t.Context(), func() {
+			p.Planner.Limits = unlimited{}
+			p.Planner.SetVM(w.vm)
+			p.Planner.Reconcile("w0", []winch.Task{run(0, winch.TaskRunning), run(1, winch.TaskRunning), run(2, winch.TaskRunning)}, time.Now())
+		})
+		ends(0, winch.TaskFailed)
+		ends(1, winch.TaskStopped)
+		ends(2, winch.TaskStopped)
+		_ = p.Duty.Do(t.Context(), func() { is.Equal(len(p.completions.takeForgettable("w0")), 3) })
+	})
+}
