office: a completion after the recorded end of its job is forgotten

Callers saw nothing, but workers kept the tasks that stopped after the end of their job was recorded, and listed them until the next takeover. Such completions now count as recorded at once. TestCompletionAfterTheRecordedEndOfItsJobIsForgotten: failed 1 of 1 before, passes 5 of 5.

--- a/coord/office/results.go
+++ b/coord/office/results.go
@@ -38,6 +38,10 @@
 		}
 	}
 	for id, done := range s.completions.takeUnrecorded() {
+		if s.finishedJobs[id] {
+			s.completions.markRecorded(id, done)
+			continue
+		}
 		if rec, ok := s.Planner.Record(id); ok && rec.State.Final() {
 			continue // The result of the whole job will be recorded.
 		}
