slots: a handoff is kept for a few seconds only

Callers saw no fault by themselves, but an executor could get more calls than it has slots after its home had changed several times. A handoff says which slots were in use when it was sent. It is dropped after ten seconds if the executor is not at home here by then; its slots then open one by one, as after a crash.

--- a/coord/slots/home.go
+++ b/coord/slots/home.go
@@ -125,13 +125,19 @@
 	})
 }
 
+// earlyHandoff is a handoff of an executor that is not known here yet.
+type earlyHandoff struct {
+	proto.Handoff
+	at time.Time
+}
+
 // Adopt takes over the slots in use that the previous home of an executor handed over.
 // All other slots of the executor are known to be free, so all of them may be granted.
 func (t *Table) Adopt(handoff proto.Handoff) error {
 	return t.Duty.Post(func() {
 		e := t.executors[handoff.Executor]
 		if e == nil {
-			t.earlyHandoffs[handoff.Executor] = handoff // The previous home noticed the change first.
+			t.earlyHandoffs[handoff.Executor] = earlyHandoff{handoff, time.Now()} // The previous home noticed the change first.
 			return
 		}
 		e.openSlots = e.vm.Slots
--- a/coord/slots/table.go
+++ b/coord/slots/table.go
@@ -27,6 +27,9 @@
 	// minQuarantine and maxQuarantine bound the duration of a quarantine.
 	minQuarantine = time.Second
 	maxQuarantine = 30 * time.Second
+	// earlyHandoffLifetime is how long a handoff may arrive before its executor is known here:
+	// the entries' views of the homes differ for seconds.
+	earlyHandoffLifetime = 10 * time.Second
 	// runTimeWeight is the weight of a new sample in the moving average of run times.
 	runTimeWeight = 0.1
 )
@@ -81,7 +84,7 @@
 	returnedEarly map[string]time.Time // returnedEarly holds when slots were returned that were not granted yet.
 	inUse         map[string]int       // inUse counts the slots in use by team.
 	// earlyHandoffs holds handoffs of executors that are not known here yet.
-	earlyHandoffs map[string]proto.Handoff
+	earlyHandoffs map[string]earlyHandoff
 	loads         atomic.Pointer[[]proto.Load]
 }
 
@@ -107,7 +110,7 @@
 	t.grants = make(map[string]*grant)
 	t.returnedEarly = make(map[string]time.Time)
 	t.inUse = make(map[string]int)
-	t.earlyHandoffs = make(map[string]proto.Handoff)
+	t.earlyHandoffs = make(map[string]earlyHandoff)
 }
 
 // Run processes the table's requests and frees the slots of expired grants until ctx is done.
@@ -361,6 +364,11 @@
 			delete(t.returnedEarly, id)
 		}
 	}
+	for id, h := range t.earlyHandoffs {
+		if now.Sub(h.at) > earlyHandoffLifetime {
+			delete(t.earlyHandoffs, id)
+		}
+	}
 	for _, s := range t.services {
 		t.dispatch(s)
 	}
