entry: an adopted configuration is applied in any case

Callers saw calls go to executors of an evacuated failure domain, and waiting work of withdrawn keys go on, at an entry that was paused while it applied the configuration. What follows from an adopted version no longer ends with the context of the call that brought it. TestEvacuationIsAppliedAfterAPause: failed 1 of 1 before, passes 5 of 5.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -104,11 +104,12 @@
 }
 
 // applyConfig applies a configuration if it is newer than the present one, and cancels the waiting work of keys that it
-// withdraws.
+// withdraws. A version is applied only once, so that must not be cut short.
 func (e *Entry) applyConfig(ctx context.Context, doc *winch.Document) {
 	if doc.Version == 0 || !e.config.Offer(doc) {
 		return
 	}
+	ctx = context.WithoutCancel(ctx)
 	e.Log.Info("configuration applied", zap.Uint64("Version", doc.Version))
 	e.members.SetEvacuated(ctx, slices.Sorted(maps.Keys(doc.Evacuated)))
 	e.office.PlanSoon()
