office: workers are known before the configuration

The platform's list of workers is applied from the start. A worker is asked for its tasks once the ledger has been read, since the tasks of unknown jobs are stopped.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -111,6 +111,21 @@
 	return w.Worker.Stop(ctx, epoch, task)
 }
 
+// Guards against a domain without known capacity until the first configuration of a cell is written.
+func TestWorkersAreKnownWithoutTheConfiguration(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.doc = nil
+		p.Workers = func() ([]winch.VM, bool) {
+			return []winch.VM{{ID: "w0", Size: winch.Resources{Processors: 2, Memory: 2}}}, true
+		}
+		p.loadJobs(t.Context())
+		_ = p.Duty.Do(t.Context(), func() { p.planRound(t.Context()) })
+		is.Equal(p.Load(t.Context()).Size.Processors, 2)
+		is.Equal(len(p.workers), 0) // none was asked for its tasks
+	})
+}
+
 // Guards against a result that is lost because a worker that knows a run, when asked to stop it, counts as
 // having stopped it: the run may have ended as done before.
 func TestStopOfALateStartKeepsItsResult(t *testing.T) {
--- a/coord/office/planner.go
+++ b/coord/office/planner.go
@@ -212,10 +212,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	s.updateWorkers(ctx)
 	if !s.loaded {
 		return
 	}
-	s.updateWorkers(ctx)
 	s.checkBarrier()
 	s.recordFinishedJobs(ctx)
 	s.recordCompletions()
@@ -243,8 +243,9 @@
 	return metrics.GetOrRegisterHistogram("Office.Plan.Microseconds", s.Metrics, metrics.NewUniformSample(planSamples))
 }
 
-// updateWorkers starts a renewal loop for each new worker and removes the workers that are
-// no longer listed, once the leases of their tasks are guaranteed to have expired.
+// updateWorkers starts a renewal loop for each new worker, once the ledger has been read. It
+// removes the workers that are no longer listed, once the leases of their tasks are guaranteed
+// to have expired.
 func (s *plannerState) updateWorkers(ctx context.Context) {
 	list, ok := s.Workers()
 	if !ok {
@@ -254,8 +255,8 @@
 	for _, vm := range list {
 		listed[vm.ID] = true
 		s.Planner.SetVM(vm)
-		if s.workers[vm.ID] == nil {
-			s.addWorker(ctx, vm)
+		if s.loaded && s.workers[vm.ID] == nil {
+			s.addWorker(ctx, vm) // Not before the jobs are known: the tasks of unknown ones are stopped.
 		}
 	}
 	now := time.Now()
