entry: failing test of an older configuration that is applied late

The watch, the fetch from a peer and an operator's call apply configurations, each in a goroutine of its own. The newest is adopted under a lock, but what follows from it is not: if the goroutine of the older one is set aside in between, it sets its evacuated failure domains last. Seen: executors of an evacuated domain get work.

--- a/entry/applyorder_test.go
+++ b/entry/applyorder_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"plantainwinch/winch"
 )
@@ -48,3 +53,29 @@
 		}
 	})
 }
+
+// Guards against an older configuration that undoes an evacuation: it was adopted first, and its goroutine was set
+// aside before it set the evacuated failure domains.
+func TestOlderConfigurationDoesNotUndoAnEvacuation(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(w.t)
+		var delayed atomic.Bool
+		core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel)
+		w.log = zap.New(core, zap.Hooks(func(e zapcore.Entry) error {
+			if e.Message == "configuration applied" && delayed.CompareAndSwap(true, false) {
+				time.Sleep(time.Second)
+			}
+			return nil
+		}))
+		w.addExecutor("e0", "d1", 1)
+		n := w.addEntry("d1-0", "d1")
+		time.Sleep(5 * time.Second)
+		delayed.Store(true)
+		var group conc.WaitGroup
+		group.Go(func() { n.applyConfig(context.Background(), documentOf(100)) })
+		synctest.Wait()
+		n.applyConfig(context.Background(), documentOf(101, "d1"))
+		group.Wait()
+		is.True(n.evacuatedExecutor())
+	})
+}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"plantainwinch/conf"
 	"plantainwinch/stand"
@@ -40,7 +41,8 @@
 	// delayedStarts is how many start calls still reach their worker only seconds after the sender got the error
 	// that the connection broke.
 	delayedStarts int
-	noFencing     bool // noFencing creates workers that do not compare epochs.
+	noFencing     bool        // noFencing creates workers that do not compare epochs.
+	log           *zap.Logger // log is the log of each entry; nil for none.
 }
 
 // node is one entry with its links to the world.
@@ -135,7 +137,7 @@
 	n := &node{w: w, done: make(chan struct{}), storeChanged: make(chan struct{})}
 	n.Entry = &Entry{
 		Settings: s, Store: fakeStore{n}, Lister: fakeStore{n}, Worker: fakeWorkers{n}, Executor: w.executors.forNode(n),
-		Peers: fakePeers{n}, Seed: 7,
+		Peers: fakePeers{n}, Seed: 7, Log: w.log,
 	}
 	n.Prepare()
 	w.mu.Lock()
