entry: configurations are applied one after the other

Callers saw calls go to executors of an evacuated failure domain, or none to those of a restored one, until the next change of the configuration, if two versions were applied at the same time. A configuration is adopted and applied by one goroutine at a time. What follows from it only queues functions to goroutines of the entry, and heartbeats to its peers.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,7 @@
 
 	incarnation string // incarnation distinguishes this process from earlier ones of the same entry.
 	config      config.Latest
+	applying    chan struct{} // applying has capacity one and is filled while a configuration is applied.
 	editor      config.Editor
 	members     *member.Tracker
 	table       *slots.Table   // table grants the slots of the executors whose home is this entry.
@@ -91,6 +92,7 @@
 	e.rnd = mrand.New(mrand.NewPCG(e.Seed, 1))
 	e.incarnation = rand.Text()[:8]
 	e.homesChanged = make(chan struct{}, 1)
+	e.applying = make(chan struct{}, 1)
 	e.restartWatch = make(chan struct{}, 1)
 	e.newerPeer = make(chan string, 1)
 	e.drainCtx, e.endDrain = context.WithCancel(context.Background())
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -106,6 +106,8 @@
 // applyConfig applies a configuration if it is newer than the present one, and cancels the waiting work of keys that it
 // withdraws. A version is applied only once, so that must not be cut short.
 func (e *Entry) applyConfig(ctx context.Context, doc *winch.Document) {
+	e.applying <- struct{}{} // What follows from an older version must not come last.
+	defer func() { <-e.applying }()
 	if doc.Version == 0 || !e.config.Offer(doc) {
 		return
 	}
