office: failing test of a job that ended under another planner

A new planner reads a job as unfinished; the earlier one then records its end and lets the workers forget its completions. The new planner ignores the later record because it is final, finds nothing at the workers and starts the job's tasks again. Seen: one start.

--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -305,3 +305,33 @@
 		_ = p.Duty.Do(t.Context(), func() { is.Equal(len(p.completions.takeForgettable("w0")), 3) })
 	})
 }
+
+// Guards against a job that starts again although another planner has recorded its end: that one may have let
+// the workers forget its completions.
+func TestJobThatEndedUnderAnotherPlannerIsNotStarted(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.term.epoch = 2
+		p.group = &conc.WaitGroup{}
+		p.Workers = func() ([]winch.VM, bool) { return nil, true }
+		p.Quota = p.Planner.Limits.(*quota.Holder)
+		p.Planner.Limits = unlimited{}
+		p.loadJobs(t.Context())
+		ended := p.job
+		ended.State, ended.Finished = winch.JobDone, time.Now()
+		is.NoErr(p.Ledger.Finish(t.Context(), ended))
+		for range 3 {
+			_ = p.Duty.Do(t.Context(), func() { p.planRound(t.Context()) })
+			p.loadJobs(t.Context())
+		}
+		_ = p.Duty.Do(t.Context(), func() {
+			vm := winch.VM{ID: "w0", Size: winch.Resources{Processors: 2, Memory: 2}}
+			p.Planner.SetVM(vm)
+			p.Planner.Reconcile("w0", nil, time.Now())
+			is.Equal(len(p.Planner.Plan(time.Now(), 1)), 0)
+			time.Sleep(recordInterval)
+			p.recordCompletions()
+		})
+		is.Equal(p.hasJob(t.Context()), false)
+	})
+}
