office, place: the end that another planner has recorded ends a job

Callers saw, after a takeover, tasks of a job start again whose end was recorded. A final record of a job that the planner knows as unfinished now ends it: nothing more of it is started, its tasks are stopped, and its completions may be forgotten.

--- a/coord/office/planner.go
+++ b/coord/office/planner.go
@@ -132,7 +132,11 @@
 // submit adds a job to the planner. Only a job that was accepted under an older epoch can
 // have been started by an earlier planner.
 func (s *plannerState) submit(j winch.Job) {
-	if j.Domain != s.Domain || j.State.Final() {
+	if j.Domain != s.Domain {
+		return
+	}
+	if j.State.Final() {
+		s.endRecorded(j)
 		return
 	}
 	if j.Epoch > s.term.epoch {
@@ -154,6 +158,17 @@
 	}
 }
 
+// endRecorded ends a job that the planner has not ended itself, because another planner has
+// recorded its end.
+func (s *plannerState) endRecorded(j winch.Job) {
+	if rec, known := s.Planner.Record(j.ID); !known || rec.State.Final() {
+		return
+	}
+	s.execute(s.Planner.EndRecorded(j))
+	s.finishedJobs[j.ID] = true
+	s.completions.markRecorded(j.ID, nil)
+}
+
 // applyJob submits a new job or cancels a known one.
 func (s *plannerState) applyJob(j winch.Job) {
 	if !s.loaded {
--- a/coord/place/ended.go
+++ b/coord/place/ended.go
@@ -326,10 +326,15 @@
 	if j.rec.State.Final() {
 		return
 	}
+	p.endJob(j, state)
+	p.completions = append(p.completions, Completion{Job: j.rec.ID, State: state, Reason: reason, Detail: detail})
+}
+
+// endJob sets the final state of a job, of which nothing is started any more.
+func (p *Planner) endJob(j *job, state winch.JobState) {
 	p.queue.remove(j)
 	j.pending = nil
 	j.rec.State = state
-	p.completions = append(p.completions, Completion{Job: j.rec.ID, State: state, Reason: reason, Detail: detail})
 	if p.reserved != nil && p.reserved.job == j {
 		p.dropReservation()
 	}
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -334,6 +334,17 @@
 	return true
 }
 
+// EndRecorded ends a job whose end another planner has recorded, and returns the decisions
+// that stop its tasks.
+func (p *Planner) EndRecorded(rec winch.Job) []Decision {
+	j := p.jobs[rec.ID]
+	if j == nil || j.rec.State.Final() {
+		return nil
+	}
+	p.endJob(j, rec.State)
+	return p.stopRunning(j)
+}
+
 // Cancel cancels a job and returns the decisions that stop its tasks. It reports false if
 // the job is unknown or has ended.
 func (p *Planner) Cancel(id string) ([]Decision, bool) {
