--- a/coord/office/planner.go
+++ b/coord/office/planner.go
@@ -25,6 +25,14 @@
 	startTime   time.Time
 	// loaded is set once the ledger has been read, stale if it must be read again.
 	loaded, stale bool
+	reads         ledgerReads
+	// begun and applied are the numbers of the last read of the whole ledger that was begun
+	// and that was applied.
+	begun, applied uint64
+	// barrierRead is the number of the first read that began after every worker refused the
+	// earlier planner; zero if some may still obey it.
+	barrierRead uint64
+	barrierOpen bool
 	// lastRecording is when the completions of tasks were last written.
 	lastRecording time.Time
 	// finishedJobs holds the jobs whose end is recorded but whose tasks may still be stopping.
@@ -93,32 +101,42 @@
 // are stale. A change that is reported during the read marks them stale again, since the
 // read may not include it.
 func (s *plannerState) loadJobs(ctx context.Context) {
-	needed := false
+	if s.Document() == nil {
+		return // No job can be submitted, and the ledger would count as read.
+	}
+	var read *ledgerRead
+	var number uint64
 	_ = s.Duty.Do(ctx, func() {
-		needed = !s.loaded || s.stale
+		if !s.loaded || s.stale {
+			read = s.reads.begin()
+			s.begun++
+			number = s.begun
+		}
 		s.stale = false
 	})
-	if !needed {
+	if read == nil {
 		return
 	}
 	jobs, err := s.Ledger.Jobs(ctx)
 	if err != nil {
 		metrics.GetOrRegisterCounter("Office.LoadFailed", s.Metrics).Inc(1)
-		s.markStale()
-		return
 	}
-	_ = s.Duty.Do(ctx, func() {
-		for _, j := range jobs {
-			s.submit(j)
+	_ = s.Duty.Do(context.Background(), func() {
+		s.applyRead(read, jobs, err, s.submit)
+		if err == nil {
+			s.loaded, s.applied = true, number
 		}
-		s.loaded = true
 	})
 }
 
 // submit adds a job to the planner. Only a job that was accepted under an older epoch can
 // have been started by an earlier planner.
 func (s *plannerState) submit(j winch.Job) {
-	if j.Domain != s.Domain || j.State.Final() {
+	if j.Domain != s.Domain {
+		return
+	}
+	if j.State.Final() {
+		s.endRecorded(j)
 		return
 	}
 	if j.Epoch > s.term.epoch {
@@ -140,6 +158,17 @@
 	}
 }
 
+// endRecorded ends a job that the planner has not ended itself, because another planner has
+// recorded its end.
+func (s *plannerState) endRecorded(j winch.Job) {
+	if rec, known := s.Planner.Record(j.ID); !known || rec.State.Final() {
+		return
+	}
+	s.execute(s.Planner.EndRecorded(j))
+	s.finishedJobs[j.ID] = true
+	s.completions.markRecorded(j.ID, nil)
+}
+
 // applyJob submits a new job or cancels a known one.
 func (s *plannerState) applyJob(j winch.Job) {
 	if !s.loaded {
@@ -198,10 +227,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	s.updateWorkers(ctx)
 	if !s.loaded {
 		return
 	}
-	s.updateWorkers(ctx)
 	s.checkBarrier()
 	s.recordFinishedJobs(ctx)
 	s.recordCompletions()
@@ -229,8 +258,9 @@
 	return metrics.GetOrRegisterHistogram("Office.Plan.Microseconds", s.Metrics, metrics.NewUniformSample(planSamples))
 }
 
-// updateWorkers starts a renewal loop for each new worker and removes the workers that are
-// no longer listed, once the leases of their tasks are guaranteed to have expired.
+// updateWorkers starts a renewal loop for each new worker, once the ledger has been read. It
+// removes the workers that are no longer listed, once the leases of their tasks are guaranteed
+// to have expired.
 func (s *plannerState) updateWorkers(ctx context.Context) {
 	list, ok := s.Workers()
 	if !ok {
@@ -240,8 +270,8 @@
 	for _, vm := range list {
 		listed[vm.ID] = true
 		s.Planner.SetVM(vm)
-		if s.workers[vm.ID] == nil {
-			s.addWorker(ctx, vm)
+		if s.loaded && s.workers[vm.ID] == nil {
+			s.addWorker(ctx, vm) // Not before the jobs are known: the tasks of unknown ones are stopped.
 		}
 	}
 	now := time.Now()
@@ -277,8 +307,11 @@
 // cannot reach, so such a worker keeps the barrier closed until the platform removes it
 // from its list. Where workers do not compare epochs, the earlier planner has stopped by
 // its own clock, and it is enough to wait until the leases it granted have expired.
+//
+// The ledger is read once more before the barrier opens. Until then the earlier planner may
+// have recorded a completion and let the worker forget it.
 func (s *plannerState) checkBarrier() {
-	if _, ok := s.Workers(); !ok {
+	if _, ok := s.Workers(); !ok || s.barrierOpen {
 		return
 	}
 	unresponsive := false
@@ -286,8 +319,17 @@
 		unresponsive = unresponsive || !w.reconciled
 	}
 	if unresponsive && (s.FenceAtVM || time.Since(s.startTime) < s.TaskLease+2*clockDriftMargin) {
+		s.barrierRead = 0
+		return
+	}
+	if s.barrierRead == 0 {
+		s.barrierRead, s.stale = s.begun+1, true
+		s.PlanSoon()
+	}
+	if s.applied < s.barrierRead {
 		return
 	}
+	s.barrierOpen = true
 	if stops, opened := s.Planner.OpenBarrier(); opened {
 		s.execute(stops)
 		s.Quota.CompleteTakeover()
--- a/coord/place/adopt.go
+++ b/coord/place/adopt.go
@@ -20,7 +20,7 @@
 	p.capacityVersion++
 	var out []Decision
 	for _, t := range tasks {
-		if existing := n.tasks[t.ID]; existing != nil {
+		if existing := n.tasks[t.ID]; existing != nil && existing.attempt == t.Attempt {
 			existing.confirmed = true
 			existing.uncertain = false
 			continue
@@ -67,6 +67,24 @@
 	}
 }
 
+// adoptForeign takes over the runs of a job that were ordered to stop before the job was
+// known. Their tasks wait until they have ended: a run may end as done before the order
+// arrives.
+func (p *Planner) adoptForeign(j *job, now time.Time) {
+	for _, n := range p.sortedNodes() {
+		for a, t := range n.foreign {
+			if a.Task.Job != j.rec.ID || !slices.Contains(j.pending, a.Task.Index) {
+				continue
+			}
+			p.releaseForeign(n.vm.ID, a)
+			if adopted := p.adopt(n, t, now); adopted != nil {
+				adopted.stopping = true
+				p.Limits.Charge(t.Team, 1)
+			}
+		}
+	}
+}
+
 // ConfirmedOn lists the attempts that a worker has acknowledged and that have not
 // ended.
 func (p *Planner) ConfirmedOn(vmID string) []winch.Attempt {
@@ -94,24 +112,33 @@
 }
 
 // adopt takes over a task that an earlier planner started, or returns nil if it
-// cannot. The caller charges a unit for it or marks it as uncharged.
+// cannot. The caller charges a unit for it.
 func (p *Planner) adopt(n *node, t winch.Task, now time.Time) *placement {
 	j := p.jobs[t.ID.Job]
 	if j == nil || j.running[t.ID.Index] != nil || !t.Need.Fits(n.free) {
 		return nil
 	}
-	pos := slices.Index(j.pending, t.ID.Index)
-	if pos < 0 {
+	if !p.takePending(j, t.ID.Index) {
 		return nil
 	}
-	p.queue.remove(j)
-	j.pending = slices.Delete(j.pending, pos, pos+1)
 	adopted := p.commit(j, t.ID.Index, n, now)
 	adopted.attempt, adopted.confirmed = t.Attempt, true
 	p.push(j)
 	return adopted
 }
 
+// takePending removes a task from those that wait to be started, and the job from the
+// queue. It reports false if the task does not wait.
+func (p *Planner) takePending(j *job, i int) bool {
+	pos := slices.Index(j.pending, i)
+	if pos < 0 {
+		return false
+	}
+	p.queue.remove(j)
+	j.pending = slices.Delete(j.pending, pos, pos+1)
+	return true
+}
+
 // OpenBarrier releases the held jobs. It returns the stops of the adopted tasks of jobs that it
 // ends, and reports whether the barrier was closed before.
 // It must be called only once every worker has responded under the current epoch or its
@@ -128,16 +155,45 @@
 			continue
 		}
 		j.held = false
-		if i := unresolvedIntent(j); i >= 0 {
-			out = append(out, p.stopRunning(j)...)
-			p.finish(j, winch.JobUnknown, winch.ExecutorFailed, fmt.Sprintf("task %d may have run under an earlier placer", i))
-			continue
-		}
+		out = append(out, p.finishUnresolved(j)...)
 		p.queue.push(j)
 	}
 	return out, true
 }
 
+// mergeRecord adds the completions and intents in a record to a known job.
+func (p *Planner) mergeRecord(j *job, rec winch.Job) {
+	if j.rec.State.Final() {
+		return
+	}
+	for _, i := range rec.Intent {
+		if !slices.Contains(j.rec.Intent, i) {
+			j.rec.Intent = append(slices.Clone(j.rec.Intent), i)
+		}
+	}
+	for _, i := range rec.EndedTasks {
+		if !j.ended[i] {
+			p.takePending(j, i)
+			p.markEnded(j, i, "")
+		}
+	}
+	if !j.rec.State.Final() {
+		p.push(j)
+	}
+}
+
+// finishUnresolved ends a job as unknown if one of its tasks has a recorded start intent but
+// was found at no worker, and returns the stops of its other tasks.
+func (p *Planner) finishUnresolved(j *job) []Decision {
+	i := unresolvedIntent(j)
+	if i < 0 {
+		return nil
+	}
+	out := p.stopRunning(j)
+	p.finish(j, winch.JobUnknown, winch.ExecutorFailed, fmt.Sprintf("task %d may have run under an earlier placer", i))
+	return out
+}
+
 // unresolvedIntent returns the index of a pending task that has a recorded start
 // intent, or -1.
 func unresolvedIntent(j *job) int {
@@ -152,7 +208,7 @@
 // StartConfirmed records that a worker acknowledged a start.
 func (p *Planner) StartConfirmed(a winch.Attempt) {
 	if t := p.findAttempt(a); t != nil {
-		t.confirmed = true
+		t.confirmed, t.uncertain = true, false
 	}
 }
 
--- a/coord/place/ended.go
+++ b/coord/place/ended.go
@@ -29,8 +29,8 @@
 	if j.rec.State.Final() {
 		return nil // If queued again, the task would start although its job has ended.
 	}
-	if j.rec.Cancel {
-		p.finishCancelled(j)
+	if j.rec.Cancel || j.ended[t.id.Index] {
+		p.supersededEnded(j)
 		return nil
 	}
 	p.backOff(j, now)
@@ -62,7 +62,8 @@
 
 // TaskEnded handles a task that has ended at its worker or was lost with it. A worker
 // may report the completion of an attempt that was considered lost after the task was
-// started again, there or elsewhere. Such a report must not end the new attempt.
+// started again, there or elsewhere. If that attempt is done, so is the task; any other
+// such report must not end the new attempt.
 func (p *Planner) TaskEnded(vmID string, task winch.Task, now time.Time) []Decision {
 	p.releaseForeign(vmID, task.Ref())
 	t := p.findTask(task.ID)
@@ -70,13 +71,17 @@
 		return p.adoptEnded(vmID, task, now)
 	}
 	if t.node.vm.ID != vmID || t.attempt != task.Attempt {
-		return nil
+		return p.earlierEnded(t, task)
 	}
 	j := t.job
 	p.release(t)
 	if j.rec.State.Final() {
 		return nil
 	}
+	if j.ended[t.id.Index] {
+		p.supersededEnded(j)
+		return nil
+	}
 	out := p.applyResult(j, t, task, now)
 	if !j.rec.State.Final() {
 		p.push(j) // The rest of a gang may have waited for this task to end.
@@ -85,6 +90,10 @@
 }
 
 func (p *Planner) applyResult(j *job, t *placement, task winch.Task, now time.Time) []Decision {
+	if j.rec.Cancel {
+		p.applyAfterCancel(j, t, task, now)
+		return nil
+	}
 	switch task.State {
 	case winch.TaskDone:
 		return p.taskSucceeded(j, t, task.Output, now)
@@ -95,40 +104,134 @@
 	}
 }
 
+// earlierEnded handles a report of an attempt before the running one. If it is done, the
+// running one is stopped, and its result does not count.
+func (p *Planner) earlierEnded(t *placement, task winch.Task) []Decision {
+	j := t.job
+	if task.State != winch.TaskDone || j.rec.Spec.Kind == winch.LongRunning || j.rec.State.Final() || j.ended[t.id.Index] {
+		return nil
+	}
+	var out []Decision
+	if !t.stopping {
+		t.stopping = true
+		out = []Decision{{Action: Stop, Task: p.task(t), VM: t.node.vm}}
+	}
+	p.markEnded(j, t.id.Index, task.Output)
+	return out
+}
+
+// supersededEnded handles the end of a run that does not count, because its job was
+// cancelled or an earlier run of its task is done.
+func (p *Planner) supersededEnded(j *job) {
+	if j.rec.Cancel {
+		p.finishCancelled(j)
+		return
+	}
+	p.push(j) // The rest of a gang may have waited for it.
+}
+
+// applyAfterCancel applies a result of a cancelled job, whose tasks do not run again. The job
+// is done if all its tasks are.
+func (p *Planner) applyAfterCancel(j *job, t *placement, task winch.Task, now time.Time) {
+	switch {
+	case task.State == winch.TaskFailed:
+		p.recordFailure(t.node, j, now)
+		j.rec.Failed++
+	case task.State == winch.TaskDone && j.rec.Spec.Kind != winch.LongRunning:
+		p.taskSucceeded(j, t, task.Output, now)
+	}
+	p.finishCancelled(j)
+}
+
 // adoptEnded applies the result of a task that an earlier planner started and that
 // ended before this planner knew of it. The earlier planner may already have returned
 // the task's unit and used it for another task. Returning the unit again would let the
 // team exceed its limit.
 func (p *Planner) adoptEnded(vmID string, task winch.Task, now time.Time) []Decision {
-	n, j := p.nodes[vmID], p.jobs[task.ID.Job]
-	if n == nil || j == nil || task.State == winch.TaskStopped || !j.need.Fits(n.free) {
+	if task.State == winch.TaskStopped {
 		return nil
 	}
-	t := p.adopt(n, task, now)
-	if t == nil {
+	j := p.jobs[task.ID.Job]
+	if j == nil {
+		p.keepEarly(vmID, task)
 		return nil
 	}
-	t.uncharged = true
-	return p.TaskEnded(vmID, task, now)
+	if !p.takePending(j, task.ID.Index) {
+		return nil
+	}
+	n := p.nodes[vmID]
+	if n == nil {
+		n = &node{vm: winch.VM{ID: vmID}} // The worker was removed after it had listed the task.
+	}
+	if j.started.IsZero() {
+		j.started = now
+	}
+	out := p.applyResult(j, &placement{id: task.ID, job: j, node: n, attempt: task.Attempt}, task, now)
+	if !j.rec.State.Final() {
+		p.push(j)
+	}
+	return out
+}
+
+// earlyResult is the result of a task whose job is not known yet.
+type earlyResult struct {
+	vmID string
+	task winch.Task
+}
+
+// keepEarly keeps a result until its job is submitted or ForgetEarly is called.
+func (p *Planner) keepEarly(vmID string, task winch.Task) {
+	list := p.early[task.ID.Job]
+	if !slices.ContainsFunc(list, func(e earlyResult) bool { return e.task.Ref() == task.Ref() }) {
+		p.early[task.ID.Job] = append(list, earlyResult{vmID, task})
+	}
+}
+
+// applyEarly applies the results that arrived before their job.
+func (p *Planner) applyEarly(j *job, now time.Time) {
+	list := p.early[j.rec.ID]
+	delete(p.early, j.rec.ID)
+	for _, e := range list {
+		p.adoptEnded(e.vmID, e.task, now)
+	}
+}
+
+// ForgetEarly drops results of a job that is not known. It must be called only once they are
+// in the ledger or the ledger has no such job to run, and the job must not be submitted
+// from an older read of the ledger after that.
+func (p *Planner) ForgetEarly(id string, tasks []winch.Task) {
+	list := slices.DeleteFunc(p.early[id], func(e earlyResult) bool {
+		return slices.ContainsFunc(tasks, func(t winch.Task) bool { return t.Ref() == e.task.Ref() })
+	})
+	if p.early[id] = list; len(list) == 0 {
+		delete(p.early, id)
+	}
 }
 
 func (p *Planner) taskSucceeded(j *job, t *placement, output string, now time.Time) []Decision {
-	p.recordRunTime(j, now.Sub(t.started))
+	if !t.started.IsZero() {
+		p.recordRunTime(j, now.Sub(t.started))
+	}
 	t.node.health.reset()
 	j.backoff = 0
 	if j.rec.Spec.Kind == winch.LongRunning {
 		p.requeue(j, t.id.Index) // A long-running job always keeps its number of tasks.
 		return nil
 	}
-	j.ended[t.id.Index] = true
-	j.rec.EndedTasks = append(j.rec.EndedTasks, t.id.Index)
+	p.markEnded(j, t.id.Index, output)
+	return nil
+}
+
+// markEnded records that a task is done, and ends its job if all of them are.
+func (p *Planner) markEnded(j *job, i int, output string) {
+	j.ended[i] = true
+	j.rec.EndedTasks = append(j.rec.EndedTasks, i)
 	if output != "" && len(j.rec.Output) < maxOutputs {
 		j.rec.Output = append(j.rec.Output, output)
 	}
 	if len(j.ended) == j.rec.Spec.Tasks {
 		p.finish(j, winch.JobDone, "", "")
 	}
-	return nil
 }
 
 // maxOutputs bounds the outputs in a job's record.
@@ -195,10 +298,6 @@
 // taskStopped handles a task that ended without a result: it was evicted, lost with
 // its worker or stopped on request. Only tasks of repeatable jobs run again.
 func (p *Planner) taskStopped(j *job, t *placement, now time.Time) []Decision {
-	if j.rec.Cancel {
-		p.finishCancelled(j)
-		return nil
-	}
 	if !j.class.Repeatable {
 		out := p.stopRunning(j)
 		p.finish(j, winch.JobUnknown, winch.ExecutorFailed, fmt.Sprintf("task %d was lost with its worker", t.id.Index))
@@ -227,10 +326,15 @@
 	if j.rec.State.Final() {
 		return
 	}
+	p.endJob(j, state)
+	p.completions = append(p.completions, Completion{Job: j.rec.ID, State: state, Reason: reason, Detail: detail})
+}
+
+// endJob sets the final state of a job, of which nothing is started any more.
+func (p *Planner) endJob(j *job, state winch.JobState) {
 	p.queue.remove(j)
 	j.pending = nil
 	j.rec.State = state
-	p.completions = append(p.completions, Completion{Job: j.rec.ID, State: state, Reason: reason, Detail: detail})
 	if p.reserved != nil && p.reserved.job == j {
 		p.dropReservation()
 	}
--- a/coord/place/planner.go
+++ b/coord/place/planner.go
@@ -99,6 +99,8 @@
 	// barrierOpen is true once OpenBarrier was called.
 	barrierOpen bool
 	completions []Completion
+	// early holds the results of tasks whose jobs are not known yet, by job.
+	early map[string][]earlyResult
 	// LostRunTime is the total run time that evictions discarded.
 	LostRunTime time.Duration
 	// Evictions is the number of evicted tasks.
@@ -113,6 +115,7 @@
 		queue:   queue{shapes: make(map[shapeKey]*shape)},
 		used:    make(map[string]winch.Resources),
 		history: make(map[historyKey]*history),
+		early:   make(map[string][]earlyResult),
 	}
 }
 
@@ -188,9 +191,18 @@
 }
 
 // Submit adds a job. A held job may have been started by an earlier planner, so its
-// tasks start only after OpenBarrier, unless they are found running.
+// tasks start only after OpenBarrier, unless they are found running. If the barrier is open,
+// what the workers have listed decides at once. A later record of a known job adds what an
+// earlier planner has recorded since.
 func (p *Planner) Submit(rec winch.Job, class winch.Class, held bool, now time.Time) {
-	if p.jobs[rec.ID] != nil || rec.State.Final() {
+	if rec.State.Final() {
+		return
+	}
+	if rec.Spec.Kind == winch.LongRunning {
+		rec.EndedTasks = nil // Its tasks run again after a run is done.
+	}
+	if j := p.jobs[rec.ID]; j != nil {
+		p.mergeRecord(j, rec)
 		return
 	}
 	j := &job{
@@ -212,9 +224,15 @@
 	p.jobs[rec.ID] = j
 	if len(j.ended) == rec.Spec.Tasks {
 		p.finish(j, winch.JobDone, "", "") // The earlier planner crashed before it recorded the job's completion.
+		delete(p.early, rec.ID)
 		return
 	}
 	p.queue.push(j)
+	p.applyEarly(j, now)
+	p.adoptForeign(j, now)
+	if held && p.barrierOpen {
+		p.finishUnresolved(j)
+	}
 }
 
 // latestStart returns the time by which a job must start to meet its target.
@@ -279,9 +297,7 @@
 	delete(t.node.tasks, t.id)
 	p.index.charge(t.node, winch.Resources{}.Sub(j.need))
 	p.used[j.rec.Team] = p.used[j.rec.Team].Sub(j.need)
-	if !t.uncharged {
-		p.Limits.Return(j.rec.Team, 1)
-	}
+	p.Limits.Return(j.rec.Team, 1)
 }
 
 func (p *Planner) findTask(id winch.TaskID) *placement {
@@ -318,6 +334,17 @@
 	return true
 }
 
+// EndRecorded ends a job whose end another planner has recorded, and returns the decisions
+// that stop its tasks.
+func (p *Planner) EndRecorded(rec winch.Job) []Decision {
+	j := p.jobs[rec.ID]
+	if j == nil || j.rec.State.Final() {
+		return nil
+	}
+	p.endJob(j, rec.State)
+	return p.stopRunning(j)
+}
+
 // Cancel cancels a job and returns the decisions that stop its tasks. It reports false if
 // the job is unknown or has ended.
 func (p *Planner) Cancel(id string) ([]Decision, bool) {
