coord/keep: test both ways in which a start reaches the next boot

The keeper learns of the next boot before the start is carried out there; or the start is confirmed by a boot whose clock hardly differs from that of the boot before, and counts as one there.

--- a/coord/keep/reboot_test.go
+++ b/coord/keep/reboot_test.go
@@ -18,6 +18,7 @@
 type rebootingWorker struct {
 	*fakeWorker
 	rebooted, stopped bool
+	holdWait          time.Duration // holdWait bounds the wait of a hold.
 }
 
 func (w *rebootingWorker) Start(ctx context.Context, vm winch.WorkerVM, c winch.StartRequest) (winch.StartResult, time.Duration) {
@@ -43,6 +44,7 @@
 }
 
 func (w *rebootingWorker) Hold(ctx context.Context, vm winch.WorkerVM, c winch.HoldRequest) (winch.HoldResponse, error) {
+	c.Wait = min(c.Wait, w.holdWait)
 	resp, err := w.fakeWorker.Hold(ctx, vm, c)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -55,22 +57,29 @@
 // Guards against a run that goes on at the next boot of a worker after the worker was reported as lost: its start was on
 // its way when the boot ended, and the planner starts the task again elsewhere.
 func TestStartsInFlightAreStoppedBeforeAnotherBootIsReported(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.NewRelaxed(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		worker := &rebootingWorker{fakeWorker: &fakeWorker{begin: time.Now()}}
-		r := &fixture{worker: worker.fakeWorker, session: proto.Session{Term: 1, Number: 1}}
-		r.keeper = &Keeper{Client: worker, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Lease: 6 * time.Second}
-		r.keeper.Prepare()
-		r.keeper.group.Go(func() { r.poll(ctx) })
-		r.keeper.SetAssignments(proto.AssignmentSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Assignment{{VM: winch.WorkerVM{ID: "w"}, Token: 5}}})
-		time.Sleep(4 * time.Second)
-		r.keeper.QueueOrders(proto.KeeperOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 7}}})
-		time.Sleep(5 * time.Second)
-		is.True(r.count(proto.EventLost) > 0)
-		worker.mu.Lock()
-		is.Equal(len(worker.running), 0)
-		worker.mu.Unlock()
-		r.end(cancel)
-	})
+	for name, test := range map[string]struct{ age, holdWait time.Duration }{
+		"next boot seen before the start":    {10 * time.Second, 50 * time.Millisecond},
+		"clocks of both boots hardly differ": {2 * time.Second, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				worker := &rebootingWorker{fakeWorker: &fakeWorker{begin: time.Now()}, holdWait: test.holdWait}
+				r := &fixture{worker: worker.fakeWorker, session: proto.Session{Term: 1, Number: 1}}
+				r.keeper = &Keeper{Client: worker, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Lease: 6 * time.Second}
+				r.keeper.Prepare()
+				r.keeper.group.Go(func() { r.poll(ctx) })
+				r.keeper.SetAssignments(proto.AssignmentSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Assignment{{VM: winch.WorkerVM{ID: "w"}, Token: 5}}})
+				time.Sleep(test.age)
+				r.keeper.QueueOrders(proto.KeeperOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 7}}})
+				time.Sleep(5 * time.Second)
+				is.True(r.count(proto.EventLost) > 0)
+				worker.mu.Lock()
+				is.Equal(len(worker.running), 0)
+				worker.mu.Unlock()
+				r.end(cancel)
+			})
+		})
+	}
 }
