region, coord/keep: a session ends when one of its messages is lost

If a link is replaced while no poll is in progress, an order that was on its way is lost, or arrives after later ones, and the session with the keeper goes on: a start is never carried out, and its task counts as running. Polls now name how many messages the planner has sent in the session before, and a keeper that has received fewer ends the session, so that all is listed again.

--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -58,6 +58,7 @@
 	byToken  map[uint64]*holder
 	commands Commands
 	events   []proto.KeeperEvent
+	messages uint64 // messages counts the planner's messages in the session.
 	// overflowed is set once events were dropped: the planner must begin a new session.
 	overflowed bool
 	// ended holds the ended assignments whose lease expiry the planner may not know yet;
@@ -128,6 +129,7 @@
 		k.beginSession(set.Session)
 		k.authorityUntil = time.Now().Add(set.Authority)
 	}
+	k.messages++
 	wanted := make(map[string]bool, len(set.Workers))
 	for _, w := range set.Workers {
 		wanted[w.VM.ID] = true
@@ -172,7 +174,7 @@
 // beginSession ends all assignments and begins a session. If the session belongs to a later
 // planner, the runs and lease expiries known so far are reported to that planner.
 func (k *Keeper) beginSession(s proto.Session) {
-	k.events, k.overflowed = nil, false
+	k.events, k.overflowed, k.messages = nil, false, 0
 	k.endedSent = 0
 	if s.Term > k.session.Term {
 		k.ended = k.lastEndedAssignments() // A later planner starts from the stored record, which may be outdated.
@@ -276,6 +278,7 @@
 	if msg.Session != k.session {
 		return nil
 	}
+	k.messages++
 	out := make([]*holder, len(msg.Orders))
 	for i, o := range msg.Orders {
 		out[i] = k.byToken[o.Token]
@@ -316,7 +319,7 @@
 func (k *Keeper) collect(req proto.KeeperPollRequest) (proto.KeeperPollResponse, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if req.Session != k.session || k.overflowed {
+	if req.Session != k.session || k.overflowed || req.Messages > k.messages {
 		return proto.KeeperPollResponse{Term: k.session.Term}, true
 	}
 	if until := k.started.Add(req.Stamp + req.Authority); req.Stamp > 0 && until.After(k.authorityUntil) {
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -143,6 +143,9 @@
 	// from that time on the keeper's own clock: a request may be queued for seconds
 	// before it is read, while the planner counts from when it was sent.
 	Stamp time.Duration `cbor:"4,keyasint,omitempty"`
+	// Messages is how many messages the planner has sent in the session before. A keeper that
+	// has received fewer ends the session. Zero means that they are not counted.
+	Messages uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // KeeperPollResponse holds the events at a keeper's workers since its last response.
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -97,7 +97,7 @@
 	listAsOf      time.Time // listAsOf is the time at which the known worker list was current.
 	missing       map[string]time.Time
 	earlierBoots  map[string]winch.WorkerVM // earlierBoots holds records of a start before that of the listed boot.
-	keeperBackoff map[string]bool // keeperBackoff holds the keepers to which no session is opened for the moment.
+	keeperBackoff map[string]bool           // keeperBackoff holds the keepers to which no session is opened for the moment.
 	// desired is the roster to be recorded, roster the one that is recorded.
 	desired        map[string]rosteredWorker
 	roster         map[string]rosteredWorker
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,6 +36,7 @@
 	name       string
 	session    proto.Session
 	stamp      time.Duration // stamp is that of the keeper's last response.
+	messages   atomic.Uint64 // messages counts the messages sent to the keeper.
 	local      bool          // local is set if the keeper is the planner's own entry.
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -78,6 +80,7 @@
 	if n.Peers.Notify(p.name, kind, body) != nil {
 		p.cancel() // A lost message would leave planner and keeper with different views.
 	}
+	p.messages.Add(1) // Counted once it is queued, so that a poll that names it is sent later.
 }
 
 // poll fetches the keeper's events until the session ends, and then takes its workers away.
@@ -129,6 +132,9 @@
 // pollOnce sends one poll request to the keeper.
 func (p *proxy) pollOnce(ctx context.Context) (proto.KeeperPollResponse, error) {
 	request := proto.KeeperPollRequest{Session: p.session, Authority: p.leadership.authority(), Wait: pollWait, Stamp: p.stamp}
+	if !p.local {
+		request.Messages = p.messages.Load()
+	}
 	if p.local {
 		return p.leadership.node.keeper.Poll(ctx, request), nil
 	}
