platform, coord/keep: completions are acknowledged only on a connection to the boot that listed them

A worker that starts again under its ID at its address, within the pause between two holds, was sent the number up to which its last boot's completions are recorded: the call opened a new connection, and only its response showed that another boot had answered. That boot then drops its own completions up to the number as they come, unseen, so that their tasks count as vanished and are started again, each acknowledged at once and none stopped: many cases at a few workers, often at the same one.

Without one the call fails unsent, and the hold is sent again without a number, as after any failure.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -164,6 +164,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	resp, err := h.keeper.Client.Hold(callCtx, h.vm, call)
+	if errors.Is(err, winch.ErrNoConnection) {
+		return resp, err // It was not sent, which says nothing about the worker.
+	}
 	h.recordCall(isResponse(err))
 	if err == nil && call.Wait == 0 {
 		h.keeper.roundTrips.observe(time.Since(sent))
@@ -175,7 +178,7 @@
 // completion. It does not renew the lease.
 func (h *holder) requestLists(ctx context.Context) {
 	h.mu.Lock()
-	req := winch.HoldRequest{Token: h.token, Forget: h.recordedUpTo, Until: h.leaseUntil}
+	req := winch.HoldRequest{Token: h.token, Until: h.leaseUntil}
 	ok := h.listed && !h.unresponsive && !h.retrying
 	h.mu.Unlock()
 	if !ok {
--- a/winch/region.go
+++ b/winch/region.go
@@ -117,7 +117,9 @@
 	Token uint64
 	// Until is the new lease expiry on the worker's clock; zero doesn't change the lease.
 	Until time.Duration
-	// Forget is the number up to which completions are recorded.
+	// Forget is the number up to which completions are recorded. A hold that names one is sent only
+	// on a connection on which a hold to the same boot was answered before; ErrNoConnection says that
+	// there is none. The next boot under the same ID would take the number for one of its own.
 	Forget uint64
 	// Wait is how long the worker may delay its response until a run completes.
 	Wait time.Duration
