coord/fleet: the same if the keeper finds the next boot first

The keeper reports the loss as soon as the next boot responds, before the list names that boot, and the planner restarted the tasks of unanswered starts then.

Unanswered starts are kept from the loss on, until the next boot has listed its runs, or eight seconds if the list does not name it. TestStartThatMayReachTheNextBootIsNotRepeatedWhenItsKeeperFindsIt failed before. Confirmed runs are not waited for: a boot that is under three seconds old when it is replaced can still have confirmed a start that the next one carried out.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -41,8 +41,13 @@
 	case proto.EventFound:
 		p.handleFound(w, e.Running)
 	case proto.EventLost:
-		p.WorkerLost(e.Worker, e.Result == winch.StartOtherBoot)
 		w.replaced = e.Result == winch.StartOtherBoot && w.vm.Born != 0
+		var carried []runKey
+		if w.replaced {
+			carried = w.unconfirmedRuns()
+		}
+		p.WorkerLost(e.Worker, e.Result == winch.StartOtherBoot)
+		p.carryOver(w, carried)
 	case proto.EventKnownRuns:
 		p.handleKnown(w, e)
 	case proto.EventUnresponsive:
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -95,6 +95,8 @@
 	// copyable holds the phases that may have stragglers, copies the runs that are copies of others.
 	copyable []*phase
 	copies   []*run
+	// carried holds until when runs are kept that may have been started by the next boot of a worker, see carryOver.
+	carried map[*worker]time.Time
 	// awaited holds the workers that report runs or completions of jobs that the planner does not know, by job.
 	awaited map[string]map[*worker]bool
 	// pendingWorkers holds the workers with completions that have not been forgotten yet.
@@ -152,6 +154,7 @@
 		Term: term, Policy: winch.DefaultPolicy(), Clock: time.Now, jobs: make(map[string]*job), active: make(map[string]*job), workers: make(map[string]*worker),
 		queues: make(map[string]*queue), teams: make(map[string]*team), roster: make(map[string]bool), evacuated: make(map[string]bool),
 		awaited:        make(map[string]map[*worker]bool),
+		carried:        make(map[*worker]time.Time),
 		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), saved: make(map[winch.RunID]string), Quota: unlimitedQuota,
 		speeds: newSpeeds(),
 	}
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -126,6 +126,7 @@
 	p.chargeUnreported(now)
 	p.plannedPhases, p.searchedPhases, p.examined, p.initialQuota = 0, 0, 0, p.Quota
 	p.endLongProbes(now)
+	p.endCarried(now)
 	p.refreshEvictions(now)
 	p.measure(now, adopting)
 	p.startReady(now)
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -92,7 +92,7 @@
 		w := p.workers[vm.ID]
 		var carried []runKey
 		if w != nil && !w.vm.SameBoot(vm) {
-			carried = w.unlistedRuns()
+			carried = w.unconfirmedRuns()
 			p.WorkerLost(vm.ID, true)
 			delete(p.workers, vm.ID)
 			p.dropOrders(vm.ID)
@@ -132,10 +132,10 @@
 	return added
 }
 
-// unlistedRuns returns the runs that the worker has not listed. Their starts may be on their way.
-func (w *worker) unlistedRuns() (out []runKey) {
+// unconfirmedRuns returns the runs whose starts the worker has not confirmed. They may be on their way.
+func (w *worker) unconfirmedRuns() (out []runKey) {
 	for key, r := range w.runs {
-		if r.task != nil && !r.adopted && r.reportedAt.IsZero() {
+		if r.task != nil && !r.started {
 			out = append(out, key)
 		}
 	}
@@ -148,6 +148,24 @@
 	for _, key := range runs {
 		if t := p.task(key.task); t != nil && !t.done && !t.phase.job.state.Final() {
 			p.stopRun(p.addRun(w, t, key.task, key.run))
+			p.carried[w] = p.now().Add(nextBootTimeout)
+		}
+	}
+}
+
+// nextBootTimeout is how long a start that was meant for a replaced boot is waited for if the list does not name the next
+// one: longer than any lease.
+const nextBootTimeout = 8 * time.Second
+
+// endCarried ends the runs that were kept for a next boot that the list has not named in time.
+func (p *Planner) endCarried(now time.Time) {
+	for w, until := range p.carried {
+		if p.workers[w.vm.ID] == w && w.replaced && now.Before(until) {
+			continue
+		}
+		delete(p.carried, w)
+		if p.workers[w.vm.ID] == w && w.replaced {
+			p.WorkerLost(w.vm.ID, false)
 		}
 	}
 }
