region: a restarted entry learns when earlier terms began

A planner without a copy waits for leases of earlier planners until a time counted from the beginning of the term that the roster names, and asks the other entries for how long they have known of that term. Each remembers the terms since its own start only. Once the office has gone round all entries left and each has been restarted since, none knows the beginning, and the wait is counted from a later term.

An entry now asks the entries it is linked to soon after its start, twelve at most, for the ages of all terms that they remember, and keeps the earliest times. It goes on until it has run for as long as the longest wait; each term before its start has lasted as long by then. Planners keep the responses to their own questions too. An age is reduced by the greatest drift of a clock with each report, so a term never counts as begun earlier than it was. The store needs no new record. Entries of the version before ignore the new field and report nothing.

Not measured: the requests when hundreds of entries start at once. If all entries are restarted together, the wait begins again, as before.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -124,6 +124,8 @@
 // TermRequest asks an entry how long it has known that a term, or a later one, began.
 type TermRequest struct {
 	Term uint64 `cbor:"1,keyasint"`
+	// All requests that for all terms that the entry remembers.
+	All bool `cbor:"2,keyasint,omitempty"`
 }
 
 // TermResponse is the response to a TermRequest; Known is false if the entry has seen
@@ -131,6 +133,15 @@
 type TermResponse struct {
 	Known bool          `cbor:"1,keyasint,omitempty"`
 	Age   time.Duration `cbor:"2,keyasint,omitempty"`
+	// Terms holds what was requested with All.
+	Terms []TermAge `cbor:"3,keyasint,omitempty"`
+}
+
+// TermAge is how long it has been known that a term, or a later one, began.
+type TermAge struct {
+	_    struct{} `cbor:",toarray"`
+	Term uint64
+	Age  time.Duration
 }
 
 // KeeperPollRequest asks a keeper for new events. The keeper responds at once if there
--- a/region/termbound.go
+++ b/region/termbound.go
@@ -1,11 +1,14 @@
 package region
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 )
 
@@ -18,6 +21,8 @@
 	termRequestTimeout = 500 * time.Millisecond
 	// maxTermRequests bounds the entries that are asked.
 	maxTermRequests = 12
+	// termHistoryInterval is how often an entry that has started looks for others to ask for earlier terms.
+	termHistoryInterval = 100 * time.Millisecond
 )
 
 // A planner that has no copy of what its predecessor knew waits until all work at an unresponsive worker
@@ -69,12 +74,72 @@
 func (c *cellView) termSeen(term uint64) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	first, seen := time.Time{}, false
 	for _, t := range c.terms {
-		if t.term >= term {
-			return t.at, true
+		if t.term >= term && (!seen || t.at.Before(first)) {
+			first, seen = t.at, true
 		}
 	}
-	return time.Time{}, false
+	return first, seen
+}
+
+// termAges returns how long ago the remembered terms were first seen.
+func (c *cellView) termAges() []proto.TermAge {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]proto.TermAge, 0, len(c.terms))
+	for _, t := range c.terms {
+		out = append(out, proto.TermAge{Term: t.term, Age: time.Since(t.at)})
+	}
+	return out
+}
+
+// noteTermAges records how long another entry has known of terms.
+func (c *cellView) noteTermAges(ages []proto.TermAge) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range ages {
+		at := beganBefore(x.Age)
+		i, found := slices.BinarySearchFunc(c.terms, x.Term, func(t termSeen, term uint64) int { return cmp.Compare(t.term, term) })
+		if !found {
+			c.terms = slices.Insert(c.terms, i, termSeen{x.Term, at})
+		}
+		c.terms[i].at = earlierTime(c.terms[i].at, at)
+	}
+	c.terms = c.terms[max(0, len(c.terms)-maxTerms):]
+}
+
+// beganBefore returns a time by which something had begun that has lasted for the given time on another
+// entry's clock.
+func beganBefore(age time.Duration) time.Time {
+	return time.Now().Add(-time.Duration(float64(age) * (1 - maxClockDrift)))
+}
+
+// runTermHistory asks each entry that is linked soon after the start for how long it has known of earlier
+// terms. Entries that are restarted one after the other would otherwise forget when those began. Once this
+// entry has run for as long as the longest wait, each earlier term has lasted as long.
+func (n *Node) runTermHistory(ctx context.Context) {
+	asked := make(map[string]bool)
+	for ctx.Err() == nil && n.uptime() < barrier() && len(asked) < maxTermRequests {
+		for _, name := range n.Peers.Names() {
+			if !asked[name] && len(asked) < maxTermRequests && n.requestTermHistory(ctx, name) {
+				asked[name] = true
+			}
+		}
+		duty.Sleep(ctx, termHistoryInterval)
+	}
+}
+
+// requestTermHistory asks an entry for how long it has known of terms, and reports whether it responded.
+func (n *Node) requestTermHistory(ctx context.Context, name string) bool {
+	ctx, cancel := context.WithTimeout(ctx, termRequestTimeout)
+	defer cancel()
+	var resp proto.TermResponse
+	if n.Peers.Request(ctx, name, proto.KindTerm, proto.TermRequest{All: true}, &resp) != nil {
+		return false
+	}
+	n.cell.noteTermAges(resp.Terms)
+	return true
 }
 
 // sendPendingRenewal sends the renewal of a worker's lease that waited for the roster, if any.
@@ -126,7 +191,8 @@
 	if !resp.Known {
 		return
 	}
-	began := time.Now().Add(-time.Duration(float64(resp.Age) * (1 - maxClockDrift)))
+	l.node.cell.noteTermAges([]proto.TermAge{{Term: term, Age: resp.Age}})
+	began := beganBefore(resp.Age)
 	l.post(func() { l.applyTermBegan(term, began) })
 }
 
@@ -147,6 +213,9 @@
 
 // termResponse returns for how long this entry has known that a term began.
 func (n *Node) termResponse(req proto.TermRequest) proto.TermResponse {
+	if req.All {
+		return proto.TermResponse{Terms: n.cell.termAges()}
+	}
 	at, seen := n.cell.termSeen(req.Term)
 	if !seen {
 		return proto.TermResponse{}
