--- a/soak/fault.go
+++ b/soak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"syscall"
 	"time"
 
@@ -68,7 +69,19 @@
 	s.updateReport(func(r *Report) { r.Faults++ })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, _ = fmt.Fprintf(s.faultLog, "%s %8.3f %s\n", time.Now().Format("15:04:05.000"), time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
+	s.writeLine(s.faultLog, format, args...)
+}
+
+// logRun appends an event of a run to the log of the workers.
+func (s *Soak) logRun(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeLine(s.runLog, format, args...)
+}
+
+// writeLine appends a line to a log. The lock must be held.
+func (s *Soak) writeLine(f *os.File, format string, args ...any) {
+	_, _ = fmt.Fprintf(f, "%s %8.3f %s\n", time.Now().Format("15:04:05.000"), time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // clearStoreFaults ends all faults of the store.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,6 +62,7 @@
 	report     Report
 	started    time.Time
 	faultLog   *os.File
+	runLog     *os.File
 }
 
 // Report is the result of a run: counts of events, and the problems found.
@@ -132,10 +133,14 @@
 		return merry.Wrap(err)
 	}
 	s.faultLog = faults
+	if s.runLog, err = os.Create(filepath.Join(s.Dir, "runs.log")); err != nil {
+		return merry.Wrap(err)
+	}
 	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, SlowEvery: 3, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}, {Name: "echo", Weight: overloadWeight}}}
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
+	s.platform.Checker.Log = s.logRun
 	if err := s.platform.Start(); err != nil {
 		return err
 	}
@@ -170,6 +175,7 @@
 	}
 	s.platform.Stop()
 	_ = s.faultLog.Close()
+	_ = s.runLog.Close()
 }
 
 // addProblem adds a violated guarantee that the soak observed to the report.
