--- a/soak/fault.go
+++ b/soak/fault.go
@@ -20,7 +20,8 @@
 	short := time.Duration(20+s.rnd.IntN(1500)) * time.Millisecond
 	// The names are written to the fault log. "freeze" pauses the entry's process, "silent" drops all data
 	// between the entry and the store, "history gone" compacts the store's history, and "worker mute" makes
-	// a worker execute orders without responding.
+	// a worker execute orders without responding. "orders late" makes half of the workers execute them later, also
+	// after newer ones, without responding, and "workers boot at once" starts boots right after runs have ended.
 	kinds := []faultKind{
 		{"kill", func() { p.stop(syscall.SIGKILL) }, func() { s.restart(p) }, short},
 		{"stop", func() { p.stop(syscall.SIGTERM) }, func() { s.restart(p) }, short},
@@ -33,7 +34,10 @@
 		{"store slow", func() { s.platform.Store.SetFaults(fake.StoreFaults{Delay: 250 * time.Millisecond}) }, s.clearStoreFaults, long},
 		{"store loses", func() { s.platform.Store.SetFaults(fake.StoreFaults{LoseEvery: 3}) }, s.clearStoreFaults, long},
 		{"history gone", s.platform.Store.Compact, func() {}, 0},
-		{"worker boots", func() { s.platform.Reboot(worker) }, func() {}, 0},
+		{"store responds late", func() { s.platform.Store.SetFaults(fake.StoreFaults{ResponseDelay: short / 2}) }, s.clearStoreFaults, long},
+		{"worker boots", func() { s.platform.Reboot(worker, bootDowntime) }, func() {}, 0},
+		{"workers boot at once", func() { s.rebootAfterEnds(worker) }, func() {}, 0},
+		{"orders late", func() { s.delayOrders(worker, maxOrderDelay) }, func() { s.delayOrders(worker, 0) }, long},
 		{"worker mute", func() { s.platform.LoseResponses(worker, true) }, func() { s.platform.LoseResponses(worker, false) }, long},
 		{"configuration", s.platform.Configure, func() {}, 0},
 		{"kill all", s.killAll, s.restartAll, short},
@@ -56,6 +60,35 @@
 	})
 }
 
+const (
+	// bootDowntime is the downtime of a worker VM between two boots, and quickBootDowntime that of one which
+	// boots at once.
+	bootDowntime      = 300 * time.Millisecond
+	quickBootDowntime = 50 * time.Millisecond
+	// quickBoots is how many workers boot at once in turn, each when a run there has ended or after maxEndWait.
+	quickBoots = 4
+	maxEndWait = time.Second
+	// maxOrderDelay bounds how late orders are executed.
+	maxOrderDelay = 1200 * time.Millisecond
+)
+
+// rebootAfterEnds crashes workers in turn, starting with the given one, each when a run there has just ended,
+// and starts their next boots at once.
+func (s *Soak) rebootAfterEnds(first int) {
+	for i := range quickBoots {
+		worker := (first + i) % s.platform.Size()
+		s.platform.AwaitEnd(worker, maxEndWait)
+		s.platform.Reboot(worker, quickBootDowntime)
+	}
+}
+
+// delayOrders makes every second worker, among them the given one, execute orders late; zero ends that.
+func (s *Soak) delayOrders(worker int, maximum time.Duration) {
+	for i := worker % 2; i < s.platform.Size(); i += 2 {
+		s.platform.DelayOrders(i, maximum)
+	}
+}
+
 // faultKind is a kind of fault: how it is injected and reverted, and how long it lasts.
 type faultKind struct {
 	name     string
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -103,6 +103,7 @@
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runOverload(ctx, activeCtx) })
+	callers.Go(func() { s.runBursts(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.shrinkWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.injectPartitions(activeCtx) })
@@ -212,6 +213,11 @@
 
 // runJob submits one job and checks its course.
 func (s *Soak) runJob(ctx context.Context, c *fake.Caller, j fake.Job, rnd *rand.Rand, cancels bool) {
+	s.runJobInWave(ctx, c, j, rnd, cancels, time.Time{})
+}
+
+// runJobInWave submits one job and checks its course. It cancels the job, if it does, not before the given time.
+func (s *Soak) runJobInWave(ctx context.Context, c *fake.Caller, j fake.Job, rnd *rand.Rand, cancels bool, cancelAt time.Time) {
 	pickEntry := func() string { return s.procs[rnd.IntN(len(s.procs))].callersAddress }
 	accepted, uncertain := s.submit(ctx, c, j, pickEntry)
 	switch {
@@ -225,6 +231,7 @@
 		return
 	}
 	if cancels {
+		duty.Sleep(ctx, time.Until(cancelAt))
 		s.cancelJob(ctx, c, j, pickEntry)
 		return
 	}
