soak: the planner is lost during bursts in four ways, half the time with late responses of the store

Cause: the planner was only killed, after a burst had been submitted and with the store's faults at other times. Jobs that are accepted while a planner copies the records, and planners that go on for a while without the store, were left to chance.

Conclusion: the planner is killed, stopped, paused or cut from the store while a burst is being submitted.

--- a/soak/burst.go
+++ b/soak/burst.go
@@ -25,8 +25,8 @@
 )
 
 // runBursts submits bursts of jobs with short tasks, in series of two or three, until activeCtx ends, and then
-// waits for the end of each job. Two of three bursts are followed by a wave of cancellations. In every second
-// series, the planner is killed soon after each burst began.
+// waits for the end of each job. Two of three bursts are followed by a wave of cancellations. In two of three
+// series, the planner is lost during each burst.
 func (s *Soak) runBursts(ctx, activeCtx context.Context) {
 	rnd := rand.New(rand.NewPCG(s.Seed, 13))
 	c := &fake.Caller{HTTP: http.Client{Timeout: 4 * time.Second}}
@@ -34,11 +34,16 @@
 	defer group.Wait()
 	for n := 0; activeCtx.Err() == nil; {
 		duty.Sleep(activeCtx, time.Duration(rnd.Int64N(int64(2*meanBurstInterval))))
-		losesPlanner := rnd.IntN(2) == 0
+		losesPlanner := rnd.IntN(3) > 0
 		for range 2 + rnd.IntN(2) {
 			if activeCtx.Err() != nil {
 				return
 			}
+			lossRnd := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
+			var loss conc.WaitGroup
+			if losesPlanner {
+				loss.Go(func() { s.losePlanner(ctx, lossRnd) })
+			}
 			wave, waveAt := rnd.IntN(3) > 0, time.Now().Add(time.Duration(100+rnd.IntN(1500))*time.Millisecond)
 			for range 6 + rnd.IntN(8) {
 				n++
@@ -49,11 +54,9 @@
 				cancels := wave && rnd.IntN(2) == 0
 				entryRnd := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
 				group.Go(func() { s.runJobInWave(ctx, c, j, entryRnd, cancels, waveAt) })
+				duty.Sleep(activeCtx, time.Duration(rnd.IntN(80))*time.Millisecond)
 			}
-			duty.Sleep(activeCtx, time.Duration(rnd.IntN(400))*time.Millisecond)
-			if losesPlanner && activeCtx.Err() == nil {
-				s.losePlanner(ctx, time.Duration(20+rnd.IntN(1500))*time.Millisecond)
-			}
+			loss.Wait()
 			duty.Sleep(activeCtx, time.Duration(rnd.IntN(800))*time.Millisecond)
 		}
 	}
@@ -75,19 +78,36 @@
 	return nil, record
 }
 
-// losePlanner kills the planner, starts it again after some downtime and waits for the next planner.
-func (s *Soak) losePlanner(ctx context.Context, downtime time.Duration) {
+// losePlanner makes the region lose its planner, half the time while the store responds late, and waits for the
+// next planner. The loss is reverted after some time.
+func (s *Soak) losePlanner(ctx context.Context, rnd *rand.Rand) {
+	duty.Sleep(ctx, time.Duration(rnd.IntN(500))*time.Millisecond)
 	p, record := s.planner()
 	if p == nil {
 		return
 	}
-	s.logFault("kill planner %s for %v", p.name, downtime)
-	s.platform.Checker.RecordDisturbance(true)
-	p.stop(syscall.SIGKILL)
+	duration := time.Duration(20+rnd.IntN(2500)) * time.Millisecond
+	k := []faultKind{
+		{"kill", func() { p.stop(syscall.SIGKILL) }, func() { s.restart(p) }, duration},
+		{"stop", func() { p.stop(syscall.SIGTERM) }, func() { s.restart(p) }, duration},
+		{"freeze", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, duration},
+		{"silent", func() { p.storeRelay.setDropping(true) }, func() { p.storeRelay.setDropping(false) }, duration},
+	}[rnd.IntN(4)]
+	var late fake.StoreFaults
+	if rnd.IntN(2) == 0 {
+		late.ResponseDelay = time.Duration(50+rnd.IntN(600)) * time.Millisecond
+	}
+	s.logFault("%s planner %s for %v, store responds late by %v", k.name, p.name, duration, late.ResponseDelay)
 	s.group.Go(func() {
+		s.platform.Checker.RecordDisturbance(true)
 		defer s.platform.Checker.RecordDisturbance(false)
-		duty.Sleep(ctx, downtime)
-		s.restart(p)
+		if late.ResponseDelay > 0 {
+			s.platform.Store.SetFaults(late)
+			defer s.clearStoreFaults()
+		}
+		k.inject()
+		duty.Sleep(ctx, duration)
+		k.revert()
 	})
 	for deadline := time.Now().Add(maxOfficeTime); time.Now().Before(deadline) && ctx.Err() == nil; duty.Sleep(ctx, 10*time.Millisecond) {
 		if next, current := s.planner(); next != nil && current != record {
