soak: fewer series of bursts, half of them without the loss of a planner

Conclusion: a series every 3 s instead of every 2 s, and a loss of planners in half of them instead of two of three. The time that a job may take stays, and that batch tasks wait beside free processors is still found if it keeps a job from ending.

--- a/soak/burst.go
+++ b/soak/burst.go
@@ -17,7 +17,7 @@
 
 const (
 	// meanBurstInterval is the mean time between two series of bursts.
-	meanBurstInterval = 2 * time.Second
+	meanBurstInterval = 3 * time.Second
 	// officeKey is the key of the store whose value names the planner.
 	officeKey = "cell/office"
 	// maxOfficeTime is how long a series of lost planners waits for the next one.
@@ -25,7 +25,7 @@
 )
 
 // runBursts submits bursts of jobs with short tasks, in series of two or three, until activeCtx ends, and then
-// waits for the end of each job. Two of three bursts are followed by a wave of cancellations. In two of three
+// waits for the end of each job. Two of three bursts are followed by a wave of cancellations. In half of the
 // series, the planner is lost during each burst.
 func (s *Soak) runBursts(ctx, activeCtx context.Context) {
 	rnd := rand.New(rand.NewPCG(s.Seed, 13))
@@ -34,7 +34,7 @@
 	defer group.Wait()
 	for n := 0; activeCtx.Err() == nil; {
 		duty.Sleep(activeCtx, time.Duration(rnd.Int64N(int64(2*meanBurstInterval))))
-		losesPlanner := rnd.IntN(3) > 0
+		losesPlanner := rnd.IntN(2) == 0
 		for range 2 + rnd.IntN(2) {
 			if activeCtx.Err() != nil {
 				return
