soak: batch jobs come every 8 s instead of every 5 s

Conclusion: with planners lost in series the soak asked for more than the region does in the time it waits. The time stays.

--- a/soak/saving.go
+++ b/soak/saving.go
@@ -14,7 +14,7 @@
 )
 
 // meanSavingInterval is the mean time between two batch jobs of long tasks that save their progress.
-const meanSavingInterval = 5 * time.Second
+const meanSavingInterval = 8 * time.Second
 
 // runSavingJobs submits batch jobs of long tasks that save their progress until activeCtx ends, and
 // then waits for the end of each. Each takes all capacity that is free, so that urgent jobs evict some
