--- a/soak/overload.go
+++ b/soak/overload.go
@@ -21,7 +21,7 @@
 	// overloadInterval is the time between two of its jobs while it does, overloadLength how long it
 	// does so at a time.
 	overloadInterval = 100 * time.Millisecond
-	overloadLength   = 4 * time.Second
+	overloadLength   = 2500 * time.Millisecond
 )
 
 // order returns the order of waiting work that the entries use. Seeds take turns.
