--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,6 +62,7 @@
 	report     Report
 	started    time.Time
 	faultLog   *os.File
+	runLog     *os.File
 }
 
 // Report is the result of a run: counts of events, and the problems found.
@@ -102,6 +103,7 @@
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runOverload(ctx, activeCtx) })
+	callers.Go(func() { s.runBursts(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.shrinkWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.injectPartitions(activeCtx) })
@@ -132,10 +134,14 @@
 		return merry.Wrap(err)
 	}
 	s.faultLog = faults
+	if s.runLog, err = os.Create(filepath.Join(s.Dir, "runs.log")); err != nil {
+		return merry.Wrap(err)
+	}
 	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, SlowEvery: 3, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}, {Name: "echo", Weight: overloadWeight}}}
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
+	s.platform.Checker.Log = s.logRun
 	if err := s.platform.Start(); err != nil {
 		return err
 	}
@@ -170,6 +176,7 @@
 	}
 	s.platform.Stop()
 	_ = s.faultLog.Close()
+	_ = s.runLog.Close()
 }
 
 // addProblem adds a violated guarantee that the soak observed to the report.
@@ -206,6 +213,11 @@
 
 // runJob submits one job and checks its course.
 func (s *Soak) runJob(ctx context.Context, c *fake.Caller, j fake.Job, rnd *rand.Rand, cancels bool) {
+	s.runJobInWave(ctx, c, j, rnd, cancels, time.Time{})
+}
+
+// runJobInWave submits one job and checks its course. It cancels the job, if it does, not before the given time.
+func (s *Soak) runJobInWave(ctx context.Context, c *fake.Caller, j fake.Job, rnd *rand.Rand, cancels bool, cancelAt time.Time) {
 	pickEntry := func() string { return s.procs[rnd.IntN(len(s.procs))].callersAddress }
 	accepted, uncertain := s.submit(ctx, c, j, pickEntry)
 	switch {
@@ -219,6 +231,7 @@
 		return
 	}
 	if cancels {
+		duty.Sleep(ctx, time.Until(cancelAt))
 		s.cancelJob(ctx, c, j, pickEntry)
 		return
 	}
