coord/fleet: nothing is kept for the next boot of a worker that has left the list

A start that was kept when the keeper found another boot stayed charged for good if the worker had left the list by then: the planner drops such a worker, and nobody reported about it any more.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -47,7 +47,9 @@
 			carried = w.unconfirmedRuns()
 		}
 		p.WorkerLost(e.Worker, e.Result == winch.StartOtherBoot)
-		p.carryOver(w, carried)
+		if p.workers[e.Worker] == w { // Otherwise it has left the list, and no next boot is to come.
+			p.carryOver(w, carried)
+		}
 	case proto.EventKnownRuns:
 		p.handleKnown(w, e)
 	case proto.EventUnresponsive:
--- a/coord/fleet/nextboot_test.go
+++ b/coord/fleet/nextboot_test.go
@@ -35,6 +35,24 @@
 	})
 }
 
+// Guards against a run that counts as one for good because its worker left the list before another boot was found there.
+func TestStartAtAWorkerThatLeftTheListIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := newSimRegion(t, 1, urgentQueue())
+		c.add("a", "preview", "choir", tasks(1, 1000))
+		c.planner.Schedule()
+		is.Equal(len(c.planner.Orders()), 1)
+		other := winch.WorkerVM{ID: "w9", Address: "127.0.0.1:9", Service: "render", Domain: "d1", Rack: "r1", Room: winch.Capacity{Milli: 16000, Memory: 32 * gigabyte}, Born: 1}
+		c.planner.SetWorkers([]winch.WorkerVM{other})
+		c.listed("w9", nil)
+		c.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: "w0", Result: winch.StartOtherBoot})
+		c.saveRecords()
+		time.Sleep(2 * nextBootTimeout)
+		is.Equal(len(c.schedule()), 1)
+	})
+}
+
 // A run that the worker has confirmed ended with its boot, so that its task does not wait for the next one.
 func TestConfirmedRunEndsWhenItsBootIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
