--- a/coord/fleet/nextboot_test.go
+++ b/coord/fleet/nextboot_test.go
@@ -28,7 +28,9 @@
 		c.listed("w9", nil)
 		c.saveRecords()
 		is.Equal(len(c.schedule()), 0)
-		is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run}}) // A standby must know of it.
+		// A standby must know of it.
+		is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run}})
+		is.Equal(len(c.planner.ClosedRuns()), 0)
 		c.listed("w0", nil)
 		c.saveRecords()
 		is.Equal(len(c.schedule()), 1)
