--- a/coord/fleet/crash.go
+++ b/coord/fleet/crash.go
@@ -197,13 +197,19 @@
 func (p *Planner) closeRecorded() {
 	p.unrecordedCrashes = slices.DeleteFunc(p.unrecordedCrashes, func(u unrecordedCrash) bool {
 		recorded := u.job.savedChanges >= u.changes || p.jobs[u.run.Task.Job] != u.job
-		if recorded {
+		if recorded && !p.mayExist(u.run) {
 			p.closedRuns = append(p.closedRuns, u.run)
 		}
 		return recorded
 	})
 }
 
+// mayExist reports whether a run still counts as one that may exist, see carryOver.
+func (p *Planner) mayExist(r ClosedRun) bool {
+	w := p.workers[r.Worker]
+	return w != nil && w.runs[runKey{r.Task, r.Run}] != nil
+}
+
 // UnrecordedCrashes returns the runs that crashed their workers and whose crash is not in the
 // store yet.
 func (p *Planner) UnrecordedCrashes() []ClosedRun {
