coord/keep: a start that has waited for long is not sent

Orders to a worker that does not respond to them hold up later ones. A start that has waited longer than a worker may take to accept it is now reported as not started. TestStartThatWaitedForLongIsNotSent failed before.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -91,7 +91,8 @@
 // queuedOrder is an order that waits to be sent to the worker.
 type queuedOrder struct {
 	proto.Order
-	command string // command is the job's command, set only for starts.
+	command string    // command is the job's command, set only for starts.
+	at      time.Time // at is when the order was queued.
 }
 
 // holder manages one boot of a worker under one assignment.
@@ -208,7 +209,7 @@
 		return
 	}
 	select {
-	case h.orders <- queuedOrder{o, text}:
+	case h.orders <- queuedOrder{o, text, time.Now()}:
 	default:
 		h.keeper.count("Keep.RingFull")
 		if o.Kind == proto.OrderStart {
--- a/coord/keep/order_test.go
+++ b/coord/keep/order_test.go
@@ -125,6 +125,26 @@
 	})
 }
 
+// Guards against a start that waits for seconds behind orders that get no response: the worker may have less capacity by
+// then.
+func TestStartThatWaitedForLongIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newFixture(ctx)
+		time.Sleep(time.Second)
+		h := r.keeper.holders["w"]
+		start := proto.Order{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 3}
+		h.execute(ctx, queuedOrder{Order: start, at: time.Now().Add(-startTimeout - time.Millisecond)})
+		time.Sleep(time.Second)
+		is.Equal(r.count(proto.EventNotStarted), 1)
+		r.worker.mu.Lock()
+		is.Equal(len(r.worker.running), 0)
+		r.worker.mu.Unlock()
+		r.end(cancel)
+	})
+}
+
 // Guards against a start that is sent after the planner's authority has ended: the next planner may have started the
 // task elsewhere by then, and the start would extend the lease of everything at the worker.
 func TestNoStartIsSentWithoutAuthority(t *testing.T) {
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -52,6 +52,10 @@
 		h.reportNotStarted(c.Order)
 		return
 	}
+	if now.Sub(c.at) > startTimeout { // The planner decided by what was known when the order was queued.
+		h.reportNotStarted(c.Order)
+		return
+	}
 	until, ok := h.prepareStart(key, now)
 	if !ok {
 		h.reportNotStarted(c.Order)
