--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -230,7 +230,9 @@
 		}
 		asOf = t.store.revision
 	})
-	duty.Sleep(ctx, late)
+	if late > 0 {
+		duty.Sleep(ctx, late)
+	}
 	return out, asOf, err
 }
 
@@ -325,7 +327,9 @@
 		}
 		responseLost = responseLost || t.store.losesResponses && t.store.world.intn(2) == 0
 	})
-	duty.Sleep(ctx, late)
+	if late > 0 {
+		duty.Sleep(ctx, late)
+	}
 	if err == nil && responseLost {
 		time.Sleep(300 * time.Millisecond)
 		return 0, winch.ErrUncertain
