coord/office: nothing is begun for a term whose goroutines have ended

It could be so before when a change was read late; since such reads are applied although their context has expired, it is more frequent.

A term now ends for the planner's goroutine before its group is waited for. TestReadThatEndsAfterTheTermIsNotApplied failed before; with the race detector the tests of paused and stopped planners passed five times.

--- a/coord/office/events.go
+++ b/coord/office/events.go
@@ -54,7 +54,11 @@
 	if s == nil {
 		return
 	}
-	_ = o.Duty.Do(ctx, func() { s.cancelWithdrawnKeys() })
+	_ = o.Duty.Do(ctx, func() {
+		if !s.ended {
+			s.cancelWithdrawnKeys()
+		}
+	})
 	o.PlanSoon()
 }
 
--- a/coord/office/late_test.go
+++ b/coord/office/late_test.go
@@ -187,6 +187,21 @@
 	})
 }
 
+// Guards against work that is begun for a term whose goroutines have ended: nobody waits for it any more.
+func TestReadThatEndsAfterTheTermIsNotApplied(t *testing.T) {
+	withPlanner(t, func(t *testing.T, p *testPlanner) {
+		is := is.New(t)
+		p.loaded = true
+		p.store.afterGet = func() {
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			p.run(ctx)
+		}
+		p.JobsChanged(t.Context(), p.Ledger.Key(0))
+		is.Equal(p.hasJob(t.Context()), false)
+	})
+}
+
 // stopCounter is a worker that counts the orders to stop and knows no run.
 type stopCounter struct {
 	lateStart
--- a/coord/office/planner.go
+++ b/coord/office/planner.go
@@ -26,6 +26,7 @@
 	// loaded is set once the ledger has been read, stale if it must be read again.
 	loaded, stale bool
 	reads         ledgerReads
+	ended         bool // ended is set once the term's goroutines are waited for.
 	// begun and applied are the numbers of the last read of the whole ledger that was begun
 	// and that was applied.
 	begun, applied uint64
@@ -67,6 +68,8 @@
 	s.semaphore = make(chan struct{}, maxConcurrentDecisions)
 	s.startTime = time.Now()
 	defer group.Wait()
+	// Nothing may be added to the group once it is waited for. An error means that the duty has ended.
+	defer func() { _ = s.Duty.Do(context.Background(), func() { s.ended = true }) }()
 	if !s.reset(ctx) {
 		return
 	}
--- a/coord/office/reads.go
+++ b/coord/office/reads.go
@@ -34,8 +34,8 @@
 // outdated, the ledger is read again. A read of an earlier term is dropped.
 func (s *plannerState) applyRead(read *ledgerRead, jobs []winch.Job, err error, apply func(winch.Job)) {
 	delete(s.reads, read)
-	if s.current.Load() != s {
-		return // The planner serves another term by now.
+	if s.ended || s.current.Load() != s {
+		return // The term has ended, or the planner serves another one by now.
 	}
 	if err != nil {
 		s.stale = true
