coord/keep: a response that is read late does not show another boot

Callers saw nothing of it by itself: a worker that lives is reported as replaced, the planner takes all its runs for ended, starts their tasks elsewhere, and both run.

Cause: a clock that is 3 s behind the newest reading was taken for that of another boot, as no call lasts longer. That holds for calls with a timeout in a process that runs. One that is paused for longer, or starved, finds the response and the timeout ready at the same time, and takes either; the response is then read after newer ones.

A clock now shows another boot only if the same boot cannot have given it: a call cannot have been carried out before it was sent, and the newest reading was made before it was received, so it is behind by no more than both calls overlap. This needs no constant. It also finds a next boot wherever its clock is behind that of the last one, where the difference had to be 3 s before. An older reading does not replace a newer one.

TestResponseThatIsReadLateDoesNotShowAnotherBoot failed before: the worker was reported as lost, and the start was stopped. The table of readings passes with the new signature only, so it has not run on the code before.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -28,7 +28,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && h.updateClock(resp.Clock) {
+		if err == nil && h.updateClock(sent, resp.Clock) {
 			err = winch.ErrOtherBoot
 		}
 		if err == nil {
@@ -188,7 +188,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
 	defer cancel()
 	resp, err := h.keeper.Client.Hold(callCtx, h.vm, req)
-	if err != nil || ctx.Err() != nil || h.updateClock(resp.Clock) {
+	if err != nil || ctx.Err() != nil || h.updateClock(sent, resp.Clock) {
 		return // The pending hold handles the failure.
 	}
 	h.handleResponse(sent, resp)
@@ -241,18 +241,26 @@
 	return h.workerClock + now.Sub(h.clockReadAt)
 }
 
-// updateClock stores the worker's clock from a response, and reports whether the response
-// came from another boot. Some responses don't identify their boot, but each boot's clock
-// starts at zero and never goes back, so a lower time shows that another boot responded.
-func (h *holder) updateClock(clock time.Duration) (otherBoot bool) {
+// updateClock stores the worker's clock from the response to a call that was sent at the given time, and reports whether
+// the response came from another boot. Some responses don't identify their boot, but each boot's clock starts at zero and
+// never goes back. A call that was sent before the newest reading was received may have been carried out before it.
+func (h *holder) updateClock(sent time.Time, clock time.Duration) (otherBoot bool) {
 	if clock <= 0 {
 		return false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if clock < h.workerClock-maxReorderDelay {
+	if overlap := max(0, elapsed(sent, h.clockReadAt)); clock < h.workerClock-overlap-time.Duration(maxClockDrift*float64(overlap)) {
 		return true
 	}
-	h.workerClock, h.clockReadAt = clock, time.Now()
+	if clock > h.workerClock {
+		h.workerClock, h.clockReadAt = clock, time.Now()
+	}
 	return false
 }
+
+// elapsed returns how much time may have passed from one moment to a later one. The monotonic clock stands still while the
+// VM is suspended, and the time of day may be set.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -53,10 +53,6 @@
 	// minExpiryTimeout is the minimum timeout of a hold whose worker is about to count as
 	// lost.
 	minExpiryTimeout = 150 * time.Millisecond
-	// maxReorderDelay bounds how far the clock in a response may lag behind that in an
-	// already received one: responses on different connections can arrive out of order,
-	// but no call lasts longer than this.
-	maxReorderDelay = 3 * time.Second
 	// statusInterval is the minimum interval between status reports to the planner, and
 	// frequentStatusInterval applies while the planner adjusts throttle percentages from
 	// them.
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -68,7 +68,7 @@
 		Checkpoint: c.Checkpoint, Ticket: c.Ticket, Until: until,
 	})
 	h.recordOrder(now, result != winch.StartUncertain)
-	if otherBoot := h.updateClock(clock); otherBoot {
+	if otherBoot := h.updateClock(now, clock); otherBoot {
 		h.stopAtOtherBoot(ctx, key)
 		return
 	}
