coord/keep: the resolution of a worker's clock is allowed for

Readings are whole milliseconds, and two calls often overlap by less: a reading that was one millisecond behind showed another boot, and all runs of the worker were started again beside those that ran.

The row 'rounded to milliseconds' failed before.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -250,7 +250,8 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if overlap := max(0, elapsed(sent, h.clockReadAt)); clock < h.workerClock-overlap-time.Duration(maxClockDrift*float64(overlap)) {
+	overlap := max(0, elapsed(sent, h.clockReadAt))
+	if clock < h.workerClock-overlap-time.Duration(maxClockDrift*float64(overlap))-clockResolution {
 		return true
 	}
 	if clock > h.workerClock {
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -53,6 +53,8 @@
 	// minExpiryTimeout is the minimum timeout of a hold whose worker is about to count as
 	// lost.
 	minExpiryTimeout = 150 * time.Millisecond
+	// clockResolution is the resolution of the clock in a worker's responses.
+	clockResolution = time.Millisecond
 	// statusInterval is the minimum interval between status reports to the planner, and
 	// frequentStatusInterval applies while the planner adjusts throttle percentages from
 	// them.
--- a/coord/keep/lateresponse_test.go
+++ b/coord/keep/lateresponse_test.go
@@ -61,6 +61,7 @@
 	for name, readings := range map[string][]reading{
 		"in order":                       {{0, 10, 10_000, false}, {20, 30, 10_020, false}},
 		"same instant":                   {{0, 10, 10_000, false}, {10, 30, 10_000, false}},
+		"rounded to milliseconds":        {{0, 10, 10_000, false}, {10, 30, 9_999, false}, {9, 31, 9_998, false}, {11, 31, 9_998, true}},
 		"overlapping calls":              {{0, 1500, 11_500, false}, {100, 1600, 10_100, false}},
 		"overlapping calls, other boot":  {{0, 1500, 11_500, false}, {100, 1600, 9_900, true}},
 		"read after a pause":             {{0, 10, 10_000, false}, {4900, 5000, 14_950, false}, {20, 5100, 10_030, false}},
