region: a new planner compares records of workers with the roster

What callers saw: a task ran twice at once after a takeover, if the record of its worker was one that an earlier boot had written late, or lacked the start of the boot. Cause: records were compared with those that the planner itself had listed, and a new planner has listed none; the planner's decisions know the boot from the roster, took the record for another boot and counted the runs as ended.

A worker that is not listed is now compared with its row of the roster: a record without the start is one of that boot, and an earlier one is put aside until the keeper finds that the boot was replaced.

--- a/region/workerlist.go
+++ b/region/workerlist.go
@@ -48,10 +48,15 @@
 
 // listWorker applies a worker's record. A record without the start of the boot is taken for one of the known boot. One of
 // an earlier start may have been written late by an earlier boot, so it is put aside until the known boot is found to have
-// been replaced: the clock of the VM may have been set back.
+// been replaced: the clock of the VM may have been set back. A boot that is not listed is known from the roster.
 func (l *leadership) listWorker(vm winch.WorkerVM) {
 	delete(l.missing, vm.ID)
 	known, ok := l.workers[vm.ID]
+	if !ok {
+		var recorded rosteredWorker
+		recorded, ok = l.desired[vm.ID]
+		known = recorded.VM
+	}
 	switch {
 	case ok && vm.Born == 0:
 		vm.Born = known.Born
