region: an entry registers on condition of the record that it has read

What callers saw: nothing yet; found by reading. Cause: the registration had no condition, so the store could execute that of a process which had been killed after that of the next one. Everybody then took the live process for ended: leases that it renewed counted as expired, and a planner that followed it did not wait for its authority.

The registration now expects the revision of the record that the entry has read before. That of an earlier process fails once the next one has registered; one that came first is read, and named as an earlier boot.

--- a/region/register.go
+++ b/region/register.go
@@ -51,26 +51,30 @@
 }
 
 // earlierBoots returns the earlier boots of this entry that its stored record belongs to or
-// names, the latest first. If all entries were killed, no other entry knows that those boots
-// have ended.
-func (n *Node) earlierBoots(ctx context.Context) ([]string, error) {
+// names, the latest first, and the revision of the record, zero if there is none. If all entries
+// were killed, no other entry knows that those boots have ended.
+func (n *Node) earlierBoots(ctx context.Context) (names []string, revision uint64, err error) {
 	key := prefixNode + n.Host
 	values, _, err := n.Table.Read(ctx, key)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	for _, v := range values {
+		if v.Key != key {
+			continue
+		}
+		revision = v.Version
 		var old member
-		if v.Key != key || decode(v.Data, &old) != nil || old.Address != n.Address {
+		if decode(v.Data, &old) != nil || old.Address != n.Address {
 			continue
 		}
 		before := old.Before
 		if old.Name != n.Name {
 			before = append([]string{old.Name}, before...)
 		}
-		return before[:min(len(before), maxEarlierBoots)], nil
+		names = before[:min(len(before), maxEarlierBoots)]
 	}
-	return nil, nil
+	return names, revision, nil
 }
 
 // renewRecord renews the record's lease or writes the record under a new one, and returns the
@@ -82,7 +86,7 @@
 			return lease
 		}
 	}
-	before, err := n.earlierBoots(ctx)
+	before, revision, err := n.earlierBoots(ctx)
 	if err != nil {
 		return 0
 	}
@@ -91,7 +95,11 @@
 		return 0
 	}
 	me := member{Name: n.Name, Node: n.Host, Domain: n.Domain, Address: n.Address, Share: n.Share, Before: before, Up: time.Since(n.started)}
-	_, err = n.Table.Commit(ctx, winch.Txn{Writes: []winch.Write{{Key: prefixNode + n.Host, Data: encode(me), Lease: lease}}})
+	key := prefixNode + n.Host
+	// The condition refuses a write of an earlier boot that the store executes late: its record would show this one as ended.
+	_, err = n.Table.Commit(ctx, winch.Txn{
+		Expect: map[string]uint64{key: revision}, Writes: []winch.Write{{Key: key, Data: encode(me), Lease: lease}},
+	})
 	if err != nil {
 		return 0
 	}
