coord/keep: failing test of completions that are listed in another order

The keeper reports a completion if its number is above all that it has seen. If a worker lists a higher number first, the lower ones are never reported, and are acknowledged with the higher one.

TestCompletionsAreReportedInWhateverOrderTheyAreListed fails.

--- a/coord/keep/order_test.go
+++ b/coord/keep/order_test.go
@@ -164,3 +164,17 @@
 		r.end(cancel)
 	})
 }
+
+// Guards against completions that are acknowledged unseen because the worker lists them after ones with higher numbers.
+func TestCompletionsAreReportedInWhateverOrderTheyAreListed(t *testing.T) {
+	is := is.NewRelaxed(t)
+	k := &Keeper{Client: &fakeWorker{begin: time.Now()}, Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
+	k.Prepare()
+	h := &holder{keeper: k, vm: winch.WorkerVM{ID: "w"}, token: 5, runs: make(map[runKey]*runState), completionsRecorded: make(chan struct{}, 1)}
+	k.holders["w"] = h
+	list := completionsUpTo(3)
+	slices.Reverse(list)
+	h.handleResponse(time.Now(), winch.HoldResponse{Clock: time.Millisecond, Ended: list})
+	is.Equal(len(k.events), 1)
+	is.Equal(k.events[0].Ended, completionsUpTo(3))
+}
