coord/keep: the order in which a worker lists its completions does not matter

Cause: a number above all seen so far was taken for proof that all lower ones had been listed before. The list of a response is now brought into the order of the numbers first, so that each of them is reported.

TestCompletionsAreReportedInWhateverOrderTheyAreListed failed before; coord/keep passes.

--- a/coord/keep/lists.go
+++ b/coord/keep/lists.go
@@ -1,6 +1,8 @@
 package keep
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,6 +43,7 @@
 		h.keeper.Log.Info("worker responsive again", zap.String("worker", h.vm.ID), zap.Uint64("token", h.token))
 	}
 	var completed []winch.Completion
+	slices.SortFunc(resp.Ended, func(a, b winch.Completion) int { return cmp.Compare(a.Number, b.Number) })
 	h.listedCompletions = resp.Ended
 	for _, e := range resp.Ended {
 		if e.Number > h.lastCompletion {
