region: the roster names the keeper that renews until the next one is used

What callers saw: nothing yet; found by reading.

Cause: while a worker responds, the record of its keeper lists no earlier keepers, since these are fenced off. If its keeper is to be replaced, the first record with the next keeper lists the present one. When the keepers were chosen once more before that record was written, the worker still responded to the present keeper, so the list was cleared, or held only the keeper that was never used. A planner without a copy would not know that the former keeper's leases may still run; what the next keeper reports, or that it has ended, was taken to cover them.

Why the fix holds: the list is cleared only if the keeper that the worker responds to is the one that the record names. As long as another one is recorded, the earlier ones stay.

Test: TestRosterNamesTheKeeperThatRenewsUntilTheNextOneIsUsed failed before at the second choice of the same keeper (no earlier keeper, want k1).

--- a/region/assign.go
+++ b/region/assign.go
@@ -132,7 +132,8 @@
 func (l *leadership) rosterRecord(vm winch.WorkerVM, keeper string, generation uint64) rosteredWorker {
 	last := l.desired[vm.ID]
 	out := rosteredWorker{VM: vm, Keeper: keeper, Address: last.Address, Generation: generation}
-	if !l.expiries.renewable[vm.ID] {
+	// A response to a keeper that is about to be replaced fences off those before it, but not that keeper.
+	if !l.expiries.renewable[vm.ID] || l.assignments[vm.ID].Generation != last.Generation {
 		out.Earlier = last.Earlier
 	}
 	if last.Generation != generation {
