coord/keep, region: a keeper reports the leases that it granted, not those of others

What callers saw: after an outage of the store, lasting tasks were down for 9 to 14 s while planners were stopped one after the other, with capacity and all calm.

Cause: the first planner after the outage knows nothing of a worker that left and counts the longest wait, 8 s. It passes that to the worker's next keeper, which never has contact with the worker, but reported the wait as its own lease expiry to each later planner. The later planners learned when the real keeper had ended, from its next process' record, and shortened that keeper's part; the part of the keeper without contact kept the 8 s.

Why the fix holds: the roster names every keeper that may have renewed a lease since the worker last responded, so each keeper answers for its own leases. Once a worker has responded in an assignment, the earlier keepers are fenced off and leave the roster, and that keeper answers for their leases too, as before. A keeper that had a worker several times answers for all its assignments in the last report, since the roster may name any of them; the planner applies a report to all generations up to the reported one.

TestKeeperWithoutContactReportsNoLeasesOfOthers failed before (6 s reported, want 0). TestReportCoversAllEarlierAssignmentsToTheKeeper failed before. TestReportCoversTheKeepersEarlierAssignments fails if only the last assignment is reported.

--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -69,6 +69,9 @@
 	// already: a later planner starts from a stored record that may be older than what the
 	// earlier planner knew.
 	lastEnded map[string]endedAssignment
+	// accounted holds, by worker, when the leases are guaranteed to have expired that the ended
+	// assignments account for. A report covers all of them: the roster may name an earlier one.
+	accounted map[string]time.Time
 	// back holds, by failure domain, the channel that domainBack has returned.
 	back    map[string]chan struct{}
 	wake    chan struct{}
@@ -77,8 +80,8 @@
 	stopped bool // stopped reports that Run has ended and no worker is managed anymore.
 }
 
-// endedAssignment is an assignment that has ended. At leaseExpiry the leases granted under
-// it and under earlier ones are guaranteed to have expired.
+// endedAssignment is an assignment that has ended. At leaseExpiry the leases are guaranteed to
+// have expired that it and the keeper's earlier assignments of the worker account for.
 type endedAssignment struct {
 	worker      string
 	token       uint64
@@ -92,6 +95,7 @@
 	k.holders = make(map[string]*holder)
 	k.byToken = make(map[uint64]*holder)
 	k.lastEnded = make(map[string]endedAssignment)
+	k.accounted = make(map[string]time.Time)
 	k.back = make(map[string]chan struct{})
 	k.wake = make(chan struct{}, 1)
 	k.group = conc.NewWaitGroup()
@@ -164,7 +168,10 @@
 // worker's next keeper would have to assume the longest lease that could have been granted.
 func (k *Keeper) endAssignment(h *holder) {
 	h.cancel()
-	if expiry, last := h.close(); last {
+	expiry, last := h.close()
+	expiry = later(later(expiry, time.Now()), k.accounted[h.vm.ID])
+	k.accounted[h.vm.ID] = expiry
+	if last {
 		e := endedAssignment{h.vm.ID, h.token, h.generation, expiry}
 		k.ended, k.lastEnded[e.worker] = append(k.ended, e), e
 		duty.Signal(k.wake)
@@ -193,6 +200,7 @@
 // lastEndedAssignments returns the last ended assignment of each unassigned worker.
 func (k *Keeper) lastEndedAssignments() []endedAssignment {
 	maps.DeleteFunc(k.lastEnded, func(_ string, e endedAssignment) bool { return time.Since(e.leaseExpiry) > endedRetention })
+	maps.DeleteFunc(k.accounted, func(_ string, expiry time.Time) bool { return time.Since(expiry) > endedRetention })
 	return slices.SortedFunc(maps.Values(k.lastEnded), func(a, b endedAssignment) int { return cmp.Compare(a.worker, b.worker) })
 }
 
--- a/coord/keep/lease.go
+++ b/coord/keep/lease.go
@@ -8,14 +8,19 @@
 	"go.uber.org/zap"
 )
 
-// close stops sending starts and renewing the lease. It returns the time at which all leases
-// at the worker are guaranteed to have expired, and whether this is the worker's last known
-// assignment: a later one may have renewed the lease.
+// close stops sending starts and renewing the lease. It returns the time at which the leases
+// that the assignment accounts for are guaranteed to have expired, and whether this is the
+// worker's last known assignment: a later one may have renewed the lease. An assignment accounts
+// for earlier leases only if the worker has responded in it: until then the planner and the
+// roster name the earlier assignments.
 func (h *holder) close() (expiry time.Time, last bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.closed = true
-	return h.leaseExpiry(), !h.fenced
+	if h.listed {
+		return h.leaseExpiry(), !h.fenced
+	}
+	return h.ownExpiry, !h.fenced
 }
 
 // leaseExpiry returns when all leases at the worker are guaranteed to have expired unless
--- a/coord/keep/lease_test.go
+++ b/coord/keep/lease_test.go
@@ -218,3 +218,66 @@
 		r.end(cancel)
 	})
 }
+
+// Guards against a wait that each next keeper takes over: leases that others may have granted stand in the report of a
+// keeper to which the worker never responded, so that what is learnt of those others later shortens nothing.
+func TestKeeperWithoutContactReportsNoLeasesOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newFixture(ctx)
+		time.Sleep(time.Second)
+		r.setUnresponsive(true)
+		cancel() // Only the test polls from here on.
+		next := proto.Session{Term: 2, Number: 1}
+		w := proto.Assignment{VM: winch.WorkerVM{ID: "v"}, Token: 6, Generation: 3, Left: 7 * time.Second}
+		r.keeper.SetAssignments(proto.AssignmentSet{Session: next, Authority: 8 * time.Second, Workers: []proto.Assignment{w}})
+		time.Sleep(time.Second)
+		next = proto.Session{Term: 3, Number: 1}
+		r.keeper.SetAssignments(proto.AssignmentSet{Session: next, Authority: 8 * time.Second})
+		released := releasedOf(r.keeper.Poll(t.Context(), proto.KeeperPollRequest{Session: next, Wait: time.Second}), "v")
+		is.Equal(len(released), 1)
+		is.Equal(released[0].Turn, uint64(3))
+		is.Equal(released[0].Left, time.Duration(0))
+		r.end(cancel)
+	})
+}
+
+// Guards against a report that omits the keeper's leases of before: the worker was assigned to the same keeper again
+// and never responded in that assignment. Work that still runs under the earlier lease would be started a second time.
+func TestReportCoversTheKeepersEarlierAssignments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := newFixture(ctx)
+		time.Sleep(3 * time.Second)
+		r.setUnresponsive(true)
+		cancel() // Only the test polls from here on.
+		var next proto.Session
+		for term := range uint64(3) {
+			next = proto.Session{Term: 2 + term, Number: 1}
+			w := proto.Assignment{VM: winch.WorkerVM{ID: "w"}, Token: 6 + term, Generation: 2 + term}
+			r.keeper.SetAssignments(proto.AssignmentSet{Session: next, Authority: 8 * time.Second, Workers: []proto.Assignment{w}})
+		}
+		next.Term++
+		r.keeper.SetAssignments(proto.AssignmentSet{Session: next, Authority: 8 * time.Second})
+		released := releasedOf(r.keeper.Poll(t.Context(), proto.KeeperPollRequest{Session: next, Wait: time.Second}), "w")
+		is.Equal(len(released), 1)
+		is.Equal(released[0].Turn, uint64(4))
+		left := time.Now().Add(released[0].Left)
+		r.worker.mu.Lock()
+		is.True(left.After(r.worker.begin.Add(r.worker.until)))
+		r.worker.mu.Unlock()
+		r.end(cancel)
+	})
+}
+
+// releasedOf returns the reports in a response on ended assignments of a worker.
+func releasedOf(resp proto.KeeperPollResponse, worker string) (out []proto.KeeperEvent) {
+	for _, e := range resp.Events {
+		if e.Kind == proto.EventReleased && e.Worker == worker {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -220,8 +220,10 @@
 	Result  winch.StartResult
 	Ended   []winch.Completion
 	Running []winch.Running
-	// Left is set for EventUnresponsive and EventReleased: the time after which all leases
-	// at the worker are guaranteed to have expired if nobody renews them.
+	// Left is set for EventUnresponsive: the time after which all leases at the worker are
+	// guaranteed to have expired if nobody renews them. For EventReleased it covers the leases that
+	// the keeper granted in this and earlier assignments, and, if the worker has responded in one of
+	// them, those granted before by others.
 	Left time.Duration
 	// Spell is set for EventListed and EventResponsive: the number of unresponsive periods
 	// of the worker in this assignment.
--- a/region/earlierkeepers_test.go
+++ b/region/earlierkeepers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -42,3 +43,63 @@
 	l.expiries.markListed("w") // All earlier keepers are fenced off.
 	is.Equal(choose("k3"), nil)
 }
+
+// Guards against a wait for a keeper that has reported: the roster names it twice, with another keeper between, and it
+// reports on its last assignment, for all of them. What is known only as of a standby's copy stays as it is.
+func TestReportCoversAllEarlierAssignmentsToTheKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		s := newLeaseExpiries()
+		inSeconds := func(seconds time.Duration) time.Time { return time.Now().Add(seconds * time.Second) }
+		s.add("w", assignment{keeper: "a", generation: 1, expiry: inSeconds(8)})
+		s.add("w", assignment{keeper: "b", generation: 2, expiry: inSeconds(3)})
+		s.add("w", assignment{keeper: "a", generation: 3, expiry: inSeconds(8)})
+		is.True(s.applyRelease("a", proto.KeeperEvent{Worker: "w", Token: 4, Turn: 3, Left: time.Second}))
+		is.Equal(s.remaining("w"), 3*time.Second)
+
+		s.add("v", assignment{keeper: "a", expiry: inSeconds(8)})
+		is.True(!s.applyRelease("a", proto.KeeperEvent{Worker: "v", Token: 5, Turn: 3, Left: time.Second}))
+		is.Equal(s.remaining("v"), 8*time.Second)
+	})
+}
+
+// Guards against a planner's ignorance that outlasts it. A worker leaves, the store is down, and all entries are killed
+// and restarted. The first planner afterwards does not learn that the worker's keeper has ended and is stopped as planned
+// while it waits. Once the keeper's next process has registered, the next planner must not go on with that wait.
+func TestNextPlannerLearnsWhatTheOneBeforeWaitedFor(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := lastingWorld(t, 44)
+		worker, keeper := w.workerKeptBy(w.planner(), false)
+		w.leave(worker)
+		w.setStoreUnavailable(true)
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, n := range w.nodes {
+			n.start()
+		}
+		time.Sleep(7 * time.Second)
+		w.setStore(func(s *simStore) { s.down, s.refusedHosts = false, map[string]bool{keeper.host: true} })
+		recoveredAt := time.Now()
+		for w.planner() == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+		first := w.planner()
+		time.Sleep(600 * time.Millisecond)
+		w.stopAsPlanned(first, 2*time.Second, 300*time.Millisecond)
+		for w.planner() == nil || w.planner() == first {
+			time.Sleep(5 * time.Millisecond)
+		}
+		w.setStore(func(s *simStore) { s.refusedHosts = nil })
+		for w.runningLasting() < 18 && time.Since(recoveredAt) < 20*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Log("all run again", time.Since(recoveredAt), "after the store responds again")
+		is.True(time.Since(recoveredAt) < maxDowntime)
+		w.endWithoutDowntimeCheck()
+	})
+}
--- a/region/expiry.go
+++ b/region/expiry.go
@@ -90,10 +90,10 @@
 }
 
 // applyRelease applies a keeper's report on an assignment that has ended, and reports whether the
-// leases expire earlier than was known.
+// leases expire earlier than was known. The report covers the keeper's earlier assignments of the worker.
 func (s *leaseExpiries) applyRelease(keeper string, e proto.KeeperEvent) bool {
 	return s.shorten(e.Worker, time.Now().Add(e.Left), func(a assignment) bool {
-		return a.token == e.Token || a.token == 0 && a.keeper == keeper && a.generation == e.Turn
+		return a.token == e.Token || a.token == 0 && a.generation != 0 && a.keeper == keeper && a.generation <= e.Turn
 	})
 }
 
