region: the test of a passed-on job waits until its entry was just confirmed

TestPassedOnJobIsJudgedByTheNewerConfiguration failed once in the package's run, then in 2 of 120 and 2 of 80 runs (on two builds): the entry that must still have the older configuration sometimes asked a peer in the 50 ms before the jobs were submitted, which is its regular refresh.

--- a/region/configpath_test.go
+++ b/region/configpath_test.go
@@ -227,6 +227,10 @@
 		w.refuseEntry(f.node.Name)
 		w.setNotifyDelay(func(_, to string, _ winch.Kind) (time.Duration, bool) { return 0, to != f.host })
 		time.Sleep(time.Second)
+		// The entry has just been confirmed, so that it asks nobody before the jobs are submitted.
+		for f.node.settings.age() > f.node.Timing.refreshAge()/2 {
+			time.Sleep(5 * time.Millisecond)
+		}
 		next := simConfig(2)
 		next.Queues = next.Queues[:1]
 		next.Teams[0].Keys = []string{"valid"}
