region: failing tests of expiries that a planner records when it hands the office over

The roster keeps the time until the leases of a worker have expired, as the planner recorded it at a planned stop. It is counted from the start of whatever term reads it. The next planner writes the roster only if a worker's keeper, generation, boot, bound or runs differ; if it has not when it is lost, leases that its keepers have renewed count as expired, and the wait for unknown work, of all workers, ends with the longest of these times.

The wait is also shortened as soon as the parts of the roster read so far have such times, and not put back when a later part lacks them.

--- /dev/null
+++ b/region/handedover_test.go
@@ -0,0 +1,52 @@
+package region
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/winch"
+)
+
+// handedOver returns a part of the roster with one worker, whose leases a planner recorded to run for a time.
+func handedOver(domain, worker string, left time.Duration) winch.Value {
+	part := newRoster(map[string]rosteredWorker{worker: {
+		VM: winch.WorkerVM{ID: worker, Address: worker, Domain: domain, Born: 1}, Keeper: "keeper", Generation: 1, Left: left,
+	}})
+	return winch.Value{Key: rosterKey(domain), Version: 5, Data: encode(part)}
+}
+
+// Guards against leases that count as expired at a time that a planner before the last one recorded: the last one may have
+// renewed them without changing the record.
+func TestExpiriesRecordedBeforeTheLastTermAreNotUsed(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 98, 3, 3)
+		settle()
+		l := newLeadership(w.planner().node, 9, 100, 0, time.Now())
+		is.NoErr(l.loadRoster(handedOver("d0", "w0", time.Second)))
+		l.applyInherited()
+		is.True(l.expiries.remaining("w0") > 7*time.Second)
+		is.True(time.Until(l.planner.Barrier) > 7*time.Second)
+		w.end()
+	})
+}
+
+// Guards against a wait for earlier work that ends too soon because a part of the roster that was read first says when the
+// leases of its own workers expire.
+func TestExpiriesRecordedForSomeWorkersDoNotShortenTheWaitForOthers(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 99, 3, 3)
+		settle()
+		l := newLeadership(w.planner().node, 9, 100, 0, time.Now())
+		is.NoErr(l.loadRoster(handedOver("d0", "w0", time.Second)))
+		is.NoErr(l.loadRoster(handedOver("d1", "w1", 0)))
+		is.True(time.Until(l.planner.Barrier) > 7*time.Second)
+		w.end()
+	})
+}
