region: an expiry that a planner records when it hands the office over counts for the next term only

What callers saw: nothing yet; found by reading. Cause: the time until leases expire is counted from the beginning of the term that reads it, and a planner in between that has renewed leases need not have written the roster. And the wait for unknown work was shortened by the parts of the roster read first, without regard to the others.

The wait is computed anew with each part.

The test of parts now names the last term, so that its times are used, and checks that too. The tests of stops, series, rosters and lasting tasks of region pass in 58 s.

--- a/region/handedover_test.go
+++ b/region/handedover_test.go
@@ -10,10 +10,10 @@
 	"plantainwinch/winch"
 )
 
-// handedOver returns a part of the roster with one worker, whose leases a planner recorded to run for a time.
-func handedOver(domain, worker string, left time.Duration) winch.Value {
+// handedOver returns a part of the roster with one worker, whose leases the planner of a term recorded to run for a time.
+func handedOver(domain, worker string, left time.Duration, term uint64) winch.Value {
 	part := newRoster(map[string]rosteredWorker{worker: {
-		VM: winch.WorkerVM{ID: worker, Address: worker, Domain: domain, Born: 1}, Keeper: "keeper", Generation: 1, Left: left,
+		VM: winch.WorkerVM{ID: worker, Address: worker, Domain: domain, Born: 1}, Keeper: "keeper", Generation: 1, Left: left, LeftTerm: term,
 	}})
 	return winch.Value{Key: rosterKey(domain), Version: 5, Data: encode(part)}
 }
@@ -27,7 +27,7 @@
 		w := newWorld(t, 98, 3, 3)
 		settle()
 		l := newLeadership(w.planner().node, 9, 100, 0, time.Now())
-		is.NoErr(l.loadRoster(handedOver("d0", "w0", time.Second)))
+		is.NoErr(l.loadRoster(handedOver("d0", "w0", time.Second, 7)))
 		l.applyInherited()
 		is.True(l.expiries.remaining("w0") > 7*time.Second)
 		is.True(time.Until(l.planner.Barrier) > 7*time.Second)
@@ -44,8 +44,9 @@
 		w := newWorld(t, 99, 3, 3)
 		settle()
 		l := newLeadership(w.planner().node, 9, 100, 0, time.Now())
-		is.NoErr(l.loadRoster(handedOver("d0", "w0", time.Second)))
-		is.NoErr(l.loadRoster(handedOver("d1", "w1", 0)))
+		is.NoErr(l.loadRoster(handedOver("d0", "w0", time.Second, 8)))
+		is.Equal(l.planner.Barrier, l.startedAt.Add(time.Second)) // The last planner has recorded it.
+		is.NoErr(l.loadRoster(handedOver("d1", "w1", 0, 8)))
 		is.True(time.Until(l.planner.Barrier) > 7*time.Second)
 		w.end()
 	})
--- a/region/keys.go
+++ b/region/keys.go
@@ -109,6 +109,8 @@
 	// ended. It is set when the planner hands the office over and no keeper may renew the
 	// worker's lease.
 	Left time.Duration
+	// LeftTerm is the term of the planner that set Left. A later one may have renewed leases.
+	LeftTerm uint64
 	// Generation changes whenever the worker is assigned to another keeper. What a keeper
 	// reports of an earlier generation is incomplete, since the worker may have been assigned
 	// to others in between.
@@ -136,6 +138,7 @@
 	Addresses []string // Addresses holds the address of each of Keepers.
 	Earlier   []earlierRow
 	Bounds    []uint64 // Bounds holds the bound of each of Workers; it is empty if none has one.
+	LeftTerm  uint64   `cbor:",omitempty"` // LeftTerm is that of all workers whose Left is set.
 }
 
 // earlierRow is the stored form of an earlier keeper of a worker.
@@ -182,6 +185,7 @@
 		})
 		out.Turns, out.Bounds = append(out.Turns, w.Generation), append(out.Bounds, w.Bound)
 		bound = bound || w.Bound != 0
+		out.LeftTerm = max(out.LeftTerm, w.LeftTerm)
 	}
 	if !bound {
 		out.Bounds = nil
@@ -193,7 +197,7 @@
 func (r *roster) list() []rosteredWorker {
 	out := make([]rosteredWorker, 0, len(r.Workers))
 	for i, w := range r.Workers {
-		x := rosteredWorker{VM: winch.WorkerVM{ID: w.ID, Address: w.Address, Domain: w.Domain, Born: w.Born}, Settled: w.Settled, Runs: w.Runs, Left: w.Left}
+		x := rosteredWorker{VM: winch.WorkerVM{ID: w.ID, Address: w.Address, Domain: w.Domain, Born: w.Born}, Settled: w.Settled, Runs: w.Runs, Left: w.Left, LeftTerm: r.LeftTerm}
 		x.Keeper, x.Address = r.keeper(w.Keeper)
 		if i < len(r.Turns) {
 			x.Generation = r.Turns[i]
--- a/region/record.go
+++ b/region/record.go
@@ -275,7 +275,7 @@
 	if l.duty.Do(ctx, func() {
 		l.runsRecorded = true
 		for id, w := range l.roster {
-			w.Settled, w.Runs, w.Left = l.planner.RunsKnown(id), nil, l.expiries.expiresIn(id)
+			w.Settled, w.Runs, w.Left, w.LeftTerm = l.planner.RunsKnown(id), nil, l.expiries.expiresIn(id), l.term
 			if w.Settled {
 				w.Runs, w.Bound = l.planner.RunsAt(id), 0
 			}
--- a/region/takeover.go
+++ b/region/takeover.go
@@ -98,6 +98,9 @@
 	var ids []string
 	for _, w := range r.list() {
 		w.Revision = v.Version
+		if w.LeftTerm+1 != l.term {
+			w.Left = 0 // A planner in between may have renewed leases without changing the record.
+		}
 		l.previousRoster[w.VM.ID] = w
 		l.roster[w.VM.ID] = w
 		l.desired[w.VM.ID] = rosteredWorker{
@@ -113,6 +116,7 @@
 		ids = append(ids, w.VM.ID)
 	}
 	l.planner.SetRoster(ids)
+	l.planner.Barrier = l.startedAt.Add(barrier())
 	if left, all := l.handedOverLeft(); all {
 		l.planner.Barrier = l.startedAt.Add(left)
 	}
