region: a start that may reach the next boot of a worker counts until leases there have expired

What callers saw: nothing yet; found by reading. Cause: with the boot that has ended, the times at which leases of the worker expire are forgotten, though a start that is on its way extends the lease at the next boot. The keeper of that boot was given no time to wait, and the absence of one response counted as proof that nothing runs there.

If starts are kept for the next boot, one whole lease is counted from the loss on.

TestStartThatMayReachTheNextBootIsWaitedForIfThatDoesNotRespond failed before and passes; so do the tests of boots, expiries and losses of region.

--- a/region/proxy.go
+++ b/region/proxy.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/fleet"
+	"plantainwinch/coord/keep"
 	"plantainwinch/coord/lanes"
 	"plantainwinch/duty"
 	"plantainwinch/proto"
@@ -226,9 +227,12 @@
 }
 
 // unassignLost ends the assignment of a lost worker. The worker is assigned again if it is
-// still listed.
+// still listed. Starts that may reach its next boot extend the lease there.
 func (l *leadership) unassignLost(id string) {
 	l.expiries.forget(id)
+	if len(l.planner.RunsAt(id)) > 0 {
+		l.expiries.add(id, assignment{expiry: time.Now().Add(keep.ExpiryBound(maxLease))})
+	}
 	l.removeAssignment(id)
 	l.reassignSoon()
 }
