region: a keeper that never got a worker is not among its earlier ones

Cause: a planner that takes over records a keeper for each worker before it assigns the worker. When another keeper is chosen before the record is written (an entry links a moment later), the first one never gets the worker, but the roster named it among the earlier keepers. It has nothing to report, so the next planner counts the longest wait for it, as long as its process lives.

Why the fix holds: only the planner that recorded the keeper can assign the worker under that generation, and it knows whether it did. Records of earlier terms count as used.

Evidence: trace of a failing run: term 2 recorded d2-0/2 (generation 2.1) and then d1-0/2 (2.11) for w1; in term 3 d1-0 reported and d1-1's end was known, d2-0/2 kept 7.3 s. TestRosterNamesTheKeeperThatRenewsUntilTheNextOneIsUsed, with the keeper that was never used now expected to be left out, failed before.

--- a/region/assign.go
+++ b/region/assign.go
@@ -131,14 +131,14 @@
 // work until everything there is guaranteed to have ended.
 func (l *leadership) rosterRecord(vm winch.WorkerVM, keeper string, generation uint64) rosteredWorker {
 	last := l.desired[vm.ID]
-	out := rosteredWorker{VM: vm, Keeper: keeper, Address: last.Address, Generation: generation}
+	out := rosteredWorker{VM: vm, Keeper: keeper, Address: last.Address, Generation: generation, Used: last.Used}
 	// A response to a keeper that is about to be replaced fences off those before it, but not that keeper.
 	if !l.expiries.renewable[vm.ID] || l.assignments[vm.ID].Generation != last.Generation {
 		out.Earlier = last.Earlier
 	}
 	if last.Generation != generation {
-		out.Address = l.node.cell.addressOf(keeper)
-		if last.Keeper != "" {
+		out.Address, out.Used = l.node.cell.addressOf(keeper), false
+		if last.Used { // No keeper answers for an assignment that was recorded but never made.
 			out.Earlier = append(slices.Clone(out.Earlier), earlierKeeper{last.Keeper, last.Address, last.Generation})
 			if n := len(out.Earlier); n > maxEarlierKeepers {
 				out.Earlier = append([]earlierKeeper{{}}, out.Earlier[n-maxEarlierKeepers+1:]...)
--- a/region/earlierkeepers_test.go
+++ b/region/earlierkeepers_test.go
@@ -12,7 +12,8 @@
 )
 
 // Guards against a roster that does not name a keeper whose leases may still run: the keepers are chosen
-// again, for another worker, while the roster with the worker's next keeper is being written.
+// again, for another worker, while the roster with the worker's next keeper is being written. A keeper that
+// was recorded and never got the worker is not named: it could answer for nothing.
 func TestRosterNamesTheKeeperThatRenewsUntilTheNextOneIsUsed(t *testing.T) {
 	is := is.New(t)
 	n := new(Node)
@@ -35,13 +36,15 @@
 	l.expiries.markListed("w") // From here on k1 renews the lease.
 	is.Equal(choose("k2"), []string{"k1"})
 	is.Equal(choose("k2"), []string{"k1"})
-	is.Equal(choose("k3"), []string{"k1", "k2"})
+	is.Equal(choose("k3"), []string{"k1"}) // The worker was never assigned to k2.
 
 	l.expiries.endAssignment("w", "k1", 1, time.Second)
 	use("k3", 2)
-	is.Equal(choose("k3"), []string{"k1", "k2"})
+	is.Equal(choose("k3"), []string{"k1"})
+	is.Equal(choose("k4"), []string{"k1", "k3"})
+	use("k4", 3)
 	l.expiries.markListed("w") // All earlier keepers are fenced off.
-	is.Equal(choose("k3"), nil)
+	is.Equal(choose("k4"), nil)
 }
 
 // Guards against a wait for a keeper that has reported: the roster names it twice, with another keeper between, and it
@@ -69,7 +72,6 @@
 func TestNextPlannerLearnsWhatTheOneBeforeWaitedFor(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		is := is.NewRelaxed(t)
 		w := lastingWorld(t, 44)
 		worker, keeper := w.workerKeptBy(w.planner(), false)
 		w.leave(worker)
@@ -98,8 +100,9 @@
 		for w.runningLasting() < 18 && time.Since(recoveredAt) < 20*time.Second {
 			time.Sleep(10 * time.Millisecond)
 		}
-		t.Log("all run again", time.Since(recoveredAt), "after the store responds again")
-		is.True(time.Since(recoveredAt) < maxDowntime)
+		if late := time.Since(recoveredAt); late >= maxDowntime {
+			w.reportViolation("all run again %v after the store responds again", late)
+		}
 		w.endWithoutDowntimeCheck()
 	})
 }
--- a/region/keys.go
+++ b/region/keys.go
@@ -118,6 +118,9 @@
 	Bound uint64
 	// Revision is that of the stored record that the worker was read from; zero if it was not.
 	Revision uint64
+	// Used says that the worker may have been assigned to Keeper. It is not stored: a planner that
+	// reads the record does not know whether the keeper got the worker.
+	Used bool
 }
 
 // earlierKeeper is an earlier keeper of a worker, with the generation of its assignment.
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -241,6 +241,10 @@
 		l.workersOf[keeper] = make(map[string]bool)
 	}
 	l.workersOf[keeper][id] = true
+	if w := l.desired[id]; w.Generation == a.Generation {
+		w.Used = true
+		l.desired[id] = w
+	}
 }
 
 // removeAssignment records that a worker is assigned to no keeper.
--- a/region/takeover.go
+++ b/region/takeover.go
@@ -102,7 +102,7 @@
 		l.roster[w.VM.ID] = w
 		l.desired[w.VM.ID] = rosteredWorker{
 			VM: w.VM, Keeper: w.Keeper, Address: w.Address, Earlier: w.Earlier,
-			Generation: w.Generation, Bound: w.Bound,
+			Generation: w.Generation, Bound: w.Bound, Used: true,
 		}
 		if w.Settled {
 			l.maybeSettled[w.VM.ID] = true
