region: an earlier record of a worker that the roster names is not taken for another boot

A planner that takes over without a copy compared a worker's record only with records that it had seen in its own term. A record that an earlier boot wrote late, read at the takeover, replaced the boot that the roster names: all runs of that one counted as ended, and their tasks were started again while they ran on.

A record is now compared with the boot that the planner knows from the roster, or knew before the worker left the list, and is put aside like any earlier one. It is applied if another boot responds, as before, or once the planner knows nothing of the worker any more, since the VM's clock may have been set back.

TestNewPlannerDoesNotTakeAnEarlierRecordForAnotherBoot failed before (a task was started while another run of it went on) and passes. TestNewPlannerUsesABootWhoseClockWasSetBack guards the other side; it passed before as well.

--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -183,6 +183,14 @@
 	return w != nil && w.empty
 }
 
+// WorkerVM returns the boot of a worker that the planner knows, also of one that has left the list.
+func (p *Planner) WorkerVM(id string) (winch.WorkerVM, bool) {
+	if w := p.workers[id]; w != nil {
+		return w.vm, true
+	}
+	return winch.WorkerVM{}, false
+}
+
 // SetRemoved adds workers that earlier planners may have used and that are no longer in the
 // platform's list: work may still run there.
 func (p *Planner) SetRemoved(vms []winch.WorkerVM) {
--- a/region/workerlist.go
+++ b/region/workerlist.go
@@ -48,14 +48,13 @@
 
 // listWorker applies a worker's record. A record without the start of the boot is taken for one of the known boot. One of
 // an earlier start may have been written late by an earlier boot, so it is put aside until the known boot is found to have
-// been replaced: the clock of the VM may have been set back. A boot that is not listed is known from the roster.
+// been replaced: the clock of the VM may have been set back. That goes as well for a worker that has left the list,
+// or is not in it yet, while the planner knows of work there.
 func (l *leadership) listWorker(vm winch.WorkerVM) {
 	delete(l.missing, vm.ID)
 	known, ok := l.workers[vm.ID]
 	if !ok {
-		var recorded rosteredWorker
-		recorded, ok = l.desired[vm.ID]
-		known = recorded.VM
+		known, ok = l.planner.WorkerVM(vm.ID)
 	}
 	switch {
 	case ok && vm.Born == 0:
@@ -77,6 +76,20 @@
 	}
 }
 
+// applyUnheldRecords applies the records that were put aside of workers that are not listed otherwise, once the planner
+// knows nothing of them any more.
+func (l *leadership) applyUnheldRecords() (applied bool) {
+	for id, vm := range l.earlierBoots {
+		_, listed := l.workers[id]
+		if _, held := l.planner.WorkerVM(id); !listed && !held {
+			delete(l.earlierBoots, id)
+			l.workers[id] = vm
+			applied = true
+		}
+	}
+	return applied
+}
+
 // unlistWorker records that a worker's record has disappeared. Records also expire while the store is
 // down and then come back, so a worker counts as removed only after workerReturnTimeout.
 func (l *leadership) unlistWorker(id string) {
@@ -89,15 +102,15 @@
 
 // dropMissing removes the workers whose records did not come back.
 func (l *leadership) dropMissing() {
-	dropped := false
+	changed := l.applyUnheldRecords()
 	for id, until := range l.missing {
 		if time.Now().After(until) {
 			delete(l.missing, id)
 			delete(l.workers, id)
-			dropped = true
+			changed = true
 		}
 	}
-	if dropped {
+	if changed {
 		l.setWorkers()
 	}
 }
