region: failing test of a planner that served for a moment

A new planner waits for a lease before it reads up to which revision earlier planners may have started jobs, unless the process of the last planner is known to have ended. If that one was replaced within a lease of its own beginning, the planner before it may still take itself for the planner: its office was ended early, and its standby goes on acknowledging its starts unless it has taken the office itself. Jobs that are accepted after the reading count as never started.

--- a/region/handedover_test.go
+++ b/region/handedover_test.go
@@ -51,3 +51,27 @@
 		w.end()
 	})
 }
+
+// Guards against jobs that count as never started although the planner before the last one, which may take itself for the
+// planner for a whole lease after it was replaced, can start them: the process of the last planner ended soon.
+func TestAPlannerThatServedForAMomentDoesNotEndTheWaitForTheOneBefore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 101, 3, 3)
+		settle()
+		n := w.planner().node
+		n.cell.noteTerm(8)
+		n.cell.noteEarlierBoot("last", time.Now())
+		time.Sleep(200 * time.Millisecond)
+		l := newLeadership(n, 9, 1, 0, time.Now())
+		l.lastHolder = "last"
+		begin := time.Now()
+		l.findAdoptedRevision(t.Context())
+		is.True(time.Since(begin) > officeTTL-250*time.Millisecond)
+		begin = time.Now()
+		l.findAdoptedRevision(t.Context())
+		is.True(time.Since(begin) < 100*time.Millisecond)
+		w.end()
+	})
+}
