region: the wait for earlier planners lasts until none can take itself for the planner

What callers saw: nothing yet; found by reading. Cause: the end of one process was taken for the end of all earlier planners. Now it ends the wait only if the term of that process began longer than a lease ago, as far as this entry or others have seen.

TestAPlannerThatServedForAMomentDoesNotEndTheWaitForTheOneBefore failed before and passes; the tests of takeovers, restarts and accepted jobs of region pass.

--- a/region/takeover.go
+++ b/region/takeover.go
@@ -145,7 +145,7 @@
 // it holds the office, unless its process is known to have ended.
 func (l *leadership) findAdoptedRevision(ctx context.Context) {
 	for end := time.Now().Add(officeTTL); time.Now().Before(end) && ctx.Err() == nil; duty.Sleep(ctx, processEndPollInterval) {
-		if _, ended := l.node.cell.endedBy(l.lastHolder); ended && l.lastHolder != "" {
+		if l.earlierPlannersEnded() {
 			break
 		}
 	}
@@ -162,6 +162,14 @@
 	}
 }
 
+// earlierPlannersEnded reports whether the last planner's process is known to have ended, and its term had begun so long ago
+// that no planner before it can assume to hold the office.
+func (l *leadership) earlierPlannersEnded() bool {
+	_, ended := l.node.cell.endedBy(l.lastHolder)
+	began, seen := l.node.cell.termSeen(l.term - 1)
+	return ended && l.lastHolder != "" && seen && time.Since(began) > officeTTL
+}
+
 // applyInherited applies what is known of the workers of the earlier planner, because this entry was its
 // standby or because the earlier planner recorded in the roster what may run there.
 func (l *leadership) applyInherited() {
