region: the roster names the keeper before until the worker has responded to the next

Found while tracing a copy that could not be matched with the roster: after a keeper had left, the stored record of its worker named the next keeper only, though the worker had responded to neither.

Cause: the next keeper is recorded before it gets the worker. When that record is written, the records are computed once more, before the assignments change. The lease could still be renewed then, by the keeper before, and that was taken for contact of the recorded one, so the earlier keepers were dropped and the roster was written again without them. A later planner without a copy then cannot match the report of the keeper before, and goes by the end of the recorded keeper for leases that another one may have renewed since. The latter could let a task run twice; no run of it was tried.

Now the earlier keepers are dropped only if the assignment whose lease may be renewed is the recorded one.

--- a/region/assign.go
+++ b/region/assign.go
@@ -131,7 +131,8 @@
 func (l *leadership) rosterRecord(vm winch.WorkerVM, keeper string, generation uint64) rosteredWorker {
 	last := l.desired[vm.ID]
 	out := rosteredWorker{VM: vm, Keeper: keeper, Address: last.Address, Generation: generation}
-	if !l.expiries.renewable[vm.ID] {
+	// The assignment may still be an earlier one: the recorded keeper gets the worker after the record is written.
+	if !l.expiries.renewable[vm.ID] || l.assignments[vm.ID].Generation != generation {
 		out.Earlier = last.Earlier
 	}
 	if last.Generation != generation {
--- a/region/leasereport_test.go
+++ b/region/leasereport_test.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +59,27 @@
 		w.checkLasting(is, 18)
 	})
 }
+
+// Guards against a roster that does not name a keeper whose leases may still run. A worker leaves, and its
+// keeper is stopped as planned. The next keeper is recorded before it gets the worker, and the record that is
+// written after that must still name the one before, since the worker has not responded to the next.
+func TestRosterNamesTheKeeperBeforeUntilTheWorkerResponds(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := lastingWorld(t, 42)
+		p := w.planner()
+		worker, keeper := w.workerKeptBy(p, false)
+		name := keeper.node.Name
+		w.leave(worker)
+		time.Sleep(time.Second)
+		w.stopAsPlanned(keeper, 2*time.Second, 300*time.Millisecond)
+		time.Sleep(nodeRenewInterval + 100*time.Millisecond) // The planner has given the worker another keeper.
+		l := p.node.leadership.Load()
+		var recorded rosteredWorker
+		is.NoErr(l.duty.Do(t.Context(), func() { recorded = l.roster[worker] }))
+		is.True(recorded.Keeper != name)
+		is.True(slices.ContainsFunc(recorded.Earlier, func(k earlierKeeper) bool { return k.Keeper == name }))
+		w.checkLasting(is, 18)
+	})
+}
