region: reports of lease expiries apply to the assignments of a copy

Seen in the new test: a keeper is stopped as planned, and the planner a moment later, before the keeper's report has reached it. The standby has a copy that names the keeper and the longest expiry, opens a session with it, gets its report and drops it; lasting tasks are down for 8.5 to 8.9 s.

Cause: a report is matched with an earlier planner's assignment by keeper and generation, and a copy holds no generations. Now a planner takes the generation from the roster, which names each keeper before it is used. If it names several generations of a keeper, the wait stays as it was. The message to the standby is unchanged.

--- a/region/expiry.go
+++ b/region/expiry.go
@@ -229,7 +229,10 @@
 				l.expiries.add(id, assignment{generation: k.Generation, keeper: k.Keeper, address: k.Address, revision: w.Revision, expiry: expiry})
 			}
 		}
-		l.expiries.earlier[id] = append(l.expiries.earlier[id], l.copiedExpiries[id]...)
+		for _, a := range l.copiedExpiries[id] {
+			a.generation = w.onlyGenerationOf(a.keeper)
+			l.expiries.add(id, a)
+		}
 	}
 }
 
--- a/region/keys.go
+++ b/region/keys.go
@@ -126,6 +126,21 @@
 	Generation      uint64
 }
 
+// onlyGenerationOf returns the generation of a keeper's assignment, which is recorded before the keeper is used.
+// It returns zero if the record names none or several for that keeper.
+func (w *rosteredWorker) onlyGenerationOf(keeper string) (generation uint64) {
+	for _, k := range append([]earlierKeeper{{w.Keeper, w.Address, w.Generation}}, w.Earlier...) {
+		switch {
+		case k.Keeper != keeper:
+		case generation != 0:
+			return 0
+		default:
+			generation = k.Generation
+		}
+	}
+	return generation
+}
+
 // roster is the stored form of the rostered workers of one failure domain. It is compact because
 // thousands of them have to fit into one value, which each change writes as a whole. Of a worker's VM it holds
 // only what is needed to reach it.
--- a/region/leasereport_test.go
+++ b/region/leasereport_test.go
@@ -83,3 +83,25 @@
 		w.checkLasting(is, 18)
 	})
 }
+
+// Guards against a report of a lease expiry that the next planner cannot match with its copy. A keeper is
+// stopped as planned, and the planner a moment later, before the keeper's report has reached it. The standby
+// has a copy that names the keeper and the longest expiry, and gets the report while the keeper's process goes
+// on.
+func TestLeaseReportAppliesToACopy(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := lastingWorld(t, 44)
+		p := w.planner()
+		worker, keeper := w.workerKeptBy(p, false)
+		w.leave(worker)
+		time.Sleep(700 * time.Millisecond)
+		w.loseOnePoll(keeper.node.Name)
+		time.Sleep(pollWait + 50*time.Millisecond) // The lost poll has been sent.
+		w.stopAsPlanned(keeper, 2*time.Second, 300*time.Millisecond)
+		time.Sleep(nodeRenewInterval + 100*time.Millisecond) // The planner has given the worker another keeper.
+		w.stopAsPlanned(p, 2*time.Second, 300*time.Millisecond)
+		w.checkLasting(is, 18)
+	})
+}
