region: the roster is written again when a lost worker has no runs any more

The record of a worker that does not respond lists the runs that may exist there, and a change of that list alone did not have the record written. After the worker was lost and its tasks were started elsewhere, a planner without a copy read the old runs, adopted them, and stopped the runs that went on as unwanted: their tasks were down and their work was thrown away.

The number of runs is compared now. Nothing starts at such a worker, so its runs only become fewer.

TestRosterListsNoRunsOfALostWorker failed before (tasks were stopped, down for 2.3 s) and passes.

--- a/region/assign.go
+++ b/region/assign.go
@@ -109,8 +109,11 @@
 // entry without a name replaces the oldest ones, of which nothing can be learnt any more.
 const maxEarlierKeepers = 16
 
+// sameRosterRecord reports whether a stored record need not be replaced. The runs of a settled worker only become fewer, so
+// that their number shows whether they have changed.
 func sameRosterRecord(a, b rosteredWorker) bool {
-	return a.Keeper == b.Keeper && a.Generation == b.Generation && a.VM.Born == b.VM.Born && a.Settled == b.Settled && a.Bound == b.Bound && slices.Equal(a.Earlier, b.Earlier)
+	return a.Keeper == b.Keeper && a.Generation == b.Generation && a.VM.Born == b.VM.Born && a.Settled == b.Settled &&
+		len(a.Runs) == len(b.Runs) && a.Bound == b.Bound && slices.Equal(a.Earlier, b.Earlier)
 }
 
 // generationOf returns the generation of a worker's assignment to a keeper: a new one if the keeper
