region: the test of a recorded lease end is named after the failure

The fix that is in use ignores the recorded time in later terms instead of holding the renewal back: a record that names its term also holds beside planners of the build before, and renewals need not wait for the store. The test is unchanged and passes.

--- a/region/recordedlease_test.go
+++ b/region/recordedlease_test.go
@@ -15,7 +15,7 @@
 // Guards against work that is started a second time because a planner's record of when a lease ends outlives the lease's
 // next renewal. A planner that stops as planned without a standby records that time for a worker that does not respond.
 // The worker responds to the next planner, which is lost before it has changed the record, and no longer to the one after.
-func TestRenewalWaitsForTheRecordOfWhenTheLeaseEnds(t *testing.T) {
+func TestRecordedEndOfALeaseDoesNotOutliveItsNextRenewal(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
