region: a worker lost after the office expired is not waited for again by the next planner

Cause: a worker's last lease expires while the store is down, after the planner's office has. The planner cannot rule out that another entry holds the office and uses the worker, so it counts the longest authority from then. It kept that wait for its own next term and sent it to its standby. Both use what they have only if they take the office directly after that term: then there was no other planner, and the lease had expired.

Why the fix holds: the planner itself still waits. The copy, used under the condition that no term lies between, says that the lease has expired. If the worker responds again under the old planner, its lease is renewed only after the standby has acknowledged that its copy no longer applies, as for any worker in the copy.

--- a/region/earlierkeepers_test.go
+++ b/region/earlierkeepers_test.go
@@ -106,3 +106,27 @@
 		w.endWithoutDowntimeCheck()
 	})
 }
+
+// Guards against a wait for a planner that never was. The store is down, a worker leaves, and its lease expires after
+// the planner's office has. Another entry could have taken the office; but whoever takes it next, the same planner or
+// its standby, knows that there was none, and must restart the worker's tasks at once.
+func TestWorkerLostWithoutAnOfficeIsNotWaitedForAgain(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		w := lastingWorld(t, 49)
+		worker, _ := w.workerKeptBy(w.planner(), false)
+		w.setStoreUnavailable(true)
+		time.Sleep(500 * time.Millisecond)
+		w.terminateWorker(worker)
+		time.Sleep(7500 * time.Millisecond)
+		w.setStoreUnavailable(false)
+		recoveredAt := time.Now()
+		for w.runningLasting() < 18 && time.Since(recoveredAt) < 20*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if late := time.Since(recoveredAt); late >= maxDowntime {
+			w.reportViolation("all run again %v after the store responds again", late)
+		}
+		w.endWithoutDowntimeCheck()
+	})
+}
--- a/region/expiry.go
+++ b/region/expiry.go
@@ -37,6 +37,9 @@
 	revision uint64
 	// expiry is when the leases under the assignment are guaranteed to have expired.
 	expiry time.Time
+	// presumed is set for an assignment that another planner may have made after this one's office
+	// expired. An entry that takes the office next knows that there was no such planner.
+	presumed bool
 }
 
 func newLeaseExpiries() leaseExpiries {
@@ -65,6 +68,14 @@
 	s.renewable[worker] = true
 }
 
+// markLostInDoubt records that all leases at a worker have expired, unless another planner has assigned
+// it since this one's office expired.
+func (s *leaseExpiries) markLostInDoubt(worker string) {
+	s.forget(worker)
+	s.unresponsive[worker] = true
+	s.add(worker, assignment{presumed: true, expiry: time.Now().Add(barrier())})
+}
+
 // markUnresponsive records that a worker does not respond to its current keeper. The leases that this
 // keeper granted run for at most the given time.
 func (s *leaseExpiries) markUnresponsive(worker string, left time.Duration) {
@@ -186,7 +197,11 @@
 			continue
 		}
 		for _, a := range list {
-			out = append(out, proto.MirrorLeaseExpiry{Worker: worker, Keeper: a.keeper, Left: time.Until(a.expiry)})
+			left := time.Until(a.expiry)
+			if a.presumed {
+				left = 0
+			}
+			out = append(out, proto.MirrorLeaseExpiry{Worker: worker, Keeper: a.keeper, Left: left})
 		}
 	}
 	return out
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -188,7 +188,8 @@
 			// its runs may continue.
 			l.planner.SetUnready([]string{e.Worker})
 			l.unassignLost(e.Worker)
-			l.expiries.add(e.Worker, assignment{expiry: time.Now().Add(barrier())})
+			l.expiries.markLostInDoubt(e.Worker)
+			l.expiriesChanged = true
 			continue
 		}
 		l.applyExpiryEvent(e)
