coord/fleet, region: how the earlier work at workers became known is logged

Each worker that leaves the planner's list of unknown earlier work now does so with a reason, one line for each reason and decision, with the number of workers and up to 20 names.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -13,7 +13,7 @@
 func (p *Planner) HandleEvent(e proto.KeeperEvent) {
 	w := p.workers[e.Worker]
 	if w == nil {
-		delete(p.roster, e.Worker)
+		p.noteEarlier(e.Worker, EarlierNotListed)
 		return
 	}
 	defer w.updateContact()
@@ -67,7 +67,7 @@
 		return
 	}
 	p.handleFound(w, e.Running)
-	delete(p.roster, w.vm.ID)
+	p.noteEarlier(w.vm.ID, EarlierReported)
 }
 
 // handleListed applies the first lists of a worker in a session. They are complete: a run that is
@@ -95,7 +95,7 @@
 	p.handleFound(w, e.Running)
 	p.handleStatus(w, e.Running)
 	w.ready, w.respondsAgain = true, true
-	delete(p.roster, w.vm.ID)
+	p.noteEarlier(w.vm.ID, EarlierListed)
 	if w.forgottenUpTo > 0 {
 		p.orderForget(w) // The order may have been lost.
 	}
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -68,6 +68,8 @@
 	// roster holds the workers that earlier planners may have used and that have not yet listed
 	// their runs.
 	roster map[string]bool
+	// earlier holds the workers that have left roster since the last call of EarlierKnown.
+	earlier map[string][]string
 	// assignedRuns counts the run numbers that this planner has assigned.
 	assignedRuns uint64
 	// evacuated holds the evacuated failure domains.
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -215,9 +215,9 @@
 		return true
 	}
 	for id := range p.roster {
+		p.noteEarlier(id, EarlierWaitOver)
 		p.WorkerLost(id, false)
 	}
-	clear(p.roster)
 	return false
 }
 
@@ -301,7 +301,11 @@
 // WorkerLost notes that all runs at a worker are guaranteed to have ended. crashed means that its
 // boot is known to have ended.
 func (p *Planner) WorkerLost(id string, crashed bool) {
-	delete(p.roster, id)
+	how, known := endLost, EarlierExpired
+	if crashed {
+		how, known = endReplaced, EarlierReplaced
+	}
+	p.noteEarlier(id, known)
 	w := p.workers[id]
 	if w == nil {
 		return
@@ -310,10 +314,6 @@
 	p.rememberBoot(w, crashed)
 	w.ready = false
 	defer w.updateContact()
-	how := endLost
-	if crashed {
-		how = endReplaced
-	}
 	for _, r := range w.runs {
 		p.counts.Lost++
 		p.endRun(r, how)
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -327,6 +327,7 @@
 	l.signalSave()
 	l.signalUnknown()
 	l.logCompletions()
+	l.logEarlier()
 	l.logLosses()
 	l.logAnomalies()
 	l.reportSpeeds()
--- a/region/report.go
+++ b/region/report.go
@@ -157,6 +157,17 @@
 // one of which may have been the cause.
 const maxLossRuns = 8
 
+// maxEarlierWorkers bounds the workers that are named in the log line of earlier work that has become known.
+const maxEarlierWorkers = 20
+
+// logEarlier logs how it became known what work of earlier planners runs at workers.
+func (l *leadership) logEarlier() {
+	for how, workers := range l.planner.EarlierKnown() {
+		l.node.Log.Info("earlier work at workers became known", zap.String("by", how), zap.Int("count", len(workers)),
+			zap.Strings("workers", workers[:min(maxEarlierWorkers, len(workers))]))
+	}
+}
+
 // logLosses logs which runs ended with a worker. A task that crashes its workers is among the first in
 // the lines of all of them.
 func (l *leadership) logLosses() {
