--- a/region/register_test.go
+++ b/region/register_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,12 +27,12 @@
 				n = x
 			}
 		}
-		var late winch.Txn
+		var late atomic.Pointer[winch.Txn]
 		w.setStore(func(s *simStore) {
 			s.commitOutcome = func(txn winch.Txn) (applied, responded bool) {
 				registers := slices.ContainsFunc(txn.Writes, func(x winch.Write) bool { return x.Key == prefixNode+n.host })
 				if registers {
-					late = txn
+					late.Store(&txn)
 				}
 				return !registers, !registers
 			}
@@ -39,13 +40,15 @@
 		n.kill()
 		n.start()
 		time.Sleep(100 * time.Millisecond)
-		is.Equal(len(late.Writes), 1)
+		registration := late.Load()
+		is.True(registration != nil)
+		is.Equal(len(registration.Writes), 1)
 		n.kill()
 		w.setStore(func(s *simStore) { s.commitOutcome = nil })
 		n.start()
 		time.Sleep(time.Second)
 		is.True(p.node.cell.addressOf(n.node.Name) != "")
-		_, _ = p.node.Table.Commit(w.ctx, late) // An error is the outcome that is wanted.
+		_, _ = p.node.Table.Commit(w.ctx, *registration) // An error is the outcome that is wanted.
 		time.Sleep(200 * time.Millisecond)
 		_, ended := p.node.cell.endedBy(n.node.Name)
 		is.True(!ended)
