region, platform: calls for the configuration that take long are logged, with the bytes that arrived

The log could not tell copies that crowd each other out from a single copy that does not fit its time limits, nor whether the store's response was arriving when an entry concluded that it reaches nobody. Counters Settings.CopiedBytes and Settings.CopiesAbandoned. No decision changes.

--- a/region/current.go
+++ b/region/current.go
@@ -118,7 +118,7 @@
 // refresh makes the configuration current. If the store has not answered any call meanwhile, and no peer says that it is
 // answered, this entry reaches nobody who knows more. A process that was held up cannot tell.
 func (s *settings) refresh(ctx context.Context) {
-	begin := time.Now()
+	begin, arrived := time.Now(), s.arrived.Load()
 	timing := s.node.Timing
 	confirmed := func() bool { return s.age() < timing.refreshAge() && s.version() >= s.required.Load() }
 	served, err := s.obtain(ctx, confirmed)
@@ -131,7 +131,8 @@
 	}
 	if s.unreachable.Swap(&begin) == nil {
 		s.node.Log.Info("neither the store nor a peer confirms the configuration", zap.Uint64("version", s.version()),
-			zap.Duration("age", s.age()), zap.Int("linked", len(s.node.Peers.Names())), zap.NamedError("read", err))
+			zap.Duration("age", s.age()), zap.Int("linked", len(s.node.Peers.Names())), zap.Int64("arrivedBytes", s.arrived.Load()-arrived),
+			zap.Uint64("newest", s.witness.newest()), zap.NamedError("read", err))
 	}
 	s.changed.send()
 }
@@ -242,7 +243,12 @@
 	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
 	defer cancel()
 	sent := time.Now()
-	values, asOf, err := s.node.Table.Read(ctx, s.node.Codec.OperatorPrefix())
+	arrived := 0
+	values, asOf, err := s.node.Table.Read(winch.WithProgress(ctx, func(bytes int) {
+		arrived += bytes
+		s.arrived.Add(int64(bytes))
+	}), s.node.Codec.OperatorPrefix())
+	s.noteCopy("store", arrived, sent, err)
 	if err != nil {
 		return err
 	}
--- a/region/settings.go
+++ b/region/settings.go
@@ -24,6 +24,8 @@
 	peerFetchDelay = 150 * time.Millisecond
 	// settingsTimeout bounds one request to a peer.
 	settingsTimeout = 500 * time.Millisecond
+	// loggedCopyTime is how long a call for the configuration may take without being logged.
+	loggedCopyTime = 200 * time.Millisecond
 )
 
 // settings holds the operator's configuration, and follows all that the operator writes into the
@@ -53,7 +55,8 @@
 	lastReport  report
 	clocks      map[string]peerClock
 	clockWanted chan struct{}
-	late        bool // late says that the log shows the configuration as not confirmed in time.
+	arrived     atomic.Int64 // arrived counts the bytes of the store's responses, complete or not.
+	late        bool         // late says that the log shows the configuration as not confirmed in time.
 	// newer holds the last announcement of a newer version than this entry has.
 	newer   chan announcement
 	witness witness
@@ -194,7 +197,9 @@
 	defer cancel()
 	sent := time.Now()
 	var response proto.Settings
-	if s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, s.request(), &response) != nil {
+	err := s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, s.request(), &response)
+	s.noteCopy(name, len(response.Data), sent, err)
+	if err != nil {
 		return false
 	}
 	s.node.applyReceived(response.Evacuations, name)
@@ -211,6 +216,20 @@
 	return !response.Unserved
 }
 
+// noteCopy logs the end of a call for the configuration that has taken long or returned none that could be used.
+func (s *settings) noteCopy(from string, size int, sent time.Time, err error) {
+	took := time.Since(sent)
+	metrics.GetOrRegisterCounter("Settings.CopiedBytes", s.node.Metrics).Inc(int64(size))
+	if err != nil {
+		metrics.GetOrRegisterCounter("Settings.CopiesAbandoned", s.node.Metrics).Inc(1)
+	}
+	if took < loggedCopyTime || size == 0 && err == nil {
+		return
+	}
+	s.node.Log.Info("call for the configuration ended", zap.String("from", from), zap.Int("bytes", size),
+		zap.Duration("took", took), zap.Uint64("have", s.version()), zap.Uint64("newest", s.witness.newest()), zap.NamedError("cause", err))
+}
+
 // request asks for what is newer than what this entry has.
 func (s *settings) request() proto.SettingsRequest {
 	return proto.SettingsRequest{Have: s.version(), EvacuationsAsOf: s.node.evacuations.load().AsOf}
