region, platform: failing tests of a large configuration on thin links

The simulated network carries messages and responses of the store at a rate, in chunks that share it, and each link in order.

--- /dev/null
+++ b/region/largeconfig_test.go
@@ -0,0 +1,154 @@
+package region
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/winch"
+)
+
+// largeConfig returns a configuration with that many queues more than simConfig has. Those of a smaller one are the
+// first of a larger one.
+func largeConfig(version uint64, queues int) *winch.RegionConfig {
+	c := simConfig(version)
+	names := rand.New(rand.NewPCG(17, 1))
+	for range queues {
+		c.Queues = append(c.Queues, winch.Queue{
+			Name: fmt.Sprintf("r-%08x", names.Uint32()), Host: "choir.example", Prefix: fmt.Sprintf("/%08x/", names.Uint32()),
+			Service: "render", Attempts: 4, Target: 250 * time.Millisecond, Stretch: 1.5, Timeout: 3 * time.Second,
+			Advice: &winch.AdviceCost{Call: 26 * time.Millisecond},
+		})
+	}
+	return c
+}
+
+// writeLargeConfig has the operator write a version with many queues, and returns when the store confirmed it.
+func (w *world) writeLargeConfig(version uint64, queues int) time.Time {
+	data := mustJSON(largeConfig(version, queues))
+	w.setStore(func(s *simStore) { s.put("op/config", data, 0) })
+	return time.Now()
+}
+
+// thinRegionOf returns a region in which all entries but the planner and its standby have links of the given rate.
+func thinRegionOf(t *testing.T, domains int, rate float64) *world {
+	w := regionOf(t, domains)
+	rates := make(map[string]float64)
+	for host, n := range w.nodes {
+		if rates[host] = rate; n.node.needsMembers() {
+			rates[host] = 200 * mbit
+		}
+	}
+	w.setRates(rates)
+	return w
+}
+
+// thinLinks are the rates of links that configurations of any size have to be passed over.
+var thinLinks = []float64{2 * mbit, 10 * mbit}
+
+// largeConfigQueues is how many queues a large configuration adds. Such a one takes 1.7 s in the store's form at 2 Mbit/s.
+const largeConfigQueues = 1400
+
+// Guards against a large configuration that is not in force in time at entries with thin links, since the copies that
+// they ask for crowd each other out and are given up while they arrive.
+func TestLargeConfigurationIsInForceAtThinLinks(t *testing.T) {
+	t.Parallel()
+	for _, rate := range thinLinks {
+		t.Run(fmt.Sprint(rate/mbit), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := thinRegionOf(t, 3, rate)
+				w.checkInForce(2, w.writeLargeConfig(2, largeConfigQueues))
+				w.checkInForce(3, w.writeLargeConfig(3, largeConfigQueues+1))
+				w.end()
+			})
+		})
+	}
+}
+
+// Guards against versions in series of which none gets in force in time: each new one ends the transfer of the one before.
+func TestLargeConfigurationsInSeriesAreInForce(t *testing.T) {
+	t.Parallel()
+	for _, rate := range thinLinks {
+		t.Run(fmt.Sprint(rate/mbit), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := thinRegionOf(t, 3, rate)
+				for version := uint64(2); version < 14; version++ {
+					at := w.writeLargeConfig(version, largeConfigQueues+int(version))
+					w.group.Go(func() { w.checkInForce(version, at) })
+					time.Sleep(500 * time.Millisecond)
+				}
+				time.Sleep(configBound)
+				w.end()
+			})
+		})
+	}
+}
+
+// Guards against an entry that handles requests by a configuration that it knows to be replaced: the planner's reports name
+// the newer one, which does not arrive since the store refuses the entry and the peers that it asks do not answer in time.
+func TestReplacedConfigurationIsNotUsedWhileTheNewerOneIsMissing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		w := regionOf(t, 3)
+		f := w.follower()
+		w.refuseEntry(f.node.Name)
+		w.setRequestLoss(func(from, _ string, _ winch.Kind) bool { return from == f.node.Name })
+		w.checkNoneHandlesOlder(2, w.writeLargeConfig(2, largeConfigQueues).Add(configBound))
+		w.end()
+	})
+}
+
+// maxDelayByCopies is how long reports may be held up by copies of a configuration, beside the time between two reports.
+const maxDelayByCopies = 200 * time.Millisecond
+
+// Guards against leases, orders and reports that are held up behind copies of a configuration on the same link.
+func TestReportsAreNotHeldUpByALargeConfiguration(t *testing.T) {
+	t.Parallel()
+	for _, rate := range thinLinks {
+		t.Run(fmt.Sprint(rate/mbit), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := thinRegionOf(t, 3, rate)
+				for i, at := uint64(0), time.Now(); time.Since(at) < 6*time.Second; i++ {
+					w.writeLargeConfig(2+i, largeConfigQueues+int(i))
+					for range 20 {
+						time.Sleep(50 * time.Millisecond)
+						for _, n := range w.nodes {
+							if v := n.node.waiting.Load(); time.Since(v.at) > waitingInterval+maxConfirmDelay+maxDelayByCopies {
+								t.Errorf("%s has had no report for %v", n.host, time.Since(v.at))
+								w.end()
+								return
+							}
+						}
+					}
+				}
+				is.True(w.planner() != nil)
+				w.end()
+			})
+		})
+	}
+}
+
+// Guards against an entry that asks whether peers are answered by the store and is sent a copy of the configuration by
+// each of them.
+func TestProbesBringNoCopies(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 3)
+		planner, f := w.planner().node, w.follower().node
+		response := planner.settings.respond(f.settings.request())
+		is.Equal(len(response.Data), 0) // nothing is newer
+		older := f.settings.request()
+		older.Have = 0
+		is.Equal(len(planner.settings.respond(older).Data), 0) // a copy would be sent to each entry that asks
+		w.end()
+	})
+}
--- a/region/simpeers_test.go
+++ b/region/simpeers_test.go
@@ -147,7 +147,7 @@
 	}
 	time.Sleep(networkDelay)
 	n := p.target(to)
-	if n == nil || p.drops(to, kind) || !p.delivers(p.node.Host, n.Host) {
+	if n == nil || p.drops(to, kind) || !p.delivers(p.node.Host, n.Host) || !p.carry(ctx, p.node.Host, n.Host, len(data)) {
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
@@ -176,9 +176,27 @@
 	if err != nil {
 		return err
 	}
+	if !p.carry(ctx, n.Host, p.node.Host, len(data)) {
+		return winch.ErrPeerLost
+	}
 	return proto.Decode(data, reply)
 }
 
+// carry carries a request or a response over a link, and reports whether it arrives while ctx lasts.
+func (p *simPeers) carry(ctx context.Context, from, to string, bytes int) bool {
+	if !p.world.rated() {
+		return true
+	}
+	arrived := make(chan struct{})
+	p.world.send(from, to, bytes, func() { close(arrived) })
+	select {
+	case <-arrived:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // setNotifySeen sets what is called for each notification between entries.
 func (w *world) setNotifySeen(seen func(kind winch.Kind)) {
 	w.mu.Lock()
@@ -212,6 +230,10 @@
 			handle()
 		}
 	}
+	if p.world.rated() {
+		p.world.send(p.node.Host, n.Host, len(data), deliver)
+		return nil
+	}
 	p.world.mu.Lock()
 	delay := p.world.notifyDelay
 	p.world.mu.Unlock()
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -135,6 +135,11 @@
 
 // callWithWait is call for a call that the store may keep open for wait.
 func (t *simTable) callWithWait(ctx context.Context, wait time.Duration, f func()) error {
+	return t.callForData(ctx, wait, func() int { f(); return 0 })
+}
+
+// callForData is callWithWait for a call whose response holds as many bytes as f returns.
+func (t *simTable) callForData(ctx context.Context, wait time.Duration, f func() (bytes int)) error {
 	w := t.store.world
 	t.store.mu.Lock()
 	delay := 2*time.Millisecond + t.store.extraDelay/2
@@ -153,10 +158,10 @@
 	}
 	if reached && !t.store.down {
 		t.store.calls++
-		f()
+		bytes := f()
 		t.store.mu.Unlock()
 		time.Sleep(delay)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || w.rated() && !w.transfer(ctx, "", t.node.Host, bytes, func(n int) { winch.ReportProgress(ctx, n) }) {
 			return winch.ErrUncertain
 		}
 		t.node.NoteStoreResponse()
@@ -216,7 +221,7 @@
 		return nil, 0, winch.ErrUnavailable
 	}
 	late := time.Duration(0)
-	err = t.call(ctx, func() {
+	err = t.callForData(ctx, maxWatchWait, func() (bytes int) {
 		if t.store.readDelay != nil {
 			late = t.store.readDelay(t.node.Host, prefix)
 		}
@@ -226,9 +231,11 @@
 		for key, v := range t.store.items {
 			if strings.HasPrefix(key, prefix) {
 				out = append(out, v)
+				bytes += encodedSize(v)
 			}
 		}
 		asOf = t.store.revision
+		return bytes
 	})
 	if late > 0 {
 		duty.Sleep(ctx, late)
@@ -236,6 +243,9 @@
 	return out, asOf, err
 }
 
+// encodedSize returns how many bytes a value takes in a response of the store, which encodes data in base64.
+func encodedSize(v winch.Value) int { return len(v.Key) + len(v.Data)*4/3 + 100 }
+
 func (t *simTable) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (out []winch.Event, next uint64, err error) {
 	begin := time.Now()
 	for {
@@ -243,14 +253,14 @@
 			return nil, after, t.awaitTimeout(ctx, begin.Add(wait+clientTimeout))
 		}
 		compacted := false
-		err = t.callWithWait(ctx, max(wait, maxWatchWait), func() {
+		err = t.callForData(ctx, max(wait, maxWatchWait), func() (bytes int) {
 			if compacted = after < t.store.compactedAt; compacted {
-				return
+				return 0
 			}
 			next = t.store.revision
 			if t.store.silentWatches || begin.Before(t.store.stuckBefore) {
 				next = after
-				return
+				return 0
 			}
 			for _, e := range t.store.events {
 				if e.Version > after && strings.HasPrefix(e.Key, prefix) {
@@ -259,8 +269,10 @@
 						break
 					}
 					out = append(out, e)
+					bytes += encodedSize(e.Value)
 				}
 			}
+			return bytes
 		})
 		if err == nil && compacted {
 			return nil, after, winch.ErrCompacted
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -74,7 +74,8 @@
 	onForget     func(winch.Completion) // onForget, if set, is called when a worker forgets a completion.
 	notifySeen   func(kind winch.Kind)  // notifySeen is called for each notification between two entries.
 	configCopies int                    // configCopies counts the configurations sent from entry to entry.
-	violations   []string               // violations holds the invariant violations seen so far.
+	rates        simRates
+	violations   []string // violations holds the invariant violations seen so far.
 	log          *simLog
 	group        conc.WaitGroup
 	ctx          context.Context
