region: a configuration is passed on as what has changed, in parts, by one transfer at a time

What callers saw: requests were handled by a configuration that had been replaced 4 to 7 s before, at entries with links of 10 Mbit/s, after 1,400 queues had been added.

Cause: each entry watched the whole configuration in the store, and an entry that lacked a version asked two neighbours, the store and sixteen more peers for it, again every 0.25 s, beside each other; each of them sent the whole, as did peers that were only asked whether the store answers them. 428 KB (1,400 queues, as the store sends it) to 1.5 MB (4,245) take 0.4 to 1.2 s of such a link alone, a request had 0.5 s and a read 1 s, so that none was completed, and reports, holds and pings waited behind what was given up. The links were full for 30 s.

Now the planner and its standby watch the configuration, and announce each version to all. An entry gets what differs from the version that it has (Zstandard with that version as dictionary, checked by a digest) in parts of 16 KB, from one source at a time; the next one is asked when a part does not come in 0.5 s. A small change is sent along with the announcement. A request for the state of a peer brings no copy. The store is asked by one call at a time, which is given up only when nothing arrives; for a large configuration it is asked for changes since the revision as of which all is known, which is passed on with reports.

Two tests counted copies as responses that hold the whole, and asked for at most two in the region, since each was a whole one. They count what is sent to each entry, also unasked: at most once, and its bytes. The test that a version which the store does not report is read from the store is replaced by one of what it guarded against, a full link of the planner: entries but planner and standby read the configuration from the store only if no peer sends it.

The build before is served as before (Data in one piece); its responses are understood.

--- a/proto/keep.go
+++ b/proto/keep.go
@@ -313,6 +313,8 @@
 	SettingsKnown time.Duration `cbor:"8,keyasint,omitempty"`
 	// SentAt is for how long the sender's process has run.
 	SentAt time.Duration `cbor:"7,keyasint,omitempty"`
+	// SettingsAsOf is a revision of the store as of which the planner knows all that the operator has written.
+	SettingsAsOf uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // ClockRequest asks an entry for how long its process has run.
@@ -347,11 +349,12 @@
 // Unregistered tells an entry that the planner finds no record of it in the store.
 type Unregistered struct{}
 
-// Settings announces the version of the operator's configuration at an entry. As the
-// response to a SettingsRequest it also carries the configuration as stored.
+// Settings announces the version of the operator's configuration at an entry, or is the response to a
+// SettingsRequest.
 type Settings struct {
 	Version uint64 `cbor:"1,keyasint"`
-	Data    []byte `cbor:"2,keyasint,omitempty"`
+	// Data is the configuration as stored, in the response to a build that does not ask for parts.
+	Data []byte `cbor:"2,keyasint,omitempty"`
 	// Evacuations is what the sender knows of evacuated failure domains; a response omits it if it
 	// is not newer than what the receiver knows.
 	Evacuations *winch.Evacuations `cbor:"3,keyasint,omitempty"`
@@ -364,14 +367,36 @@
 	Term uint64 `cbor:"7,keyasint,omitempty"`
 	// Known is for how long the version has been known, at least, to the sender or to an entry that it has it from.
 	Known time.Duration `cbor:"6,keyasint,omitempty"`
+	// AsOf is a revision of the store as of which the sender knows all that the operator has written; zero if it does
+	// not know one.
+	AsOf uint64 `cbor:"8,keyasint,omitempty"`
+	// Part is a part of a configuration: the one that was asked for, or all of a small change that is announced.
+	Part *SettingsPart `cbor:"9,keyasint,omitempty"`
 }
 
-// SettingsRequest asks for the configuration, which is sent only if it is newer than Have, and for the
-// evacuated failure domains, which are sent only if they are known as of a later revision of the store
-// than EvacuationsAsOf.
+// SettingsPart is a part of a configuration in the encoded form of package delta, so that the messages that follow on the
+// same link do not wait for all of it.
+type SettingsPart struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Base is the version that the configuration is encoded against; zero if it is complete.
+	Base   uint64 `cbor:"2,keyasint,omitempty"`
+	Offset int    `cbor:"3,keyasint,omitempty"`
+	Size   int    `cbor:"4,keyasint"` // Size is the length of the encoded form.
+	Data   []byte `cbor:"5,keyasint"`
+	Digest []byte `cbor:"6,keyasint"` // Digest is that of the decoded configuration.
+}
+
+// SettingsRequest asks for the version of the configuration, if it is newer than Have, and for the evacuated failure
+// domains, which are sent only if they are known as of a later revision of the store than EvacuationsAsOf.
 type SettingsRequest struct {
 	Have            uint64 `cbor:"1,keyasint,omitempty"`
 	EvacuationsAsOf uint64 `cbor:"2,keyasint,omitempty"`
+	// Parts says that the sender asks for a configuration in parts. To a build that does not know them, the newest one is
+	// sent in one piece.
+	Parts bool `cbor:"3,keyasint,omitempty"`
+	// Want is the version of which the part that begins at Offset is requested; zero requests none.
+	Want   uint64 `cbor:"4,keyasint,omitempty"`
+	Offset int    `cbor:"5,keyasint,omitempty"`
 }
 
 // Mirror replicates the set of possible runs to the planner's standby: runs are added
--- a/region/contacts_test.go
+++ b/region/contacts_test.go
@@ -148,9 +148,9 @@
 	})
 }
 
-// Guards against a planner whose link is full after a change of the configuration that the store did not report:
-// all entries learned of it from the planner and fetched their copies there. They must read the store first.
-func TestUnreportedConfigurationIsReadFromTheStore(t *testing.T) {
+// Guards against a planner whose link is full after a change of the configuration that the store did not report: all
+// entries learn of it from the planner, which must not send each of them a copy of the whole, nor anything twice.
+func TestUnreportedConfigurationDoesNotFillThePlannersLink(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
@@ -159,15 +159,15 @@
 			s.stuckBefore = time.Now()
 			s.put("op/config", mustJSON(simConfig(2)), 0)
 		})
-		w.mu.Lock()
-		before := w.configCopies
-		w.mu.Unlock()
 		time.Sleep(configBound)
 		for _, n := range w.nodes {
 			is.Equal(n.node.Config().Version, uint64(2)) // version
 		}
 		w.mu.Lock()
-		is.True(w.configCopies-before <= 2)
+		for _, copies := range w.configCopies {
+			is.True(copies <= 1) // copies to one entry
+		}
+		is.True(w.configBytes <= 2*len(mustJSON(simConfig(2)))) // as much as two copies of the whole
 		w.mu.Unlock()
 		w.end()
 	})
--- a/region/current.go
+++ b/region/current.go
@@ -118,10 +118,10 @@
 // refresh makes the configuration current. If the store has not answered any call meanwhile, and no peer says that it is
 // answered, this entry reaches nobody who knows more. A process that was held up cannot tell.
 func (s *settings) refresh(ctx context.Context) {
-	begin, arrived := time.Now(), s.arrived.Load()
+	begin, arrived := time.Now(), s.calls.arrived.Load()
 	timing := s.node.Timing
 	confirmed := func() bool { return s.age() < timing.refreshAge() && s.version() >= s.required.Load() }
-	served, err := s.obtain(ctx, confirmed)
+	served := s.obtain(ctx, confirmed)
 	switch {
 	case confirmed(), served, s.node.health.answeredSince(begin):
 		s.unreachable.Store(nil)
@@ -131,15 +131,15 @@
 	}
 	if s.unreachable.Swap(&begin) == nil {
 		s.node.Log.Info("neither the store nor a peer confirms the configuration", zap.Uint64("version", s.version()),
-			zap.Duration("age", s.age()), zap.Int("linked", len(s.node.Peers.Names())), zap.Int64("arrivedBytes", s.arrived.Load()-arrived),
-			zap.Uint64("newest", s.witness.newest()), zap.NamedError("read", err))
+			zap.Duration("age", s.age()), zap.Int("linked", len(s.node.Peers.Names())), zap.Int64("arrivedBytes", s.calls.arrived.Load()-arrived),
+			zap.Uint64("newest", s.witness.newest()), zap.NamedError("read", s.calls.lastError()))
 	}
 	s.changed.send()
 }
 
 // obtain asks peers, the store, and the other peers that this entry is linked to, until a condition on the settings holds.
-// It reports whether the store answers one of them, and the error of the store, if that was asked.
-func (s *settings) obtain(ctx context.Context, done func() bool) (served bool, err error) {
+// It reports whether the store answers one of them.
+func (s *settings) obtain(ctx context.Context, done func() bool) (served bool) {
 	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
 	defer cancel()
 	var group conc.WaitGroup
@@ -147,28 +147,24 @@
 	ask := func(names []string) {
 		for _, name := range names {
 			group.Go(func() {
-				if s.fetch(ctx, name) {
+				if s.ask(ctx, name) {
 					peerServed.Store(true)
 				}
 			})
 		}
 	}
 	asked := s.peersToAsk()
-	if s.witness.newest() > s.version() {
-		served = s.askInTurn(ctx, asked, done, &group)
-	} else {
-		ask(asked)
-	}
+	ask(asked)
 	current := s.await(ctx, probeTimeout, done)
 	if !current && s.node.storeResponsive() {
-		group.Go(func() { err = s.read(ctx) })
+		duty.Signal(s.calls.wanted)
 		current = s.await(ctx, maxStoreDelay, done)
 	}
 	if !current && s.mayAskAll() {
 		ask(s.otherPeers(asked))
 	}
 	group.Wait()
-	return served || peerServed.Load(), err
+	return peerServed.Load()
 }
 
 // isUnreachable reports whether this entry reaches neither the store nor a peer that the store answers, as far as it
@@ -238,25 +234,6 @@
 	}
 }
 
-// read reads all that the operator has written from the store.
-func (s *settings) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, s.node.Timing.refreshTimeout())
-	defer cancel()
-	sent := time.Now()
-	arrived := 0
-	values, asOf, err := s.node.Table.Read(winch.WithProgress(ctx, func(bytes int) {
-		arrived += bytes
-		s.arrived.Add(int64(bytes))
-	}), s.node.Codec.OperatorPrefix())
-	s.noteCopy("store", arrived, sent, err)
-	if err != nil {
-		return err
-	}
-	s.applyValues(values, asOf)
-	s.confirm(sent)
-	return nil
-}
-
 // logAge logs when the configuration has not been confirmed within the bound, and when it is again.
 func (s *settings) logAge() {
 	age := s.age()
--- a/region/current_test.go
+++ b/region/current_test.go
@@ -250,7 +250,7 @@
 		time.Sleep(20 * time.Millisecond)
 		job := &winch.PhasedJob{ID: "00000000000000c1", Queue: "preview", Team: "choir", Command: "work", Phases: []winch.Phase{{Count: 1}}}
 		is.True(w.follower().node.Submit(w.ctx, job).OK())
-		time.Sleep(peerFetchDelay + 50*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
 		is.Equal(planner.node.Config().Version, uint64(2))
 		w.end()
 	})
--- a/region/fault_test.go
+++ b/region/fault_test.go
@@ -258,7 +258,7 @@
 // Guards against an entry that keeps an outdated configuration. The store refuses the calls of one
 // entry and serves the others, while the operator withdraws a key. The entry must get the new
 // configuration from its peers, so that the key stops working there within the two seconds that
-// operators are promised. Exactly one copy may be sent, to the entry that lacks it, and not one
+// operators are promised. Exactly one copy may be sent to each entry that lacks it, and not one
 // between each pair of entries.
 func TestConfigReachesAnEntryThatTheStoreRefuses(t *testing.T) {
 	t.Parallel()
@@ -267,9 +267,6 @@
 		w := newWorld(t, 5, 3, 9)
 		settle()
 		n := w.nodes["d1-1"]
-		w.mu.Lock()
-		before := w.configCopies
-		w.mu.Unlock()
 		w.setStore(func(s *simStore) {
 			s.refusedHosts = map[string]bool{n.host: true}
 			s.put("op/config", mustJSON(simConfig(2)), 0)
@@ -279,9 +276,11 @@
 			is.Equal(x.node.Config().Version, uint64(2))
 		}
 		w.mu.Lock()
-		copies := w.configCopies - before
+		is.Equal(w.configCopies[n.node.Name], 1)
+		for _, copies := range w.configCopies {
+			is.True(copies <= 1) // copies to one entry
+		}
 		w.mu.Unlock()
-		is.Equal(copies, 1)
 		w.setStore(func(s *simStore) { s.refusedHosts = nil })
 		w.end()
 	})
--- a/region/follow.go
+++ b/region/follow.go
@@ -16,12 +16,11 @@
 	return n.candidate.Load() || n.mirror.active()
 }
 
-// watchCell follows the cell's records until ctx ends: all of them for as long as this entry needs to know all
-// entries, otherwise the office.
-func (n *Node) watchCell(ctx context.Context) {
+// runByRole runs f until ctx ends, anew whenever this entry begins or ceases to need to know all entries.
+func (n *Node) runByRole(ctx context.Context, f func(ctx context.Context, member bool)) {
 	for ctx.Err() == nil {
 		changed := n.candidateChanged.wait()
-		all := n.needsMembers()
+		member := n.needsMembers()
 		duty.RunUntil(ctx, changed, func(ctx context.Context) {
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
@@ -29,19 +28,27 @@
 			defer group.Wait()
 			group.Go(func() {
 				defer cancel()
-				for ctx.Err() == nil && n.needsMembers() == all {
+				for ctx.Err() == nil && n.needsMembers() == member {
 					duty.Sleep(ctx, prefetchCheckInterval)
 				}
 			})
-			if all {
-				n.watchMembers(ctx)
-			} else {
-				n.watchOffice(ctx)
-			}
+			f(ctx, member)
 		})
 	}
 }
 
+// watchCell follows the cell's records until ctx ends: all of them for as long as this entry needs to know all
+// entries, otherwise the office.
+func (n *Node) watchCell(ctx context.Context) {
+	n.runByRole(ctx, func(ctx context.Context, member bool) {
+		if member {
+			n.watchMembers(ctx)
+		} else {
+			n.watchOffice(ctx)
+		}
+	})
+}
+
 // watchMembers follows all records of the cell until ctx ends.
 func (n *Node) watchMembers(ctx context.Context) {
 	n.watch(ctx, prefixCell, watchOptions{wait: n.watchWait}, func(values []winch.Value, _ uint64) {
--- a/region/node.go
+++ b/region/node.go
@@ -203,7 +203,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, run := range []func(context.Context){
-		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runAnnouncements, n.settings.runRefresh, n.settings.runClocks, n.accept.run, n.runOffice, n.runContacts, n.runPrefetch, n.runPreemption, n.runRefusals, n.runTermHistory,
+		n.keeper.Run, n.runHealth, n.runRegistration, n.watchCell, n.settings.run, n.settings.runStoreCalls, n.settings.runTransfers, n.settings.runAnnouncements, n.settings.runRefresh, n.settings.runClocks, n.accept.run, n.runOffice, n.runContacts, n.runPrefetch, n.runPreemption, n.runRefusals, n.runTermHistory,
 	} {
 		group.Go(func() { run(ctx) })
 	}
--- a/region/peerclock.go
+++ b/region/peerclock.go
@@ -49,6 +49,7 @@
 	s.noteVersion(from, m.Settings)
 	s.noteKnown(m.Settings, m.SettingsKnown)
 	s.node.applyReceived(m.Evacuations, from)
+	s.passAsOf(m.SettingsAsOf, m.Settings)
 	if m.SettingsAge == 0 {
 		return
 	}
--- a/region/report.go
+++ b/region/report.go
@@ -45,15 +45,16 @@
 // report returns a report to all entries. It is called in the planner's goroutine.
 func (l *leadership) report() proto.WaitingJobs {
 	s := &l.node.settings
-	age := s.confirmAge()
+	asOf, age := s.calls.asOf.Load(), s.confirmAge()
 	return proto.WaitingJobs{
-		Term: l.term, Queues: l.planner.Waiting(), Settings: s.version(), SettingsAge: age,
+		SettingsAsOf: asOf,
+		Term:         l.term, Queues: l.planner.Waiting(), Settings: s.version(), SettingsAge: age,
 		SettingsKnown: s.witness.known(s.version()),
 		SentAt:        l.node.uptime(), Evacuations: l.node.knownEvacuations(), Standby: l.standbyAddress(),
 	}
 }
 
-// confirmSettings reads what the operator has written if the entries would otherwise have to ask by themselves
+// confirmSettings asks the store what the operator has written if the entries would otherwise have to ask by themselves
 // before the report after the next one. It waits for the store for a limited time; a later answer counts for
 // the next report.
 func (l *leadership) confirmSettings(ctx context.Context) {
@@ -61,18 +62,9 @@
 	if s.age() < l.node.Timing.refreshAge()-2*waitingInterval || !l.node.storeResponsive() {
 		return
 	}
-	done := make(chan struct{})
-	l.group.Go(func() {
-		defer close(done)
-		_ = s.read(ctx) // The age shows that it failed.
-	})
-	timer := time.NewTimer(maxConfirmDelay)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	before := s.confirmed.Load()
+	duty.Signal(s.calls.wanted)
+	s.await(ctx, maxConfirmDelay, func() bool { return s.confirmed.Load() != before })
 }
 
 // linkBytes returns the number of bytes transferred over this entry's links by message kind.
--- a/region/serve.go
+++ b/region/serve.go
@@ -180,8 +180,7 @@
 		return handleMessage(read, func(m proto.AdviseRequest) any { return n.advise(ctx, m) })
 	case proto.KindSettings:
 		return handleMessage(read, func(m proto.Settings) any {
-			n.settings.noteVersion(from, m.Version)
-			n.applyReceived(m.Evacuations, from)
+			n.settings.noteAnnouncement(from, m)
 			return nil
 		})
 	case proto.KindSubmit:
--- a/region/settings.go
+++ b/region/settings.go
@@ -3,25 +3,20 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
 
 const (
-	// peerFetchDelay is how long an entry that learns of a newer configuration waits for the
-	// store to send it. The store notifies all entries within a few milliseconds, and copies
-	// from peers to each of them would saturate the links of small VMs.
-	peerFetchDelay = 150 * time.Millisecond
 	// settingsTimeout bounds one request to a peer.
 	settingsTimeout = 500 * time.Millisecond
 	// loggedCopyTime is how long a call for the configuration may take without being logged.
@@ -29,10 +24,12 @@
 )
 
 // settings holds the operator's configuration, and follows all that the operator writes into the
-// store. Each entry watches the store. Since a call that waits for changes can hang without an error, it also
-// keeps as of when it was shown that it knows the newest configuration: by a read of the store, by the planner,
-// which reads the store and reports to all entries, or by another peer. The version never decreases during a boot,
-// and the configuration stays in force while neither the store nor a peer that it answers is reached.
+// store. The planner and its standby watch the configuration in the store and announce each version; the others get it
+// from peers, as what differs from the one that they have, since copies in the store's form would fill thin links. Since a
+// call that waits for changes can hang without an error, and an announcement can be lost, each entry also keeps as of when
+// it was shown that it knows the newest configuration: by the store, by the planner, which asks the store and reports to
+// all entries, or by another peer. The version never decreases during a boot, and the configuration stays in force while
+// neither the store nor a peer that it answers is reached.
 type settings struct {
 	node   *Node
 	mu     sync.Mutex
@@ -55,23 +52,18 @@
 	lastReport  report
 	clocks      map[string]peerClock
 	clockWanted chan struct{}
-	arrived     atomic.Int64 // arrived counts the bytes of the store's responses, complete or not.
-	late        bool         // late says that the log shows the configuration as not confirmed in time.
-	// newer holds the last announcement of a newer version than this entry has.
-	newer   chan announcement
-	witness witness
-}
-
-// announcement says that a peer has a version of the configuration.
-type announcement struct {
-	peer    string
-	version uint64
+	late        bool          // late says that the log shows the configuration as not confirmed in time.
+	applied     chan struct{} // applied is signalled when there is a new version.
+	calls       storeCalls
+	transfers   transfers
+	history     history
+	witness     witness
 }
 
 func (s *settings) prepare(n *Node) {
 	s.node = n
-	s.newer = make(chan announcement, 1)
 	s.storeBack, s.clockWanted = make(chan struct{}, 1), make(chan struct{}, 1)
+	s.applied, s.calls.wanted, s.transfers.wake = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	s.clocks = make(map[string]peerClock)
 	s.witness.replaced = metrics.GetOrRegisterCounter("Settings.HandledReplaced", n.Metrics)
 }
@@ -85,97 +77,31 @@
 		}
 		return 0
 	}))
+	_ = registry.Register("Settings.Wanted", metrics.NewFunctionalGauge(func() int64 { return int64(s.transfers.wanted()) }))
+	_ = registry.Register("Settings.TransferArrived", metrics.NewFunctionalGauge(s.transfers.arrived.Load))
+	_ = registry.Register("Settings.TransferSize", metrics.NewFunctionalGauge(s.transfers.size.Load))
 	_ = registry.Register("Settings.AgeMillis", metrics.NewFunctionalGauge(func() int64 { return s.age().Milliseconds() }))
 }
 
-// run watches what the operator writes into the store, the configuration and the evacuated failure
-// domains, until ctx ends.
+// run reads all that the operator has written, and then watches it in the store until ctx ends: the configuration only
+// while this entry is the planner or its standby.
 func (s *settings) run(ctx context.Context) {
-	codec := s.node.Codec
-	s.node.watch(ctx, codec.OperatorPrefix(), watchOptions{wait: s.node.watchWait, onRead: s.confirm}, func(values []winch.Value, asOf uint64) {
-		s.applyValues(values, asOf)
-	}, func(events []winch.Event, asOf uint64) {
-		s.node.applyEvacuations(s.node.evacuations.changed(codec.EvacuationPrefix(), events, asOf), "store")
-		for _, e := range events {
-			if !e.Deleted {
-				s.apply(e.Key, e.Data, "store")
-			}
-		}
-	})
-}
-
-// applyValues puts in force what was read from the store.
-func (s *settings) applyValues(values []winch.Value, asOf uint64) {
-	s.node.applyEvacuations(readEvacuations(s.node.Codec.EvacuationPrefix(), values, asOf), "store")
-	for _, v := range values {
-		s.apply(v.Key, v.Data, "store")
-	}
-}
-
-// runAnnouncements gets the newer configurations that peers announce until ctx ends. A call that gets no answer does not
-// delay the next announcement.
-func (s *settings) runAnnouncements(ctx context.Context) {
-	var group conc.WaitGroup
-	defer group.Wait()
-	for {
-		select {
-		case <-ctx.Done():
+	for ctx.Err() == nil && s.calls.asOf.Load() == 0 {
+		duty.Signal(s.calls.wanted)
+		s.await(ctx, retryDelay, func() bool { return s.calls.asOf.Load() > 0 })
+	}
+	s.node.runByRole(ctx, func(ctx context.Context, member bool) {
+		options := watchOptions{wait: s.node.watchWait, after: s.calls.asOf.Load()}
+		if member {
+			options.onRead = s.confirm
+			s.node.watch(ctx, s.node.Codec.OperatorPrefix(), options, s.applyValues, s.applyEvents)
 			return
-		case a := <-s.newer:
-			s.fetchNewer(ctx, a, &group)
-		}
-	}
-}
-
-// fetchNewer gets the newer configuration that a peer has announced: from the store if it sends it, whose
-// notification may have been lost, else from a neighbour, and if none has it from the store again. All entries learn
-// of it from the planner at the same time: they ask at random times, and the planner only if the store does not answer.
-// If a request waits for it, neighbours and the store are asked at once.
-func (s *settings) fetchNewer(ctx context.Context, a announcement, group *conc.WaitGroup) {
-	known := func() bool { return s.version() >= a.version }
-	read := func() (wait time.Duration) {
-		if !s.node.storeResponsive() {
-			return 0
-		}
-		group.Go(func() { _ = s.read(ctx) }) // The next report announces the version again.
-		return maxStoreDelay
-	}
-	s.node.renewWatches()
-	delay := peerFetchDelay
-	if s.config.Load() != nil && s.node.leadership.Load() == nil {
-		delay += rand.N(s.node.Timing.refreshInterval())
-	}
-	if s.await(ctx, delay, func() bool { return known() || s.requests.Load() > 0 }) && !known() {
-		read()
-	}
-	s.askInTurn(ctx, s.peersToAsk(), known, group)
-	if !known() {
-		s.await(ctx, read(), known)
-	}
-	if !known() {
-		s.fetch(ctx, a.peer)
-	}
-}
-
-// askInTurn asks peers one after the other, so that not several of them send a copy, until a condition holds. It does not
-// wait for one that takes long. It reports whether the store answers one of them.
-func (s *settings) askInTurn(ctx context.Context, names []string, done func() bool, group *conc.WaitGroup) (served bool) {
-	for _, name := range names {
-		if done() {
-			break
-		}
-		answered := make(chan bool, 1)
-		group.Go(func() { answered <- s.fetch(ctx, name) })
-		timer := time.NewTimer(probeTimeout)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case one := <-answered:
-			served = served || one
 		}
-		timer.Stop()
-	}
-	return served
+		prefix := s.node.Codec.EvacuationPrefix()
+		s.node.watch(ctx, prefix, options, func(values []winch.Value, asOf uint64) {
+			s.node.applyEvacuations(readEvacuations(prefix, values, asOf), "store")
+		}, s.applyEvacuationEvents)
+	})
 }
 
 // peersToAsk returns random peers to ask for the configuration: neighbours if there are any, since all entries are
@@ -190,23 +116,23 @@
 	return sample(names, askedPeers)
 }
 
-// fetch asks a peer for what the operator has written, as far as it is newer than what this entry has. It reports
-// whether the peer says that the store answers it.
-func (s *settings) fetch(ctx context.Context, name string) (served bool) {
+// ask asks a peer which version it has and whether that is the newest. It reports whether the peer says that the store
+// answers it.
+func (s *settings) ask(ctx context.Context, name string) (served bool) {
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
 	sent := time.Now()
 	var response proto.Settings
-	err := s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, s.request(), &response)
-	s.noteCopy(name, len(response.Data), sent, err)
-	if err != nil {
+	if s.node.Peers.Request(ctx, name, proto.KindSettingsRequest, s.request(), &response) != nil {
 		return false
 	}
 	s.node.applyReceived(response.Evacuations, name)
 	s.noteKnown(response.Version, response.Known)
-	if len(response.Data) > 0 {
+	if len(response.Data) > 0 { // The build before sends it without being asked to.
 		s.apply(s.node.Codec.ConfigKey(), response.Data, name)
 	}
+	s.noteVersion(name, response.Version)
+	s.passAsOf(response.AsOf, response.Version)
 	if response.Age > 0 && s.version() >= response.Version {
 		s.confirm(sent.Add(-response.Age))
 	}
@@ -230,39 +156,45 @@
 		zap.Duration("took", took), zap.Uint64("have", s.version()), zap.Uint64("newest", s.witness.newest()), zap.NamedError("cause", err))
 }
 
-// request asks for what is newer than what this entry has.
+// request asks which version a peer has, without a copy.
 func (s *settings) request() proto.SettingsRequest {
-	return proto.SettingsRequest{Have: s.version(), EvacuationsAsOf: s.node.evacuations.load().AsOf}
-}
-
-// noteVersion records which version a peer has.
-func (s *settings) noteVersion(name string, version uint64) {
-	have := s.version()
-	if version <= have {
-		return
-	}
-	select {
-	case s.newer <- announcement{name, version}:
-		s.node.Log.Info("newer configuration announced", zap.String("from", name), zap.Uint64("version", version),
-			zap.Uint64("have", have), zap.Duration("age", s.age()))
-	default: // Another peer with a newer version is about to be asked.
-	}
+	return proto.SettingsRequest{Have: s.version(), EvacuationsAsOf: s.node.evacuations.load().AsOf, Parts: true}
 }
 
 // respond answers a peer's request with what is newer than the peer's.
 func (s *settings) respond(request proto.SettingsRequest) proto.Settings {
-	out := proto.Settings{Unserved: !s.node.storeResponsive(), Age: s.confirmAge(), Term: s.node.cell.currentTerm().Term}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	out := proto.Settings{
+		Unserved: !s.node.storeResponsive(), AsOf: s.calls.asOf.Load(), Age: s.confirmAge(), Term: s.node.cell.currentTerm().Term,
+	}
 	if e := s.node.knownEvacuations(); e != nil && e.AsOf > request.EvacuationsAsOf {
 		out.Evacuations = e
 	}
-	if c := s.config.Load(); c != nil && c.Version > request.Have {
-		out.Version, out.Data, out.Known = c.Version, s.data, s.witness.known(c.Version)
+	version, data := s.stored()
+	if version > request.Have {
+		out.Version, out.Known = version, s.witness.known(version)
+	}
+	switch {
+	case request.Want > request.Have:
+		out.Part = s.history.part(request.Want, request.Have, request.Offset)
+	case !request.Parts && out.Version != 0:
+		out.Data = data
 	}
 	return out
 }
 
+// stored returns the version in force and the configuration as stored; zero if there is none.
+func (s *settings) stored() (version uint64, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version(), s.data
+}
+
+// size returns the length of the configuration as stored.
+func (s *settings) size() int {
+	_, data := s.stored()
+	return len(data)
+}
+
 // version returns the version of the configuration in force, or zero if there is none.
 func (s *settings) version() uint64 {
 	if c := s.config.Load(); c != nil {
@@ -311,6 +243,8 @@
 	}
 	s.data = data
 	s.config.Store(config)
+	s.history.add(config.Version, data)
 	s.changed.send()
+	duty.Signal(s.applied)
 	return true
 }
--- a/region/simpeers_test.go
+++ b/region/simpeers_test.go
@@ -167,11 +167,7 @@
 		<-ctx.Done()
 		return winch.ErrPeerLost
 	}
-	if settings, ok := response.(proto.Settings); ok && len(settings.Data) > 0 {
-		p.world.mu.Lock()
-		p.world.configCopies++
-		p.world.mu.Unlock()
-	}
+	p.countCopy(p.node.Name, response)
 	data, err = proto.Encode(response)
 	if err != nil {
 		return err
@@ -182,6 +178,21 @@
 	return proto.Decode(data, reply)
 }
 
+// countCopy counts a configuration, or a part of one, that is sent to an entry.
+func (p *simPeers) countCopy(to string, body any) {
+	settings, ok := body.(proto.Settings)
+	if !ok || len(settings.Data) == 0 && settings.Part == nil {
+		return
+	}
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	p.world.configCopies[to]++
+	p.world.configBytes += len(settings.Data)
+	if settings.Part != nil {
+		p.world.configBytes += len(settings.Part.Data)
+	}
+}
+
 // carry carries a request or a response over a link, and reports whether it arrives while ctx lasts.
 func (p *simPeers) carry(ctx context.Context, from, to string, bytes int) bool {
 	if !p.world.rated() {
@@ -215,6 +226,7 @@
 	if n == nil {
 		return winch.ErrNoPeer
 	}
+	p.countCopy(to, body)
 	data, err := proto.Encode(body)
 	if err != nil {
 		return err
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -73,7 +73,8 @@
 	onStart      func(node *Node)       // onStart is called when a worker is told by an entry to start a run.
 	onForget     func(winch.Completion) // onForget, if set, is called when a worker forgets a completion.
 	notifySeen   func(kind winch.Kind)  // notifySeen is called for each notification between two entries.
-	configCopies int                    // configCopies counts the configurations sent from entry to entry.
+	configCopies map[string]int         // configCopies counts the configurations, or parts of one, sent to each entry by others.
+	configBytes  int                    // configBytes is their size.
 	rates        simRates
 	violations   []string // violations holds the invariant violations seen so far.
 	log          *simLog
@@ -104,7 +105,7 @@
 		connected: make(map[connectedPair]bool),
 		paused:    make(map[string]*pausedEntry), gangs: make(map[runKey]*simGang), running: make(map[winch.RunID]int),
 		acknowledged: make(map[winch.RunID]bool), completed: make(map[winch.RunID][]*completedRun), failed: make(map[winch.RunID]int),
-		evacuatedAt: make(map[string]time.Time), copyChecks: newCopyChecker(),
+		evacuatedAt: make(map[string]time.Time), copyChecks: newCopyChecker(), configCopies: make(map[string]int),
 	}
 	w.log = &simLog{startedAt: time.Now()}
 	w.ctx, w.cancel = context.WithCancel(t.Context())
