region: a configuration that a peer names as replaced is not used

Cause: an entry concluded that it reaches neither the store nor a peer from requests of its own that got no answer in time; what others told it meanwhile did not count. A peer that names a newer version is reached, and knows more.

An entry that is cut off hears nothing and goes on by what it has.

--- a/region/current.go
+++ b/region/current.go
@@ -123,7 +123,7 @@
 	confirmed := func() bool { return s.age() < timing.refreshAge() && s.version() >= s.required.Load() }
 	served := s.obtain(ctx, confirmed)
 	switch {
-	case confirmed(), served, s.node.health.answeredSince(begin):
+	case confirmed(), served, s.node.health.answeredSince(begin), s.transfers.namedSince(begin):
 		s.unreachable.Store(nil)
 		return
 	case time.Since(begin) > timing.refreshTimeout()+timing.refreshInterval():
@@ -168,10 +168,10 @@
 }
 
 // isUnreachable reports whether this entry reaches neither the store nor a peer that the store answers, as far as it
-// knows. An answer of the store ends that, to whatever call.
+// knows. An answer of the store ends that, to whatever call, as does a peer that names a newer version.
 func (s *settings) isUnreachable() bool {
 	since := s.unreachable.Load()
-	return since != nil && !s.node.health.answeredSince(*since)
+	return since != nil && !s.node.health.answeredSince(*since) && !s.transfers.namedSince(*since)
 }
 
 // mayGoOn reports whether requests may be handled by the present version though it is not confirmed.
--- a/region/transfer.go
+++ b/region/transfer.go
@@ -27,6 +27,8 @@
 	// holders holds the entries that have named a newer version, with the last one that they have named.
 	holders map[string]uint64
 	newest  uint64 // newest is the newest version that was named.
+	// namedAt is when a newer version than this entry has was last named.
+	namedAt time.Time
 	wake    chan struct{}
 	// arrived and size are the bytes that have arrived of the last transfer, and those that it has.
 	arrived, size atomic.Int64
@@ -41,6 +43,7 @@
 func (t *transfers) note(peer string, version uint64) (isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.namedAt = time.Now()
 	if t.holders == nil {
 		t.holders = make(map[string]uint64)
 	}
@@ -70,6 +73,13 @@
 	return t.newest
 }
 
+// namedSince reports whether a newer version than this entry has was named after a time.
+func (t *transfers) namedSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.namedAt.After(at)
+}
+
 // sources returns the peers that have a newer version than the given one, in random order.
 func (t *transfers) sources(have uint64) []string {
 	t.mu.Lock()
