region: a planner with a thin link does not fall behind versions in series

Found by reading for the same cause elsewhere: the store has no form for a part of the configuration, so planner and standby still get the whole. A call for changes that is abandoned by an announcement while its response arrives, the planner's confirmation each half second beside it, and a response that holds all versions written meanwhile, each of them whole, make it fall behind ever more on a link that carries one copy in the time between two versions.

Now a call whose response is arriving is not abandoned, the store is not asked for the same meanwhile, and after a response that took over 0.35 s all is read again, which brings the last version only.

Below 6 Mbit/s the copy itself takes longer than 0.5 s.

--- a/region/largeconfig_test.go
+++ b/region/largeconfig_test.go
@@ -104,6 +104,32 @@
 	})
 }
 
+// Guards against a planner with a thin link that falls behind ever more while versions come in series: a call for changes
+// returns all of them, and the store is asked for them while they are arriving.
+func TestLargeConfigurationsInSeriesAreInForceAtAThinPlanner(t *testing.T) {
+	t.Parallel()
+	for _, rate := range []float64{6 * mbit, 10 * mbit} {
+		t.Run(fmt.Sprint(rate/mbit), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := regionOf(t, 3)
+				rates := make(map[string]float64)
+				for host := range w.nodes {
+					rates[host] = rate
+				}
+				w.setRates(rates)
+				for version := uint64(2); version < 18; version++ {
+					at := w.writeLargeConfig(version, largeConfigQueues+int(version))
+					w.group.Go(func() { w.checkInForce(version, at) })
+					time.Sleep(500 * time.Millisecond)
+				}
+				time.Sleep(configBound)
+				w.end()
+			})
+		})
+	}
+}
+
 // maxDelayByCopies is how long reports may be held up by copies of a configuration, beside the time between two reports.
 const maxDelayByCopies = 200 * time.Millisecond
 
--- a/region/opcalls.go
+++ b/region/opcalls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,45 @@
 	asOf       atomic.Uint64
 	arrived    atomic.Int64          // arrived counts the bytes of responses, complete or not.
 	failure    atomic.Pointer[error] // failure is the error of the last call; nil if it had none.
-	readsUntil time.Time             // readsUntil is until when changes are not asked for. It is used by run only.
+	readsUntil time.Time             // readsUntil is until when changes are not asked for. It is used by runStoreCalls only.
+	watched    arrival
+}
+
+// minArrival is how many bytes of a response have to have arrived for the rest to be waited for.
+const minArrival = 4 << 10
+
+// arrival follows the response to the call that waits for the operator's changes.
+type arrival struct {
+	mu          sync.Mutex
+	begun, last time.Time // begun and last are when the first and the last bytes arrived.
+	bytes       int
+}
+
+// note records that bytes have arrived.
+func (a *arrival) note(bytes int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if now.Sub(a.last) > maxStall {
+		a.begun, a.bytes = now, 0
+	}
+	a.last, a.bytes = now, a.bytes+bytes
+}
+
+// end records that the response is complete, and returns for how long it was arriving.
+func (a *arrival) end() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	took := a.last.Sub(a.begun)
+	a.last = time.Time{}
+	return took
+}
+
+// underWay reports whether a response is arriving that is worth waiting for.
+func (a *arrival) underWay() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bytes >= minArrival && time.Since(a.last) <= maxStall
 }
 
 // advance records a revision as of which this entry knows all that the operator has written.
@@ -69,6 +108,9 @@
 // callStore makes one call for the operator's settings, which is given up when nothing has arrived for stall. It reports
 // whether another call may succeed at once.
 func (s *settings) callStore(ctx context.Context, stall time.Duration) (again bool) {
+	if s.calls.watched.underWay() {
+		return false // It would bring the same.
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var stalled atomic.Bool
--- a/region/settings.go
+++ b/region/settings.go
@@ -91,19 +91,44 @@
 		s.await(ctx, retryDelay, func() bool { return s.calls.asOf.Load() > 0 })
 	}
 	s.node.runByRole(ctx, func(ctx context.Context, member bool) {
-		options := watchOptions{wait: s.node.watchWait, after: s.calls.asOf.Load()}
 		if member {
-			options.onRead = s.confirm
-			s.node.watch(ctx, s.node.Codec.OperatorPrefix(), options, s.applyValues, s.applyEvents)
-			return
+			s.watchAll(ctx)
+		} else {
+			s.watchEvacuations(ctx)
 		}
-		prefix := s.node.Codec.EvacuationPrefix()
-		s.node.watch(ctx, prefix, options, func(values []winch.Value, asOf uint64) {
-			s.node.applyEvacuations(readEvacuations(prefix, values, asOf), "store")
-		}, s.applyEvacuationEvents)
 	})
 }
 
+// watchAll follows all that the operator writes. Changes that were written while a response took long to arrive are not
+// asked for, since each brings a whole configuration; all is read again, which brings the last one.
+func (s *settings) watchAll(ctx context.Context) {
+	slow := false
+	options := watchOptions{
+		wait: s.node.watchWait, after: s.calls.asOf.Load(), onRead: s.confirm,
+		underWay: s.calls.watched.underWay, readAgain: func() bool { return slow },
+	}
+	ctx = winch.WithProgress(ctx, func(bytes int) {
+		s.calls.arrived.Add(int64(bytes))
+		s.calls.watched.note(bytes)
+	})
+	s.node.watch(ctx, s.node.Codec.OperatorPrefix(), options, func(values []winch.Value, asOf uint64) {
+		s.calls.watched.end()
+		s.applyValues(values, asOf)
+	}, func(events []winch.Event, asOf uint64) {
+		slow = s.calls.watched.end() > maxStall
+		s.applyEvents(events, asOf)
+	})
+}
+
+// watchEvacuations follows the evacuations.
+func (s *settings) watchEvacuations(ctx context.Context) {
+	prefix := s.node.Codec.EvacuationPrefix()
+	options := watchOptions{wait: s.node.watchWait, after: s.calls.asOf.Load()}
+	s.node.watch(ctx, prefix, options, func(values []winch.Value, asOf uint64) {
+		s.node.applyEvacuations(readEvacuations(prefix, values, asOf), "store")
+	}, s.applyEvacuationEvents)
+}
+
 // peersToAsk returns random peers to ask for the configuration: neighbours if there are any, since all entries are
 // linked to the planner and its standby.
 func (s *settings) peersToAsk() []string {
--- a/region/watch.go
+++ b/region/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"plantainwinch/duty"
@@ -39,6 +40,10 @@
 	// onSuccess, if set, is called after each answered call with the time at which the
 	// call was sent.
 	onSuccess func(at time.Time)
+	// underWay, if set, reports whether a response is arriving. A call is not abandoned then.
+	underWay func() bool
+	// readAgain, if set, reports after changes whether all values are to be read again.
+	readAgain func() bool
 }
 
 // maxWait returns how long the next call waits for a change.
@@ -97,6 +102,10 @@
 				onChanges(events, after)
 			}
 			options.notify(sent)
+			if len(events) > 0 && options.readAgain != nil && options.readAgain() {
+				after = 0
+				continue
+			}
 			if options.delay > 0 && len(events) < fullBatch {
 				duty.Sleep(ctx, options.delay)
 			}
@@ -133,16 +142,32 @@
 
 // watchOnce makes one call for changes; answered says that the last one was answered. The call is abandoned when
 // the store answers again after an outage, and by renewWatches: a call sent into the outage may never be answered,
-// and the changes that it waits for would be seen seconds late.
+// and the changes that it waits for would be seen seconds late. One whose response is arriving is not abandoned.
 func (n *Node) watchOnce(ctx context.Context, prefix string, after uint64, options watchOptions, answered bool) (events []winch.Event, next uint64, err error) {
-	abandoned := duty.RunUntil(ctx, n.abandonWatches.wait(), func(ctx context.Context) {
-		if options.wait == nil && answered {
-			var cancel context.CancelFunc
-			ctx, cancel = context.WithTimeout(ctx, changesTimeout)
-			defer cancel()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if options.wait == nil && answered {
+		ctx, cancel = context.WithTimeout(ctx, changesTimeout)
+		defer cancel()
+	}
+	abandoned := false
+	var group conc.WaitGroup
+	signal := n.abandonWatches.wait()
+	group.Go(func() {
+		for !abandoned {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signal:
+			}
+			signal = n.abandonWatches.wait()
+			abandoned = options.underWay == nil || !options.underWay()
 		}
-		events, next, err = n.Table.Watch(ctx, prefix, after, options.maxWait())
+		cancel()
 	})
+	events, next, err = n.Table.Watch(ctx, prefix, after, options.maxWait())
+	cancel()
+	group.Wait()
 	if err != nil && abandoned {
 		err = errAbandoned
 	}
