region: the planner asks a worker itself before it counts as lost

Cause: a worker counts as lost when its keeper does not reach it until its lease has expired. Its tasks may have completed before, and the worker be within reach of others. Only the keeper's path was tried.

Now the planner asks the worker itself, 0.15 s at most, before the report of a keeper on another VM is applied, if something may have run there. If it answers, its lists are applied, and it is assigned again. If it does not, it is lost as before. The call carries no lease and no acknowledgement, and a fencing token above those before, so that a late renewal of an earlier keeper is refused.

Not covered: a worker that neither its keepers nor the planner reach, and workers that are given up at the end of a takeover's wait.

--- a/region/assign.go
+++ b/region/assign.go
@@ -183,9 +183,8 @@
 			l.planner.SetUnready([]string{vm.ID})
 		}
 		changed[name] = true
-		l.tokens++
 		l.recordAssignment(vm.ID, name, proto.Assignment{
-			VM: vm, Token: l.revision*tokensPerOffice + l.tokens, Generation: generation,
+			VM: vm, Token: l.nextToken(), Generation: generation,
 			Empty: l.planner.Empty(vm.ID),
 		})
 	}
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -93,6 +93,7 @@
 	workersOf     map[string]map[string]bool  // workersOf holds the workers of each keeper.
 	assignments   map[string]proto.Assignment // assignments holds each worker's present assignment.
 	byToken       map[uint64]string           // byToken holds the worker of each fencing token.
+	checkedLost   map[string]uint64           // checkedLost holds the token of each lost worker that the planner has asked itself.
 	workers       map[string]winch.WorkerVM
 	listAsOf      time.Time // listAsOf is the time at which the known worker list was current.
 	missing       map[string]time.Time
@@ -190,7 +191,7 @@
 		node: n, term: term, revision: revision, lease: lease, namedRevision: revision, maybeNamed: make(map[string]bool),
 		duty: duty.New("Planner", eventQueueSize, nil), planner: fleet.New(term),
 		proxies: make(map[string]*proxy), keepers: make(map[string]string), workersOf: make(map[string]map[string]bool), assignments: make(map[string]proto.Assignment),
-		byToken: make(map[uint64]string), stateWaiters: make(map[string][]stateWaiter),
+		byToken: make(map[uint64]string), checkedLost: make(map[string]uint64), stateWaiters: make(map[string][]stateWaiter),
 		workers: make(map[string]winch.WorkerVM), missing: make(map[string]time.Time), earlierBoots: make(map[string]winch.WorkerVM),
 		keeperBackoff: make(map[string]bool), previousRoster: make(map[string]rosteredWorker), roster: make(map[string]rosteredWorker),
 		desired: make(map[string]rosteredWorker), pendingRenewals: make(map[string]proto.Order),
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -183,6 +183,9 @@
 		if l.keepers[e.Worker] != p.name || l.assignments[e.Worker].Token != e.Token {
 			continue // The event is of an earlier assignment of the worker.
 		}
+		if l.checkLost(p, e) {
+			continue
+		}
 		l.logEvent(e)
 		if e.Kind == proto.EventLost && e.Result != winch.StartOtherBoot && l.validity.Load().remaining() <= 0 {
 			// The office's lease has expired: another planner may have assigned the worker, and
