--- a/region/largeconfig_test.go
+++ b/region/largeconfig_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
 
@@ -178,3 +179,30 @@
 		w.end()
 	})
 }
+
+// Guards against a rolling replacement in which entries of the build before, which ask for no parts, get no configuration, or
+// send one that is not understood.
+func TestConfigurationIsPassedOnBetweenBuilds(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := regionOf(t, 3)
+		planner, f := w.planner().node, w.follower().node
+		w.setStore(func(s *simStore) { s.put("op/config", mustJSON(simConfig(2)), 0) })
+		time.Sleep(time.Second)
+		is.Equal(planner.settings.respond(proto.SettingsRequest{Have: 1}).Data, mustJSON(simConfig(2)))
+		is.Equal(len(planner.settings.respond(proto.SettingsRequest{Have: 2}).Data), 0)
+
+		before := proto.Settings{Version: 3, Data: mustJSON(simConfig(3))}
+		w.setResponse(func(from, _ string, kind winch.Kind) any {
+			if from == f.Name && kind == proto.KindSettingsRequest {
+				return before
+			}
+			return nil
+		})
+		f.settings.noteVersion(planner.Name, 3)
+		time.Sleep(time.Second)
+		is.Equal(f.Config().Version, uint64(3))
+		w.end()
+	})
+}
--- a/region/simpeers_test.go
+++ b/region/simpeers_test.go
@@ -133,6 +133,23 @@
 	return p.world.requestDelay(p.node.Name, to, kind)
 }
 
+// respondsOtherwise returns the response that a test has set for a request instead of the receiver's, or nil.
+func (p *simPeers) respondsOtherwise(to string, kind winch.Kind) any {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	if p.world.otherResponse == nil {
+		return nil
+	}
+	return p.world.otherResponse(p.node.Name, to, kind)
+}
+
+// setResponse sets what requests between entries are answered with instead of the receiver's response, unless it is nil.
+func (w *world) setResponse(response func(from, to string, kind winch.Kind) any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.otherResponse = response
+}
+
 // setRequestLoss sets which requests between entries are lost; nil means none.
 func (w *world) setRequestLoss(drops func(from, to string, kind winch.Kind) bool) {
 	w.mu.Lock()
@@ -161,7 +178,10 @@
 		n.Handle(context.Background(), p.node.Name, kind, decode)
 		return winch.ErrPeerLost
 	}
-	response := n.Handle(ctx, p.node.Name, kind, decode)
+	response := p.respondsOtherwise(to, kind)
+	if response == nil {
+		response = n.Handle(ctx, p.node.Name, kind, decode)
+	}
 	time.Sleep(networkDelay)
 	if p.target(to) == nil || !p.delivers(n.Host, p.node.Host) {
 		<-ctx.Done()
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -64,6 +64,8 @@
 	downtimeChecks *downtimeChecker
 	// dropsRequest reports whether a request between two entries is lost.
 	dropsRequest func(from, to string, kind winch.Kind) bool
+	// otherResponse, if set, returns the response to a request between two entries, or nil for that of the receiver.
+	otherResponse func(from, to string, kind winch.Kind) any
 	// requestDelay returns how long a request waits at the receiving entry before it is handled,
 	// as in the receive buffers of a paused process. The entry need not be reachable by then.
 	requestDelay func(from, to string, kind winch.Kind) time.Duration
