--- a/region/largeconfig_test.go
+++ b/region/largeconfig_test.go
@@ -54,41 +54,46 @@
 // largeConfigQueues is how many queues a large configuration adds. Such a one takes 1.7 s in the store's form at 2 Mbit/s.
 const largeConfigQueues = 1400
 
-// Guards against a large configuration that is not in force in time at entries with thin links, since the copies that
-// they ask for crowd each other out and are given up while they arrive.
-func TestLargeConfigurationIsInForceAtThinLinks(t *testing.T) {
+// atRates plays a test in fake time at each of several rates.
+func atRates(t *testing.T, rates []float64, play func(t *testing.T, rate float64)) {
 	t.Parallel()
-	for _, rate := range thinLinks {
+	for _, rate := range rates {
 		t.Run(fmt.Sprint(rate/mbit), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				w := thinRegionOf(t, 3, rate)
-				w.checkInForce(2, w.writeLargeConfig(2, largeConfigQueues))
-				w.checkInForce(3, w.writeLargeConfig(3, largeConfigQueues+1))
-				w.end()
-			})
+			synctest.Test(t, func(t *testing.T) { play(t, rate) })
 		})
 	}
 }
 
+// writeSeries writes versions with many queues, one each half second, and checks that each of them is in force in time.
+func (w *world) writeSeries(versions int) {
+	for i := range versions {
+		version := uint64(2 + i)
+		at := w.writeLargeConfig(version, largeConfigQueues+i)
+		w.group.Go(func() { w.checkInForce(version, at) })
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(configBound)
+}
+
+// Guards against a large configuration that is not in force in time at entries with thin links, since the copies that
+// they ask for crowd each other out and are given up while they arrive.
+func TestLargeConfigurationIsInForceAtThinLinks(t *testing.T) {
+	atRates(t, thinLinks, func(t *testing.T, rate float64) {
+		w := thinRegionOf(t, 3, rate)
+		w.checkInForce(2, w.writeLargeConfig(2, largeConfigQueues))
+		w.checkInForce(3, w.writeLargeConfig(3, largeConfigQueues+1))
+		w.end()
+	})
+}
+
 // Guards against versions in series of which none gets in force in time: each new one ends the transfer of the one before.
 func TestLargeConfigurationsInSeriesAreInForce(t *testing.T) {
-	t.Parallel()
-	for _, rate := range thinLinks {
-		t.Run(fmt.Sprint(rate/mbit), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				w := thinRegionOf(t, 3, rate)
-				for version := uint64(2); version < 14; version++ {
-					at := w.writeLargeConfig(version, largeConfigQueues+int(version))
-					w.group.Go(func() { w.checkInForce(version, at) })
-					time.Sleep(500 * time.Millisecond)
-				}
-				time.Sleep(configBound)
-				w.end()
-			})
-		})
-	}
+	atRates(t, thinLinks, func(t *testing.T, rate float64) {
+		w := thinRegionOf(t, 3, rate)
+		w.writeSeries(12)
+		w.end()
+	})
 }
 
 // Guards against an entry that handles requests by a configuration that it knows to be replaced: the planner's reports name
@@ -108,27 +113,31 @@
 // Guards against a planner with a thin link that falls behind ever more while versions come in series: a call for changes
 // returns all of them, and the store is asked for them while they are arriving.
 func TestLargeConfigurationsInSeriesAreInForceAtAThinPlanner(t *testing.T) {
+	atRates(t, []float64{6 * mbit, 10 * mbit}, func(t *testing.T, rate float64) {
+		w := regionOf(t, 3)
+		rates := make(map[string]float64)
+		for host := range w.nodes {
+			rates[host] = rate
+		}
+		w.setRates(rates)
+		w.writeSeries(16)
+		w.end()
+	})
+}
+
+// Guards against entries that all get a large configuration in the store's form: only the planner and its standby do.
+func TestLargeConfigurationIsReadFromTheStoreByTwo(t *testing.T) {
 	t.Parallel()
-	for _, rate := range []float64{6 * mbit, 10 * mbit} {
-		t.Run(fmt.Sprint(rate/mbit), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				w := regionOf(t, 3)
-				rates := make(map[string]float64)
-				for host := range w.nodes {
-					rates[host] = rate
-				}
-				w.setRates(rates)
-				for version := uint64(2); version < 18; version++ {
-					at := w.writeLargeConfig(version, largeConfigQueues+int(version))
-					w.group.Go(func() { w.checkInForce(version, at) })
-					time.Sleep(500 * time.Millisecond)
-				}
-				time.Sleep(configBound)
-				w.end()
-			})
-		})
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w := thinRegionOf(t, 10, 10*mbit)
+		w.writeSeries(4)
+		for _, n := range w.nodes {
+			if arrived := n.node.settings.calls.arrived.Load(); (arrived > smallConfig) != n.node.needsMembers() {
+				t.Errorf("%s (planner or standby: %t) has read %d bytes of what the operator writes", n.host, n.node.needsMembers(), arrived)
+			}
+		}
+		w.end()
+	})
 }
 
 // maxDelayByCopies is how long reports may be held up by copies of a configuration, beside the time between two reports.
@@ -136,31 +145,23 @@
 
 // Guards against leases, orders and reports that are held up behind copies of a configuration on the same link.
 func TestReportsAreNotHeldUpByALargeConfiguration(t *testing.T) {
-	t.Parallel()
-	for _, rate := range thinLinks {
-		t.Run(fmt.Sprint(rate/mbit), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				is := is.NewRelaxed(t)
-				w := thinRegionOf(t, 3, rate)
-				for i, at := uint64(0), time.Now(); time.Since(at) < 6*time.Second; i++ {
-					w.writeLargeConfig(2+i, largeConfigQueues+int(i))
-					for range 20 {
-						time.Sleep(50 * time.Millisecond)
-						for _, n := range w.nodes {
-							if v := n.node.waiting.Load(); time.Since(v.at) > waitingInterval+maxConfirmDelay+maxDelayByCopies {
-								t.Errorf("%s has had no report for %v", n.host, time.Since(v.at))
-								w.end()
-								return
-							}
-						}
-					}
+	atRates(t, thinLinks, func(t *testing.T, rate float64) {
+		w := thinRegionOf(t, 3, rate)
+		w.group.Go(func() { w.writeSeries(12) })
+		for begin := time.Now(); time.Since(begin) < 6*time.Second; time.Sleep(50 * time.Millisecond) {
+			for _, n := range w.nodes {
+				if v := n.node.waiting.Load(); time.Since(v.at) > waitingInterval+maxConfirmDelay+maxDelayByCopies {
+					t.Errorf("%s has had no report for %v", n.host, time.Since(v.at))
+					w.end()
+					return
 				}
-				is.True(w.planner() != nil)
-				w.end()
-			})
-		})
-	}
+			}
+		}
+		if w.planner() == nil {
+			t.Error("the region has no planner")
+		}
+		w.end()
+	})
 }
 
 // Guards against an entry that asks whether peers are answered by the store and is sent a copy of the configuration by
