--- a/region/current.go
+++ b/region/current.go
@@ -116,7 +116,7 @@
 }
 
 // refresh makes the configuration current. If the store has not answered any call meanwhile, and no peer says that it is
-// answered, this entry reaches nobody who knows more. A process that was held up cannot tell.
+// answered or names a newer version, this entry reaches nobody who knows more. A process that was held up cannot tell.
 func (s *settings) refresh(ctx context.Context) {
 	begin, arrived := time.Now(), s.calls.arrived.Load()
 	timing := s.node.Timing
--- a/region/simrate_test.go
+++ b/region/simrate_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"plantainwinch/duty"
 )
 
 // A transfer goes in chunks, between which the chunks of others go.
@@ -63,7 +65,7 @@
 		chunk := min(bytes, chunkBytes)
 		bytes -= chunk
 		for _, d := range []simDirection{{from, true}, {to, false}} {
-			if !sleepUntil(ctx, w.occupy(d, chunk)) {
+			if duty.Sleep(ctx, time.Until(w.occupy(d, chunk))); ctx.Err() != nil {
 				return false
 			}
 		}
@@ -72,17 +74,6 @@
 	return true
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // send carries a message over the link between two entries, after those that were sent before, and then calls deliver.
 // It is carried to the end although the sender may not wait for that.
 func (w *world) send(from, to string, bytes int, deliver func()) {
