--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -84,9 +84,9 @@
 
 // Crashes of the case innocentCrashes: one of the workers at a time, each in its turn.
 const (
-	crashes      = 30
-	crashPause   = 2 * time.Second
-	crashedFor   = time.Second
+	crashes      = 40
+	crashPause   = 1500 * time.Millisecond
+	crashedFor   = 700 * time.Millisecond
 	submitPause  = 1500 * time.Millisecond
 	crashRunTime = 8 * time.Second
 )
