region: reports of earlier runs are logged and counted by outcome

A planner wrote nothing about the runs that keepers report from an earlier term, so the logs could not tell whether a run that counts without its worker came from such a report. No decision changes.

--- /dev/null
+++ b/region/earlierruns.go
@@ -0,0 +1,48 @@
+package region
+
+import (
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"plantainwinch/proto"
+)
+
+// The outcomes of a keeper's report of the runs that it knew at a worker in the session of an earlier planner.
+const (
+	earlierApplied   = "applied"
+	earlierUnnamed   = "another keeper is recorded" // earlierUnnamed stands for a report that may be incomplete.
+	earlierKnownRuns = "known before"
+)
+
+// earlierReports holds the workers of such reports by outcome.
+type earlierReports map[string][]string
+
+func (r earlierReports) add(outcome string, e proto.KeeperEvent) {
+	r[outcome] = append(r[outcome], e.Worker)
+}
+
+// handleKnown handles the runs that a keeper knew at a worker when this planner's session began, and returns the
+// outcome. If the earlier planner's roster names the keeper with the same generation, those are all that may run
+// there; otherwise the report is incomplete and is dropped.
+func (l *leadership) handleKnown(keeper string, e proto.KeeperEvent) string {
+	if w := l.previousRoster[e.Worker]; w.Keeper != keeper || w.Generation != e.Turn {
+		return earlierUnnamed
+	}
+	outcome := earlierApplied
+	if l.planner.RunsKnown(e.Worker) {
+		outcome = earlierKnownRuns
+	}
+	l.planner.HandleEvent(e)
+	return outcome
+}
+
+// logEarlierReports logs and counts the reports of a keeper by outcome.
+func (l *leadership) logEarlierReports(keeper string, reports earlierReports) {
+	for outcome, workers := range reports {
+		l.node.Log.Info("keeper reported earlier runs", zap.String("keeper", keeper), zap.String("outcome", outcome),
+			zap.Int("count", len(workers)), zap.Strings("workers", workers[:min(maxEarlierWorkers, len(workers))]))
+		if outcome == earlierKnownRuns {
+			metrics.GetOrRegisterCounter("Planner.EarlierReports.Outdated", l.node.Metrics).Inc(int64(len(workers)))
+		}
+	}
+}
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -168,13 +168,14 @@
 		return
 	}
 	changed := false
+	reports := make(earlierReports)
 	for _, e := range events {
 		if e.Worker == "" {
 			e.Worker = l.byToken[e.Token]
 		}
 		switch e.Kind {
 		case proto.EventKnownRuns:
-			l.handleKnown(p.name, e)
+			reports.add(l.handleKnown(p.name, e), e)
 			continue
 		case proto.EventReleased:
 			l.releaseAssignment(p.name, e)
@@ -213,6 +214,7 @@
 			changed = changed || unresponsive || len(l.roster[e.Worker].Earlier) > 0
 		}
 	}
+	l.logEarlierReports(p.name, reports)
 	l.sendExpiries()
 	l.signalSave()
 	if changed {
@@ -221,15 +223,6 @@
 	l.decideSoon()
 }
 
-// handleKnown handles the runs that a keeper knew at a worker when this planner's session began. If
-// the earlier planner's roster names the keeper with the same generation, those are all that may run
-// there; otherwise the report is incomplete and is dropped.
-func (l *leadership) handleKnown(keeper string, e proto.KeeperEvent) {
-	if w := l.previousRoster[e.Worker]; w.Keeper == keeper && w.Generation == e.Turn {
-		l.planner.HandleEvent(e)
-	}
-}
-
 // unassignLost ends the assignment of a lost worker. The worker is assigned again if it is
 // still listed. Starts that may reach its next boot extend the lease there.
 func (l *leadership) unassignLost(id string) {
