fleet: an earlier keeper's report is dropped once the planner knows what runs at the worker

Cause: in its first session of a term a keeper reports the runs that it knew in the last one. The planner applied such a report to any worker whose lists it did not have. An entry that was cut off reports late: its worker had another boot by then, the planner had ended the runs with the old one, and the report added them again. A worker whose boot is replaced is managed by no keeper, so nothing ever ended them.

The planner already tracks at which workers the work of earlier planners is not known yet. Only those may take it from a report, whichever way the others have become known: lists, another boot, an expired lease, the standby's copy.

--- /dev/null
+++ b/coord/fleet/earlierruns_test.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"plantainwinch/proto"
+	"plantainwinch/winch"
+)
+
+// nextPlanner returns a planner that takes over from the region's without knowing what runs at its workers.
+func nextPlanner(c *simRegion) *Planner {
+	next := New(2)
+	next.SetConfig(&winch.RegionConfig{Queues: []winch.Queue{urgentQueue()}})
+	var ids []string
+	for _, vm := range c.planner.WorkersToHold() {
+		ids = append(ids, vm.ID)
+	}
+	next.SetRoster(ids)
+	next.Barrier = time.Now().Add(8 * time.Second)
+	next.AdoptedRevision = 100
+	next.SetWorkers(c.planner.WorkersToHold())
+	for _, j := range c.planner.jobs {
+		next.Add(j.rec, nil, 0)
+	}
+	return next
+}
+
+// Guards against runs that come back with a report of what an earlier keeper knew, after the planner has learnt from the
+// worker itself, its next boot or its expired lease what runs there.
+func TestReportOfEarlierRunsIsDroppedOnceTheRunsAreKnown(t *testing.T) {
+	for name, learn := range map[string]func(p *Planner, id string){
+		"replaced": func(p *Planner, id string) {
+			p.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: id, Result: winch.StartOtherBoot})
+		},
+		"next boot listed": func(p *Planner, id string) {
+			list := p.WorkersToHold()
+			for i := range list {
+				if list[i].ID == id {
+					list[i].Born++
+				}
+			}
+			p.SetWorkers(list)
+		},
+		"expired": func(p *Planner, id string) {
+			p.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: id, Result: winch.StartUncertain})
+		},
+		"listed, then its keeper was lost": func(p *Planner, id string) {
+			p.HandleEvent(proto.KeeperEvent{Kind: proto.EventListed, Worker: id})
+			p.SetUnready([]string{id})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				c := newSimRegion(t, 2, urgentQueue())
+				c.add("a", "preview", "choir", tasks(1, 1000))
+				c.saveRecords()
+				start := c.schedule()[0]
+				known := proto.KeeperEvent{Kind: proto.EventKnownRuns, Worker: start.Worker, Running: c.planner.RunsAt(start.Worker)}
+				is.Equal(len(known.Running), 1)
+				p := nextPlanner(c)
+				p.HandleEvent(known) // As its standby knew.
+				is.Equal(len(p.RunsAt(start.Worker)), 1)
+				learn(p, start.Worker)
+				is.Equal(len(p.RunsAt(start.Worker)), 0)
+				p.HandleEvent(known)
+				is.Equal(len(p.RunsAt(start.Worker)), 0)
+			})
+		})
+	}
+}
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -61,9 +61,10 @@
 
 // handleKnown applies the runs of a worker that its keeper knows from the session of an earlier
 // planner. All orders went through that keeper, so nothing else runs there. The worker gets no work
-// until its own lists have been received.
+// until its own lists have been received. The report may be delayed until this planner has learned in
+// another way what runs there; it is outdated then, and its runs may have ended with their boot.
 func (p *Planner) handleKnown(w *worker, e proto.KeeperEvent) {
-	if w.ready {
+	if p.RunsKnown(w.vm.ID) {
 		return
 	}
 	p.handleFound(w, e.Running)
--- a/region/earlierruns.go
+++ b/region/earlierruns.go
@@ -28,12 +28,11 @@
 	if w := l.previousRoster[e.Worker]; w.Keeper != keeper || w.Generation != e.Turn {
 		return earlierUnnamed
 	}
-	outcome := earlierApplied
 	if l.planner.RunsKnown(e.Worker) {
-		outcome = earlierKnownRuns
+		return earlierKnownRuns
 	}
 	l.planner.HandleEvent(e)
-	return outcome
+	return earlierApplied
 }
 
 // logEarlierReports logs and counts the reports of a keeper by outcome.
