fleet: a run that is reported at a replaced boot ends after the longest lease

A worker whose boot is replaced is managed by no keeper until the list names the next boot. A run that was added there, by whatever report, counted for good: its task never started again and its team stayed charged for it. Until now only starts on their way to the next boot had a time at which they end.

That time is now set for every run at such a worker, and the run is logged with how it came to be known and counted (Planner.Runs.Stray). It is 8 s, after which no boot can still execute a start.

TestRunReportedAtAReplacedBootEnds: before, the run was still there after that time. No path is known that adds such a run since outdated reports are dropped.

--- a/coord/fleet/earlierruns_test.go
+++ b/coord/fleet/earlierruns_test.go
@@ -73,3 +73,25 @@
 		})
 	}
 }
+
+// Guards against runs that count for good because they were reported at a boot that no keeper manages any more.
+func TestRunReportedAtAReplacedBootEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := newSimRegion(t, 2, urgentQueue())
+		c.add("a", "preview", "choir", tasks(1, 1000))
+		c.saveRecords()
+		start := c.schedule()[0]
+		known := c.planner.RunsAt(start.Worker)
+		c.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: start.Worker, Result: winch.StartOtherBoot})
+		is.Equal(len(c.planner.Strays()), 0)
+		c.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventFound, Worker: start.Worker, Running: known})
+		is.Equal(c.planner.Strays(), []Stray{{start.Worker, start.Task, start.Run, EarlierListed}})
+		time.Sleep(nextBootTimeout - time.Millisecond)
+		c.schedule()
+		is.Equal(len(c.planner.RunsAt(start.Worker)), 1)
+		time.Sleep(time.Millisecond)
+		c.schedule()
+		is.Equal(len(c.planner.RunsAt(start.Worker)), 0)
+	})
+}
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -39,7 +39,7 @@
 	case proto.EventStatus:
 		p.handleStatus(w, e.Running)
 	case proto.EventFound:
-		p.handleFound(w, e.Running)
+		p.handleFound(w, e.Running, EarlierListed)
 	case proto.EventLost:
 		w.replaced = e.Result == winch.StartOtherBoot && w.vm.Born != 0
 		var carried []runKey
@@ -67,7 +67,7 @@
 	if p.RunsKnown(w.vm.ID) {
 		return
 	}
-	p.handleFound(w, e.Running)
+	p.handleFound(w, e.Running, EarlierReported)
 	p.noteEarlier(w.vm.ID, EarlierReported)
 }
 
@@ -93,7 +93,7 @@
 			p.stopRun(r)
 		}
 	}
-	p.handleFound(w, e.Running)
+	p.handleFound(w, e.Running, EarlierListed)
 	p.handleStatus(w, e.Running)
 	w.ready, w.respondsAgain = true, true
 	p.noteEarlier(w.vm.ID, EarlierListed)
@@ -103,8 +103,8 @@
 }
 
 // handleFound handles runs that were not ordered in this session: it adopts those whose work is
-// still needed and stops the others.
-func (p *Planner) handleFound(w *worker, list []winch.Running) {
+// still needed and stops the others. How says how they came to be known.
+func (p *Planner) handleFound(w *worker, list []winch.Running, how string) {
 	for _, x := range list {
 		key := runKey{x.Task, x.Run}
 		if w.runs[key] != nil {
@@ -117,6 +117,7 @@
 		}
 		r := p.addRun(w, t, x.Task, x.Run)
 		r.started, r.adopted, r.throttle = true, true, throttleUnknown
+		p.noteStray(r, how)
 		if p.jobs[x.Task.Job] == nil {
 			p.awaitJob(x.Task.Job, w)
 			continue
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -97,8 +97,9 @@
 	// copyable holds the phases that may have stragglers, copies the runs that are copies of others.
 	copyable []*phase
 	copies   []*run
-	// carried holds until when runs are kept that may have been started by the next boot of a worker, see carryOver.
+	// carried holds until when runs at replaced boots are kept: the next boot may have started them, see carryOver.
 	carried map[*worker]time.Time
+	strays  []Stray
 	// awaited holds the workers that report runs or completions of jobs that the planner does not know, by job.
 	awaited map[string]map[*worker]bool
 	// pendingWorkers holds the workers with completions that have not been forgotten yet.
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -137,6 +137,9 @@
 	w.runs[r.key] = r
 	w.changes++
 	w.empty = false
+	if w.replaced { // No keeper manages the worker, so no report ends the run.
+		p.carried[w] = p.now().Add(nextBootTimeout)
+	}
 	r.countUrgent(true)
 	r.countEvictable(true)
 	p.beginProbe(r)
--- a/coord/fleet/unknown.go
+++ b/coord/fleet/unknown.go
@@ -65,7 +65,7 @@
 				p.endRun(r, "")
 			}
 		}
-		p.handleFound(w, found)
+		p.handleFound(w, found, EarlierListed)
 		p.forgetRecorded(w)
 	}
 }
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -150,7 +150,6 @@
 			closed := ClosedRun{w.vm.ID, key.task, key.run}
 			p.closedRuns = slices.DeleteFunc(p.closedRuns, func(x ClosedRun) bool { return x == closed })
 			p.stopRun(p.addRun(w, t, key.task, key.run))
-			p.carried[w] = p.now().Add(nextBootTimeout)
 		}
 	}
 }
@@ -159,7 +158,7 @@
 // one: longer than any lease.
 const nextBootTimeout = 8 * time.Second
 
-// endCarried ends the runs that were kept for a next boot that the list has not named in time.
+// endCarried ends the runs at replaced boots for which the list has not named the next one in time.
 func (p *Planner) endCarried(now time.Time) {
 	for w, until := range p.carried {
 		if p.workers[w.vm.ID] == w && w.replaced && now.Before(until) {
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -329,6 +329,7 @@
 	l.signalUnknown()
 	l.logCompletions()
 	l.logEarlier()
+	l.logStrays()
 	l.logLosses()
 	l.logAnomalies()
 	l.reportSpeeds()
--- a/region/report.go
+++ b/region/report.go
@@ -160,6 +160,16 @@
 	}
 }
 
+// logStrays logs and counts the runs that were reported at replaced boots. They end after a while; each one keeps its task
+// from starting until then.
+func (l *leadership) logStrays() {
+	for _, x := range l.planner.Strays() {
+		metrics.GetOrRegisterCounter("Planner.Runs.Stray", l.node.Metrics).Inc(1)
+		l.node.Log.Error("run reported at a replaced boot of a worker", zap.String("by", x.How), zap.String("job", x.Task.Job), zap.Int("k", x.Task.K),
+			zap.Int("phase", x.Task.Phase), zap.Int("index", x.Task.Index), zap.Uint64("run", x.Run), zap.String("worker", x.Worker))
+	}
+}
+
 // logLosses logs which runs ended with a worker. A task that crashes its workers is among the first in
 // the lines of all of them.
 func (l *leadership) logLosses() {
