region: random tests with cuts of the planner's entry alone and crashes of healthy workers

TestRandomFaults never crashed a healthy worker, and partitioned whole failure domains only, so that a planner's entry never kept its workers while it was cut off from the other entries. Both are new kinds of faults, drawn with the others in TestRandomCuts; the earlier tests draw what they drew.

Every test of a region fails now if a run is reported at a replaced boot.

--- a/region/earlierruns_test.go
+++ b/region/earlierruns_test.go
@@ -8,9 +8,10 @@
 	"github.com/matryer/is"
 )
 
-// cutEntry cuts an entry off from the store and all other entries, but not from the workers, or ends that.
-func (w *world) cutEntry(n *simNode, on bool) {
-	w.log.note("entry %s is cut off: %v", n.host, on)
+// cutEntry cuts an entry off from the store and all other entries, but not from the workers, or ends that. Unless it is cut
+// off in both directions, only what it sends to other entries is lost.
+func (w *world) cutEntry(n *simNode, bothWays, on bool) {
+	w.log.note("entry %s is cut off: %v, both ways: %v", n.host, on, bothWays)
 	w.setStore(func(s *simStore) {
 		if s.refusedHosts == nil {
 			s.refusedHosts = make(map[string]bool)
@@ -22,8 +23,12 @@
 		delta = 1
 	}
 	for host := range w.nodes {
-		if host != n.host {
-			w.changeLink(simPath{n.host, host}, delta)
+		if path := (simPath{n.host, host}); host != n.host && bothWays {
+			w.changeLink(path, delta)
+		} else if host != n.host {
+			w.mu.Lock()
+			w.blockedPaths[path] += delta
+			w.mu.Unlock()
 		}
 	}
 	w.noteLinks()
@@ -43,7 +48,7 @@
 		earlier := w.planner()
 		worker, _ := w.workerKeptBy(earlier, true)
 		x := w.workers[worker]
-		w.cutEntry(earlier, true)
+		w.cutEntry(earlier, true, true)
 		w.terminateBoot(x, false)
 		successor := w.planner()
 		for successor == nil || successor == earlier {
@@ -56,7 +61,7 @@
 		next.ID, next.Draining = "x1", true
 		w.bootWorker(next, 0)
 		is.True(w.awaitLeadState(l, 6*time.Second, func() bool { return len(l.planner.RunsAt(worker)) == 0 }))
-		w.cutEntry(earlier, false)
+		w.cutEntry(earlier, true, false)
 		is.NoErr(l.duty.Do(w.ctx, func() { l.sendAssignments(earlier.node.Name) }))
 		time.Sleep(time.Second)
 		w.unlist(x)
--- a/region/evictions_test.go
+++ b/region/evictions_test.go
@@ -216,7 +216,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, seed, 3, 9)
 				settle()
-				w.group.Go(func() { w.playRandomFaults(10) })
+				w.group.Go(func() { w.playRandomFaults(10, entryFaults) })
 				var ids []string
 				for i := range 8 {
 					batch, urgent := fmt.Sprintf("%016x", 0xf00+i), fmt.Sprintf("%016x", 0xe00+i)
--- a/region/laterand_test.go
+++ b/region/laterand_test.go
@@ -58,7 +58,7 @@
 					w.setStore(func(s *simStore) { s.maxChanges = 5 })
 				}
 				w.group.Go(func() { w.playLateResponses(seed) })
-				w.group.Go(func() { w.playRandomFaults(12) })
+				w.group.Go(func() { w.playRandomFaults(12, entryFaults) })
 				var ids []string
 				for i := range 12 {
 					for j := range 24 {
--- a/region/overloadrand_test.go
+++ b/region/overloadrand_test.go
@@ -111,7 +111,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, seed, 3, 9)
 				settle()
-				w.group.Go(func() { w.playRandomFaults(12) })
+				w.group.Go(func() { w.playRandomFaults(12, entryFaults) })
 				x := &overloadCallers{world: w}
 				var callers conc.WaitGroup
 				for i := range 2 * burstJobs {
--- a/region/randfault_test.go
+++ b/region/randfault_test.go
@@ -3,17 +3,26 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
-// playRandomFaults injects faults of all kinds, several at a time, and ends each after a random time.
-func (w *world) playRandomFaults(steps int) {
+const (
+	// entryFaults is the number of kinds of faults of entries, the store and the network between failure domains, allFaults
+	// that of all kinds, of which the last one counts for six.
+	entryFaults = 8
+	allFaults   = 16
+)
+
+// playRandomFaults injects faults of the first kinds, several at a time, and ends each after a random time.
+func (w *world) playRandomFaults(steps, kinds int) {
 	for range steps {
 		time.Sleep(time.Duration(300+w.intn(2000)) * time.Millisecond)
 		length := time.Duration(500+w.intn(7000)) * time.Millisecond
-		kind := w.intn(8)
+		kind := w.intn(kinds)
 		w.log.note("injecting fault of kind %d for %v", kind, length)
 		switch kind {
 		case 0:
@@ -39,6 +48,9 @@
 			})
 		case 6:
 			x := w.workers[fmt.Sprintf("w%d", w.intn(len(w.workers)))]
+			if x == nil {
+				continue // More workers than before: some have crashed and are back under other IDs.
+			}
 			w.injectFor(length, func(on bool) {
 				x.mu.Lock()
 				x.losesResponses = on
@@ -49,10 +61,67 @@
 				p.stop()
 				w.killAndRestart(p, length/4)
 			}
+		case 8:
+			w.crashWorkers(1+w.intn(3), length/4)
+		case 9:
+			w.cutPlanner(length)
+		default:
+			// Workers crash right after a cut begins or right before it ends.
+			at := 50 * time.Millisecond
+			if w.intn(2) == 0 {
+				at = length - at
+			}
+			w.cutPlanner(length)
+			count, pause := 1+w.intn(4), time.Duration(100+w.intn(3000))*time.Millisecond
+			w.group.Go(func() {
+				time.Sleep(at)
+				w.crashWorkers(count, pause)
+			})
 		}
 	}
 }
 
+// cutPlanner cuts the planner's entry off from the store and all other entries, but not from the workers: in both
+// directions, or only what it sends to other entries.
+func (w *world) cutPlanner(length time.Duration) {
+	p := w.planner()
+	if p == nil {
+		return
+	}
+	oneWay := w.intn(3) == 0
+	w.cutEntry(p, !oneWay, true)
+	w.group.Go(func() {
+		time.Sleep(length)
+		w.cutEntry(p, !oneWay, false)
+	})
+}
+
+// crashWorkers ends healthy workers without an announcement. After a pause another boot follows, under the same ID or under
+// a new one at the same address.
+func (w *world) crashWorkers(count int, pause time.Duration) {
+	for range count {
+		w.mu.Lock()
+		ids := slices.Sorted(maps.Keys(w.workers))
+		x := w.workers[ids[w.intn(len(ids))]]
+		w.mu.Unlock()
+		if !w.terminateBoot(x, false) {
+			continue
+		}
+		next := x.vm
+		if w.intn(2) == 0 {
+			next.ID = fmt.Sprintf("%s+", x.vm.ID)
+		}
+		w.group.Go(func() {
+			time.Sleep(crashedRecordLifetime)
+			w.unlist(x)
+		})
+		w.group.Go(func() {
+			time.Sleep(pause)
+			w.bootWorker(next, 0)
+		})
+	}
+}
+
 // randomNode returns a random entry.
 func (w *world) randomNode() *simNode {
 	return w.nodes[fmt.Sprintf("d%d-%d", w.intn(len(w.nodes)/entriesPerDomain), w.intn(entriesPerDomain))]
@@ -99,7 +168,25 @@
 // partitioned, the store is down or loses responses, and workers carry out calls without responding.
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
+	randomFaults(t, entryFaults)
+}
+
+// Guards against the failures of TestRandomFaults when, besides, healthy workers crash and the planner's entry alone is cut
+// off: it goes on managing workers for a while, and what it knows of them becomes outdated.
+func TestRandomCuts(t *testing.T) {
+	t.Parallel()
+	randomFaults(t, allFaults, 27, 34, 44, 186, 187)
+}
+
+// randomFaults plays one scenario with faults of the first kinds per seed, and checks the jobs. Seeds of earlier failures
+// are played besides.
+func randomFaults(t *testing.T, kinds int, earlierFailures ...uint64) {
+	all := earlierFailures
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		all = append(all, seed)
+	}
+	slices.Sort(all)
+	for _, seed := range slices.Compact(all) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
@@ -108,7 +195,7 @@
 					w.setSlow(2, "w1", "w5")
 				}
 				settle()
-				w.group.Go(func() { w.playRandomFaults(12) })
+				w.group.Go(func() { w.playRandomFaults(12, kinds) })
 				ids := w.submitJobs(0, 40)
 				for i := range 10 {
 					ids = append(ids, w.submitCopied(fmt.Sprintf("%016x", 0xd000+i)))
--- a/region/shares_test.go
+++ b/region/shares_test.go
@@ -74,7 +74,7 @@
 				w.store.put("op/config", mustJSON(sharesConfig()), 0)
 				w.store.mu.Unlock()
 				settle()
-				w.group.Go(func() { w.playRandomFaults(6) })
+				w.group.Go(func() { w.playRandomFaults(6, entryFaults) })
 				ids := w.submitOverload(seed, 10*time.Second)
 				w.awaitAll(ids, 90*time.Second)
 				w.end()
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -232,6 +232,9 @@
 func (w *world) end() {
 	w.cancel()
 	w.group.Wait()
+	if n := w.log.count("run reported at a replaced boot"); n > 0 {
+		w.reportViolation("%d runs were reported at replaced boots", n)
+	}
 	for _, line := range w.violations {
 		w.t.Error(line)
 	}
