trans/peer: a link that a simultaneous one replaces serves for another second

Two entries that dialled each other at the same time lost the requests that were under way on the link that was given up: each side closed it as soon as it had the other one, also while the peer still used it. A caller of Request got "link to the peer broke", and what the request had done was unknown.

The link that is given up is retired: new messages go over the other one, requests and responses are served for a second, and notifications on it are dropped, since later ones may have overtaken them; they were lost with the link before. A link that a peer dials later, because it has lost the first one, still replaces that at once.

--- a/trans/peer/dial.go
+++ b/trans/peer/dial.go
@@ -111,8 +111,8 @@
 	l.dialled = address
 	m.sendFirst(l)
 	if !m.add(l) {
-		_ = l.conn.CloseNow()
 		ended()
+		l.runRetired(ctx, m.dialledHandler(l))
 		sleep(ctx, 10*redialInterval)
 		return
 	}
@@ -220,7 +220,7 @@
 	l := &link{
 		hello: hello, conn: conn, mesh: m, since: time.Now(),
 		queue: make(chan *proto.Frame, sendQueueSize), waiting: make(map[uint64]chan proto.Frame), closed: make(chan struct{}),
-		pingRequested: make(chan struct{}, 1),
+		pingRequested: make(chan struct{}, 1), retired: make(chan struct{}),
 	}
 	l.touch()
 	return l, nil
--- a/trans/peer/link.go
+++ b/trans/peer/link.go
@@ -26,6 +26,7 @@
 	waiting       map[uint64]chan proto.Frame
 	closed        chan struct{}
 	pingRequested chan struct{} // pingRequested makes pingLoop check the link.
+	retired       chan struct{} // retired is closed once another link to the peer has replaced this one.
 	dialled       string        // dialled is the address that this entry dialled; "" if the peer dialled.
 	since         time.Time     // since is when the link was established.
 	used          atomic.Int64  // used is when the last frame was sent or received, in Unix nanoseconds.
@@ -60,6 +61,31 @@
 	_ = l.conn.CloseNow()
 }
 
+// runRetired runs a link that was never used by this entry, if it is retired, and closes it otherwise.
+func (l *link) runRetired(ctx context.Context, handler winch.Handler) {
+	if l.isRetired() {
+		l.run(ctx, handler)
+		return
+	}
+	_ = l.conn.CloseNow()
+}
+
+// retire has the link end after retireDelay. The mutex of the mesh is held.
+func (l *link) retire() {
+	if !l.isRetired() {
+		close(l.retired)
+	}
+}
+
+func (l *link) isRetired() bool {
+	select {
+	case <-l.retired:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *link) writeLoop(ctx context.Context) {
 	for {
 		select {
@@ -84,12 +110,15 @@
 	}
 }
 
-// pingLoop ends the link when a ping times out.
+// pingLoop ends the link when a ping times out, or some time after it was retired.
 func (l *link) pingLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-l.retired:
+			sleep(ctx, retireDelay)
+			return
 		case <-l.pingRequested:
 		}
 		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -136,6 +165,7 @@
 			case f.Reply:
 				l.deliver(f)
 			case handler == nil:
+			case f.ID == 0 && l.isRetired(): // Later messages may have overtaken it on the other link.
 			case f.ID == 0:
 				l.handle(ctx, handler, f) // Messages without a response are handled in order.
 			default:
--- a/trans/peer/peer.go
+++ b/trans/peer/peer.go
@@ -50,6 +50,9 @@
 	// simultaneousDial is how long after a link was established another one of the same pair counts as
 	// dialled at the same time. A peer that dials later than that has lost the earlier link.
 	simultaneousDial = time.Second
+	// retireDelay is how long a link still serves after another one that was dialled at the same time has replaced it: the
+	// peer may have sent requests on it before it knew of the other one.
+	retireDelay = time.Second
 	// idleTimeout is how long a link that no entry wants to keep may be unused.
 	idleTimeout = 5 * time.Second
 	// pingTimeout limits the response time to a ping, which is sent after a request has
@@ -187,7 +190,8 @@
 }
 
 // add registers a link for messages to its peer. It reports false if the link must not be used: the peer is
-// partitioned or this entry itself, or another link to it serves.
+// partitioned or this entry itself, or another link to it serves. Of two links that were dialled at the same time, the one
+// that is not used is retired.
 func (m *Mesh) add(l *link) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -195,16 +199,29 @@
 		m.links = make(map[string]*link)
 	}
 	old := m.links[l.hello.Entry]
-	if l.hello.Entry == m.Self.Entry || m.blocked[l.hello.Entry] || old != nil && !m.replaces(l, old) {
+	if l.hello.Entry == m.Self.Entry || m.blocked[l.hello.Entry] {
 		return false
 	}
-	if old != nil {
+	if old != nil && !m.replaces(l, old) {
+		if m.dialledTogether(l, old) {
+			l.retire()
+		}
+		return false
+	}
+	if old != nil && m.dialledTogether(l, old) {
+		old.retire()
+	} else if old != nil {
 		_ = old.conn.CloseNow()
 	}
 	m.links[l.hello.Entry] = l
 	return true
 }
 
+// dialledTogether reports whether a new and an older link to a peer were dialled at the same time, one by each entry.
+func (m *Mesh) dialledTogether(l, old *link) bool {
+	return m.twoWay(l) && (l.dialled == "") != (old.dialled == "") && time.Since(old.since) <= simultaneousDial
+}
+
 // replaces reports whether a new link is to be used instead of an older one to the same peer. If both
 // entries have dialled at the same time, both keep the link that the one with the smaller name dialled.
 func (m *Mesh) replaces(l, old *link) bool {
@@ -264,7 +281,7 @@
 	}
 	m.sendFirst(l)
 	if !m.add(l) {
-		_ = l.conn.CloseNow()
+		l.runRetired(r.Context(), m.Handler)
 		return
 	}
 	m.OnLinkChange(l.hello, true)
--- a/trans/peer/twoway_test.go
+++ b/trans/peer/twoway_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"plantainwinch/proto"
 	"plantainwinch/winch"
@@ -64,6 +65,57 @@
 	}
 }
 
+// Guards against requests that are lost when two entries have dialled each other at the same time: the link that they were
+// sent on is replaced by the other one while they are being handled.
+func TestRequestsSurviveTheReplacementOfTheirLink(t *testing.T) {
+	is := is.New(t)
+	var addresses [2]string
+	handling, proceed := make(chan bool, 2), make(chan struct{})
+	entries := startPair(t, func(_ context.Context, _ string, kind winch.Kind, _ func(any) error) any {
+		handling <- true
+		<-proceed
+		return "x"
+	}, func(i int, m *Mesh) {
+		addresses[1-i] = m.Addresses()[0]
+		m.Self.Address = m.Self.Entry
+		m.Addresses = func() []string { return nil }
+	})
+	connect := func(from, to int) {
+		awaitCondition(t, "dialled", func() bool {
+			entries[from].mu.Lock()
+			running := entries[from].dialers != nil
+			entries[from].mu.Unlock()
+			return running
+		})
+		<-entries[from].startDial(addresses[to])
+	}
+	connect(1, 0) // The link that b dials is replaced by that of a, whose name is smaller.
+	awaitCondition(t, "link of b", func() bool { return entries[0].Linked("b") && entries[1].Linked("a") })
+	first := [2]*link{entries[0].linkTo("b"), entries[1].linkTo("a")}
+	for i, e := range entries {
+		e.mu.Lock()
+		first[i].since = time.Now().Add(time.Minute) // However long the rest of the test takes.
+		e.mu.Unlock()
+	}
+	errs := make(chan error, 2)
+	var group conc.WaitGroup
+	for i, to := range []string{"b", "a"} {
+		group.Go(func() {
+			var got string
+			errs <- entries[i].Request(t.Context(), to, proto.KindConfig, "x", &got)
+		})
+		<-handling
+	}
+	connect(0, 1)
+	awaitCondition(t, "link of a", func() bool {
+		return entries[0].linkTo("b") != first[0] && entries[1].linkTo("a") != first[1]
+	})
+	close(proceed)
+	group.Wait()
+	is.NoErr(<-errs)
+	is.NoErr(<-errs)
+}
+
 // Guards against a peer that has lost its link and is refused a new one because the other side still holds the
 // broken link: the later link must replace it.
 func TestLaterLinkOfAPeerReplacesABrokenOne(t *testing.T) {
