fleet, region: accepted work of a removed queue goes on under the next planner

Cause: a planner keeps the queues of all configurations that it has seen, but a stored job holds no more than its queue's name. The next planner has only seen configurations without the queue, so it knew neither the service of the job's tasks nor how often one may fail, and started nothing.

The entry that accepts a job now stores the terms of its queue with it: service, priority, attempts, objective, advice. A planner that lacks the queue goes by them, until a configuration names the queue. Jobs that the build before has stored have no terms and wait as before; that build skips the new field.

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -203,13 +203,10 @@
 	for _, q := range c.Queues {
 		known := p.queues[q.Name]
 		if known == nil {
-			known = &queue{allowedShare: initialAllowedShare}
-			p.queues[q.Name] = known
-		}
-		known.Queue = q
-		if known.turnaround == 0 && q.Advice != nil {
-			known.turnaround = q.Advice.Call
+			p.addQueue(q)
+			continue
 		}
+		known.set(q)
 	}
 	for _, t := range c.Teams {
 		p.team(t.Name).RegionTeam = t
@@ -225,16 +222,34 @@
 	p.recountUrgent()
 }
 
+func (p *Planner) addQueue(q winch.Queue) *queue {
+	added := &queue{allowedShare: initialAllowedShare}
+	added.set(q)
+	p.queues[q.Name] = added
+	return added
+}
+
+func (q *queue) set(configured winch.Queue) {
+	q.Queue = configured
+	if q.turnaround == 0 && q.Advice != nil {
+		q.turnaround = q.Advice.Call
+	}
+}
+
 // SettingsVersion returns the version of the configuration by which the planner decides.
 func (p *Planner) SettingsVersion() uint64 { return p.settings }
 
 // queueOf returns the queue of a job, or nil if the job was allowed by a later configuration than the planner has, which may
-// name another service for the queue.
+// name another service for the queue. A queue that was removed before this planner's term has the terms that are stored with
+// the job.
 func (p *Planner) queueOf(rec *winch.PhasedJob) *queue {
 	if rec.Settings > p.settings {
 		return nil
 	}
-	return p.queues[rec.Queue]
+	if q := p.queues[rec.Queue]; q != nil || rec.Terms == nil {
+		return q
+	}
+	return p.addQueue(rec.Terms.Queue(rec.Queue))
 }
 
 func (p *Planner) team(name string) *team {
--- a/region/accept.go
+++ b/region/accept.go
@@ -244,6 +244,17 @@
 	return refused
 }
 
+// setTerms records the terms of a job's queue, unless the job was allowed by a newer configuration than this entry has.
+func (n *Node) setTerms(job *winch.PhasedJob) {
+	config := n.Config()
+	if config == nil || config.Version < job.Settings {
+		return
+	}
+	if queue := config.Queue(job.Queue); queue != nil {
+		job.Terms = queue.Terms()
+	}
+}
+
 // store stores a job through this entry.
 func (n *Node) store(ctx context.Context, job *winch.PhasedJob) winch.Result {
 	lost := n.storeLost.wait()
@@ -254,6 +265,7 @@
 		return result
 	}
 	job.Origin = n.Name
+	n.setTerms(job)
 	n.admission.remember(job.ID)
 	s := &submission{job: job, done: make(chan winch.Result, 1)}
 	n.accept.enqueue(s)
--- a/winch/check.go
+++ b/winch/check.go
@@ -60,15 +60,24 @@
 // Authorize returns a queue and the team for which a key allows its use, or the reason for refusing that. A public queue
 // needs no key.
 func (c *RegionConfig) Authorize(name, key string) (queue *Queue, team string, refused Result) {
-	i := slices.IndexFunc(c.Queues, func(q Queue) bool { return q.Name == name })
-	if i < 0 {
+	queue = c.Queue(name)
+	if queue == nil {
 		return nil, "", Refuse(UnknownService, "no queue "+name)
 	}
 	team, known := c.TeamOf(key)
-	if !known && !c.Queues[i].Public {
+	if !known && !queue.Public {
 		return nil, "", Refuse(UnknownKey, "the key is not known")
 	}
-	return &c.Queues[i], team, Result{}
+	return queue, team, Result{}
+}
+
+// Queue returns the queue with a name, or nil if there is none.
+func (c *RegionConfig) Queue(name string) *Queue {
+	i := slices.IndexFunc(c.Queues, func(q Queue) bool { return q.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &c.Queues[i]
 }
 
 // TeamOf returns the team that a key belongs to.
--- a/winch/phase.go
+++ b/winch/phase.go
@@ -99,6 +99,8 @@
 	Every time.Duration `cbor:"9,keyasint,omitempty"`
 	// Settings is the version of the configuration by which the job was allowed; zero if it is not known.
 	Settings uint64 `cbor:"10,keyasint,omitempty"`
+	// Terms are those of the queue when the job was accepted; nil for a job that the build before accepted.
+	Terms *QueueTerms `cbor:"11,keyasint,omitempty" json:"-"`
 	// Key is the key with which the job was submitted. It is not stored.
 	Key string `cbor:"-" json:"-"`
 	// Revision is the store's revision at which the job was accepted.
@@ -170,6 +172,30 @@
 	Advice *AdviceCost
 }
 
+// QueueTerms is what a queue promises the jobs that it accepts. It is stored with a job, which goes on when the queue
+// is removed.
+type QueueTerms struct {
+	Service  string        `cbor:"1,keyasint,omitempty"`
+	Priority int           `cbor:"2,keyasint,omitempty"`
+	Attempts int           `cbor:"3,keyasint,omitempty"`
+	Target   time.Duration `cbor:"4,keyasint,omitempty"`
+	Stretch  float64       `cbor:"5,keyasint,omitempty"`
+	Advice   *AdviceCost   `cbor:"6,keyasint,omitempty"`
+}
+
+// Terms returns what the queue promises the jobs that it accepts.
+func (q *Queue) Terms() *QueueTerms {
+	return &QueueTerms{Service: q.Service, Priority: q.Priority, Attempts: q.Attempts, Target: q.Target, Stretch: q.Stretch, Advice: q.Advice}
+}
+
+// Queue returns a queue with these terms, which accepts no jobs.
+func (t *QueueTerms) Queue(name string) Queue {
+	return Queue{
+		Name: name, Service: t.Service, Priority: t.Priority, Attempts: t.Attempts, Target: t.Target, Stretch: t.Stretch,
+		Advice: t.Advice,
+	}
+}
+
 // LateFactor is the multiple of its objective after which a job is assumed to be no longer
 // awaited by its caller.
 const LateFactor = 3
@@ -182,9 +208,9 @@
 // AdviceCost is the duration of a call of the advice service, as a fixed part and a part for
 // each worker, and the validity of its tickets.
 type AdviceCost struct {
-	Call   time.Duration
-	Worker time.Duration
-	Valid  time.Duration
+	Call   time.Duration `cbor:"1,keyasint,omitempty"`
+	Worker time.Duration `cbor:"2,keyasint,omitempty"`
+	Valid  time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // RegionTeam is a team as declared by the platform's operator.
