--- a/trans/peer/twoway_test.go
+++ b/trans/peer/twoway_test.go
@@ -71,7 +71,7 @@
 	is := is.New(t)
 	var addresses [2]string
 	handling, proceed := make(chan bool, 2), make(chan struct{})
-	entries := startPair(t, func(_ context.Context, _ string, kind winch.Kind, _ func(any) error) any {
+	entries := startPair(t, func(_ context.Context, _ string, _ winch.Kind, _ func(any) error) any {
 		handling <- true
 		<-proceed
 		return "x"
