--- a/coord/fleet/earlierruns_test.go
+++ b/coord/fleet/earlierruns_test.go
@@ -48,6 +48,19 @@
 		"expired": func(p *Planner, id string) {
 			p.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: id, Result: winch.StartUncertain})
 		},
+		"left the list, came back as another boot": func(p *Planner, id string) {
+			var others, next []winch.WorkerVM
+			for _, vm := range p.WorkersToHold() {
+				if vm.ID != id {
+					others = append(others, vm)
+				} else {
+					vm.Born++
+				}
+				next = append(next, vm)
+			}
+			p.SetWorkers(others)
+			p.SetWorkers(next)
+		},
 		"listed, then its keeper was lost": func(p *Planner, id string) {
 			p.HandleEvent(proto.KeeperEvent{Kind: proto.EventListed, Worker: id})
 			p.SetUnready([]string{id})
