region: a planner asks its own entry when leases expire, also while that has no record

Callers saw lasting tasks that stayed down for up to nine seconds after an outage of the store, with capacity for them.

Cause: a worker left before the outage ended; the standby that became planner had managed it and knew that its lease ran for another 0.8 s. A planner opens a session with each entry that kept workers and keeps none now, to be told that. Its own entry is among the live entries only while it has a record in the store, which expires in an outage, and it never has a link to itself. So the planner asked every entry but its own, and waited for the longest lease.

The own entry is always reachable now. TestPlannerAsksItsOwnEntryForExpiriesWithoutItsRecord fails before and passes.

--- a/region/assign.go
+++ b/region/assign.go
@@ -70,9 +70,9 @@
 
 // reachable reports whether messages can be sent to an entry, including one that is stopping. Such a
 // keeper keeps its workers until others have been recorded for them, and then reports until when its
-// leases run: it responds for two more seconds.
+// leases run: it responds for two more seconds. The planner's own entry needs no link.
 func (l *leadership) reachable(name string) bool {
-	return !l.keeperBackoff[name] && l.node.Peers.Linked(name)
+	return !l.keeperBackoff[name] && (name == l.node.Name || l.node.Peers.Linked(name))
 }
 
 // chooseKeepers chooses each worker's keeper, and has the roster written if it differs.
