--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -99,7 +99,8 @@
 	copies   []*run
 	// carried holds until when runs at replaced boots are kept: the next boot may have started them, see carryOver.
 	carried map[*worker]time.Time
-	strays  []Stray
+	// strays holds the runs for Strays.
+	strays []Stray
 	// awaited holds the workers that report runs or completions of jobs that the planner does not know, by job.
 	awaited map[string]map[*worker]bool
 	// pendingWorkers holds the workers with completions that have not been forgotten yet.
--- a/region/earlierruns.go
+++ b/region/earlierruns.go
@@ -9,9 +9,9 @@
 
 // The outcomes of a keeper's report of the runs that it knew at a worker in the session of an earlier planner.
 const (
-	earlierApplied   = "applied"
-	earlierUnnamed   = "another keeper is recorded" // earlierUnnamed stands for a report that may be incomplete.
-	earlierKnownRuns = "known before"
+	earlierApplied = "applied"
+	earlierUnnamed = "another keeper is recorded" // earlierUnnamed stands for a report that may be incomplete.
+	earlierKnown   = "known before"
 )
 
 // earlierReports holds the workers of such reports by outcome.
@@ -29,7 +29,7 @@
 		return earlierUnnamed
 	}
 	if l.planner.RunsKnown(e.Worker) {
-		return earlierKnownRuns
+		return earlierKnown
 	}
 	l.planner.HandleEvent(e)
 	return earlierApplied
@@ -40,8 +40,8 @@
 	for outcome, workers := range reports {
 		l.node.Log.Info("keeper reported earlier runs", zap.String("keeper", keeper), zap.String("outcome", outcome),
 			zap.Int("count", len(workers)), zap.Strings("workers", workers[:min(maxEarlierWorkers, len(workers))]))
-		if outcome == earlierKnownRuns {
-			metrics.GetOrRegisterCounter("Planner.EarlierReports.Outdated", l.node.Metrics).Inc(int64(len(workers)))
+		if outcome == earlierKnown {
+			metrics.GetOrRegisterCounter("Planner.EarlierReports.Known", l.node.Metrics).Inc(int64(len(workers)))
 		}
 	}
 }
