keep, region: what a worker's clock and boot show when another boot responds is logged

The logs did not tell whether a run was ordered at the former or the next boot of a worker, nor which boot took an order. The line of each ordered start has the start of the boot that it is for; a hold that another boot answers is logged with both boots, that boot's clock and the limit of the lease that the call asked for; and a reading of a worker's clock that is more than a second ahead of what its boot can show is logged and counted (Keep.ClockAhead). No change of what is decided.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -42,6 +42,7 @@
 			continue
 		}
 		if errors.Is(err, winch.ErrOtherBoot) {
+			h.logOtherBoot(resp)
 			h.stopUnlisted(ctx)
 		}
 		if h.handleFailure(err) {
@@ -241,6 +242,31 @@
 	return h.workerClock + now.Sub(h.clockReadAt)
 }
 
+// logOtherBoot logs which boot responded to a hold. The hold was carried out, so its limit of the lease counts on that
+// boot's clock.
+func (h *holder) logOtherBoot(resp winch.HoldResponse) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.keeper.Log.Info("another boot of the worker responded to a hold", zap.String("worker", h.vm.ID), zap.Int64("born", h.vm.Born),
+		zap.Int64("respondingBorn", resp.Born), zap.Duration("clock", resp.Clock), zap.Duration("expected", h.workerTime(time.Now())),
+		zap.Duration("leaseUntil", h.leaseUntil))
+}
+
+// clockTolerance is how far a worker's clock may be ahead of what is expected before that is logged.
+const clockTolerance = time.Second
+
+// checkClockAhead logs a reading that is too far ahead for the boot's clock. The caller holds the mutex.
+func (h *holder) checkClockAhead(clock time.Duration) {
+	if h.clockReadAt.IsZero() {
+		return
+	}
+	if expected := h.workerClock + elapsed(h.clockReadAt, time.Now()); clock > expected+clockTolerance {
+		h.keeper.count("Keep.ClockAhead")
+		h.keeper.Log.Warn("worker's clock is ahead of what its boot can show", zap.String("worker", h.vm.ID), zap.Int64("born", h.vm.Born),
+			zap.Duration("clock", clock), zap.Duration("expected", expected))
+	}
+}
+
 // updateClock stores the worker's clock from the response to a call that was sent at the given time, and reports whether
 // the response came from another boot. Some responses don't identify their boot, but each boot's clock starts at zero and
 // never goes back. A call that was sent before the newest reading was received may have been carried out before it.
@@ -254,6 +280,7 @@
 	if clock < h.workerClock-overlap-time.Duration(maxClockDrift*float64(overlap))-clockResolution {
 		return true
 	}
+	h.checkClockAhead(clock)
 	if clock > h.workerClock {
 		h.workerClock, h.clockReadAt = clock, time.Now()
 	}
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -375,7 +375,7 @@
 	case proto.OrderStart:
 		previous, _ := l.planner.PreviousRun(o.Task)
 		l.node.Log.Info("run start ordered", zap.String("job", o.Task.Job), zap.Int("phase", o.Task.Phase), zap.Int("index", o.Task.Index),
-			zap.Uint64("run", o.Run), zap.String("worker", o.Worker), previousRun(previous))
+			zap.Uint64("run", o.Run), zap.String("worker", o.Worker), zap.Int64("born", l.assignments[o.Worker].VM.Born), previousRun(previous))
 	case proto.OrderStop:
 		l.node.Log.Info("run stop ordered", zap.String("job", o.Task.Job), zap.Int("phase", o.Task.Phase), zap.Int("index", o.Task.Index),
 			zap.Uint64("run", o.Run), zap.String("worker", o.Worker))
--- a/winch/region.go
+++ b/winch/region.go
@@ -108,6 +108,7 @@
 // HoldResponse is a worker's response to a hold.
 type HoldResponse struct {
 	Clock   time.Duration // Clock is the worker's own monotonic clock.
+	Born    int64         // Born is the start of the boot that responded in Unix milliseconds; zero if it is not known.
 	Running []Running
 	Ended   []Completion
 }
@@ -165,7 +166,8 @@
 
 // WorkerClient sends orders to the worker VMs of a region.
 type WorkerClient interface {
-	// Hold renews the lease of the worker and returns what runs there and what ended.
+	// Hold renews the lease of the worker and returns what runs there and what ended. With ErrOtherBoot, the
+	// response holds the clock and the start of the boot that responded, if they are known.
 	Hold(ctx context.Context, vm WorkerVM, call HoldRequest) (HoldResponse, error)
 	// Start starts a run. The duration is the worker's clock; zero if the response holds none.
 	Start(ctx context.Context, vm WorkerVM, call StartRequest) (StartResult, time.Duration)
