fake, region: the clocks of a worker's boots are not related

The stand-ins started each boot's clock at zero, so a keeper always noticed the next boot by a clock that had gone back.

--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -15,6 +15,8 @@
 	vm       winch.WorkerVM
 	mu       sync.Mutex
 	bootedAt time.Time
+	// clockStart is what the worker's monotonic clock showed when the boot began.
+	clockStart time.Duration
 	// clockDrift is the fraction by which the worker's monotonic clock is slower than the entries'.
 	clockDrift   float64
 	token        uint64        // token is the highest fencing token seen.
@@ -95,7 +97,7 @@
 	w.mu.Lock()
 	w.bootCount++
 	vm.Born = w.bootCount
-	x := &simWorker{vm: vm, bootedAt: time.Now(), clockDrift: clockDrift, runs: make(map[runKey]*simRun), highestRun: make(map[winch.RunID]uint64)}
+	x := &simWorker{vm: vm, bootedAt: time.Now(), clockStart: clockStart(w.bootCount), clockDrift: clockDrift, runs: make(map[runKey]*simRun), highestRun: make(map[winch.RunID]uint64)}
 	w.workers[vm.ID], w.addresses[vm.Address] = x, x
 	w.mu.Unlock()
 	w.setStore(func(s *simStore) { s.put("workers/"+vm.ID, mustJSON(vm), 0) })
@@ -122,10 +124,15 @@
 	restarted   bool
 }
 
+// clockStart returns what the clock of a boot shows when it begins. The clocks of two boots of a VM are not related.
+func clockStart(boot int64) time.Duration {
+	return time.Duration(boot*2_654_435_761%7200) * time.Second
+}
+
 // clock returns the time on the worker's monotonic clock.
 func (x *simWorker) clock() time.Duration {
 	since := time.Since(x.bootedAt)
-	return since - time.Duration(x.clockDrift*float64(since))
+	return x.clockStart + since - time.Duration(x.clockDrift*float64(since))
 }
 
 // setUnresponsive makes a worker stop responding to calls, or respond again.
