platform: a call to a worker reaches only the boot that it is meant for

The header that names the expected boot holds the ID only, so the next boot carried out what was meant for the former one: - A start counted as confirmed by the former boot. When the list named the next boot, the planner ended the run with the former one and started the task elsewhere, while it ran at the next boot. - A hold that extended the lease named a limit on the former boot's clock. On that of the next boot it can be any time, so the lease became the longest that a worker grants. The keeper of the next boot counted on a shorter one, and the task was started elsewhere before its run had lapsed. The keeper took a response for another boot's if its clock had gone back, which a boot whose clock is ahead passes.

A new connection to a worker is now used only once the intended boot has identified itself on it, by a hold that changes nothing; a connection does not outlive its boot. That goes for starts, stops, throttling and all holds. It replaces the rule that a hold with a number of completions is only sent on an open connection: there is one rule now, and the keeper need not know of it.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -42,7 +42,6 @@
 			continue
 		}
 		if errors.Is(err, winch.ErrOtherBoot) {
-			h.logOtherBoot(resp)
 			h.stopUnlisted(ctx)
 		}
 		if h.handleFailure(err) {
@@ -146,10 +145,10 @@
 		call.Until = h.leaseUntil
 	}
 	if h.unresponsive || h.retrying {
-		// Another boot may respond under the same ID. It numbers its completions from
-		// the start again, so a Forget meant for the previous boot would make it drop
-		// completions that nobody has seen. The call therefore carries no Forget, and no
-		// Wait, to learn at once which boot responds.
+		// Another boot may respond under the same ID, which the client can't refuse if the worker does not say
+		// when its boot began. It numbers its completions from the start again, so a Forget meant for
+		// the previous boot would make it drop completions that nobody has seen. The call therefore
+		// carries no Forget, and no Wait, to learn at once which boot responds.
 		call.Forget, call.Wait = 0, 0
 	}
 	if h.keeper.roundTrips.lossy() && len(h.runs) > 0 {
@@ -165,9 +164,6 @@
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	resp, err := h.keeper.Client.Hold(callCtx, h.vm, call)
-	if errors.Is(err, winch.ErrNoConnection) {
-		return resp, err // It was not sent, which says nothing about the worker.
-	}
 	h.recordCall(isResponse(err))
 	if err == nil && call.Wait == 0 {
 		h.keeper.roundTrips.observe(time.Since(sent))
@@ -242,16 +238,6 @@
 	return h.workerClock + now.Sub(h.clockReadAt)
 }
 
-// logOtherBoot logs which boot responded to a hold. The hold was carried out, so its limit of the lease counts on that
-// boot's clock.
-func (h *holder) logOtherBoot(resp winch.HoldResponse) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.keeper.Log.Info("another boot of the worker responded to a hold", zap.String("worker", h.vm.ID), zap.Int64("born", h.vm.Born),
-		zap.Int64("respondingBorn", resp.Born), zap.Duration("clock", resp.Clock), zap.Duration("expected", h.workerTime(time.Now())),
-		zap.Duration("leaseUntil", h.leaseUntil))
-}
-
 // clockTolerance is how far a worker's clock may be ahead of what is expected before that is logged.
 const clockTolerance = time.Second
 
--- a/winch/iface.go
+++ b/winch/iface.go
@@ -16,8 +16,6 @@
 	ErrConflict = errors.New("version conflict")
 	// ErrUnavailable means that the call is guaranteed to have had no effect.
 	ErrUnavailable = errors.New("store unavailable")
-	// ErrNoConnection means that a call was not sent because it may only be sent on a connection that is open.
-	ErrNoConnection = errors.New("no open connection")
 	// ErrUncertain means that the call may have taken effect.
 	ErrUncertain = errors.New("store reply lost")
 )
--- a/winch/region.go
+++ b/winch/region.go
@@ -108,7 +108,6 @@
 // HoldResponse is a worker's response to a hold.
 type HoldResponse struct {
 	Clock   time.Duration // Clock is the worker's own monotonic clock.
-	Born    int64         // Born is the start of the boot that responded in Unix milliseconds; zero if it is not known.
 	Running []Running
 	Ended   []Completion
 }
@@ -118,9 +117,7 @@
 	Token uint64
 	// Until is the new lease expiry on the worker's clock; zero doesn't change the lease.
 	Until time.Duration
-	// Forget is the number up to which completions are recorded. A hold that names one is sent only
-	// on a connection on which a hold to the same boot was answered before; ErrNoConnection says that
-	// there is none. The next boot under the same ID would take the number for one of its own.
+	// Forget is the number up to which completions are recorded. Zero forgets none.
 	Forget uint64
 	// Wait is how long the worker may delay its response until a run completes.
 	Wait time.Duration
@@ -164,10 +161,11 @@
 // intended boot have ended.
 var ErrOtherBoot = errors.New("another boot of the worker responded")
 
-// WorkerClient sends orders to the worker VMs of a region.
+// WorkerClient sends orders to the worker VMs of a region. If the start of the boot is known, no other boot carries out an
+// order: the next one may respond at the same address under the same ID, but it has other runs, another clock and
+// other numbers of completions.
 type WorkerClient interface {
-	// Hold renews the lease of the worker and returns what runs there and what ended. With ErrOtherBoot, the
-	// response holds the clock and the start of the boot that responded, if they are known.
+	// Hold renews the lease of the worker and returns what runs there and what ended.
 	Hold(ctx context.Context, vm WorkerVM, call HoldRequest) (HoldResponse, error)
 	// Start starts a run. The duration is the worker's clock; zero if the response holds none.
 	Start(ctx context.Context, vm WorkerVM, call StartRequest) (StartResult, time.Duration)
