platform, region: records of workers with values that no worker has are ignored

Other operators reported that one odd entry among those of the executors ended the processes that read the list, or stopped them: nested very deeply, with a number too large, or with a port out of range. Here none of these ends or stops the reading: a record that is nested too deeply or holds a number beyond its type fails to decode, and the others count.

Calls to addresses that are none were refused before they were sent already; TestCallToAnInvalidAddressIsNotSent keeps that.

--- a/region/workerlist.go
+++ b/region/workerlist.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
 	"plantainwinch/winch"
 )
 
@@ -14,7 +17,7 @@
 		l.post(func() {
 			listed := make(map[string]bool)
 			for _, v := range values {
-				if vm, ok := codec.Worker(v.Key, v.Data); ok {
+				if vm, ok := l.decodeWorker(v); ok {
 					listed[vm.ID] = true
 					l.listWorker(vm)
 				}
@@ -29,10 +32,11 @@
 	}, func(events []winch.Event, _ uint64) {
 		l.post(func() {
 			for _, e := range events {
-				vm, ok := codec.Worker(e.Key, e.Data)
-				if !e.Deleted && ok {
-					l.listWorker(vm)
-					continue
+				if !e.Deleted {
+					if vm, ok := l.decodeWorker(e.Value); ok {
+						l.listWorker(vm)
+						continue
+					}
 				}
 				l.unlistWorker(e.Key[len(codec.WorkerPrefix()):])
 			}
@@ -41,6 +45,16 @@
 	})
 }
 
+// decodeWorker decodes a worker's record. One that describes no usable worker is ignored: it was written by another program.
+func (l *leadership) decodeWorker(v winch.Value) (winch.WorkerVM, bool) {
+	vm, ok := l.node.Codec.Worker(v.Key, v.Data)
+	if !ok {
+		metrics.GetOrRegisterCounter("Planner.WorkerRecords.Ignored", l.node.Metrics).Inc(1)
+		l.node.Log.Info("worker record ignored", zap.String("key", v.Key), zap.Int("bytes", len(v.Data)), zap.Uint64("version", v.Version))
+	}
+	return vm, ok
+}
+
 // noteListAsOf records the time at which the list was current.
 func (l *leadership) noteListAsOf(at time.Time) {
 	l.post(func() { l.listAsOf = at })
