keep: a next boot under a known ID counts as lost after the longest lease that it grants

Found beside the reported fault, in the source: the pages allow a call without a response to be carried out seconds later, and by the next boot under the same ID. A hold or start that names a time on the earlier boot's clock can so give the next boot the longest lease that it grants (6 s), before that boot has seen a higher fencing token. Its keeper took 5 s, the longest that entries ask for, so a worker that was cut off right after it had returned could count as lost 1 s before its runs lapsed, and a task could run twice. The lists that the next boot first returns bound such calls; from then on the keeper counts on the worker's longest lease once.

TestNextBootIsLostAfterTheLongestLease: the case of a next boot fails without the change (5.4 s).

--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -20,6 +20,8 @@
 	// replaced is set if another boot responds at the worker's address. The platform's list names
 	// the new boot later; until then every call to the old one would be refused.
 	replaced bool
+	// nextBoot is set if the planner has known an earlier boot under the same ID.
+	nextBoot bool
 	// unresponsive is set while the worker gets no work because it did not respond. respondsAgain
 	// is set once it responds again; it gets work after SetResponsive.
 	unresponsive, respondsAgain bool
@@ -91,7 +93,8 @@
 		p.noteBoot(vm)
 		w := p.workers[vm.ID]
 		var carried []runKey
-		if w != nil && !w.vm.SameBoot(vm) {
+		nextBoot := w != nil && !w.vm.SameBoot(vm)
+		if nextBoot {
 			carried = w.unconfirmedRuns()
 			p.WorkerLost(vm.ID, true)
 			delete(p.workers, vm.ID)
@@ -101,7 +104,7 @@
 			w = nil
 		}
 		if w == nil {
-			w = &worker{planner: p, runs: make(map[runKey]*run), empty: !p.roster[vm.ID]}
+			w = &worker{planner: p, runs: make(map[runKey]*run), empty: !p.roster[vm.ID], nextBoot: nextBoot}
 			p.workers[vm.ID] = w
 			p.unsorted = true
 			added = append(added, vm.ID)
@@ -182,6 +185,12 @@
 	return w != nil && w.empty
 }
 
+// NextBoot reports whether the planner has known an earlier boot under the ID of a worker.
+func (p *Planner) NextBoot(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.nextBoot
+}
+
 // WorkerVM returns the boot of a worker that the planner knows, also of one that has left the list.
 func (p *Planner) WorkerVM(id string) (winch.WorkerVM, bool) {
 	if w := p.workers[id]; w != nil {
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -100,6 +100,7 @@
 	token        uint64
 	generation   uint64
 	startedEmpty bool // startedEmpty reports that no run existed at the worker when the assignment began.
+	nextBoot     bool // nextBoot reports that an earlier boot had the worker's ID.
 	cancel       context.CancelFunc
 	orders       chan queuedOrder
 	began        time.Time
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -41,6 +41,8 @@
 	Metrics metrics.Registry
 	// Lease is how long workers continue to run their tasks without contact to a keeper.
 	Lease time.Duration
+	// WorkerLease is the longest lease that a worker grants, whatever a call asks for; zero if it is not longer than Lease.
+	WorkerLease time.Duration
 	// Evacuated reports whether a failure domain is evacuated, so that nothing may be started there;
 	// nil means that none is.
 	Evacuated func(domain string) bool
@@ -215,7 +217,7 @@
 		left = ExpiryBound(max(k.Lease, k.authorityUntil.Sub(now)))
 	}
 	h := &holder{
-		keeper: k, vm: w.VM, token: w.Token, generation: w.Generation, startedEmpty: w.Empty, cancel: cancel, began: now, priorExpiry: now.Add(left),
+		keeper: k, vm: w.VM, token: w.Token, generation: w.Generation, startedEmpty: w.Empty, nextBoot: w.NextBoot, cancel: cancel, began: now, priorExpiry: now.Add(left),
 		orders: make(chan queuedOrder, orderQueueSize), runs: make(map[runKey]*runState), completionsRecorded: make(chan struct{}, 1),
 		renewalSignal: make(chan struct{}, 1),
 	}
--- a/coord/keep/lists.go
+++ b/coord/keep/lists.go
@@ -88,7 +88,13 @@
 	h.listed = true
 	// Earlier assignments are fenced off from now on, so a lease they renewed last expires
 	// after one full lease at the latest.
-	if until := time.Now().Add(ExpiryBound(h.keeper.Lease)); until.Before(h.priorExpiry) {
+	lease := h.keeper.Lease
+	if h.nextBoot {
+		// A call for the earlier boot that was carried out late named a time on the clock of that boot.
+		lease = max(lease, h.keeper.WorkerLease)
+	}
+	until := time.Now().Add(ExpiryBound(lease))
+	if h.nextBoot || until.Before(h.priorExpiry) {
 		h.priorExpiry = until
 	}
 	for _, r := range resp.Running {
--- a/coord/keep/reboot_test.go
+++ b/coord/keep/reboot_test.go
@@ -83,3 +83,43 @@
 		})
 	}
 }
+
+// Guards against a task that is started elsewhere while its run goes on at the next boot of a worker: a call for the earlier
+// boot, carried out late, has given the next one the longest lease that it grants.
+func TestNextBootIsLostAfterTheLongestLease(t *testing.T) {
+	for name, test := range map[string]struct {
+		nextBoot bool
+		want     time.Duration
+	}{
+		"next boot":  {true, 6 * time.Second},
+		"first boot": {false, 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				r := &fixture{worker: &fakeWorker{begin: time.Now()}, session: proto.Session{Term: 1, Number: 1}}
+				r.keeper = &Keeper{
+					Client: r.worker, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Lease: 5 * time.Second, WorkerLease: 6 * time.Second,
+				}
+				r.keeper.Prepare()
+				r.keeper.group.Go(func() { r.poll(ctx) })
+				r.keeper.SetAssignments(proto.AssignmentSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Assignment{
+					{VM: winch.WorkerVM{ID: "w", Born: 7}, Token: 6, Empty: true, NextBoot: test.nextBoot},
+				}})
+				for r.count(proto.EventListed) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				listed := time.Now()
+				r.setUnresponsive(true)
+				for r.count(proto.EventLost) == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				lost := time.Since(listed)
+				is.True(lost >= ExpiryBound(test.want)-20*time.Millisecond)
+				is.True(lost <= ExpiryBound(test.want)+minExpiryTimeout+20*time.Millisecond)
+				r.end(cancel)
+			})
+		})
+	}
+}
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -46,6 +46,8 @@
 	Left time.Duration `cbor:"4,keyasint,omitempty"`
 	// Generation is the generation of the assignment as recorded in the roster.
 	Generation uint64 `cbor:"5,keyasint,omitempty"`
+	// NextBoot reports that the worker's ID belonged to an earlier boot, whose calls may be carried out late by this one.
+	NextBoot bool `cbor:"6,keyasint,omitempty"`
 }
 
 // AssignmentSet is sent to a keeper and lists all workers assigned to it from now on.
--- a/region/assign.go
+++ b/region/assign.go
@@ -185,7 +185,7 @@
 		changed[name] = true
 		l.recordAssignment(vm.ID, name, proto.Assignment{
 			VM: vm, Token: l.nextToken(), Generation: generation,
-			Empty: l.planner.Empty(vm.ID),
+			Empty: l.planner.Empty(vm.ID), NextBoot: l.planner.NextBoot(vm.ID),
 		})
 	}
 	l.dropUnheld(held, changed)
--- a/region/node.go
+++ b/region/node.go
@@ -132,7 +132,7 @@
 	}
 	n.officeWake = make(chan struct{}, 1)
 	n.keeper = &keep.Keeper{
-		Client: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, maxLease), FetchCommand: n.command,
+		Client: n.Runner, Log: n.Log, Metrics: n.Metrics, Lease: min(n.Timing.Lease, maxLease), WorkerLease: n.Timing.Lease, FetchCommand: n.command,
 		Evacuated: func(domain string) bool { return n.evacuations.load().Contains(domain) },
 	}
 	n.keeper.Prepare()
