--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -254,8 +254,8 @@
 }
 
 // updateClock stores the worker's clock from the response to a call that was sent at the given time, and reports whether
-// the response came from another boot. Some responses don't identify their boot, but each boot's clock starts at zero and
-// never goes back. A call that was sent before the newest reading was received may have been carried out before it.
+// the response came from another boot. Some responses don't identify their boot, but a boot's clock never goes back; that of
+// another boot may show any time. A call that was sent before the newest reading was received may have been carried out before it.
 func (h *holder) updateClock(sent time.Time, clock time.Duration) (otherBoot bool) {
 	if clock <= 0 {
 		return false
