soak: a job that is given up is counted without a deadlock

The soak counted the crashes of a job that was given up while it held the lock of its report and log; the checker acquires that lock while it holds its own, to log the end of a run. The stacks showed both. The crashes are counted before the lock is acquired.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -53,7 +53,8 @@
 	status, state := 0, ""
 	for deadline := time.Now().Add(s.Duration + recoveryTime); time.Now().Before(deadline) && ctx.Err() == nil; {
 		if status, state = c.State(ctx, pickEntry(), j); state == "failed" {
-			s.updateReport(func(r *Report) { r.GivenUp, r.Crashed = r.GivenUp+1, r.Crashed+s.platform.Checker.CrashCount(j.ID) })
+			crashed := s.platform.Checker.CrashCount(j.ID) // Not under the report's lock, which the checker acquires under its own.
+			s.updateReport(func(r *Report) { r.GivenUp, r.Crashed = r.GivenUp+1, r.Crashed+crashed })
 			return
 		}
 		duty.Sleep(ctx, 200*time.Millisecond)
