region: a submission that is sent again in tests does not share its job

The test sent the same job object to a second entry after the first had not answered in time; entries decode each request into a job of its own. Each attempt has a copy now, and the checks are unchanged.

--- a/region/world_test.go
+++ b/region/world_test.go
@@ -342,9 +342,10 @@
 		}
 		w.mu.Unlock()
 		if n != nil && n.Config() != nil {
-			job.Accepted = time.Now()
+			attempt := *job // The entry of an earlier attempt may still work on its own copy.
+			attempt.Accepted = time.Now()
 			ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
-			result := n.Submit(ctx, job)
+			result := n.Submit(ctx, &attempt)
 			cancel()
 			if result.OK() {
 				return
