--- a/region/randfault_test.go
+++ b/region/randfault_test.go
@@ -47,7 +47,7 @@
 				w.setStore(func(s *simStore) { s.losesResponses = on })
 			})
 		case 6:
-			x := w.workers[fmt.Sprintf("w%d", w.intn(len(w.workers)))]
+			x := w.randomFirstBoot()
 			if x == nil {
 				continue // More workers than before: some have crashed and are back under other IDs.
 			}
@@ -122,6 +122,14 @@
 	}
 }
 
+// randomFirstBoot returns a random worker under one of the IDs that there were in the beginning, or nil if the ID drawn is not
+// among them.
+func (w *world) randomFirstBoot() *simWorker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[fmt.Sprintf("w%d", w.intn(len(w.workers)))]
+}
+
 // randomNode returns a random entry.
 func (w *world) randomNode() *simNode {
 	return w.nodes[fmt.Sprintf("d%d-%d", w.intn(len(w.nodes)/entriesPerDomain), w.intn(entriesPerDomain))]
