keep: a hold that is sent again renews no lease

What callers could see: two runs of a task at once, after its worker had returned under its ID while responses were lost, behind a relay that holds connections.

Cause: a hold without a response was sent again with the limit of the lost one, a time on the clock of the boot for which it was meant. The next boot takes it for its longest lease, from each of these holds on, while the keeper counts on the first one only.

The limit never shortens a lease, so the hold that follows a response renews it as before.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -146,10 +146,11 @@
 	}
 	if h.unresponsive || h.retrying {
 		// Another boot may respond under the same ID, which the client can't refuse if the worker does not say
-		// when its boot began. It numbers its completions from the start again, so a Forget meant for
-		// the previous boot would make it drop completions that nobody has seen. The call therefore
-		// carries no Forget, and no Wait, to learn at once which boot responds.
-		call.Forget, call.Wait = 0, 0
+		// when its boot began, or if a relay holds connections through a restart. It numbers its completions from
+		// the start again, so a Forget meant for the previous boot would make it drop completions that nobody has
+		// seen, and a limit on the previous boot's clock may mean its longest lease. The call therefore carries
+		// neither, and no Wait, to learn at once which boot responds.
+		call.Forget, call.Until, call.Wait = 0, 0, 0
 	}
 	if h.keeper.roundTrips.lossy() && len(h.runs) > 0 {
 		call.Wait = min(call.Wait, lossyHoldWait)
