keep: a clock ahead of its boot leads to a look at the worker

What callers could see: two runs of a task at once, after its worker had returned under its ID, behind a relay that holds connections.

Cause: a response to a start names no boot. If the next boot's clock shows a later time, it refuses the first start as late, and its clock was taken for that of the boot before: the limits of further starts were times on the next boot's clock, which accepted them. They counted as confirmed by the boot before, were ended with it, and their tasks were started elsewhere.

An earlier clock has always been recognized. A later one is now checked by a hold without effect, whose response names the boot; an entry whose VM was suspended may see one, too, so that the clock alone does not decide. It costs a look where a clock is ahead, which a boot's own clock is not.

--- a/coord/keep/heldconn_test.go
+++ b/coord/keep/heldconn_test.go
@@ -60,6 +60,9 @@
 }
 
 func (w *relayedWorker) Start(ctx context.Context, vm winch.WorkerVM, c winch.StartRequest) (winch.StartResult, time.Duration) {
+	if w.clock() > c.Until {
+		return winch.StartLate, w.clock()
+	}
 	result, clock := w.fakeWorker.Start(ctx, vm, c)
 	w.mu.Lock()
 	w.until = max(w.until, c.Until)
@@ -91,12 +94,13 @@
 }
 
 // startOne orders a start of one task.
-func (r *fixture) startOne() {
-	r.keeper.QueueOrders(proto.KeeperOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: 3}}})
+func (r *fixture) startOne(run uint64) {
+	r.keeper.QueueOrders(proto.KeeperOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderStart, Worker: "w", Token: 5, Task: oneTask, Run: run}}})
 }
 
 // Guards against a run at a worker's next boot that counts as confirmed by the boot before: the connection has outlived the
-// boot, and the next one's clock shows a later time. The task would be started elsewhere while the run goes on.
+// boot, the next one refuses a start as late, and its clock is taken for that of the boot before, so that it accepts further
+// starts. Their tasks would be started elsewhere while the runs go on.
 func TestStartAtANextBootWithALaterClockIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
@@ -104,8 +108,10 @@
 		r, worker := newRelayedFixture(ctx)
 		time.Sleep(5 * time.Second)
 		worker.restart(time.Hour)
-		r.startOne()
-		time.Sleep(3 * time.Second)
+		for run := range uint64(3) {
+			r.startOne(3 + run)
+			time.Sleep(100 * time.Millisecond)
+		}
 		worker.mu.Lock()
 		is.Equal(len(worker.running), 0)
 		worker.mu.Unlock()
@@ -125,7 +131,9 @@
 		worker.mu.Lock()
 		worker.begin = worker.begin.Add(-time.Minute)
 		worker.mu.Unlock()
-		r.startOne()
+		r.startOne(3) // Refused as late; the response shows the clock.
+		time.Sleep(100 * time.Millisecond)
+		r.startOne(4)
 		time.Sleep(3 * time.Second)
 		worker.mu.Lock()
 		is.Equal(len(worker.running), 1)
@@ -173,7 +181,7 @@
 		worker.losesResponses = true
 		worker.mu.Unlock()
 		sent := time.Now()
-		r.startOne()
+		r.startOne(3)
 		for r.count(proto.EventLost) == 0 {
 			time.Sleep(10 * time.Millisecond)
 		}
--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -242,16 +242,30 @@
 // clockTolerance is how far a worker's clock may be ahead of what is expected before that is logged.
 const clockTolerance = time.Second
 
-// checkClockAhead logs a reading that is too far ahead for the boot's clock. The caller holds the mutex.
-func (h *holder) checkClockAhead(clock time.Duration) {
-	if h.clockReadAt.IsZero() {
-		return
-	}
-	if expected := h.workerClock + elapsed(h.clockReadAt, time.Now()); clock > expected+clockTolerance {
-		h.keeper.count("Keep.ClockAhead")
-		h.keeper.Log.Warn("worker's clock is ahead of what its boot can show", zap.String("worker", h.vm.ID), zap.Int64("born", h.vm.Born),
-			zap.Duration("clock", clock), zap.Duration("expected", expected))
+// clockAhead reports whether a worker's clock shows a time that its boot can't have reached yet. The caller holds the mutex.
+func (h *holder) clockAhead(clock time.Duration) bool {
+	return !h.clockReadAt.IsZero() && clock > h.latestClock()+clockTolerance
+}
+
+// latestClock returns the latest time that the worker's clock can show now. The caller holds the mutex.
+func (h *holder) latestClock() time.Duration {
+	return h.workerClock + elapsed(h.clockReadAt, time.Now())
+}
+
+// checkBoot sends a hold that changes nothing if the clock in the response to an order, which does not name its boot, is ahead of
+// what the intended one can show. It returns winch.ErrOtherBoot if another boot responds. Without that, limits on the other
+// boot's clock would be sent, and it would accept starts.
+func (h *holder) checkBoot(ctx context.Context, clock time.Duration) error {
+	h.mu.Lock()
+	ahead := h.clockAhead(clock)
+	h.mu.Unlock()
+	if !ahead {
+		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, h.callTimeout())
+	defer cancel()
+	_, err := h.keeper.Client.Hold(ctx, h.vm, winch.HoldRequest{Token: h.token})
+	return err
 }
 
 // updateClock stores the worker's clock from the response to a call that was sent at the given time, and reports whether
@@ -267,7 +281,11 @@
 	if clock < h.workerClock-overlap-time.Duration(maxClockDrift*float64(overlap))-clockResolution {
 		return true
 	}
-	h.checkClockAhead(clock)
+	if h.clockAhead(clock) {
+		h.keeper.count("Keep.ClockAhead")
+		h.keeper.Log.Warn("worker's clock is ahead of what its boot can show", zap.String("worker", h.vm.ID), zap.Int64("born", h.vm.Born),
+			zap.Duration("clock", clock), zap.Duration("expected", h.latestClock()))
+	}
 	if clock > h.workerClock {
 		h.workerClock, h.clockReadAt = clock, time.Now()
 	}
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -68,10 +68,16 @@
 		Checkpoint: c.Checkpoint, Ticket: c.Ticket, Until: until,
 	})
 	h.recordOrder(now, result != winch.StartUncertain)
-	if otherBoot := h.updateClock(now, clock); otherBoot {
+	err := h.checkBoot(ctx, clock)
+	if errors.Is(err, winch.ErrOtherBoot) || err == nil && h.updateClock(now, clock) {
+		h.keeper.Log.Info("another boot of the worker responded to a start", zap.String("job", c.Task.Job), zap.Any("task", c.Task),
+			zap.Uint64("run", c.Run), zap.String("worker", h.vm.ID), zap.Int64("born", h.vm.Born), zap.Stringer("result", result))
 		h.stopAtOtherBoot(ctx, key)
 		return
 	}
+	if err != nil {
+		result = winch.StartUncertain
+	}
 	switch result {
 	case winch.StartOK:
 		h.confirm(key, false, proto.KeeperEvent{Kind: proto.EventStarted, Task: c.Task, Run: c.Run})
