keep: a start without a response may hold the longest lease

What callers could see: two runs of a task at once. A worker returned under its ID and was cut off soon after; the start for the boot before had got no response, the next boot carried it out, and its worker counted as lost while the run went on.

Cause: a start counted for 1.2 s, the limit that it names. That limit is a time on the clock of the boot for which it is meant.

A run whose start is unanswered now keeps the lease's expiry as late as the longest lease from then on; the answer to the start or to its stop ends that. All that is derived from the expiry follows: the loss of the worker, what is reported to a later planner, the standby's copy.

Cost: a worker that is cut off with a start under way counts as lost 7.0 s after that start was sent, instead of 5.4 s after its last renewal.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -72,6 +72,8 @@
 
 // runState is what a holder knows about a run that was ordered or listed.
 type runState struct {
+	// sentAt is when the run's start was sent; zero if this keeper sent none.
+	sentAt time.Time
 	// confirmedAt is when the worker last confirmed an order about the run; zero while
 	// the first order is in flight.
 	confirmedAt time.Time
--- a/coord/keep/lease.go
+++ b/coord/keep/lease.go
@@ -26,7 +26,20 @@
 // leaseExpiry returns when all leases at the worker are guaranteed to have expired unless
 // they are renewed. The caller holds the mutex.
 func (h *holder) leaseExpiry() time.Time {
-	return later(h.priorExpiry, h.ownExpiry)
+	expiry := later(h.priorExpiry, h.ownExpiry)
+	for _, r := range h.runs {
+		expiry = later(expiry, h.unansweredExpiry(r))
+	}
+	return expiry
+}
+
+// unansweredExpiry returns when the lease has expired that a start without a response may have given the worker. Its next boot may
+// have carried it out: the limit in the start is a time on another clock then, which may mean the longest lease.
+func (h *holder) unansweredExpiry(r *runState) time.Time {
+	if r.sentAt.IsZero() || !r.confirmedAt.IsZero() {
+		return time.Time{}
+	}
+	return r.sentAt.Add(maxCallTimeout + ExpiryBound(max(h.keeper.Lease, h.keeper.WorkerLease)))
 }
 
 // lowerPriorExpiry sets an earlier expiry of the leases granted under earlier assignments.
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -147,7 +147,7 @@
 	if h.closed || !h.renewalAllowed || timeout <= 0 {
 		return 0, false
 	}
-	h.runs[key] = &runState{}
+	h.runs[key] = &runState{sentAt: now}
 	h.ownExpiry = later(h.ownExpiry, now.Add(ExpiryBound(timeout)))
 	return h.workerTime(now) + timeout, true
 }
