keep, fleet: only starts without a response wait for the longest lease

Only what that start may have begun at a next boot holds that lease: the runs at the boot that the keeper has spoken to end with its own, shorter one.

A keeper reports a worker as lost as before, and how long a next boot may still run what the unanswered starts began. The planner keeps these runs until then, as it does when the list names a next boot. A report to a later planner covers both.

TestStartWithoutResponseIsNotRepeatedBeforeTheNextBootsLeaseExpires fails without the change of the planner (1 start instead of 0) and passes.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -43,7 +43,7 @@
 	case proto.EventLost:
 		w.replaced = e.Result == winch.StartOtherBoot && w.vm.Born != 0
 		var carried []runKey
-		if w.replaced {
+		if w.replaced || e.Left > 0 {
 			carried = w.unconfirmedRuns()
 		}
 		p.WorkerLost(e.Worker, e.Result == winch.StartOtherBoot)
--- a/coord/fleet/nextboot_test.go
+++ b/coord/fleet/nextboot_test.go
@@ -109,3 +109,28 @@
 		})
 	}
 }
+
+// Guards against a task that is started again while a run of it goes on at the next boot of a worker that is cut off: the lease
+// at the boot that the start was meant for has expired, but that of the next one, which may have carried the start out, has not.
+func TestStartWithoutResponseIsNotRepeatedBeforeTheNextBootsLeaseExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := newSimRegion(t, 1, urgentQueue())
+		c.add("a", "preview", "choir", tasks(1, 1000))
+		c.planner.Schedule()
+		start := c.planner.Orders()[0]
+		other := winch.WorkerVM{ID: "w9", Address: "127.0.0.1:9", Service: "render", Domain: "d1", Rack: "r1", Room: winch.Capacity{Milli: 16000, Memory: 32 * gigabyte}, Born: 1}
+		c.planner.SetWorkers([]winch.WorkerVM{c.planner.workers["w0"].vm, other})
+		c.listed("w9", nil)
+		lost := proto.KeeperEvent{Kind: proto.EventLost, Worker: "w0", Result: winch.StartUncertain, Left: time.Second}
+		c.planner.HandleEvent(lost)
+		c.saveRecords()
+		is.Equal(len(c.schedule()), 0)
+		// A standby must know of it.
+		is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run}})
+		lost.Left = 0
+		c.planner.HandleEvent(lost)
+		c.saveRecords()
+		is.Equal(len(c.schedule()), 1)
+	})
+}
--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -201,11 +201,11 @@
 		h.unresponsivePeriods++
 	}
 	h.unresponsive, h.renewalAllowed, h.retrying = true, false, false
-	left := time.Until(h.leaseExpiry())
+	left, nextBootLeft := time.Until(h.leaseExpiry()), time.Until(h.nextBootExpiry())
 	expired := left <= 0
 	state := h.logFields(err)
 	if first {
-		h.addEvents(proto.KeeperEvent{Kind: proto.EventUnresponsive, Left: max(0, left)})
+		h.addEvents(proto.KeeperEvent{Kind: proto.EventUnresponsive, Left: max(0, left, nextBootLeft)})
 	}
 	h.mu.Unlock()
 	h.keeper.collectEvents(h)
@@ -219,11 +219,11 @@
 		return true
 	case errors.Is(err, winch.ErrOtherBoot), expired:
 		h.keeper.Log.Info("worker lost, assignment ended", append(state, zap.Bool("lapsed", expired))...)
-		result := winch.StartOtherBoot
+		lost := proto.KeeperEvent{Kind: proto.EventLost, Result: winch.StartOtherBoot}
 		if expired {
-			result = winch.StartUncertain
+			lost.Result, lost.Left = winch.StartUncertain, max(0, nextBootLeft)
 		}
-		h.emit(proto.KeeperEvent{Kind: proto.EventLost, Result: result})
+		h.emit(lost)
 		h.keeper.Client.Disconnect(h.vm)
 		return true
 	}
--- a/coord/keep/lease.go
+++ b/coord/keep/lease.go
@@ -18,28 +18,28 @@
 	defer h.mu.Unlock()
 	h.closed = true
 	if h.listed {
-		return h.leaseExpiry(), !h.fenced
+		return later(h.leaseExpiry(), h.nextBootExpiry()), !h.fenced
 	}
 	return h.ownExpiry, !h.fenced
 }
 
 // leaseExpiry returns when all leases at the worker are guaranteed to have expired unless
-// they are renewed. The caller holds the mutex.
+// they are renewed, except at a next boot that a start without a response has reached. The
+// caller holds the mutex.
 func (h *holder) leaseExpiry() time.Time {
-	expiry := later(h.priorExpiry, h.ownExpiry)
-	for _, r := range h.runs {
-		expiry = later(expiry, h.unansweredExpiry(r))
-	}
-	return expiry
+	return later(h.priorExpiry, h.ownExpiry)
 }
 
-// unansweredExpiry returns when the lease has expired that a start without a response may have given the worker. Its next boot may
-// have carried it out: the limit in the start is a time on another clock then, which may mean the longest lease.
-func (h *holder) unansweredExpiry(r *runState) time.Time {
-	if r.sentAt.IsZero() || !r.confirmedAt.IsZero() {
-		return time.Time{}
+// nextBootExpiry returns when the lease has expired that starts without a response may have given the worker's next boot. Their
+// limits are times on another clock there, which may mean the longest lease. The caller holds the mutex.
+func (h *holder) nextBootExpiry() time.Time {
+	var expiry time.Time
+	for _, r := range h.runs {
+		if !r.sentAt.IsZero() && r.confirmedAt.IsZero() {
+			expiry = later(expiry, r.sentAt.Add(maxCallTimeout+ExpiryBound(max(h.keeper.Lease, h.keeper.WorkerLease))))
+		}
 	}
-	return r.sentAt.Add(maxCallTimeout + ExpiryBound(max(h.keeper.Lease, h.keeper.WorkerLease)))
+	return expiry
 }
 
 // lowerPriorExpiry sets an earlier expiry of the leases granted under earlier assignments.
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -225,7 +225,8 @@
 	// Left is set for EventUnresponsive: the time after which all leases at the worker are
 	// guaranteed to have expired if nobody renews them. For EventReleased it covers the leases that
 	// the keeper granted in this and earlier assignments, and, if the worker has responded in one of
-	// them, those granted before by others.
+	// them, those granted before by others. For EventLost with Result StartUncertain it is set if starts got no
+	// response: until then, the worker's next boot may run what they started.
 	Left time.Duration
 	// Spell is set for EventListed and EventResponsive: the number of unresponsive periods
 	// of the worker in this assignment.
--- a/region/lostworker.go
+++ b/region/lostworker.go
@@ -52,7 +52,7 @@
 	l.logEvent(listed)
 	l.planner.HandleEvent(listed)
 	l.planner.SetUnready([]string{e.Worker})
-	l.unassignLost(e.Worker)
+	l.unassignLost(e.Worker, 0)
 	l.expiriesChanged = true
 	l.sendExpiries()
 	l.signalSave()
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -192,7 +192,7 @@
 			// The office's lease has expired: another planner may have assigned the worker, and
 			// its runs may continue.
 			l.planner.SetUnready([]string{e.Worker})
-			l.unassignLost(e.Worker)
+			l.unassignLost(e.Worker, 0)
 			l.expiries.markLostInDoubt(e.Worker)
 			l.expiriesChanged = true
 			continue
@@ -205,7 +205,7 @@
 			l.cancel()
 			return
 		case proto.EventLost:
-			l.unassignLost(e.Worker)
+			l.unassignLost(e.Worker, e.Left)
 			if e.Result == winch.StartOtherBoot {
 				l.workerReplaced(e.Worker)
 			}
@@ -224,11 +224,14 @@
 }
 
 // unassignLost ends the assignment of a lost worker. The worker is assigned again if it is
-// still listed. Starts that may reach its next boot extend the lease there.
-func (l *leadership) unassignLost(id string) {
+// still listed. Starts that may reach its next boot extend the lease there, for the given time if that is known.
+func (l *leadership) unassignLost(id string, left time.Duration) {
 	l.expiries.forget(id)
+	if left == 0 {
+		left = keep.ExpiryBound(maxLease)
+	}
 	if len(l.planner.RunsAt(id)) > 0 {
-		l.expiries.add(id, assignment{expiry: time.Now().Add(keep.ExpiryBound(maxLease))})
+		l.expiries.add(id, assignment{expiry: time.Now().Add(left)})
 	}
 	l.removeAssignment(id)
 	l.reassignSoon()
