keep: a request for a worker's lists names no lease

What callers could see: as with holds that are sent again (two runs of a task at once behind a relay that holds connections through a restart).

Cause: the request for the lists that follows a stop repeated the limit of the last hold, to no effect at the boot that it was meant for. The next boot takes that limit for its longest lease. The request names none now.

TestRequestForListsExtendsNoLease failed before (the next boot held a lease until 9.56 s) and passes.

--- a/coord/keep/heldconn_test.go
+++ b/coord/keep/heldconn_test.go
@@ -22,6 +22,8 @@
 	// losesResponses means that calls are carried out without a response.
 	losesResponses bool
 	lostCalls      int
+	// restartsAtStop means that the next boot starts before a stop arrives.
+	restartsAtStop bool
 }
 
 // restart starts the next boot, whose clock shows the given time.
@@ -77,6 +79,9 @@
 	if w.lost(ctx) {
 		return winch.ErrUncertain
 	}
+	if w.restartsAtStop {
+		w.restart(0)
+	}
 	return w.fakeWorker.Stop(ctx, vm, token, task, run)
 }
 
@@ -169,6 +174,28 @@
 	})
 }
 
+// Guards against the same by the request for the lists that follows a stop.
+func TestRequestForListsExtendsNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		r, worker := newRelayedFixture(ctx)
+		time.Sleep(5 * time.Second)
+		worker.mu.Lock()
+		worker.loseStarts, worker.restartsAtStop = true, true
+		holds := worker.tries
+		worker.mu.Unlock()
+		r.startOne(3)
+		time.Sleep(maxCallTimeout + 50*time.Millisecond)
+		worker.mu.Lock()
+		is.Equal(worker.stops, 1)
+		is.True(worker.tries > holds)
+		is.Equal(worker.until, time.Duration(0))
+		worker.mu.Unlock()
+		r.end(cancel)
+	})
+}
+
 // Guards against a task that is started elsewhere while its run goes on at the next boot of a worker that is cut off: the start
 // got no response, and the next boot has carried it out and grants its longest lease, since the limit is a time on another clock.
 func TestStartWithoutResponseMayHoldTheLongestLease(t *testing.T) {
--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -176,7 +176,6 @@
 // completion. It does not renew the lease.
 func (h *holder) requestLists(ctx context.Context) {
 	h.mu.Lock()
-	req := winch.HoldRequest{Token: h.token, Until: h.leaseUntil}
 	ok := h.listed && !h.unresponsive && !h.retrying
 	h.mu.Unlock()
 	if !ok {
@@ -185,7 +184,7 @@
 	sent := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
 	defer cancel()
-	resp, err := h.keeper.Client.Hold(callCtx, h.vm, req)
+	resp, err := h.keeper.Client.Hold(callCtx, h.vm, winch.HoldRequest{Token: h.token})
 	if err != nil || ctx.Err() != nil || h.updateClock(sent, resp.Clock) {
 		return // The pending hold handles the failure.
 	}
