keep: a number of completions is sent until one response

What callers could see: tasks that had ended well ran again, after their worker had returned under its ID behind a relay that holds connections and delays what they carry.

Cause: each hold repeated the last number, though the worker remembers it, so that each hold that is delayed past a restart does so.

A number is now named until a hold that names it gets a response. That makes such holds rarer; it does not exclude them, since a worker does not refuse a number that it has not reached: a hold with a new number that is delayed past a restart still does so.

TestNumbersOfCompletionsAreSentUntilOneResponse failed (13 holds with the number in 20 s) and passes (1, and 2 if the first response is lost).

--- a/coord/keep/heldconn_test.go
+++ b/coord/keep/heldconn_test.go
@@ -218,3 +218,56 @@
 		r.end(cancel)
 	})
 }
+
+// countingWorker counts the holds that name a number of completions.
+type countingWorker struct {
+	*fakeWorker
+	numbered int
+	failing  bool // failing means that a hold that names a number is carried out without a response.
+}
+
+func (w *countingWorker) Hold(ctx context.Context, vm winch.WorkerVM, c winch.HoldRequest) (winch.HoldResponse, error) {
+	resp, err := w.fakeWorker.Hold(ctx, vm, c)
+	if c.Forget == 0 {
+		return resp, err
+	}
+	w.mu.Lock()
+	w.numbered++
+	failing := w.failing
+	w.failing = false
+	w.mu.Unlock()
+	if failing {
+		return winch.HoldResponse{}, winch.ErrUncertain
+	}
+	return resp, err
+}
+
+// Guards against completions that a worker's next boot drops unseen: each hold that is delayed past the restart and names a number
+// of the boot before makes it do so, and their tasks would run again.
+func TestNumbersOfCompletionsAreSentUntilOneResponse(t *testing.T) {
+	for name, test := range map[string]struct {
+		failing bool
+		want    int
+	}{"response": {false, 1}, "response lost once": {true, 2}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				worker := &countingWorker{fakeWorker: &fakeWorker{begin: time.Now(), ended: completionsUpTo(40)}, failing: test.failing}
+				r := &fixture{worker: worker.fakeWorker, session: proto.Session{Term: 1, Number: 1}}
+				r.keeper = &Keeper{Client: worker, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Lease: 5 * time.Second}
+				r.keeper.Prepare()
+				r.keeper.group.Go(func() { r.poll(ctx) })
+				r.keeper.SetAssignments(proto.AssignmentSet{Session: r.session, Authority: 8 * time.Second, Workers: []proto.Assignment{{VM: winch.WorkerVM{ID: "w"}, Token: 5}}})
+				time.Sleep(time.Second)
+				r.keeper.QueueOrders(proto.KeeperOrders{Session: r.session, Orders: []proto.Order{{Kind: proto.OrderForget, Worker: "w", Token: 5, Forget: 40}}})
+				time.Sleep(20 * time.Second)
+				worker.mu.Lock()
+				is.Equal(worker.forget, uint64(40))
+				is.Equal(worker.numbered, test.want)
+				worker.mu.Unlock()
+				r.end(cancel)
+			})
+		})
+	}
+}
--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -130,7 +130,9 @@
 	call := winch.HoldRequest{Token: h.token}
 	lease := min(h.keeper.Lease, h.keeper.authorityLeft())
 	h.mu.Lock()
-	call.Forget = h.recordedUpTo
+	if h.recordedUpTo > h.forgottenUpTo {
+		call.Forget = h.recordedUpTo
+	}
 	if h.listed {
 		call.Wait = holdWait
 		if h.reportOften {
@@ -166,6 +168,11 @@
 	defer cancel()
 	resp, err := h.keeper.Client.Hold(callCtx, h.vm, call)
 	h.recordCall(isResponse(err))
+	if err == nil {
+		h.mu.Lock()
+		h.forgottenUpTo = max(h.forgottenUpTo, call.Forget)
+		h.mu.Unlock()
+	}
 	if err == nil && call.Wait == 0 {
 		h.keeper.roundTrips.observe(time.Since(sent))
 	}
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -115,6 +115,7 @@
 	// state that they report. They are added in the same critical section as the change.
 	events            []proto.KeeperEvent
 	recordedUpTo      uint64             // recordedUpTo is the number up to which completions are recorded.
+	forgottenUpTo     uint64             // forgottenUpTo is the last number that the worker has responded to.
 	listedCompletions []winch.Completion // listedCompletions holds the completions that the worker listed last.
 	// workerClock is the worker's time when the local time was clockReadAt.
 	workerClock time.Duration
