keep: a start that was not sent is not taken for a response of its worker

What operators saw: a worker that was cut off was found unresponsive late, and with it all other workers of its keeper: the timeout of calls grew from 100 to 562.5 ms by a start whose connection was not identified within 500 ms.

Cause: a refusal without a response stands for a start that was not sent as well as for one that the worker has refused; the time of the attempt counted as a round trip, and the failed calls before it as answered.

A refusal without the worker's clock counts as neither. A worker that refuses without naming its clock is found by its holds as before.

TestStartThatIsNotSentIsNoResponse failed and passes.

--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -67,7 +67,9 @@
 		Token: h.token, Task: c.Task, Run: c.Run, Command: c.command,
 		Checkpoint: c.Checkpoint, Ticket: c.Ticket, Until: until,
 	})
-	h.recordOrder(now, result != winch.StartUncertain)
+	if result != winch.StartRefused || clock > 0 { // A start that is refused without a response was not sent.
+		h.recordOrder(now, result != winch.StartUncertain)
+	}
 	err := h.checkBoot(ctx, clock)
 	if errors.Is(err, winch.ErrOtherBoot) || err == nil && h.updateClock(now, clock) {
 		h.keeper.Log.Info("another boot of the worker responded to a start", zap.String("job", c.Task.Job), zap.Any("task", c.Task),
