coord/fleet: a start at an address that another ID has taken is not waited for

What callers saw: a lasting task of a worker that was replaced at its address, by a boot under another ID, waited for up to 8 s if the start of its run was not confirmed.

Cause: such a start may reach a next boot under the worker's ID, so it is waited for until that boot is listed, and else for 8 s. But here no such boot can come: a later boot under another ID has the address, and refuses calls for the worker.

The wait ends once the list names that boot. An earlier boot, whose record is still listed, does not count.

--- a/coord/fleet/nextboot_test.go
+++ b/coord/fleet/nextboot_test.go
@@ -129,3 +129,27 @@
 		is.True(!c.planner.NextBoot("w0"))
 	})
 }
+
+// Guards against a task that waits for a next boot that never comes: another ID has taken its worker's address, where the start
+// is refused.
+func TestStartAtAnAddressThatAnotherIDHasTakenIsRepeatedAtOnce(t *testing.T) {
+	for name, later := range map[string]int64{"later boot": 1, "earlier boot, whose record is still listed": -1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				c := newSimRegion(t, 1, urgentQueue())
+				c.add("a", "preview", "choir", tasks(1, 1000))
+				c.planner.Schedule()
+				is.Equal(len(c.planner.Orders()), 1)
+				vm := c.planner.WorkersToHold()[0]
+				other := vm
+				other.ID, other.Born = "w9", vm.Born+later
+				c.planner.SetWorkers([]winch.WorkerVM{vm, other})
+				c.listed("w9", nil)
+				c.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: "w0", Result: winch.StartOtherBoot})
+				c.schedule()
+				is.Equal(len(c.planner.RunsAt("w0")) == 0, later > 0)
+			})
+		})
+	}
+}
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -163,10 +163,22 @@
 // one: longer than any lease.
 const NextBootTimeout = 8 * time.Second
 
-// endCarried ends the runs at replaced boots for which the list has not named the next one in time.
+// endCarried ends the runs at replaced boots for which the list has not named the next one in time, or names a later boot
+// under another ID at the address, which refuses their starts.
 func (p *Planner) endCarried(now time.Time) {
+	if len(p.carried) == 0 {
+		return
+	}
+	latest := make(map[string]winch.WorkerVM, len(p.workers))
+	for _, w := range p.workers {
+		if w.vm.Born > latest[w.vm.Address].Born {
+			latest[w.vm.Address] = w.vm
+		}
+	}
 	for w, until := range p.carried {
-		if p.workers[w.vm.ID] == w && w.replaced && now.Before(until) {
+		next := latest[w.vm.Address]
+		refused := next.ID != w.vm.ID && next.Born > w.vm.Born
+		if p.workers[w.vm.ID] == w && w.replaced && now.Before(until) && !refused {
 			continue
 		}
 		delete(p.carried, w)
