--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -20,8 +20,10 @@
 	// replaced is set if another boot responds at the worker's address. The platform's list names
 	// the new boot later; until then every call to the old one would be refused.
 	replaced bool
-	// nextBoot is set if the planner has known an earlier boot under the same ID.
+	// nextBoot is set if this or an earlier planner has known an earlier boot under the same ID. listedAt is when the boot first
+	// listed its runs to this planner.
 	nextBoot bool
+	listedAt time.Time
 	// unresponsive is set while the worker gets no work because it did not respond. respondsAgain
 	// is set once it responds again; it gets work after SetResponsive.
 	unresponsive, respondsAgain bool
@@ -96,7 +98,11 @@
 		nextBoot := w != nil && !w.vm.SameBoot(vm)
 		if nextBoot {
 			carried = w.unconfirmedRuns()
+			unknown := p.roster[vm.ID]
 			p.WorkerLost(vm.ID, true)
+			if unknown { // The next boot may yet carry out a start that only an earlier planner knows of.
+				p.roster[vm.ID] = true
+			}
 			delete(p.workers, vm.ID)
 			p.dropOrders(vm.ID)
 			p.unsorted = true
@@ -157,14 +163,26 @@
 	}
 }
 
-// nextBootTimeout is how long a start that was meant for a replaced boot is waited for if the list does not name the next
+// NextBootTimeout is how long a start that was meant for a replaced boot is waited for if the list does not name the next
 // one: longer than any lease.
-const nextBootTimeout = 8 * time.Second
+const NextBootTimeout = 8 * time.Second
 
-// endCarried ends the runs at replaced boots for which the list has not named the next one in time.
+// endCarried ends the runs at replaced boots for which the list has not named the next one in time, or names a later boot
+// under another ID at the address, which refuses their starts.
 func (p *Planner) endCarried(now time.Time) {
+	if len(p.carried) == 0 {
+		return
+	}
+	latest := make(map[string]winch.WorkerVM, len(p.workers))
+	for _, w := range p.workers {
+		if w.vm.Born > latest[w.vm.Address].Born {
+			latest[w.vm.Address] = w.vm
+		}
+	}
 	for w, until := range p.carried {
-		if p.workers[w.vm.ID] == w && w.replaced && now.Before(until) {
+		next := latest[w.vm.Address]
+		refused := next.ID != w.vm.ID && next.Born > w.vm.Born
+		if p.workers[w.vm.ID] == w && w.replaced && now.Before(until) && !refused {
 			continue
 		}
 		delete(p.carried, w)
@@ -185,10 +203,18 @@
 	return w != nil && w.empty
 }
 
-// NextBoot reports whether the planner has known an earlier boot under the ID of a worker.
+// NextBoot reports whether a call for an earlier boot under the ID of a worker may have an effect there. Once the boot has
+// listed its runs it refuses such calls, and what they have granted ends within NextBootTimeout.
 func (p *Planner) NextBoot(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.nextBoot
+	return w != nil && w.nextBoot && (w.listedAt.IsZero() || p.now().Sub(w.listedAt) < NextBootTimeout)
+}
+
+// SetNextBoot marks a boot that an earlier planner found to be a next one.
+func (p *Planner) SetNextBoot(id string) {
+	if w := p.workers[id]; w != nil {
+		w.nextBoot = true
+	}
 }
 
 // WorkerVM returns the boot of a worker that the planner knows, also of one that has left the list.
