region: a job that is sent again runs though the planner still has its earlier one

Once the record of an ended job is past its retention period, its ID is accepted again, as another job. The planner forgets the earlier one when the store's response to the removal arrives. If that is late or lost, it took the new job for the one that it knew, and then forgot it: the job was shown as ended and did not run before the next planner. The records tell the two apart by their revision, and the planner goes by that now.

--- a/coord/fleet/forget.go
+++ b/coord/fleet/forget.go
@@ -34,6 +34,13 @@
 	return p.jobs[id] != nil
 }
 
+// EndedBefore reports whether the planner's job of an ID has ended and a record of the given revision is that of another job:
+// an ID is accepted again only once the records of the job before have been removed.
+func (p *Planner) EndedBefore(id string, revision uint64) bool {
+	j := p.jobs[id]
+	return j != nil && j.state.Final() && j.visibleState == j.state && !j.hasRuns() && j.rec.Revision < revision
+}
+
 // ExpiredJobs returns the jobs without runs that ended before a time and whose end is recorded. Of
 // jobs that ended later, it drops all state that callers cannot request.
 func (p *Planner) ExpiredJobs(before time.Time) []string {
@@ -58,10 +65,12 @@
 	return out
 }
 
-// Forget removes a job.
+// Forget removes an ended job.
 func (p *Planner) Forget(id string) {
-	delete(p.jobs, id)
-	delete(p.active, id)
+	if j := p.jobs[id]; j != nil && j.state.Final() {
+		delete(p.jobs, id)
+		delete(p.active, id)
+	}
 }
 
 func (j *job) hasRuns() bool {
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -140,8 +140,11 @@
 }
 
 // Add adds an accepted job with its recorded progress. A job that is already known is left
-// unchanged.
+// unchanged, unless it has ended and the record is that of a later job of the same ID.
 func (p *Planner) Add(rec *winch.PhasedJob, progress *winch.Progress, revision uint64) {
+	if p.EndedBefore(rec.ID, rec.Revision) {
+		p.Forget(rec.ID)
+	}
 	if p.jobs[rec.ID] != nil {
 		return
 	}
--- a/region/jobs.go
+++ b/region/jobs.go
@@ -26,7 +26,8 @@
 	all := make(map[string]*storedJob)
 	for _, v := range values {
 		id, part := parseJobKey(v.Key)
-		if part == partNone || part != partCancel && l.planner.HasJob(id) {
+		known := l.planner.HasJob(id) && !(part == partJob && l.planner.EndedBefore(id, v.Version))
+		if part == partNone || part != partCancel && known {
 			continue
 		}
 		s := all[id]
