entry: slots of an entry's earlier process stay in use

Over a new link an entry lists the slots that it uses, and the home frees the others of that name. A process that has just started lists none, so a killed entry that came back under its name freed the slots in which the calls of its earlier process still ran: the executor got more calls than it has slots. Requests and lists name the process now. Slots of an earlier process become free after the calls' maximum run time, as those of an entry that does not come back.

--- a/entry/homes.go
+++ b/entry/homes.go
@@ -72,7 +72,7 @@
 		return ""
 	}
 	for name, held := range e.grants.rehome(home) {
-		msg := proto.HeldSlots{Held: held}
+		msg := proto.HeldSlots{Held: held, Process: e.incarnation}
 		if name == e.Name() {
 			_ = e.table.Reconcile(e.Name(), held, false)
 			continue
--- a/entry/links.go
+++ b/entry/links.go
@@ -15,7 +15,7 @@
 // First returns the first message on a new connection to a peer. It lists the slots of the peer that this entry
 // uses or has requested.
 func (e *Entry) First(peer string) (winch.Kind, any) {
-	return proto.KindHeldSlots, proto.HeldSlots{Held: e.grants.grantsOf(peer), Complete: true}
+	return proto.KindHeldSlots, proto.HeldSlots{Held: e.grants.grantsOf(peer), Complete: true, Process: e.incarnation}
 }
 
 // heartbeat returns the entry's heartbeat.
@@ -85,7 +85,10 @@
 	case proto.KindSlotRelease:
 		return decodeAndHandle(decode, func(d proto.SlotRelease) any { _ = e.table.Return(d); return nil })
 	case proto.KindHeldSlots:
-		return decodeAndHandle(decode, func(h proto.HeldSlots) any { _ = e.table.Reconcile(from, h.Held, h.Complete); return nil })
+		return decodeAndHandle(decode, func(h proto.HeldSlots) any {
+			_ = e.table.Reconcile(slotHolder(from, h.Process), h.Held, h.Complete)
+			return nil
+		})
 	case proto.KindHandoff:
 		return decodeAndHandle(decode, func(h proto.Handoff) any { _ = e.table.Adopt(h); return nil })
 	case proto.KindJobHint:
@@ -131,5 +134,9 @@
 	if e.draining.Load() {
 		return proto.SlotResponse{Refused: winch.RefuseFor(winch.Stopping, "the executor's home entry is stopping", time.Second)}
 	}
-	return e.table.Acquire(ctx, from, request)
+	return e.table.Acquire(ctx, slotHolder(from, request.Process), request)
 }
+
+// slotHolder returns the name under which a process of another entry holds slots. A new process of the same entry has another
+// name: it knows nothing of the earlier one's calls, which may still run.
+func slotHolder(entry, process string) string { return entry + "/" + process }
--- a/entry/slot.go
+++ b/entry/slot.go
@@ -93,7 +93,7 @@
 	g := &grant{id: rand.Text(), home: home}
 	request := proto.SlotRequest{
 		Grant: g.id, Service: p.call.Service, Class: p.caller.class.Name, Team: p.caller.team.Name, KeyID: p.caller.key.ID,
-		Remaining: time.Until(p.latestStart()), MaxRun: p.maxRun, Avoid: p.triedExecutors,
+		Remaining: time.Until(p.latestStart()), MaxRun: p.maxRun, Avoid: p.triedExecutors, Process: e.incarnation,
 	}
 	if request.Remaining <= 0 {
 		return nil, winch.RefuseFor(winch.DeadlinePassed, "no slot came free before the deadline", time.Second)
--- a/proto/proto.go
+++ b/proto/proto.go
@@ -115,6 +115,8 @@
 	MaxRun time.Duration
 	// Avoid lists executors on which the request was already attempted.
 	Avoid []string `cbor:",omitempty"`
+	// Process tells the sender's process from earlier ones of the same entry.
+	Process string `cbor:",omitempty"`
 }
 
 // SlotResponse grants a slot or refuses the request with a result.
@@ -154,9 +156,10 @@
 // HeldSlots lists slots of the receiver's executors that the sender uses.
 type HeldSlots struct {
 	Held []HeldSlot
-	// Complete reports that the sender uses no other slots. It is set in the first
+	// Complete reports that the sender's process uses no other slots. It is set in the first
 	// message on a new link, before any grant on that link.
 	Complete bool
+	Process  string `cbor:",omitempty"` // Process is that of the requests for the slots.
 }
 
 // Handoff transfers an executor and its slots in use to a new home entry.
