--- a/region/proxy.go
+++ b/region/proxy.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -8,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"plantainwinch/coord/fleet"
-	"plantainwinch/coord/keep"
 	"plantainwinch/coord/lanes"
 	"plantainwinch/duty"
 	"plantainwinch/proto"
@@ -228,19 +228,22 @@
 }
 
 // unassignLost ends the assignment of a lost worker. The worker is assigned again if it is
-// still listed. Starts that may reach its next boot extend the lease there, for the given time if that is known.
+// still listed. The time left is how long starts without a response may run at its next boot; zero if that is not known.
 func (l *leadership) unassignLost(id string, left time.Duration) {
 	l.expiries.forget(id)
-	if left == 0 {
-		left = keep.ExpiryBound(max(maxLease, l.node.Timing.Lease))
-	}
-	if len(l.planner.RunsAt(id)) > 0 {
-		l.expiries.add(id, assignment{expiry: time.Now().Add(left)})
-	}
+	l.expectLateStarts(id, left)
 	l.removeAssignment(id)
 	l.reassignSoon()
 }
 
+// expectLateStarts has a next boot that does not respond count as lost only after the lease that a start which is on its way
+// to it may be given: after the time left or, if that is zero, after NextBootTimeout.
+func (l *leadership) expectLateStarts(id string, left time.Duration) {
+	if len(l.planner.RunsAt(id)) > 0 {
+		l.expiries.add(id, assignment{expiry: time.Now().Add(cmp.Or(left, fleet.NextBootTimeout))})
+	}
+}
+
 // recordAssignment records that a worker is assigned to a keeper under a fencing token.
 func (l *leadership) recordAssignment(id, keeper string, a proto.Assignment) {
 	l.removeAssignment(id)
