fleet: a start on its way stays one while its job is looked up

What callers could see: two runs of a task at once, after a takeover around which its worker returned under its ID, if the task's job was accepted after the new planner had read the jobs.

Cause: once such a job was found, its runs were entered again as confirmed, and a change of boot before that dropped them, since only runs of known jobs were carried over to the next boot.

A negative percentage, which marks such a run, is not taken for its progress any more.

--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -81,12 +81,8 @@
 func (p *Planner) RunsAt(id string) []winch.Running {
 	var out []winch.Running
 	if w := p.workers[id]; w != nil {
-		for key, r := range w.runs {
-			x := winch.Running{Task: key.task, Run: key.run}
-			if !r.started {
-				x.Percent = winch.PercentUnconfirmed
-			}
-			out = append(out, x)
+		for _, r := range w.runs {
+			out = append(out, r.known())
 		}
 		for _, e := range w.completions {
 			out = append(out, winch.Running{Task: e.key.task, Run: e.key.run})
@@ -105,6 +101,15 @@
 	return len(p.roster) == 0
 }
 
+// known returns what is passed on about a run: which it is, and whether its start is confirmed.
+func (r *run) known() winch.Running {
+	x := winch.Running{Task: r.key.task, Run: r.key.run}
+	if !r.started {
+		x.Percent = winch.PercentUnconfirmed
+	}
+	return x
+}
+
 // ClosedRuns returns the runs closed since the last call.
 func (p *Planner) ClosedRuns() []ClosedRun {
 	p.closeRecorded()
--- a/coord/fleet/straggler.go
+++ b/coord/fleet/straggler.go
@@ -194,12 +194,13 @@
 // adoptCheckpoint takes over the checkpoint of a run that an earlier planner started, unless the task's other
 // run is further.
 func (t *task) adoptCheckpoint(x winch.Running) {
+	percent := max(0, x.Percent) // It is negative for a start that is not confirmed.
 	for _, r := range t.runs {
-		if r.key.run != x.Run && t.checkpoint != "" && (x.Checkpoint == "" || r.percent > x.Percent) {
+		if r.key.run != x.Run && t.checkpoint != "" && (x.Checkpoint == "" || r.percent > percent) {
 			return
 		}
 	}
-	t.checkpoint, t.checkpointPercent = x.Checkpoint, x.Percent
+	t.checkpoint, t.checkpointPercent = x.Checkpoint, percent
 }
 
 // expectedCompletion returns when the first of the task's runs is expected to end, and whether one is.
--- a/coord/fleet/unknown.go
+++ b/coord/fleet/unknown.go
@@ -61,7 +61,7 @@
 		var found []winch.Running
 		for key, r := range w.runs {
 			if key.task.Job == id && r.task == nil {
-				found = append(found, winch.Running{Task: key.task, Run: key.run})
+				found = append(found, r.known())
 				p.endRun(r, "")
 			}
 		}
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -144,7 +144,7 @@
 // unconfirmedRuns returns the runs whose starts the worker has not confirmed. They may be on their way.
 func (w *worker) unconfirmedRuns() (out []runKey) {
 	for key, r := range w.runs {
-		if r.task != nil && !r.started {
+		if !r.started {
 			out = append(out, key)
 		}
 	}
@@ -155,11 +155,18 @@
 // come under a higher fencing token, after which no such start takes effect.
 func (p *Planner) carryOver(w *worker, runs []runKey) {
 	for _, key := range runs {
-		if t := p.task(key.task); t != nil && !t.done && !t.phase.job.state.Final() {
-			closed := ClosedRun{w.vm.ID, key.task, key.run}
-			p.closedRuns = slices.DeleteFunc(p.closedRuns, func(x ClosedRun) bool { return x == closed })
-			p.stopRun(p.addRun(w, t, key.task, key.run))
+		t, known := p.task(key.task), p.jobs[key.task.Job] != nil
+		if known && (t == nil || t.done || t.phase.job.state.Final()) {
+			continue
+		}
+		closed := ClosedRun{w.vm.ID, key.task, key.run}
+		p.closedRuns = slices.DeleteFunc(p.closedRuns, func(x ClosedRun) bool { return x == closed })
+		r := p.addRun(w, t, key.task, key.run)
+		if !known {
+			p.awaitJob(key.task.Job, w)
+			continue
 		}
+		p.stopRun(r)
 	}
 }
 
