keep: a start that its boot has listed is not waited for at a next one

A start without a response whose run the worker lists has been carried out by the boot that it was meant for, so that no next boot carries it out. Only words of comments change besides.

--- a/coord/keep/lease.go
+++ b/coord/keep/lease.go
@@ -35,7 +35,7 @@
 func (h *holder) nextBootExpiry() time.Time {
 	var expiry time.Time
 	for _, r := range h.runs {
-		if !r.sentAt.IsZero() && r.confirmedAt.IsZero() {
+		if !r.sentAt.IsZero() && r.confirmedAt.IsZero() && !r.listed {
 			expiry = later(expiry, r.sentAt.Add(maxCallTimeout+ExpiryBound(max(h.keeper.Lease, h.keeper.WorkerLease))))
 		}
 	}
