region, coord/fleet: full copies hold the runs that are waited for at replaced boots

What callers saw: after a takeover by a standby that had joined while such a run was waited for, the run was unknown, and its task could be started a second time while the next boot of its worker carried the start out.

Cause: a full copy, and what a planner keeps of its own term, went over the workers that keepers are to hold. A worker at which another boot was found is not one of them until the list names that boot. The list of unrecorded crashes, which would have held the run, leaves it out since it is still known at its worker.

Why it works: the copy goes over all workers that the planner knows, which are those at which it knows of runs.

Cost: none to speak of; the same loop over a list of IDs.

--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -298,6 +299,11 @@
 	return out
 }
 
+// WorkerIDs returns the IDs of all workers that the planner knows, also of those that are not to be held.
+func (p *Planner) WorkerIDs() []string {
+	return slices.Collect(maps.Keys(p.workers))
+}
+
 // SetUnready marks workers whose keeper is lost: nothing is started there until their lists have
 // been received again.
 func (p *Planner) SetUnready(ids []string) {
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -322,9 +322,9 @@
 
 // allRuns returns all runs that may exist, including those of queued starts, and those of them whose starts are confirmed.
 func (l *leadership) allRuns() (all, started []proto.MirrorRun) {
-	for _, vm := range l.planner.WorkersToHold() {
-		for _, r := range l.planner.RunsAt(vm.ID) {
-			x := proto.MirrorRun{Worker: vm.ID, Task: r.Task, Run: r.Run}
+	for _, id := range l.planner.WorkerIDs() {
+		for _, r := range l.planner.RunsAt(id) {
+			x := proto.MirrorRun{Worker: id, Task: r.Task, Run: r.Run}
 			all = append(all, x)
 			if !r.Unconfirmed() {
 				started = append(started, x)
