region, coord/fleet: the roster names a replaced boot until the list names the next one

What callers saw: a task ran twice after a takeover. A keeper had found another boot at a worker, and the planner was lost before the platform's list named that boot. The next planner took the next boot for a first one, so that its keeper counted on 5 s where a late call gives 6 s; and it did not know the starts that were still on their way there.

Cause: the roster held the workers that keepers are to hold, and a replaced boot is not one of them. Its record was deleted, and with it the former boot and the runs.

Why it works: the record keeps the former boot, its last keeper and generation. It says that nothing but the listed runs may exist there, which holds since nothing is started at a replaced boot, and that calls may reach a next boot. The next planner therefore compares the list with the former boot, and carries the runs over, from its copy or from the record. What a keeper is to hold is unchanged, so the worker is assigned to none. The record goes when the planner drops the worker; a loss of runs has the records computed again, so that none goes on naming a start that is no longer waited for.

Cost: the write that removed the record now changes it; one more write if the starts at a replaced boot are given up. A next boot is known as such to the next planner, so what ran there waits for the longest lease if it is cut off; and a planner that finds the boot replaced again waits anew, at most 8 s, for starts that are not confirmed. Other tasks wait as before.

--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -272,6 +272,12 @@
 	return false, false
 }
 
+// GetsNoWork reports whether nothing is started at a worker because it does not respond, or another boot does.
+func (p *Planner) GetsNoWork(id string) bool {
+	w := p.workers[id]
+	return w != nil && (w.replaced || w.unresponsive && !w.respondsAgain)
+}
+
 // SetUnresponsive marks a worker as one that gets no work until SetResponsive.
 func (p *Planner) SetUnresponsive(id string) {
 	if w := p.workers[id]; w != nil {
@@ -299,6 +305,16 @@
 	return out
 }
 
+// ReplacedWorkers returns the VMs at whose addresses another boot was found that the list does not name yet.
+func (p *Planner) ReplacedWorkers() (out []winch.WorkerVM) {
+	for _, w := range p.workers {
+		if w.replaced {
+			out = append(out, w.vm)
+		}
+	}
+	return out
+}
+
 // WorkerIDs returns the IDs of all workers that the planner knows, also of those that are not to be held.
 func (p *Planner) WorkerIDs() []string {
 	return slices.Collect(maps.Keys(p.workers))
--- a/region/assign.go
+++ b/region/assign.go
@@ -91,6 +91,12 @@
 			wanted[vm.ID] = l.rosterRecord(vm, keeper, l.generationOf(vm.ID, keeper))
 		}
 	}
+	// A keeper has nothing to hold at a replaced boot, but the next planner must know it to recognize the next one.
+	for _, vm := range l.planner.ReplacedWorkers() {
+		if last, known := l.desired[vm.ID]; known {
+			wanted[vm.ID] = l.rosterRecord(vm, last.Keeper, last.Generation)
+		}
+	}
 	l.desired = wanted
 	if !maps.EqualFunc(wanted, l.roster, sameRosterRecord) {
 		duty.Signal(l.rosterCh)
@@ -127,7 +133,7 @@
 	return l.term*generationsPerTerm + l.generations
 }
 
-// rosterRecord returns what is to be recorded for a worker. For one that does not respond, the record
+// rosterRecord returns what is to be recorded for a worker. For one that does not respond, or was replaced, the record
 // lists all runs that may exist there, once it is known what an earlier planner started there. The
 // list stays complete, since nothing is started there until the record is changed again. Without it,
 // if the planner and its standby were lost together, the next planner would have to delay all other
@@ -148,7 +154,7 @@
 			}
 		}
 	}
-	if unresponsive, responds := l.planner.Unresponsive(vm.ID); unresponsive && !responds && l.planner.RunsKnown(vm.ID) {
+	if l.planner.GetsNoWork(vm.ID) && l.planner.RunsKnown(vm.ID) {
 		out.Settled, out.Runs = true, l.planner.RunsAt(vm.ID)
 	}
 	out.Bound, out.NextBoot = l.recordedBound(vm.ID), l.planner.NextBoot(vm.ID)
--- a/region/report.go
+++ b/region/report.go
@@ -171,9 +171,10 @@
 }
 
 // logLosses logs which runs ended with a worker. A task that crashes its workers is among the first in
-// the lines of all of them.
+// the lines of all of them. The records of such workers may list the runs, so they are computed again.
 func (l *leadership) logLosses() {
 	for _, x := range l.planner.Losses() {
+		l.reassignSoon()
 		var runs []string
 		for _, r := range x.Runs[:min(maxLossRuns, len(x.Runs))] {
 			runs = append(runs, fmt.Sprintf("%s.%d.%d.%d/%d lived %v confirmed %t", r.Task.Job, r.Task.K,
