coord/fleet: starts are waited for at the next boot of a worker that left the list

What callers saw: a task ran twice after a takeover between the moment another boot is found at a worker and the list that names it, if the list named no boot of the worker meanwhile.

Cause: a worker that has left the list was dropped when its keeper found another boot there, with the starts that were on their way: no next boot was to come. A boot that responds at the address is one, and may be listed later. A planner that takes over has each worker of the roster that the list does not name as one that has left.

Why it works: starts that are not confirmed are carried over at each boot that was found replaced, which keeps its worker until the list names the next boot, a later boot is listed under another ID at the address, or NextBootTimeout is over. A worker without such starts, or whose tasks are no longer needed, is dropped at once as before.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -47,7 +47,7 @@
 			carried = w.unconfirmedRuns()
 		}
 		p.WorkerLost(e.Worker, e.Result == winch.StartOtherBoot)
-		if p.workers[e.Worker] == w { // Otherwise it has left the list, and no next boot is to come.
+		if w.replaced || p.workers[e.Worker] == w { // Otherwise it has left the list, and no next boot is to come.
 			p.carryOver(w, carried)
 		}
 	case proto.EventKnownRuns:
--- a/coord/fleet/nextboot_test.go
+++ b/coord/fleet/nextboot_test.go
@@ -178,3 +178,40 @@
 		})
 	}
 }
+
+// Guards against a task that is started again while its start may reach the next boot of a worker that has left the list; and
+// against workers that are kept for good, or for a start that is of no use any more.
+func TestStartThatMayReachTheNextBootOfAWorkerThatLeftIsNotRepeated(t *testing.T) {
+	for _, name := range []string{"unconfirmed", "confirmed", "cancelled"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				c := newSimRegion(t, 1, urgentQueue())
+				c.add("a", "preview", "choir", tasks(1, 1000))
+				c.planner.Schedule()
+				start := c.planner.Orders()[0]
+				if name == "confirmed" {
+					c.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventStarted, Worker: "w0", Task: start.Task, Run: start.Run})
+				}
+				other := winch.WorkerVM{ID: "w9", Address: "127.0.0.1:9", Service: "render", Domain: "d1", Rack: "r1", Room: winch.Capacity{Milli: 16000, Memory: 32 * gigabyte}, Born: 1}
+				c.planner.SetWorkers([]winch.WorkerVM{other})
+				c.listed("w9", nil)
+				if name == "cancelled" {
+					c.planner.Cancel("a")
+				}
+				c.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: "w0", Result: winch.StartOtherBoot})
+				_, known := c.planner.WorkerVM("w0")
+				is.Equal(known, name == "unconfirmed")
+				if !known {
+					return
+				}
+				c.saveRecords()
+				is.Equal(len(c.schedule()), 0)
+				time.Sleep(NextBootTimeout + time.Millisecond)
+				is.Equal(len(c.schedule()), 1)
+				_, known = c.planner.WorkerVM("w0")
+				is.True(!known)
+			})
+		})
+	}
+}
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -157,6 +157,7 @@
 func (p *Planner) carryOver(w *worker, runs []runKey) {
 	for _, key := range runs {
 		if t := p.task(key.task); t != nil && !t.done && !t.phase.job.state.Final() {
+			p.workers[w.vm.ID], p.unsorted = w, true // It may have left the list before its next boot was found.
 			closed := ClosedRun{w.vm.ID, key.task, key.run}
 			p.closedRuns = slices.DeleteFunc(p.closedRuns, func(x ClosedRun) bool { return x == closed })
 			p.stopRun(p.addRun(w, t, key.task, key.run))
--- a/region/replaced_test.go
+++ b/region/replaced_test.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,32 +79,37 @@
 }
 
 // Guards against the same as TestStartOfTheLastTermAtABootThatWasReplacedIsNotRepeated if the next planner as well finds the boot
-// before the list names it.
+// before the list names it, whether the list still names the former one or none.
 func TestStartAtABootThatTwoPlannersFoundReplacedIsNotRepeated(t *testing.T) {
 	t.Parallel()
 	for name, change := range officeChanges {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				is := is.NewRelaxed(t)
-				w := newWorld(t, 112, 3, 9)
-				settle()
-				p := w.planner()
-				l := p.node.leadership.Load()
-				x, next := w.replacedWithStart(is)
-				change(w, p)
-				l = w.awaitNextTerm(l.term)
-				next.mu.Lock()
-				next.unresponsive = false
-				next.mu.Unlock()
-				is.True(w.awaitLeadState(l, 3*time.Second, func() bool { return len(l.planner.ReplacedWorkers()) == 1 }))
-				w.setStore(func(s *simStore) { s.put("workers/"+x.vm.ID, mustJSON(next.vm), 0) })
-				time.Sleep(10 * time.Second)
-				is.Equal(w.log.count("is carried out late"), 1)
-				is.Equal(w.runningLasting(), 18)
-				w.endWithoutDowntimeCheck()
+		for _, listed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, listed %t", name, listed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					is := is.NewRelaxed(t)
+					w := newWorld(t, 112, 3, 9)
+					settle()
+					p := w.planner()
+					l := p.node.leadership.Load()
+					x, next := w.replacedWithStart(is)
+					if !listed {
+						w.unlist(x)
+					}
+					change(w, p)
+					l = w.awaitNextTerm(l.term)
+					next.mu.Lock()
+					next.unresponsive = false
+					next.mu.Unlock()
+					is.True(w.awaitLeadState(l, 3*time.Second, func() bool { return len(l.planner.ReplacedWorkers()) == 1 }))
+					w.setStore(func(s *simStore) { s.put("workers/"+x.vm.ID, mustJSON(next.vm), 0) })
+					time.Sleep(10 * time.Second)
+					is.Equal(w.log.count("is carried out late"), 1)
+					is.Equal(w.runningLasting(), 18)
+					w.endWithoutDowntimeCheck()
+				})
 			})
-		})
+		}
 	}
 }
 
