fleet, keep: a run counts as ended with its boot only if that boot has listed it

What callers saw: two runs of a task at once, behind relays that hold connections through a restart of the worker.

Cause: a confirmation of a start does not name the boot that it comes from. If the next boot's clock is up to a second ahead of the former one's, nothing shows in the response. The planner ended the run with the former boot as soon as the list named the next one, and started the task elsewhere.

Only lists name their boot. A run that its boot has not listed is now carried over to the next one, whose first lists show whether it is there. What entries pass on about earlier runs tells listed ones from others, and the lease of a next boot is counted for confirmed starts, too, until their runs are listed. If a keeper finds the other boot, it stops what its lists have not shown, as before.

Tried and dropped: the same if a keeper reports another boot.

Cost: tasks that were started within the last two seconds wait for the first lists of a worker that has returned under its ID.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -87,7 +87,7 @@
 		}
 	}
 	for _, r := range w.runs {
-		p.confirmStart(r) // The worker lists it, so it has started even if the confirmation was lost.
+		p.noteListed(r) // The worker lists it, so it has started even if the confirmation was lost.
 		if r.stopping {
 			r.stopping = false // The stop order may have been lost with the last session.
 			p.stopRun(r)
@@ -121,7 +121,7 @@
 		r := p.addRun(w, t, x.Task, x.Run)
 		r.adopted, r.throttle = true, throttleUnknown
 		if !x.Unconfirmed() {
-			p.confirmStart(r)
+			p.noteListed(r)
 		}
 		p.noteStray(r, how)
 		if p.jobs[x.Task.Job] == nil {
@@ -159,7 +159,7 @@
 	if r == nil {
 		return
 	}
-	p.confirmStart(r)
+	r.started = true
 	p.dropSaved(e.Task)
 	r.task.phase.addParallelWait(WaitStart, p.now().Sub(r.since))
 	r.since, r.progressedAt = p.now(), p.now()
@@ -401,6 +401,7 @@
 		if r == nil {
 			continue
 		}
+		p.noteListed(r)
 		if r.percent != x.Percent {
 			r.percent, r.progressedAt = x.Percent, now
 		}
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -24,7 +24,9 @@
 	need   winch.Capacity // need is charged to the team, charge to the worker.
 	charge winch.Capacity
 	// started is set once the worker has confirmed the start.
-	started  bool
+	started bool
+	// listed is set once the boot that the start was meant for has listed the run. A confirmation does not name its boot.
+	listed   bool
 	stopping bool
 	urgent   bool // urgent is set while the run counts as running urgent work.
 	adopted  bool // adopted is set if an earlier planner started the run.
@@ -101,10 +103,10 @@
 	return len(p.roster) == 0
 }
 
-// known returns what is passed on about a run: which it is, and whether its start is confirmed.
+// known returns what is passed on about a run: which it is, and whether its boot has listed it.
 func (r *run) known() winch.Running {
 	x := winch.Running{Task: r.key.task, Run: r.key.run}
-	if !r.started {
+	if !r.listed {
 		x.Percent = winch.PercentUnconfirmed
 	}
 	return x
@@ -136,10 +138,11 @@
 	return out
 }
 
-// confirmStart records that the worker has confirmed the start of a run.
-func (p *Planner) confirmStart(r *run) {
-	if !r.started {
-		r.started = true
+// noteListed records that the boot that a run's start was meant for has listed it.
+func (p *Planner) noteListed(r *run) {
+	r.started = true
+	if !r.listed {
+		r.listed = true
 		p.startedRuns = append(p.startedRuns, r)
 	}
 }
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -98,7 +98,7 @@
 		var carried []runKey
 		nextBoot := w != nil && !w.vm.SameBoot(vm)
 		if nextBoot {
-			carried = w.unconfirmedRuns()
+			carried = w.unlistedRuns()
 			unknown := p.roster[vm.ID]
 			p.WorkerLost(vm.ID, true)
 			if unknown { // The next boot may yet carry out a start that only an earlier planner knows of.
@@ -142,10 +142,22 @@
 	return added
 }
 
-// unconfirmedRuns returns the runs whose starts the worker has not confirmed. They may be on their way.
-func (w *worker) unconfirmedRuns() (out []runKey) {
+// unlistedRuns returns the runs that their boot has not listed. Their starts may be on their way, or another boot may have
+// confirmed them.
+func (w *worker) unlistedRuns() (out []runKey) {
 	for key, r := range w.runs {
-		if !r.started {
+		if !r.listed {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// unconfirmedRuns returns the runs whose starts nobody has confirmed. A keeper that has found another boot has stopped
+// those that it had confirmed, but not seen in the lists.
+func (w *worker) unconfirmedRuns() (out []runKey) {
+	for _, key := range w.unlistedRuns() {
+		if !w.runs[key].started {
 			out = append(out, key)
 		}
 	}
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -175,7 +175,7 @@
 	var out []winch.Running
 	for key, r := range h.runs {
 		x := winch.Running{Task: key.task, Run: key.run}
-		if !r.listed && (r.confirmedAt.IsZero() || r.startUncertain) {
+		if !r.listed {
 			x.Percent = winch.PercentUnconfirmed
 		}
 		out = append(out, x)
--- a/coord/keep/lease.go
+++ b/coord/keep/lease.go
@@ -30,12 +30,12 @@
 	return later(h.priorExpiry, h.ownExpiry)
 }
 
-// nextBootExpiry returns when the lease has expired that starts without a response may have given the worker's next boot. Their
-// limits are times on another clock there, which may mean the longest lease. The caller holds the mutex.
+// nextBootExpiry returns when the lease has expired that starts may have given the worker's next boot, if the intended one has not
+// listed their runs. Their limits are times on another clock there, which may mean the longest lease. The caller holds the mutex.
 func (h *holder) nextBootExpiry() time.Time {
 	var expiry time.Time
 	for _, r := range h.runs {
-		if !r.sentAt.IsZero() && r.confirmedAt.IsZero() && !r.listed {
+		if !r.sentAt.IsZero() && !r.listed {
 			expiry = later(expiry, r.sentAt.Add(maxCallTimeout+ExpiryBound(max(h.keeper.Lease, h.keeper.WorkerLease))))
 		}
 	}
