keep, fleet: lasting tasks do not wait for a next boot that nothing shows

What callers saw: a lasting task was down for 10.5 s. Its worker was lost, and the start at another one got no response, since that one had just been terminated; the planner was stopped meanwhile.

Cause: starts without a response wait for the longest lease of a next boot, 7.0 s from when they were sent.

For lasting tasks a start that a next boot carries out without anybody's knowledge is not covered.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -43,8 +43,12 @@
 	case proto.EventLost:
 		w.replaced = e.Result == winch.StartOtherBoot && w.vm.Born != 0
 		var carried []runKey
-		if w.replaced || e.Left > 0 {
+		switch {
+		case w.replaced:
 			carried = w.unconfirmedRuns()
+		case e.Left > 0:
+			// Lasting tasks must be back in time, and nothing shows that there is a next boot.
+			carried = slices.DeleteFunc(w.unconfirmedRuns(), func(key runKey) bool { t := p.task(key.task); return t != nil && t.phase.spec.Lasting })
 		}
 		p.WorkerLost(e.Worker, e.Result == winch.StartOtherBoot)
 		if w.replaced || p.workers[e.Worker] == w { // Otherwise it has left the list, and no next boot is to come.
--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -211,7 +211,7 @@
 	expired := left <= 0
 	state := h.logFields(err)
 	if first {
-		h.addEvents(proto.KeeperEvent{Kind: proto.EventUnresponsive, Left: max(0, left, nextBootLeft)})
+		h.addEvents(proto.KeeperEvent{Kind: proto.EventUnresponsive, Left: max(0, left)})
 	}
 	h.mu.Unlock()
 	h.keeper.collectEvents(h)
--- a/coord/keep/lease.go
+++ b/coord/keep/lease.go
@@ -18,7 +18,7 @@
 	defer h.mu.Unlock()
 	h.closed = true
 	if h.listed {
-		return later(h.leaseExpiry(), h.nextBootExpiry()), !h.fenced
+		return h.leaseExpiry(), !h.fenced
 	}
 	return h.ownExpiry, !h.fenced
 }
