region: a next boot with unknown runs counts on the lease of a late start

Where the planner, its standby and a worker's keeper are lost together, the next planner knows no starts that are on their way to the worker's next boot, so it counted that boot as lost by the former boot's lease.

The time for late starts counts now while the runs there are unknown, too. Cost: none beyond the barrier, for which earlier work waits in that case.

--- a/region/proxy.go
+++ b/region/proxy.go
@@ -240,7 +240,7 @@
 // expectLateStarts has a next boot that does not respond count as lost only after the lease that a start which is on its way
 // to it may be given: after the time left or, if that is zero, after NextBootTimeout.
 func (l *leadership) expectLateStarts(id string, left time.Duration) {
-	if len(l.planner.RunsAt(id)) > 0 {
+	if len(l.planner.RunsAt(id)) > 0 || !l.planner.RunsKnown(id) {
 		l.expiries.add(id, assignment{expiry: time.Now().Add(cmp.Or(left, fleet.NextBootTimeout))})
 	}
 }
