region: random tests of returns under the same ID around a lost planner

A start that the former boot would have refused by then, since it was told to stop the run or has seen a higher fencing token, is left out. Waiting for such a start would cost seconds with each lost response.

--- a/region/world_test.go
+++ b/region/world_test.go
@@ -73,6 +73,8 @@
 	// arrives.
 	notifyDelay func(from, to string, kind winch.Kind) (time.Duration, bool)
 	// callDelay, if set, returns how much later a hold or start is carried out than it is sent; its caller gets no response.
+	// dropsRefused says that no boot carries out a start late that the boot to which it was sent would refuse by then.
+	dropsRefused bool
 	callDelay    func(from *Node, vm winch.WorkerVM, call any) time.Duration
 	onStart      func(node *Node)       // onStart is called when a worker is told by an entry to start a run.
 	onForget     func(winch.Completion) // onForget, if set, is called when a worker forgets a completion.
