--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -27,7 +27,9 @@
 			if err != nil {
 				return merry.Wrap(err)
 			}
-			o.Program = program
+			if len(o.Programs) == 0 {
+				o.Programs = []string{program}
+			}
 			failed := 0
 			first := o.Seed
 			for i := range seeds {
@@ -49,6 +51,7 @@
 	}
 	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "first seed")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of seeds to run, one after the other")
+	cmd.Flags().StringArrayVar(&o.Programs, "program", nil, "executable that the entries run, by default this one; if given several times, the entries run them in turn")
 	cmd.Flags().DurationVar(&o.Duration, "time", 20*time.Second, "how long faults are injected for each seed")
 	cmd.Flags().IntVar(&o.Domains, "domains", 3, "number of failure domains")
 	cmd.Flags().IntVar(&o.Entries, "entries", 2, "number of entries in each failure domain")
@@ -74,10 +77,14 @@
 	if len(report.Problems) == 0 {
 		return true, os.RemoveAll(dir)
 	}
+	programs := ""
+	for _, p := range o.Programs {
+		programs += " --program " + p
+	}
 	for _, p := range report.Problems {
 		cmd.Println("  " + p)
 	}
-	cmd.Println(fmt.Sprintf("  logs in %s; to run it again: plantainwinch soak --seed %d --time %v --domains %d --entries %d --workers %d --callers %d",
-		dir, o.Seed, o.Duration, o.Domains, o.Entries, o.Workers, o.Callers))
+	cmd.Println(fmt.Sprintf("  logs in %s; to run it again: plantainwinch soak --seed %d --time %v --domains %d --entries %d --workers %d --callers %d%s",
+		dir, o.Seed, o.Duration, o.Domains, o.Entries, o.Workers, o.Callers, programs))
 	return false, nil
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,7 +39,8 @@
 
 // Options are the settings of a run.
 type Options struct {
-	Program  string // Program is the path of the plantainwinch executable under test.
+	// Programs holds the paths of the plantainwinch executables under test. Entry I runs the one at I modulo their number.
+	Programs []string
 	Dir      string // Dir is where settings and logs are written.
 	Seed     uint64
 	Duration time.Duration // Duration is how long faults are injected.
@@ -148,7 +149,7 @@
 	for i := range s.Domains * s.Entries {
 		name := fmt.Sprintf("e%d", i)
 		p := &proc{
-			name: name, domain: s.platform.Domains[i%s.Domains], program: s.Program, dir: s.Dir,
+			name: name, domain: s.platform.Domains[i%s.Domains], program: s.Programs[i%len(s.Programs)], dir: s.Dir,
 			storeRelay: &relay{target: s.platform.StoreAddress}, peerRelay: &relay{entry: name, partitions: &s.partitions},
 		}
 		if err := p.storeRelay.start(); err != nil {
