--- a/soak/fault.go
+++ b/soak/fault.go
@@ -18,10 +18,11 @@
 	worker := s.rnd.IntN(s.platform.Size())
 	long := time.Duration(300+s.rnd.IntN(4000)) * time.Millisecond
 	short := time.Duration(20+s.rnd.IntN(1500)) * time.Millisecond
+	outliveBoot := s.lateRnd.IntN(2) == 0
 	// The names are written to the fault log. "freeze" pauses the entry's process, "silent" drops all data
 	// between the entry and the store, "history gone" compacts the store's history, and "worker mute" makes
 	// a worker execute orders without responding. "orders late" makes half of the workers execute them later, also
-	// after newer ones, without responding, and "workers boot at once" starts boots right after runs have ended.
+	// after newer ones, without responding, half the time also at the next boot, and "workers boot at once" starts boots right after runs have ended.
 	kinds := []faultKind{
 		{"kill", func() { p.stop(syscall.SIGKILL) }, func() { s.restart(p) }, short},
 		{"stop", func() { p.stop(syscall.SIGTERM) }, func() { s.restart(p) }, short},
@@ -37,7 +38,7 @@
 		{"store responds late", func() { s.platform.Store.SetFaults(fake.StoreFaults{ResponseDelay: short / 2}) }, s.clearStoreFaults, long},
 		{"worker boots", func() { s.platform.Reboot(worker, bootDowntime) }, func() {}, 0},
 		{"workers boot at once", func() { s.rebootAfterEnds(worker) }, func() {}, 0},
-		{"orders late", func() { s.delayOrders(worker, maxOrderDelay) }, func() { s.delayOrders(worker, 0) }, long},
+		{"orders late", func() { s.delayOrders(worker, maxOrderDelay, outliveBoot) }, func() { s.delayOrders(worker, 0, false) }, long},
 		{"worker mute", func() { s.platform.LoseResponses(worker, true) }, func() { s.platform.LoseResponses(worker, false) }, long},
 		{"configuration", s.platform.Configure, func() {}, 0},
 		{"kill all", s.killAll, s.restartAll, short},
@@ -82,10 +83,11 @@
 	}
 }
 
-// delayOrders makes every second worker, among them the given one, execute orders late; zero ends that.
-func (s *Soak) delayOrders(worker int, maximum time.Duration) {
+// delayOrders makes every second worker, among them the given one, execute orders late; zero ends that. If outliveBoot is
+// set, a worker's next boot executes what the last one has not.
+func (s *Soak) delayOrders(worker int, maximum time.Duration, outliveBoot bool) {
 	for i := worker % 2; i < s.platform.Size(); i += 2 {
-		s.platform.DelayOrders(i, maximum)
+		s.platform.DelayOrders(i, maximum, outliveBoot)
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,7 @@
 	procs      []*proc
 	partitions partitions
 	rnd        *rand.Rand
+	lateRnd    *rand.Rand // lateRnd chooses whether late orders outlive the worker's boot.
 	group      conc.WaitGroup
 	mu         sync.Mutex
 	report     Report
@@ -81,7 +82,7 @@
 // Run runs the soak to the end and returns its report. It returns an error only if the
 // soak could not be set up; problems that it finds are in the report.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
-	s.rnd = rand.New(rand.NewPCG(s.Seed, 1))
+	s.rnd, s.lateRnd = rand.New(rand.NewPCG(s.Seed, 1)), rand.New(rand.NewPCG(s.Seed, 15))
 	if err := s.prepare(); err != nil {
 		return s.report, err
 	}
