soak: workers return under their IDs and are cut off from the entries

No relay stood between entries and workers, so no soak could cut a worker off, lead a connection to a worker's next boot, or deliver a call after a restart: the users' own scenario could not happen in it.

A relay is in front of each worker VM now, the same one as elsewhere. A cut is of one direction or both; what is sent in it is lost, or held and delivered after it. Connections end with the boot, or lead to the next one.

--- a/soak/burst.go
+++ b/soak/burst.go
@@ -91,7 +91,7 @@
 		{"kill", func() { p.stop(syscall.SIGKILL) }, func() { s.restart(p) }, duration},
 		{"stop", func() { p.stop(syscall.SIGTERM) }, func() { s.restart(p) }, duration},
 		{"freeze", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, duration},
-		{"silent", func() { p.storeRelay.setDropping(true) }, func() { p.storeRelay.setDropping(false) }, duration},
+		{"silent", func() { p.storeRelay.cut(lossy, 1, requests, responses) }, func() { p.storeRelay.cut(lossy, -1, requests, responses) }, duration},
 	}[rnd.IntN(4)]
 	var late fake.StoreFaults
 	if rnd.IntN(2) == 0 {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -27,7 +27,7 @@
 		{"kill", func() { p.stop(syscall.SIGKILL) }, func() { s.restart(p) }, short},
 		{"stop", func() { p.stop(syscall.SIGTERM) }, func() { s.restart(p) }, short},
 		{"freeze", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, long},
-		{"silent", func() { p.storeRelay.setDropping(true) }, func() { p.storeRelay.setDropping(false) }, long},
+		{"silent", func() { p.storeRelay.cut(lossy, 1, requests, responses) }, func() { p.storeRelay.cut(lossy, -1, requests, responses) }, long},
 		{"reset", p.storeRelay.reset, func() {}, 0},
 		{"delay", func() { p.storeRelay.setDelay(150 * time.Millisecond) }, func() { p.storeRelay.setDelay(0) }, long},
 		{"store silent", func() { s.platform.Store.SetFaults(fake.StoreFaults{Unresponsive: true}) }, s.clearStoreFaults, long},
--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -63,7 +63,7 @@
 			}))
 			defer server.Close()
 			p := &partitions{}
-			r := &relay{target: strings.TrimPrefix(server.URL, "http://"), entry: "e0", partitions: p}
+			r := &relay{target: strings.TrimPrefix(server.URL, "http://"), entry: "e0", partitions: p, losesCloses: true}
 			is.NoErr(r.start())
 			defer r.stop()
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
--- a/soak/relay.go
+++ b/soak/relay.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -8,23 +9,56 @@
 	"github.com/sourcegraph/conc"
 )
 
-// relay is a TCP proxy between an entry and the store, or between an entry and the peers
-// that dial it. It can drop all data, as a network partition does, reset its connections
-// and delay data.
+// Directions through a relay: from clients to the target and back.
+const (
+	requests = iota
+	responses
+)
+
+// cutKind is what a relay does with the data of a direction that is cut off.
+type cutKind int
+
+const (
+	lossy cutKind = iota // lossy data is dropped.
+	held                 // held data is delivered once the cut is over.
+)
+
+// relay is a TCP proxy between an entry and the store, between an entry and the peers
+// that dial it, or between a worker VM and the entries. It can cut off one direction or both, as a network
+// partition does, lead connections to the target's next boot, reset its connections and delay data.
 type relay struct {
 	target string
 	// entry is the name of the entry that peers reach through the relay, and partitions are
-	// the network partitions between entries. A relay to the store has neither.
+	// the network partitions between entries. Other relays have neither.
 	entry      string
 	partitions *partitions
+	// losesCloses means that the close of one side isn't forwarded on a connection that has lost data.
+	losesCloses bool
+	// log, if set, is called with what is delivered late or to another boot than it was sent to.
+	log func(format string, args ...any)
 
-	ln    net.Listener
-	group conc.WaitGroup
+	ln      net.Listener
+	group   conc.WaitGroup
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
+	cuts    [2][2]int // cuts counts the active cuts by direction and kind.
+	leading int       // leading counts the reasons to lead connections to the next boot instead of closing them.
+	delay   time.Duration
+	stopped bool
+}
+
+// link is a client's connection, and the one to the target that continues it.
+type link struct {
 	mu    sync.Mutex
-	conns map[net.Conn]bool
-	// dropping makes the relay drop all data that it receives.
-	dropping bool
-	delay    time.Duration
+	sides [2]net.Conn // sides holds, by direction, the connection that data comes from.
+	led   bool        // led means that the target's first connection has ended and another one has taken its place.
+	ended bool        // ended means that the client's connection has ended.
+}
+
+func (l *link) side(direction int) net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sides[direction]
 }
 
 func (r *relay) start() error {
@@ -51,33 +85,42 @@
 			continue
 		}
 		r.track(in, out)
+		l := &link{sides: [2]net.Conn{in, out}}
 		sniffer := &helloSniffer{}
 		r.group.Go(func() {
-			r.forward(in, out, sniffer.observe, func() bool { return r.partitions.blocked(sniffer.entryName(), r.entry) })
+			r.forward(l, requests, sniffer.observe, func() bool { return r.partitions.blocked(sniffer.entryName(), r.entry) })
 		})
 		r.group.Go(func() {
-			r.forward(out, in, func([]byte) {}, func() bool { return r.partitions.blocked(r.entry, sniffer.entryName()) })
+			r.forward(l, responses, func([]byte) {}, func() bool { return r.partitions.blocked(r.entry, sniffer.entryName()) })
 		})
 	}
 }
 
+// track adds open connections. It closes them if the relay has stopped meanwhile.
 func (r *relay) track(conns ...net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range conns {
 		r.conns[c] = true
+		if r.stopped {
+			_ = c.Close()
+		}
 	}
 }
 
-// forward copies data until one side closes. It drops what arrives while the relay drops
-// data or a partition blocks this direction, and everything after that: the stream has a
-// hole and can't be resumed, so the connection stays open without carrying data. Between
-// entries, the close of one side isn't forwarded after that either.
-func (r *relay) forward(from, to net.Conn, observe func([]byte), blocked func() bool) {
+// forward copies data of a direction until one side closes. It drops what arrives while the direction is cut off by
+// loss or a partition blocks it, and everything after that: the stream has a
+// hole and can't be resumed, so the connection stays open without carrying data. If the relay loses closes, the close
+// of one side isn't forwarded after that either.
+func (r *relay) forward(l *link, direction int, observe func([]byte), blocked func() bool) {
 	lost := false
 	defer func() {
+		l.mu.Lock()
+		l.ended = l.ended || direction == requests
+		from, to := l.sides[direction], l.sides[1-direction]
+		l.mu.Unlock()
 		_ = from.Close()
-		if !lost || r.partitions == nil {
+		if !lost || !r.losesCloses {
 			_ = to.Close()
 		}
 		r.mu.Lock()
@@ -86,29 +129,101 @@
 	}()
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := from.Read(buf)
+		n, err := l.side(direction).Read(buf)
+		observe(buf[:n])
+		waited, dropped, delay := r.await(direction)
+		lost = lost || dropped || err == nil && blocked()
 		if err != nil {
+			if direction == responses && r.lead(l) {
+				continue
+			}
 			return
 		}
-		observe(buf[:n])
-		r.mu.Lock()
-		lost = lost || r.dropping || blocked()
-		delay := r.delay
-		r.mu.Unlock()
 		if lost {
 			continue
 		}
 		time.Sleep(delay)
-		if _, err := to.Write(buf[:n]); err != nil {
+		r.logLate(l, direction, waited, buf[:n])
+		if _, err := l.side(1 - direction).Write(buf[:n]); err != nil && (direction == responses || !r.isLeading()) {
 			return
 		}
 	}
 }
 
-func (r *relay) setDropping(on bool) {
+// cutPollInterval is the interval at which held data is checked for the end of the cut.
+const cutPollInterval = 2 * time.Millisecond
+
+// await waits while a direction is held, and returns for how long, whether data of the direction is dropped, and its delay.
+func (r *relay) await(direction int) (waited time.Duration, dropped bool, delay time.Duration) {
+	for began := time.Now(); ; time.Sleep(cutPollInterval) {
+		r.mu.Lock()
+		cuts, stopped, delay := r.cuts[direction], r.stopped, r.delay
+		r.mu.Unlock()
+		if cuts[lossy] > 0 || cuts[held] == 0 || stopped {
+			return time.Since(began), cuts[lossy] > 0, delay
+		}
+	}
+}
+
+// lead continues a client's connection on another one to the target, as an address translation or a balancer does
+// when a machine behind it is replaced. It reports whether the connection goes on.
+func (r *relay) lead(l *link) bool {
+	if !r.isLeading() {
+		return false
+	}
+	next, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.sides[responses]
+	_ = last.Close()
+	r.mu.Lock()
+	delete(r.conns, last)
+	r.mu.Unlock()
+	r.track(next)
+	l.sides[responses], l.led = next, true
+	return !l.ended
+}
+
+func (r *relay) isLeading() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leading > 0
+}
+
+// maxLoggedBody bounds how much of a body is logged.
+const maxLoggedBody = 300
+
+// logLate logs data that was held, and requests on a connection that led to another boot before.
+func (r *relay) logLate(l *link, direction int, waited time.Duration, data []byte) {
+	l.mu.Lock()
+	led := l.led && direction == requests
+	l.mu.Unlock()
+	if r.log == nil || waited < 5*cutPollInterval && !led {
+		return
+	}
+	head, body, _ := bytes.Cut(data, []byte("\r\n\r\n"))
+	line, _, _ := bytes.Cut(head, []byte("\r\n"))
+	body = body[:min(len(body), maxLoggedBody)]
+	r.log("delivers %s after %v, on a connection from before: %t: %s %s", [2]string{"requests", "responses"}[direction], waited.Round(time.Millisecond), led, line, bytes.TrimSpace(body))
+}
+
+// cut adds n to the cuts of a kind in the given directions: n is 1 to begin a cut and -1 to end it.
+func (r *relay) cut(kind cutKind, n int, directions ...int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range directions {
+		r.cuts[d][kind] += n
+	}
+}
+
+// addLeading adds n to the reasons to lead connections to the next boot.
+func (r *relay) addLeading(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.dropping = on
+	r.leading += n
 }
 
 func (r *relay) setDelay(d time.Duration) {
@@ -131,6 +246,9 @@
 
 func (r *relay) stop() {
 	_ = r.ln.Close()
+	r.mu.Lock()
+	r.stopped, r.leading = true, 0
+	r.mu.Unlock()
 	r.reset()
 	r.group.Wait()
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,9 +62,11 @@
 	group      conc.WaitGroup
 	mu         sync.Mutex
 	report     Report
-	started    time.Time
-	faultLog   *os.File
-	runLog     *os.File
+	// workerRelays holds the relays in front of the worker VMs by their IDs.
+	workerRelays map[string]*relay
+	started      time.Time
+	faultLog     *os.File
+	runLog       *os.File
 }
 
 // Report is the result of a run: counts of events, and the problems found.
@@ -83,17 +85,19 @@
 // soak could not be set up; problems that it finds are in the report.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	s.rnd, s.lateRnd = rand.New(rand.NewPCG(s.Seed, 1)), rand.New(rand.NewPCG(s.Seed, 15))
+	s.started = time.Now()
 	if err := s.prepare(); err != nil {
 		return s.report, err
 	}
 	defer s.close()
-	s.started = time.Now()
 	duty.Sleep(ctx, startupTime)
+	var callers conc.WaitGroup
+	s.returnWorkersAlone(ctx, &callers)
+
 	// Callers submit jobs and faults are injected until activeCtx ends. The planned operations
 	// are over when plannedCtx ends.
 	activeCtx, stop := context.WithTimeout(ctx, s.Duration)
 	defer stop()
-	var callers conc.WaitGroup
 	plannedCtx, endPlanned := context.WithCancel(ctx)
 	defer endPlanned()
 	for i := range s.Callers {
@@ -104,12 +108,14 @@
 	}
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
+	callers.Go(func() { s.runLongJobs(ctx, activeCtx, 16, meanLongInterval) })
 	callers.Go(func() { s.runOverload(ctx, activeCtx) })
 	callers.Go(func() { s.runBursts(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.shrinkWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.injectPartitions(activeCtx) })
 	s.group.Go(func() { s.evacuateDomains(ctx, activeCtx) })
+	s.group.Go(func() { s.returnWorkers(ctx, activeCtx) })
 	for activeCtx.Err() == nil {
 		s.injectFault(activeCtx)
 		duty.Sleep(activeCtx, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
@@ -143,7 +149,7 @@
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
-	s.platform.Checker.Log = s.logRun
+	s.platform.Checker.Log, s.platform.Front, s.workerRelays = s.logRun, s.addWorkerRelay, make(map[string]*relay)
 	if err := s.platform.Start(); err != nil {
 		return err
 	}
@@ -151,7 +157,7 @@
 		name := fmt.Sprintf("e%d", i)
 		p := &proc{
 			name: name, domain: s.platform.Domains[i%s.Domains], program: s.Programs[i%len(s.Programs)], dir: s.Dir,
-			storeRelay: &relay{target: s.platform.StoreAddress}, peerRelay: &relay{entry: name, partitions: &s.partitions},
+			storeRelay: &relay{target: s.platform.StoreAddress}, peerRelay: &relay{entry: name, partitions: &s.partitions, losesCloses: true},
 		}
 		if err := p.storeRelay.start(); err != nil {
 			return err
@@ -176,6 +182,9 @@
 		p.storeRelay.stop()
 		p.peerRelay.stop()
 	}
+	for _, r := range s.workerRelays {
+		r.stop()
+	}
 	s.platform.Stop()
 	_ = s.faultLog.Close()
 	_ = s.runLog.Close()
