soak: returns come early and alone first, and old connections are held

So fewer workers return, a third of the region is busy while they do so alone, most planners stay, and the cut begins 0.2 to 0.9 s after the next boot has registered in more cases.

A held direction held the calls to the next boot too, so that nothing could overtake what was late. Only connections from before the crash are held now (TestOldConnectionsAreHeld).

--- a/soak/relay.go
+++ b/soak/relay.go
@@ -19,8 +19,10 @@
 type cutKind int
 
 const (
-	lossy cutKind = iota // lossy data is dropped.
-	held                 // held data is delivered once the cut is over.
+	lossy   cutKind = iota // lossy data is dropped.
+	held                   // held data is delivered once the cut is over.
+	heldOld                // heldOld is held on connections that are older than the last such cut, others are not affected.
+	cutKinds
 )
 
 // relay is a TCP proxy between an entry and the store, between an entry and the peers
@@ -41,18 +43,20 @@
 	group   conc.WaitGroup
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
-	cuts    [2][2]int // cuts counts the active cuts by direction and kind.
-	leading int       // leading counts the reasons to lead connections to the next boot instead of closing them.
+	cuts    [2][cutKinds]int // cuts counts the active cuts by direction and kind.
+	oldAt   time.Time        // oldAt is when the last cut of old connections began.
+	leading int              // leading counts the reasons to lead connections to the next boot instead of closing them.
 	delay   time.Duration
 	stopped bool
 }
 
 // link is a client's connection, and the one to the target that continues it.
 type link struct {
-	mu    sync.Mutex
-	sides [2]net.Conn // sides holds, by direction, the connection that data comes from.
-	led   bool        // led means that the target's first connection has ended and another one has taken its place.
-	ended bool        // ended means that the client's connection has ended.
+	opened time.Time
+	mu     sync.Mutex
+	sides  [2]net.Conn // sides holds, by direction, the connection that data comes from.
+	led    bool        // led means that the target's first connection has ended and another one has taken its place.
+	ended  bool        // ended means that the client's connection has ended.
 }
 
 func (l *link) side(direction int) net.Conn {
@@ -85,7 +89,7 @@
 			continue
 		}
 		r.track(in, out)
-		l := &link{sides: [2]net.Conn{in, out}}
+		l := &link{opened: time.Now(), sides: [2]net.Conn{in, out}}
 		sniffer := &helloSniffer{}
 		r.group.Go(func() {
 			r.forward(l, requests, sniffer.observe, func() bool { return r.partitions.blocked(sniffer.entryName(), r.entry) })
@@ -131,7 +135,7 @@
 	for {
 		n, err := l.side(direction).Read(buf)
 		observe(buf[:n])
-		waited, dropped, delay := r.await(direction)
+		waited, dropped, delay := r.await(l, direction)
 		lost = lost || dropped || err == nil && blocked()
 		if err != nil {
 			if direction == responses && r.lead(l) {
@@ -154,12 +158,12 @@
 const cutPollInterval = 2 * time.Millisecond
 
 // await waits while a direction is held, and returns for how long, whether data of the direction is dropped, and its delay.
-func (r *relay) await(direction int) (waited time.Duration, dropped bool, delay time.Duration) {
+func (r *relay) await(l *link, direction int) (waited time.Duration, dropped bool, delay time.Duration) {
 	for began := time.Now(); ; time.Sleep(cutPollInterval) {
 		r.mu.Lock()
-		cuts, stopped, delay := r.cuts[direction], r.stopped, r.delay
+		cuts, stopped, delay, isOld := r.cuts[direction], r.stopped, r.delay, l.opened.Before(r.oldAt)
 		r.mu.Unlock()
-		if cuts[lossy] > 0 || cuts[held] == 0 || stopped {
+		if cuts[lossy] > 0 || cuts[held] == 0 && (cuts[heldOld] == 0 || !isOld) || stopped {
 			return time.Since(began), cuts[lossy] > 0, delay
 		}
 	}
@@ -214,6 +218,9 @@
 func (r *relay) cut(kind cutKind, n int, directions ...int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if kind == heldOld && n > 0 {
+		r.oldAt = time.Now()
+	}
 	for _, d := range directions {
 		r.cuts[d][kind] += n
 	}
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -192,3 +192,30 @@
 		})
 	}
 }
+
+// Guards against a cut of old connections that holds new ones too. What was sent on a connection from before must arrive at the
+// next boot after calls on a new connection.
+func TestOldConnectionsAreHeld(t *testing.T) {
+	is := is.New(t)
+	b := startBoots(t)
+	defer b.stop()
+	r := &relay{target: b.ln.Addr().String(), losesCloses: true}
+	is.NoErr(r.start())
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer r.stop()
+	last := dialRelay(t, r, &group)
+	last.send(t, "a")
+	is.Equal(<-last.lines, "boot 1 has a")
+	r.addLeading(1)
+	r.cut(heldOld, 1, requests)
+	last.send(t, "b")
+	time.Sleep(noMessageTimeout / 3)
+	b.reboot()
+	next := dialRelay(t, r, &group)
+	next.send(t, "c")
+	is.Equal(<-next.lines, "boot 2 has c")
+	is.Equal(messageArrives(last.lines), false)
+	r.cut(heldOld, -1, requests)
+	is.Equal(<-last.lines, "boot 2 has b")
+}
--- a/soak/returns.go
+++ b/soak/returns.go
@@ -17,17 +17,20 @@
 
 const (
 	// meanReturnInterval is the mean time between two crashes of workers that are cut off soon after.
-	meanReturnInterval = 1500 * time.Millisecond
+	meanReturnInterval = 3 * time.Second
 	// meanLongInterval is the mean time between two jobs of long tasks, and meanLongIntervalAlone that while nothing else
 	// goes on.
 	meanLongInterval      = 3 * time.Second
-	meanLongIntervalAlone = 500 * time.Millisecond
+	meanLongIntervalAlone = 2 * time.Second
+	// longJobsAlone is how many come at once then: as many as fill a third of the region.
+	longJobsAlone = 4
 	// maxOutlivingDelay bounds how late the next boot executes an order to the last one.
 	maxOutlivingDelay = 2 * time.Second
 )
 
 // runLongJobs submits urgent and batch jobs of long tasks until activeCtx ends, and then waits for the end of each.
-func (s *Soak) runLongJobs(ctx, activeCtx context.Context, stream uint64, meanInterval time.Duration) {
+// The first ones come at once.
+func (s *Soak) runLongJobs(ctx, activeCtx context.Context, stream uint64, atOnce int, meanInterval time.Duration) {
 	rnd := rand.New(rand.NewPCG(s.Seed, stream))
 	c := &fake.Caller{HTTP: http.Client{Timeout: 4 * time.Second}}
 	var group conc.WaitGroup
@@ -39,7 +42,9 @@
 		}
 		entryRnd := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
 		group.Go(func() { s.runJob(ctx, c, j, entryRnd, false) })
-		duty.Sleep(activeCtx, time.Duration(rnd.Int64N(int64(2*meanInterval))))
+		if n >= atOnce {
+			duty.Sleep(activeCtx, time.Duration(rnd.Int64N(int64(2*meanInterval))))
+		}
 	}
 }
 
@@ -63,7 +68,7 @@
 	downtime         time.Duration
 	registersAfter   time.Duration // registersAfter is how long after the return a boot takes calls and is not in the list.
 	leads            bool          // leads means that the connections to the last boot lead to the next.
-	delayed          []int         // delayed are the directions that are held from before the crash until delay after the return.
+	delayed          []int         // delayed are the directions that are held, on connections to the last boot, from before the crash until delay after the return.
 	delay            time.Duration
 	ordersOutlive    bool
 	notice           time.Duration // notice is how long before the crash that begins.
@@ -90,22 +95,23 @@
 	return "[" + strings.Join(out, " ") + "]"
 }
 
-// drawReturn draws which workers return, and how.
-func (s *Soak) drawReturn(rnd *rand.Rand) *workerReturn {
+// drawReturn draws how a worker, or all of its failure domain, return. If early is set, the cut begins before the first lease
+// is renewed and is longer than that, which is the case in half of the others.
+func (s *Soak) drawReturn(rnd *rand.Rand, worker int, early bool) *workerReturn {
 	millis := func(from, to int) time.Duration { return time.Duration(from+rnd.IntN(to-from)) * time.Millisecond }
 	both := []int{requests, responses}
 	r := &workerReturn{
-		workers: []int{rnd.IntN(s.platform.Size())}, downtime: millis(50, 600), leads: rnd.IntN(2) == 0, ordersOutlive: rnd.IntN(3) == 0,
+		workers: []int{worker}, downtime: millis(50, 600), leads: rnd.IntN(2) == 0, ordersOutlive: rnd.IntN(3) == 0,
 		cutAfter: millis(100, 2500), cutFor: millis(1000, 9000), kind: cutKind(rnd.IntN(2)), directions: [][]int{both, both, both[:1], both[1:]}[rnd.IntN(4)],
 	}
-	if rnd.IntN(2) == 0 {
+	if rnd.IntN(3) > 0 {
 		r.registersAfter = millis(1, 500)
 	}
-	if rnd.IntN(2) == 0 { // Cut off before the first lease is renewed, and for longer than it lasts.
-		r.cutAfter, r.cutFor = r.registersAfter+millis(50, 1500), millis(5500, 9000)
+	if rnd.IntN(2) == 0 || early {
+		r.cutAfter, r.cutFor = r.registersAfter+millis(200, 900), millis(5500, 9000)
 	}
 	if rnd.IntN(3) == 0 { // A whole failure domain.
-		first := r.workers[0] / s.Workers * s.Workers
+		first := worker / s.Workers * s.Workers
 		r.workers = nil
 		for i := range s.Workers {
 			r.workers = append(r.workers, first+i)
@@ -113,15 +119,15 @@
 	}
 	if rnd.IntN(3) == 0 {
 		i := rnd.IntN(2)
-		r.delayed, r.delay = both[i:i+1], millis(0, 600)
+		r.delayed, r.delay = both[i:i+1], millis(0, 1500)
 	}
 	if r.ordersOutlive || len(r.delayed) > 0 {
-		r.notice = millis(1, 300)
+		r.notice = millis(1, 1500)
 	}
 	if rnd.IntN(3) == 0 {
 		r.againAfter = millis(200, 3000)
 	}
-	if rnd.IntN(3) == 0 {
+	if rnd.IntN(6) == 0 {
 		r.plannerKilled = millis(1, 2500)
 	}
 	return r
@@ -136,23 +142,26 @@
 		if activeCtx.Err() != nil {
 			return
 		}
-		r := s.drawReturn(rnd)
+		r := s.drawReturn(rnd, rnd.IntN(s.platform.Size()), false)
 		s.group.Go(func() { s.perform(ctx, activeCtx, r) })
 	}
 }
 
-// returnWorkersAlone does the same twice while nothing else goes on but jobs of long tasks: other faults make the region wait
+// returnsAlone is the number of returns while nothing else goes on.
+const returnsAlone = 2
+
+// returnWorkersAlone does the same some times while nothing else goes on but jobs of long tasks: other faults make the region wait
 // for longer than a lease may last, which hides what goes wrong within it.
 func (s *Soak) returnWorkersAlone(ctx context.Context, callers *conc.WaitGroup) {
 	rnd := rand.New(rand.NewPCG(s.Seed, 18))
 	alone, stop := context.WithCancel(ctx)
 	defer stop()
-	callers.Go(func() { s.runLongJobs(ctx, alone, 19, meanLongIntervalAlone) })
+	callers.Go(func() { s.runLongJobs(ctx, alone, 19, longJobsAlone, meanLongIntervalAlone) })
 	var group conc.WaitGroup
 	defer group.Wait()
-	for range 2 {
-		duty.Sleep(ctx, time.Duration(500+rnd.IntN(1000))*time.Millisecond)
-		r := s.drawReturn(rnd)
+	for i := range returnsAlone {
+		duty.Sleep(ctx, time.Duration(500+rnd.IntN(1500))*time.Millisecond)
+		r := s.drawReturn(rnd, (i*s.Workers+rnd.IntN(s.Workers))%s.platform.Size(), true)
 		group.Go(func() { s.perform(ctx, alone, r) })
 	}
 }
@@ -190,13 +199,13 @@
 		front.addLeading(1)
 		defer front.addLeading(-1)
 	}
-	front.cut(held, 1, r.delayed...)
+	front.cut(heldOld, 1, r.delayed...)
 	duty.Sleep(activeCtx, r.notice)
 	s.logFault("worker %s crashes", id)
 	reboot(r.downtime, r.registersAfter)
 	s.logFault("worker %s is back", id)
 	duty.Sleep(activeCtx, r.delay)
-	front.cut(held, -1, r.delayed...)
+	front.cut(heldOld, -1, r.delayed...)
 	duty.Sleep(activeCtx, r.cutAfter)
 	s.logFault("worker %s is cut off: %s", id, directionNames(r.directions))
 	front.cut(r.kind, 1, r.directions...)
