soak: starts are on their way while workers return

A start on a connection that is led to the next boot was rare, since few starts were on their way during a return and a next boot's clock was hardly ever between 0 and 5 s ahead, where limits for the last boot hold for it.

--- a/soak/returns.go
+++ b/soak/returns.go
@@ -22,6 +22,7 @@
 	// goes on.
 	meanLongInterval      = 3 * time.Second
 	meanLongIntervalAlone = 2 * time.Second
+	quickIntervalAlone    = 80 * time.Millisecond
 	// longJobsAlone is how many come at once then: as many as fill a third of the region.
 	longJobsAlone = 4
 	// maxOutlivingDelay bounds how late the next boot executes an order to the last one.
@@ -29,12 +30,27 @@
 )
 
 // runLongJobs submits urgent and batch jobs of long tasks until activeCtx ends, and then waits for the end of each.
-// The first ones come at once.
-func (s *Soak) runLongJobs(ctx, activeCtx context.Context, stream uint64, atOnce int, meanInterval time.Duration) {
+// The first ones come at once. If quickInterval is not zero, urgent jobs of tasks of about a second come at that interval too, so
+// that starts are on their way to each worker at all times.
+func (s *Soak) runLongJobs(ctx, activeCtx context.Context, stream uint64, atOnce int, meanInterval, quickInterval time.Duration) {
 	rnd := rand.New(rand.NewPCG(s.Seed, stream))
 	c := &fake.Caller{HTTP: http.Client{Timeout: 4 * time.Second}}
 	var group conc.WaitGroup
 	defer group.Wait()
+	if quickInterval > 0 {
+		quickRnd := rand.New(rand.NewPCG(s.Seed, stream+1))
+		group.Go(func() {
+			for n := 0; activeCtx.Err() == nil; n++ {
+				j := fake.Job{
+					ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x9000, n), Team: "choir",
+					RunDuration: time.Duration(500+quickRnd.IntN(1000)) * time.Millisecond, Tasks: []int{1 + quickRnd.IntN(3)},
+				}
+				entryRnd := rand.New(rand.NewPCG(s.Seed, quickRnd.Uint64()))
+				group.Go(func() { s.runJob(ctx, c, j, entryRnd, false) })
+				duty.Sleep(activeCtx, quickInterval)
+			}
+		})
+	}
 	for n := 0; activeCtx.Err() == nil; n++ {
 		j := fake.Job{
 			ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x8000+stream, n), Team: "choir", Batch: rnd.IntN(2) == 0,
@@ -105,7 +121,7 @@
 		cutAfter: millis(100, 2500), cutFor: millis(1000, 9000), kind: cutKind(rnd.IntN(2)), directions: [][]int{both, both, both[:1], both[1:]}[rnd.IntN(4)],
 	}
 	if rnd.IntN(3) > 0 {
-		r.registersAfter = millis(1, 500)
+		r.registersAfter = millis(1, 1000)
 	}
 	if rnd.IntN(2) == 0 || early {
 		r.cutAfter, r.cutFor = r.registersAfter+millis(200, 900), millis(5500, 9000)
@@ -156,7 +172,7 @@
 	rnd := rand.New(rand.NewPCG(s.Seed, 18))
 	alone, stop := context.WithCancel(ctx)
 	defer stop()
-	callers.Go(func() { s.runLongJobs(ctx, alone, 19, longJobsAlone, meanLongIntervalAlone) })
+	callers.Go(func() { s.runLongJobs(ctx, alone, 19, longJobsAlone, meanLongIntervalAlone, quickIntervalAlone) })
 	var group conc.WaitGroup
 	defer group.Wait()
 	for i := range returnsAlone {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -108,7 +108,7 @@
 	}
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
-	callers.Go(func() { s.runLongJobs(ctx, activeCtx, 16, 1, meanLongInterval) })
+	callers.Go(func() { s.runLongJobs(ctx, activeCtx, 16, 1, meanLongInterval, 0) })
 	callers.Go(func() { s.runOverload(ctx, activeCtx) })
 	callers.Go(func() { s.runBursts(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
