soak: fewer workers return in a seed

One return alone, one every 5 s later and smaller jobs of long tasks leave the check of the deadline to other causes in more seeds; half of the returns that come alone are of a domain.

--- a/soak/returns.go
+++ b/soak/returns.go
@@ -17,21 +17,21 @@
 
 const (
 	// meanReturnInterval is the mean time between two crashes of workers that are cut off soon after.
-	meanReturnInterval = 3 * time.Second
+	meanReturnInterval = 5 * time.Second
 	// meanLongInterval is the mean time between two jobs of long tasks, and meanLongIntervalAlone that while nothing else
 	// goes on.
 	meanLongInterval      = 3 * time.Second
 	meanLongIntervalAlone = 2 * time.Second
 	quickIntervalAlone    = 80 * time.Millisecond
-	// longJobsAlone is how many come at once then: as many as fill a third of the region.
+	// longJobsAlone is how many come at once then: as many as fill a sixth of the region.
 	longJobsAlone = 4
 	// maxOutlivingDelay bounds how late the next boot executes an order to the last one.
 	maxOutlivingDelay = 2 * time.Second
 )
 
 // runLongJobs submits urgent and batch jobs of long tasks until activeCtx ends, and then waits for the end of each.
-// The first ones come at once. If quickInterval is not zero, urgent jobs of tasks of about a second come at that interval too, so
-// that starts are on their way to each worker at all times.
+// The first ones come at once. If quickInterval is not zero, all are urgent, so that lost tasks start again at once, and jobs of
+// tasks of about a second come at that interval too, so that starts are on their way to each worker at all times.
 func (s *Soak) runLongJobs(ctx, activeCtx context.Context, stream uint64, atOnce int, meanInterval, quickInterval time.Duration) {
 	rnd := rand.New(rand.NewPCG(s.Seed, stream))
 	c := &fake.Caller{HTTP: http.Client{Timeout: 4 * time.Second}}
@@ -53,8 +53,8 @@
 	}
 	for n := 0; activeCtx.Err() == nil; n++ {
 		j := fake.Job{
-			ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x8000+stream, n), Team: "choir", Batch: rnd.IntN(2) == 0,
-			RunDuration: time.Duration(5000+rnd.IntN(4000)) * time.Millisecond, Tasks: []int{4 + rnd.IntN(9)},
+			ID: fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, 0x8000+stream, n), Team: "choir", Batch: rnd.IntN(2) == 0 && quickInterval == 0,
+			RunDuration: time.Duration(5000+rnd.IntN(4000)) * time.Millisecond, Tasks: []int{2 + rnd.IntN(5)},
 		}
 		entryRnd := rand.New(rand.NewPCG(s.Seed, rnd.Uint64()))
 		group.Go(func() { s.runJob(ctx, c, j, entryRnd, false) })
@@ -126,7 +126,7 @@
 	if rnd.IntN(2) == 0 || early {
 		r.cutAfter, r.cutFor = r.registersAfter+millis(200, 900), millis(5500, 9000)
 	}
-	if rnd.IntN(3) == 0 { // A whole failure domain.
+	if domains := rnd.IntN(6); domains == 0 || early && domains < 3 { // A whole failure domain.
 		first := worker / s.Workers * s.Workers
 		r.workers = nil
 		for i := range s.Workers {
@@ -140,7 +140,7 @@
 	if r.ordersOutlive || len(r.delayed) > 0 {
 		r.notice = millis(1, 1500)
 	}
-	if rnd.IntN(3) == 0 {
+	if rnd.IntN(5) == 0 {
 		r.againAfter = millis(200, 3000)
 	}
 	if rnd.IntN(6) == 0 {
@@ -163,23 +163,15 @@
 	}
 }
 
-// returnsAlone is the number of returns while nothing else goes on.
-const returnsAlone = 2
-
-// returnWorkersAlone does the same some times while nothing else goes on but jobs of long tasks: other faults make the region wait
+// returnWorkersAlone does the same once while nothing else goes on but jobs of long tasks: other faults make the region wait
 // for longer than a lease may last, which hides what goes wrong within it.
 func (s *Soak) returnWorkersAlone(ctx context.Context, callers *conc.WaitGroup) {
 	rnd := rand.New(rand.NewPCG(s.Seed, 18))
 	alone, stop := context.WithCancel(ctx)
 	defer stop()
 	callers.Go(func() { s.runLongJobs(ctx, alone, 19, longJobsAlone, meanLongIntervalAlone, quickIntervalAlone) })
-	var group conc.WaitGroup
-	defer group.Wait()
-	for i := range returnsAlone {
-		duty.Sleep(ctx, time.Duration(500+rnd.IntN(1500))*time.Millisecond)
-		r := s.drawReturn(rnd, (i*s.Workers+rnd.IntN(s.Workers))%s.platform.Size(), true)
-		group.Go(func() { s.perform(ctx, alone, r) })
-	}
+	duty.Sleep(ctx, time.Duration(500+rnd.IntN(1500))*time.Millisecond)
+	s.perform(ctx, alone, s.drawReturn(rnd, rnd.IntN(s.platform.Size()), true))
 }
 
 // perform crashes workers and cuts them off as drawn, until activeCtx ends, and kills the planner if that was drawn.
