--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,7 +39,8 @@
 
 // Options are the settings of a run.
 type Options struct {
-	Program  string // Program is the path of the plantainwinch executable under test.
+	// Programs holds the paths of the plantainwinch executables under test. Entry I runs the one at I modulo their number.
+	Programs []string
 	Dir      string // Dir is where settings and logs are written.
 	Seed     uint64
 	Duration time.Duration // Duration is how long faults are injected.
@@ -57,12 +58,15 @@
 	procs      []*proc
 	partitions partitions
 	rnd        *rand.Rand
+	lateRnd    *rand.Rand // lateRnd chooses whether late orders outlive the worker's boot.
 	group      conc.WaitGroup
 	mu         sync.Mutex
 	report     Report
-	started    time.Time
-	faultLog   *os.File
-	runLog     *os.File
+	// workerRelays holds the relays in front of the worker VMs by their IDs.
+	workerRelays map[string]*relay
+	started      time.Time
+	faultLog     *os.File
+	runLog       *os.File
 }
 
 // Report is the result of a run: counts of events, and the problems found.
@@ -80,18 +84,20 @@
 // Run runs the soak to the end and returns its report. It returns an error only if the
 // soak could not be set up; problems that it finds are in the report.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
-	s.rnd = rand.New(rand.NewPCG(s.Seed, 1))
+	s.rnd, s.lateRnd = rand.New(rand.NewPCG(s.Seed, 1)), rand.New(rand.NewPCG(s.Seed, 15))
+	s.started = time.Now()
 	if err := s.prepare(); err != nil {
 		return s.report, err
 	}
 	defer s.close()
-	s.started = time.Now()
 	duty.Sleep(ctx, startupTime)
+	var callers conc.WaitGroup
+	s.returnWorkersAlone(ctx, &callers)
+
 	// Callers submit jobs and faults are injected until activeCtx ends. The planned operations
 	// are over when plannedCtx ends.
 	activeCtx, stop := context.WithTimeout(ctx, s.Duration)
 	defer stop()
-	var callers conc.WaitGroup
 	plannedCtx, endPlanned := context.WithCancel(ctx)
 	defer endPlanned()
 	for i := range s.Callers {
@@ -102,12 +108,14 @@
 	}
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
+	callers.Go(func() { s.runLongJobs(ctx, activeCtx, 16, 1, meanLongInterval, 0) })
 	callers.Go(func() { s.runOverload(ctx, activeCtx) })
 	callers.Go(func() { s.runBursts(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.shrinkWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.injectPartitions(activeCtx) })
 	s.group.Go(func() { s.evacuateDomains(ctx, activeCtx) })
+	s.group.Go(func() { s.returnWorkers(ctx, activeCtx) })
 	for activeCtx.Err() == nil {
 		s.injectFault(activeCtx)
 		duty.Sleep(activeCtx, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
@@ -141,15 +149,15 @@
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
-	s.platform.Checker.Log = s.logRun
+	s.platform.Checker.Log, s.platform.Front, s.workerRelays = s.logRun, s.addWorkerRelay, make(map[string]*relay)
 	if err := s.platform.Start(); err != nil {
 		return err
 	}
 	for i := range s.Domains * s.Entries {
 		name := fmt.Sprintf("e%d", i)
 		p := &proc{
-			name: name, domain: s.platform.Domains[i%s.Domains], program: s.Program, dir: s.Dir,
-			storeRelay: &relay{target: s.platform.StoreAddress}, peerRelay: &relay{entry: name, partitions: &s.partitions},
+			name: name, domain: s.platform.Domains[i%s.Domains], program: s.Programs[i%len(s.Programs)], dir: s.Dir,
+			storeRelay: &relay{target: s.platform.StoreAddress}, peerRelay: &relay{entry: name, partitions: &s.partitions, losesCloses: true},
 		}
 		if err := p.storeRelay.start(); err != nil {
 			return err
@@ -174,6 +182,9 @@
 		p.storeRelay.stop()
 		p.peerRelay.stop()
 	}
+	for _, r := range s.workerRelays {
+		r.stop()
+	}
 	s.platform.Stop()
 	_ = s.faultLog.Close()
 	_ = s.runLog.Close()
