--- a/region/nextboot_test.go
+++ b/region/nextboot_test.go
@@ -63,6 +63,13 @@
 	return w.workers[x.vm.ID]
 }
 
+// cutOff makes a boot stop responding to calls, or respond again, unless it has ended.
+func (x *simWorker) cutOff(on bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.unresponsive = on || x.terminated
+}
+
 // rosterBorn returns the start of the boot that the store's roster names for a worker.
 func (w *world) rosterBorn(worker string) int64 { return w.rosterRecord(worker).VM.Born }
 
@@ -209,6 +216,92 @@
 	})
 }
 
+// Guards against a task that runs twice: its start is on its way to a boot that its keeper has found to be replaced, the list does
+// not name the next one yet, and the office changes hands.
+func TestStartOnItsWayToAReplacedBootIsKnownToTheNextPlanner(t *testing.T) {
+	t.Parallel()
+	for name, change := range officeChanges {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(t, 117, 3, 9)
+				settle()
+				p, standby := w.planner(), w.namedStandby()
+				l := p.node.leadership.Load()
+				sent, delayed := make(chan *simWorker, 1), false
+				w.mu.Lock()
+				w.callDelay = func(from *Node, vm winch.WorkerVM, call any) time.Duration {
+					if _, start := call.(winch.StartRequest); !start || from == p.node || from == standby.node || delayed {
+						return 0
+					}
+					delayed = true
+					sent <- w.workers[vm.ID]
+					return 1400 * time.Millisecond
+				}
+				w.mu.Unlock()
+				w.acceptLasting("00000000000000a1", 18)
+				x := <-sent
+				record := x.vm
+				w.setStore(func(s *simStore) {
+					s.hangsWatch = func(_, prefix string, _ time.Time) bool { return prefix == "workers/" }
+				})
+				time.Sleep(10 * time.Millisecond) // A response may be on its way.
+				next := w.returnUnderID(x)
+				w.setStore(func(s *simStore) { s.put("workers/"+record.ID, mustJSON(record), 0) })
+				next.cutOff(false)
+				is.True(w.awaitLeadState(l, 3*time.Second, func() bool { return len(l.planner.ReplacedWorkers()) > 0 }))
+				next.cutOff(true)
+				time.Sleep(300 * time.Millisecond)
+				change(w, p)
+				w.awaitNextTerm(l.term)
+				time.Sleep(300 * time.Millisecond)
+				w.setStore(func(s *simStore) {
+					s.hangsWatch = nil
+					s.put("workers/"+record.ID, mustJSON(next.vm), 0)
+				})
+				time.Sleep(3 * time.Second)
+				next.cutOff(false)
+				time.Sleep(8 * time.Second)
+				is.Equal(w.log.count("is carried out late"), 1)
+				is.Equal(w.runningLasting(), 18)
+				w.endWithoutDowntimeCheck()
+			})
+		})
+	}
+}
+
+// Guards against a task that runs twice: its start got no response and was stopped at its worker, so that the task has started
+// elsewhere, and the next boot of the worker, which knows nothing of the stop, carries the start out.
+func TestStartThatTheFormerBootWasToldToStopIsNotCarriedOutByTheNextOne(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 116, 3, 9)
+		settle()
+		sent, delayed := make(chan *simWorker, 1), false
+		w.mu.Lock()
+		w.callDelay = func(_ *Node, vm winch.WorkerVM, call any) time.Duration {
+			if _, start := call.(winch.StartRequest); !start || delayed {
+				return 0
+			}
+			delayed = true
+			sent <- w.workers[vm.ID]
+			return 700 * time.Millisecond
+		}
+		w.mu.Unlock()
+		w.acceptLasting("00000000000000a1", 1)
+		x := <-sent
+		for w.runningLasting() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		w.returnUnderID(x)
+		time.Sleep(time.Second)
+		w.setUnresponsive(x.vm.ID, false)
+		time.Sleep(5 * time.Second)
+		w.endWithoutDowntimeCheck()
+	})
+}
+
 // Guards against lasting tasks that wait for the longest lease at a worker that has returned long ago: the roster says no longer
 // than needed that calls for an earlier boot may be carried out there.
 func TestRosterNamesANextBootOnlyWhileEarlierCallsMayBeCarriedOut(t *testing.T) {
