--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -57,6 +57,7 @@
 	cmd.Flags().IntVar(&o.Entries, "entries", 2, "number of entries in each failure domain")
 	cmd.Flags().IntVar(&o.Workers, "workers", 4, "number of workers in each failure domain")
 	cmd.Flags().IntVar(&o.Callers, "callers", 4, "number of callers")
+	cmd.Flags().BoolVar(&o.Returns, "returns", true, "workers return under their IDs and are cut off; without it, a seed is what it was before")
 	return cmd
 }
 
@@ -77,14 +78,17 @@
 	if len(report.Problems) == 0 {
 		return true, os.RemoveAll(dir)
 	}
-	programs := ""
+	flags := ""
 	for _, p := range o.Programs {
-		programs += " --program " + p
+		flags += " --program " + p
+	}
+	if !o.Returns {
+		flags += " --returns=false"
 	}
 	for _, p := range report.Problems {
 		cmd.Println("  " + p)
 	}
 	cmd.Println(fmt.Sprintf("  logs in %s; to run it again: plantainwinch soak --seed %d --time %v --domains %d --entries %d --workers %d --callers %d%s",
-		dir, o.Seed, o.Duration, o.Domains, o.Entries, o.Workers, o.Callers, programs))
+		dir, o.Seed, o.Duration, o.Domains, o.Entries, o.Workers, o.Callers, flags))
 	return false, nil
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -18,7 +18,7 @@
 	worker := s.rnd.IntN(s.platform.Size())
 	long := time.Duration(300+s.rnd.IntN(4000)) * time.Millisecond
 	short := time.Duration(20+s.rnd.IntN(1500)) * time.Millisecond
-	outliveBoot := s.lateRnd.IntN(2) == 0
+	outliveBoot := s.Returns && s.lateRnd.IntN(2) == 0
 	// The names are written to the fault log. "freeze" pauses the entry's process, "silent" drops all data
 	// between the entry and the store, "history gone" compacts the store's history, and "worker mute" makes
 	// a worker execute orders without responding. "orders late" makes half of the workers execute them later, also
--- a/soak/saving.go
+++ b/soak/saving.go
@@ -17,7 +17,7 @@
 const meanSavingInterval = 5 * time.Second
 
 // runSavingJobs submits batch jobs of long tasks that save their progress until activeCtx ends, and
-// then waits for the end of each. In half of the seeds, each takes all capacity that is free, so that urgent jobs evict some
+// then waits for the end of each. In half of the seeds, and without Returns in all, each takes all capacity that is free, so that urgent jobs evict some
 // of the tasks. In the others, each takes a quarter, so that workers and tasks seldom wait for each other.
 func (s *Soak) runSavingJobs(ctx, activeCtx context.Context) {
 	rnd := rand.New(rand.NewPCG(s.Seed, 11))
@@ -25,7 +25,7 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	tasks := s.Domains * s.Workers * workerMilli / 1000
-	if rand.New(rand.NewPCG(s.Seed, 17)).IntN(2) == 0 {
+	if s.Returns && rand.New(rand.NewPCG(s.Seed, 17)).IntN(2) == 0 {
 		tasks /= 4
 	}
 	for n := 0; activeCtx.Err() == nil; n++ {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,9 @@
 	Entries  int // Entries and Workers are per failure domain.
 	Workers  int
 	Callers  int
+	// Returns has workers return under their IDs and be cut off, with work and late orders to match. Without it a seed is
+	// what it was before these faults existed.
+	Returns bool
 }
 
 // Soak is one run. Set the options before Run.
@@ -92,7 +95,9 @@
 	defer s.close()
 	duty.Sleep(ctx, startupTime)
 	var callers conc.WaitGroup
-	s.returnWorkersAlone(ctx, &callers)
+	if s.Returns {
+		s.returnWorkersAlone(ctx, &callers)
+	}
 
 	// Callers submit jobs and faults are injected until activeCtx ends. The planned operations
 	// are over when plannedCtx ends.
@@ -108,14 +113,18 @@
 	}
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
-	callers.Go(func() { s.runLongJobs(ctx, activeCtx, 16, 1, meanLongInterval, 0) })
+	if s.Returns {
+		callers.Go(func() { s.runLongJobs(ctx, activeCtx, 16, 1, meanLongInterval, 0) })
+	}
 	callers.Go(func() { s.runOverload(ctx, activeCtx) })
 	callers.Go(func() { s.runBursts(ctx, activeCtx) })
 	s.group.Go(func() { s.disruptWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.shrinkWorkers(ctx, activeCtx) })
 	s.group.Go(func() { s.injectPartitions(activeCtx) })
 	s.group.Go(func() { s.evacuateDomains(ctx, activeCtx) })
-	s.group.Go(func() { s.returnWorkers(ctx, activeCtx) })
+	if s.Returns {
+		s.group.Go(func() { s.returnWorkers(ctx, activeCtx) })
+	}
 	for activeCtx.Err() == nil {
 		s.injectFault(activeCtx)
 		duty.Sleep(activeCtx, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
