--- a/region/nextboot_test.go
+++ b/region/nextboot_test.go
@@ -64,7 +64,9 @@
 }
 
 // cutOff makes a boot stop responding to calls, or respond again, unless it has ended.
-func (x *simWorker) cutOff(on bool) {
+func (w *world) cutOff(x *simWorker, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.unresponsive = on || x.terminated
@@ -249,9 +251,9 @@
 				time.Sleep(10 * time.Millisecond) // A response may be on its way.
 				next := w.returnUnderID(x)
 				w.setStore(func(s *simStore) { s.put("workers/"+record.ID, mustJSON(record), 0) })
-				next.cutOff(false)
+				w.cutOff(next, false)
 				is.True(w.awaitLeadState(l, 3*time.Second, func() bool { return len(l.planner.ReplacedWorkers()) > 0 }))
-				next.cutOff(true)
+				w.cutOff(next, true)
 				time.Sleep(300 * time.Millisecond)
 				change(w, p)
 				w.awaitNextTerm(l.term)
@@ -261,7 +263,7 @@
 					s.put("workers/"+record.ID, mustJSON(next.vm), 0)
 				})
 				time.Sleep(3 * time.Second)
-				next.cutOff(false)
+				w.cutOff(next, false)
 				time.Sleep(8 * time.Second)
 				is.Equal(w.log.count("is carried out late"), 1)
 				is.Equal(w.runningLasting(), 18)
--- a/region/nextbootrand_test.go
+++ b/region/nextbootrand_test.go
@@ -54,9 +54,9 @@
 			if !atOnce {
 				time.Sleep(cutAfter)
 			}
-			next.cutOff(true)
+			w.cutOff(next, true)
 			time.Sleep(cutFor)
-			next.cutOff(false)
+			w.cutOff(next, false)
 		})
 	}
 	time.Sleep(2 * time.Second)
--- a/region/replaced_test.go
+++ b/region/replaced_test.go
@@ -98,9 +98,7 @@
 					}
 					change(w, p)
 					l = w.awaitNextTerm(l.term)
-					next.mu.Lock()
-					next.unresponsive = false
-					next.mu.Unlock()
+					w.cutOff(next, false)
 					is.True(w.awaitLeadState(l, 3*time.Second, func() bool { return len(l.planner.ReplacedWorkers()) == 1 }))
 					w.setStore(func(s *simStore) { s.put("workers/"+x.vm.ID, mustJSON(next.vm), 0) })
 					time.Sleep(10 * time.Second)
