region: the clock of a simulated boot is never negative

TestNewPlannerUsesABootWhoseClockWasSetBack failed in 1 of 12 runs with the race detector, and in the first of another series. Traced: the scenario numbers the next boot below zero, and the simulated clock, computed from the number, was negative, which no worker's is. Its keeper ignores such a clock, so that each start there was refused as late.

--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -144,9 +144,11 @@
 	restarted   bool
 }
 
-// clockStart returns what the clock of a boot shows when it begins. The clocks of two boots of a VM are not related.
+// clockStart returns what the clock of a boot shows when it begins, which is never negative. The clocks of two boots of a VM are not
+// related.
 func clockStart(boot int64) time.Duration {
-	return time.Duration(boot*2_654_435_761%7200) * time.Second
+	const longest = 7200
+	return time.Duration((boot*2_654_435_761%longest+longest)%longest) * time.Second
 }
 
 // clock returns the time on the worker's monotonic clock.
