winch, fleet, region: names say listed where a run is listed, not confirmed

What entries pass on about earlier runs tells those that their boot has listed from others since; names and comments still said confirmed. Only names in the code and comments change; the messages have the fields that they had.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -124,7 +124,7 @@
 		}
 		r := p.addRun(w, t, x.Task, x.Run)
 		r.adopted, r.throttle = true, throttleUnknown
-		if !x.Unconfirmed() {
+		if !x.Unlisted() {
 			p.noteListed(r)
 		}
 		p.noteStray(r, how)
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -129,7 +129,7 @@
 	adviceRequests []AdviceRequest
 	dirty          []*job
 	closedRuns     []ClosedRun
-	startedRuns    []*run // startedRuns holds the runs confirmed since the last call of StartedRuns.
+	listedRuns     []*run // listedRuns holds the runs that were listed since the last call of ListedRuns.
 	summaries      []JobSummary
 	losses         []Loss
 	countedCrashes []CountedCrash
--- a/coord/fleet/nextboot_test.go
+++ b/coord/fleet/nextboot_test.go
@@ -29,7 +29,7 @@
 		c.saveRecords()
 		is.Equal(len(c.schedule()), 0)
 		// A standby must know of it.
-		is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run, Percent: winch.PercentUnconfirmed}})
+		is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run, Percent: winch.PercentUnlisted}})
 		is.Equal(len(c.planner.ClosedRuns()), 0)
 		c.listed("w0", nil)
 		c.saveRecords()
@@ -100,7 +100,7 @@
 			c.planner.Schedule()
 			start := c.planner.Orders()[0]
 			c.planner.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: "w0", Result: winch.StartOtherBoot})
-			is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run, Percent: winch.PercentUnconfirmed}})
+			is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run, Percent: winch.PercentUnlisted}})
 			other := winch.WorkerVM{ID: "w9", Address: "127.0.0.1:9", Service: "render", Domain: "d1", Rack: "r1", Room: winch.Capacity{Milli: 16000, Memory: 32 * gigabyte}, Born: 1}
 			next := c.planner.workers["w0"].vm
 			c.planner.SetWorkers([]winch.WorkerVM{next, other})
@@ -143,7 +143,7 @@
 		c.saveRecords()
 		is.Equal(len(c.schedule()), 0)
 		// A standby must know of it.
-		is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run, Percent: winch.PercentUnconfirmed}})
+		is.Equal(c.planner.RunsAt("w0"), []winch.Running{{Task: start.Task, Run: start.Run, Percent: winch.PercentUnlisted}})
 		lost.Left = 0
 		c.planner.HandleEvent(lost)
 		c.saveRecords()
--- a/coord/fleet/nextbootpaths_test.go
+++ b/coord/fleet/nextbootpaths_test.go
@@ -18,7 +18,7 @@
 		c := newSimRegion(t, 2, urgentQueue())
 		p := nextPlanner(c)
 		p.HandleEvent(proto.KeeperEvent{Kind: proto.EventKnownRuns, Worker: "w0", Running: []winch.Running{
-			{Task: winch.RunID{Job: "a"}, Run: 1, Percent: winch.PercentUnconfirmed},
+			{Task: winch.RunID{Job: "a"}, Run: 1, Percent: winch.PercentUnlisted},
 		}})
 		is.Equal(len(p.RunsAt("w0")), 1)
 		list := p.WorkersToHold()
@@ -39,7 +39,7 @@
 		c := newSimRegion(t, 2, urgentQueue())
 		p := nextPlanner(c)
 		c.add("a", "preview", "choir", tasks(1, 1000))
-		run := winch.Running{Task: winch.RunID{Job: "a"}, Run: 1, Percent: winch.PercentUnconfirmed}
+		run := winch.Running{Task: winch.RunID{Job: "a"}, Run: 1, Percent: winch.PercentUnlisted}
 		p.HandleEvent(proto.KeeperEvent{Kind: proto.EventKnownRuns, Worker: "w0", Running: []winch.Running{run}})
 		p.Add(c.planner.jobs["a"].rec, nil, 0)
 		is.Equal(p.RunsAt("w0"), []winch.Running{run})
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -107,7 +107,7 @@
 func (r *run) known() winch.Running {
 	x := winch.Running{Task: r.key.task, Run: r.key.run}
 	if !r.listed {
-		x.Percent = winch.PercentUnconfirmed
+		x.Percent = winch.PercentUnlisted
 	}
 	return x
 }
@@ -120,21 +120,21 @@
 	return out
 }
 
-// StartedRun is a run whose start its worker has confirmed.
-type StartedRun struct {
+// ListedRun is a run that its boot has listed.
+type ListedRun struct {
 	Worker string
 	Task   winch.RunID
 	Run    uint64
 }
 
-// StartedRuns returns the runs whose starts were confirmed since the last call and that have not ended.
-func (p *Planner) StartedRuns() (out []StartedRun) {
-	for _, r := range p.startedRuns {
+// ListedRuns returns the runs that their boots have listed since the last call and that have not ended.
+func (p *Planner) ListedRuns() (out []ListedRun) {
+	for _, r := range p.listedRuns {
 		if r.worker.runs[r.key] == r {
-			out = append(out, StartedRun{r.worker.vm.ID, r.key.task, r.key.run})
+			out = append(out, ListedRun{r.worker.vm.ID, r.key.task, r.key.run})
 		}
 	}
-	p.startedRuns = nil
+	p.listedRuns = nil
 	return out
 }
 
@@ -143,7 +143,7 @@
 	r.started = true
 	if !r.listed {
 		r.listed = true
-		p.startedRuns = append(p.startedRuns, r)
+		p.listedRuns = append(p.listedRuns, r)
 	}
 }
 
--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -245,7 +245,7 @@
 	return h.workerClock + now.Sub(h.clockReadAt)
 }
 
-// clockTolerance is how far a worker's clock may be ahead of what is expected before that is logged.
+// clockTolerance is how far a worker's clock may be ahead of what is expected before its boot is checked.
 const clockTolerance = time.Second
 
 // clockAhead reports whether a worker's clock shows a time that its boot can't have reached yet. The caller holds the mutex.
--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -176,7 +176,7 @@
 	for key, r := range h.runs {
 		x := winch.Running{Task: key.task, Run: key.run}
 		if !r.listed {
-			x.Percent = winch.PercentUnconfirmed
+			x.Percent = winch.PercentUnlisted
 		}
 		out = append(out, x)
 	}
--- a/proto/keep.go
+++ b/proto/keep.go
@@ -431,8 +431,8 @@
 	// Saved holds changes to the checkpoints of stopped tasks that have not been started again.
 	// If Full is set, it holds all of them.
 	Saved []MirrorSaved `cbor:"12,keyasint,omitempty"`
-	// Started holds the runs whose starts were confirmed since the last message or, if Full is set, all of Add whose starts
-	// are confirmed. NamesStarted reports that the planner sends them.
+	// Started holds the runs that their boots have listed since the last message or, if Full is set, all of Add that they
+	// have listed. NamesStarted reports that the planner sends them.
 	Started      []MirrorRun `cbor:"13,keyasint,omitempty"`
 	NamesStarted bool        `cbor:"14,keyasint,omitempty"`
 }
--- a/region/earlierruns.go
+++ b/region/earlierruns.go
@@ -39,7 +39,7 @@
 	replaced := listed && !vm.SameBoot(w.VM)
 	if replaced {
 		// The others have ended with the boot that the keeper knew.
-		e.Running = slices.DeleteFunc(slices.Clone(e.Running), func(r winch.Running) bool { return !r.Unconfirmed() })
+		e.Running = slices.DeleteFunc(slices.Clone(e.Running), func(r winch.Running) bool { return !r.Unlisted() })
 	}
 	l.planner.HandleEvent(e)
 	if replaced {
--- a/region/lostworker_test.go
+++ b/region/lostworker_test.go
@@ -28,8 +28,8 @@
 	return func() { change(-1) }
 }
 
-// startedRuns returns how many runs the workers have started.
-func (w *world) startedRuns() (count int) {
+// listedRuns returns how many runs the workers have started.
+func (w *world) listedRuns() (count int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, x := range w.workers {
@@ -55,7 +55,7 @@
 		}
 		const tasks = 12
 		w.submit("00000000000000a7", winch.Phase{Count: tasks, Need: winch.Capacity{Milli: taskMilli}})
-		for w.startedRuns() < tasks {
+		for w.listedRuns() < tasks {
 			time.Sleep(time.Millisecond)
 		}
 		unblock := w.blockWorkersPaths(domain)
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -48,9 +48,9 @@
 	term    uint64
 	session uint64
 	runs    map[proto.MirrorRun]bool
-	// unconfirmed holds those of the runs whose starts may be on their way.
-	unconfirmed map[proto.MirrorRun]bool
-	saved       map[winch.RunID]string // saved holds the checkpoints of stopped tasks.
+	// unlisted holds those of the runs whose starts may be on their way.
+	unlisted map[proto.MirrorRun]bool
+	saved    map[winch.RunID]string // saved holds the checkpoints of stopped tasks.
 	// expiries holds the assignments under which leases may run at unresponsive workers.
 	expiries map[string][]assignment
 	// lastContact is when the planner's last message was accepted, yields whether it asked this entry to
@@ -94,7 +94,7 @@
 	if msg.Full {
 		m.term, m.session = msg.Term, msg.Session
 		m.runs, m.saved = make(map[proto.MirrorRun]bool, len(msg.Add)), make(map[winch.RunID]string)
-		m.unconfirmed = make(map[proto.MirrorRun]bool)
+		m.unlisted = make(map[proto.MirrorRun]bool)
 		m.speeds = make(map[speedKey]speed.Entry, len(msg.Speeds))
 	}
 	if msg.Term != m.term || msg.Session != m.session || m.runs == nil {
@@ -103,16 +103,16 @@
 	m.lastContact, m.yields = time.Now(), msg.Yield
 	for _, r := range msg.Remove {
 		delete(m.runs, r)
-		delete(m.unconfirmed, r)
+		delete(m.unlisted, r)
 	}
 	for _, r := range msg.Add { // A refused start of a gang member may be removed and ordered again under its number.
 		m.runs[r] = true
 		if msg.NamesStarted {
-			m.unconfirmed[r] = true
+			m.unlisted[r] = true
 		}
 	}
 	for _, r := range msg.Started {
-		delete(m.unconfirmed, r)
+		delete(m.unlisted, r)
 	}
 	m.applySpeeds(msg.Speeds)
 	m.speedsAt = m.lastContact
@@ -145,12 +145,12 @@
 		return // A later planner has sent its runs.
 	}
 	m.runs = make(map[proto.MirrorRun]bool, len(runs))
-	m.unconfirmed = make(map[proto.MirrorRun]bool)
+	m.unlisted = make(map[proto.MirrorRun]bool)
 	for _, r := range runs {
-		m.runs[r], m.unconfirmed[r] = true, true
+		m.runs[r], m.unlisted[r] = true, true
 	}
 	for _, r := range started {
-		delete(m.unconfirmed, r)
+		delete(m.unlisted, r)
 	}
 	m.expiries, m.expiriesUntil = expiries, time.Now().Add(ownExpiriesLifetime)
 	m.lastContact, m.yields = time.Time{}, false
@@ -188,13 +188,13 @@
 		out.saved = m.saved
 		for r := range m.runs {
 			x := winch.Running{Task: r.Task, Run: r.Run}
-			if m.unconfirmed[r] {
-				x.Percent = winch.PercentUnconfirmed
+			if m.unlisted[r] {
+				x.Percent = winch.PercentUnlisted
 			}
 			out.runs[r.Worker] = append(out.runs[r.Worker], x)
 		}
 	}
-	m.term, m.session, m.runs, m.unconfirmed, m.saved, m.expiries, m.speeds = term, 0, nil, nil, nil, nil, nil
+	m.term, m.session, m.runs, m.unlisted, m.saved, m.expiries, m.speeds = term, 0, nil, nil, nil, nil, nil
 	return out, complete
 }
 
@@ -239,7 +239,7 @@
 	if l.standby == nil {
 		l.ackedExpiries = nil // The next standby is sent all expiries again.
 		l.planner.ClosedRuns()
-		l.planner.StartedRuns()
+		l.planner.ListedRuns()
 		l.planner.SavedCheckpoints(false)
 		l.mirroredOrders, l.queuedOrders = append(l.mirroredOrders, l.queuedOrders...), nil
 		l.release()
@@ -256,7 +256,7 @@
 		Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removedRuns,
 		ExpiriesUnchanged: s.synced && !l.expiriesChanged, Stamp: s.stamp, Yield: !l.node.storeResponsive(), NamesStarted: true,
 	}
-	for _, r := range l.planner.StartedRuns() {
+	for _, r := range l.planner.ListedRuns() {
 		msg.Started = append(msg.Started, proto.MirrorRun{Worker: r.Worker, Task: r.Task, Run: r.Run})
 	}
 	if !msg.ExpiriesUnchanged {
@@ -320,20 +320,20 @@
 	})
 }
 
-// allRuns returns all runs that may exist, including those of queued starts, and those of them whose starts are confirmed.
+// allRuns returns all runs that may exist, including those of queued starts, and those of them that their boots have listed.
 func (l *leadership) allRuns() (all, started []proto.MirrorRun) {
 	for _, id := range l.planner.WorkerIDs() {
 		for _, r := range l.planner.RunsAt(id) {
 			x := proto.MirrorRun{Worker: id, Task: r.Task, Run: r.Run}
 			all = append(all, x)
-			if !r.Unconfirmed() {
+			if !r.Unlisted() {
 				started = append(started, x)
 			}
 		}
 	}
 	for _, g := range l.planner.UnrecordedCrashes() {
 		x := proto.MirrorRun{Worker: g.Worker, Task: g.Task, Run: g.Run}
-		// A start that the crashed boot has not confirmed may reach the next one.
+		// A run that the crashed boot has not listed may reach the next one.
 		if !slices.ContainsFunc(l.planner.RunsAt(g.Worker), func(r winch.Running) bool { return r.Task == g.Task && r.Run == g.Run }) {
 			all, started = append(all, x), append(started, x)
 		}
--- a/region/replaced_test.go
+++ b/region/replaced_test.go
@@ -53,7 +53,7 @@
 				is.True(record.NextBoot)
 				is.Equal(len(record.Runs) > 0, name == "start unconfirmed")
 				for _, r := range record.Runs {
-					is.True(r.Unconfirmed())
+					is.True(r.Unlisted())
 				}
 				l := w.planner().node.leadership.Load()
 				for range 50 { // No keeper gets the worker.
--- a/winch/region.go
+++ b/winch/region.go
@@ -89,18 +89,18 @@
 	Run        uint64
 	Checkpoint string
 	// Percent is the percentage of its work or of its full speed that the run has reached. In what an entry says of earlier
-	// runs it is zero, or PercentUnconfirmed.
+	// runs it is zero, or PercentUnlisted.
 	Percent float64
 	// Load is the tail response time in milliseconds for a lasting task with a target,
 	// and the processor use in thousandths of a processor for any other task.
 	Load float64
 }
 
-// PercentUnconfirmed stands for a run whose start the worker has not confirmed: it may be on its way.
-const PercentUnconfirmed = -1
+// PercentUnlisted stands for a run that the boot which it was meant for has not listed: its start may be on its way.
+const PercentUnlisted = -1
 
-// Unconfirmed reports whether the start of an earlier run may be on its way.
-func (r Running) Unconfirmed() bool { return r.Percent < 0 }
+// Unlisted reports whether the start of an earlier run may be on its way.
+func (r Running) Unlisted() bool { return r.Percent < 0 }
 
 // Completion is the completion of a run. A worker lists it until a hold's Forget covers it.
 type Completion struct {
