region, keep: logs tell what keepers were granted, and which orders are dropped

A planner that takes a keeper's workers away logs the authority that it has granted and the one that it counts; a keeper logs how much authority it has left when its next session begins; an order that finds the queue of its worker full is logged. No change of logic.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"plantainwinch/duty"
 	"plantainwinch/proto"
@@ -218,6 +219,8 @@
 	case h.orders <- queuedOrder{o, text, time.Now()}:
 	default:
 		h.keeper.count("Keep.RingFull")
+		h.keeper.Log.Warn("order dropped: too many wait for the worker", zap.String("worker", h.vm.ID), zap.Uint8("kind", uint8(o.Kind)),
+			zap.String("job", o.Task.Job), zap.Uint64("run", o.Run))
 		if o.Kind == proto.OrderStart {
 			h.reportNotStarted(o)
 		}
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -196,7 +196,8 @@
 		}
 	}
 	k.session = s
-	k.Log.Info("keeper session started", zap.Uint64("term", s.Term), zap.Uint64("session", s.Number))
+	k.Log.Info("keeper session started", zap.Uint64("term", s.Term), zap.Uint64("session", s.Number),
+		zap.Duration("authorityLeft", time.Until(k.authorityUntil)))
 }
 
 // lastEndedAssignments returns the last ended assignment of each unassigned worker.
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -37,6 +37,7 @@
 	name       string
 	session    proto.Session
 	stamp      time.Duration // stamp is that of the keeper's last response.
+	granted    grants
 	messages   atomic.Uint64 // messages counts the messages sent to the keeper.
 	local      bool          // local is set if the keeper is the planner's own entry.
 	ctx        context.Context
@@ -55,6 +56,7 @@
 		p.ctx, p.cancel = context.WithCancel(l.ctx)
 	}
 	set := proto.AssignmentSet{Session: p.session, Authority: l.authority()}
+	p.granted.note(time.Now().Add(set.Authority))
 	for id := range l.workersOf[name] {
 		a := l.assignments[id]
 		a.Left = l.expiries.remaining(id)
@@ -133,6 +135,7 @@
 // pollOnce sends one poll request to the keeper.
 func (p *proxy) pollOnce(ctx context.Context) (proto.KeeperPollResponse, error) {
 	request := proto.KeeperPollRequest{Session: p.session, Authority: p.leadership.authority(), Wait: pollWait, Stamp: p.stamp}
+	p.granted.note(time.Now().Add(request.Authority))
 	if !p.local {
 		request.Messages = p.messages.Load()
 	}
@@ -151,6 +154,8 @@
 func (l *leadership) dropKeeper(p *proxy) {
 	p.cancel()
 	delete(l.proxies, p.name)
+	l.node.Log.Info("keeper's assignments ended", zap.String("keeper", p.name), zap.Uint64("session", p.session.Number),
+		zap.Int("workers", len(l.workersOf[p.name])), zap.Duration("granted", p.granted.left()), zap.Duration("counted", l.authority()))
 	var ids []string
 	for id := range l.workersOf[p.name] {
 		ids = append(ids, id)
