region: a keeper's leases end with the authority that it was granted

They were started again elsewhere 5.4 s after the cut, while entries in the domain renewed their leases for 7 s.

Cause: when a keeper's session or a worker's assignment ends, the planner has to know the most that the keeper may still have. It took the authority that it would grant at that moment, which is computed from the least that remains of its office by two clocks.

Refuted as causes: a keeper that counts from too late a moment, and a lease at the worker that outlasts the keeper's authority.

Fix: each session keeps what it has granted, and nothing can be granted in a session that has ended. What ends an assignment takes a type of its own, atMost, which only grants return: the least, which decides what the planner itself may do, can't be passed there. The first message of a session is counted by its keeper from its arrival, so it counts from the first response.

--- a/region/assign.go
+++ b/region/assign.go
@@ -195,7 +195,7 @@
 		}
 		if old := l.keepers[vm.ID]; old != "" {
 			changed[old] = true
-			l.expiries.endAssignment(vm.ID, old, l.assignments[vm.ID].Token, l.authority())
+			l.expiries.endAssignment(vm.ID, old, l.assignments[vm.ID].Token, l.grantedTo(old))
 			l.expiriesChanged = true
 			l.planner.SetUnready([]string{vm.ID})
 		}
--- /dev/null
+++ b/region/authority_test.go
@@ -0,0 +1,62 @@
+package region
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stepClock sets the time of day of an entry's VM forward or, with a negative step, back.
+func (w *world) stepClock(n *simNode, by time.Duration) {
+	w.log.note("the time of day of %s steps by %v", n.host, by)
+	if l := n.node.leadership.Load(); l != nil {
+		v := *l.validity.Load()
+		v.wall = v.wall.Add(-by) // What was recorded before the step lies that much earlier on the clock.
+		l.validity.Store(&v)
+	}
+}
+
+// otherDomain returns a failure domain in which the entry is not.
+func (w *world) otherDomain(n *simNode) string {
+	for _, x := range w.nodes {
+		if x.domain != n.domain {
+			return x.domain
+		}
+	}
+	return ""
+}
+
+// breakLinks separates a failure domain from the store and the other domains, or ends that; its links break at once.
+func (w *world) breakLinks(domain string, on bool) {
+	w.partition(domain, on)
+	w.noteLinks()
+}
+
+// Guards against tasks that run twice, in a failure domain that is cut off and outside, since its keepers' leases are taken to
+// end before the authority that they were granted: the time of day of the planner's VM has stepped right before the cut.
+func TestTasksOfACutOffDomainWaitForTheGrantedAuthority(t *testing.T) {
+	t.Parallel()
+	for i, step := range []time.Duration{2 * time.Second, 2 * time.Second, 2 * time.Second, 2 * time.Second, 5 * time.Second, -2 * time.Second, 0} {
+		t.Run(fmt.Sprint(i, step), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := lastingWorld(t, 71)
+				time.Sleep(time.Duration(i) * officeRenewInterval / 4)
+				p := w.planner()
+				domain := w.otherDomain(p)
+				w.stepClock(p, step)
+				time.Sleep(20 * time.Millisecond)
+				w.breakLinks(domain, true)
+				time.Sleep(9 * time.Second)
+				w.breakLinks(domain, false)
+				time.Sleep(6 * time.Second)
+				is.Equal(w.runningLasting(), 18)
+				w.end()
+			})
+		})
+	}
+}
--- a/region/earlierkeepers_test.go
+++ b/region/earlierkeepers_test.go
@@ -38,7 +38,7 @@
 	is.Equal(choose("k2"), []string{"k1"})
 	is.Equal(choose("k3"), []string{"k1"}) // The worker was never assigned to k2.
 
-	l.expiries.endAssignment("w", "k1", 1, time.Second)
+	l.expiries.endAssignment("w", "k1", 1, atMost(time.Second))
 	use("k3", 2)
 	is.Equal(choose("k3"), []string{"k1"})
 	is.Equal(choose("k4"), []string{"k1", "k3"})
--- a/region/expiry.go
+++ b/region/expiry.go
@@ -90,10 +90,10 @@
 
 // endAssignment records that the current assignment of a worker ends. A keeper that could renew the
 // lease may go on for as long as it has authority; it may report an earlier expiry later.
-func (s *leaseExpiries) endAssignment(worker, keeper string, token uint64, authority time.Duration) {
+func (s *leaseExpiries) endAssignment(worker, keeper string, token uint64, authority atMost) {
 	expiry, fixed := s.fixed[worker]
 	if s.renewable[worker] {
-		expiry, fixed = time.Now().Add(keep.ExpiryBound(authority)), true
+		expiry, fixed = time.Now().Add(keep.ExpiryBound(time.Duration(authority))), true
 	}
 	if fixed {
 		s.earlier[worker] = append(s.earlier[worker], assignment{token: token, keeper: keeper, expiry: expiry})
--- a/region/expiry_test.go
+++ b/region/expiry_test.go
@@ -124,7 +124,7 @@
 		s := newLeaseExpiries()
 		s.add("w", assignment{keeper: "a", generation: 2, expiry: time.Now().Add(8 * time.Second)})
 		is.Equal(s.remaining("w"), 8*time.Second)
-		s.endAssignment("w", "b", 5, 7*time.Second) // It never listed the worker's runs.
+		s.endAssignment("w", "b", 5, atMost(7*time.Second)) // It never listed the worker's runs.
 		is.Equal(s.remaining("w"), 8*time.Second)
 		is.True(!s.applyRelease("b", proto.KeeperEvent{Worker: "w", Token: 5, Left: time.Second}))
 		// The report is of generation 1, and the worker was assigned to other keepers since.
@@ -136,7 +136,7 @@
 
 		s.markListed("w")
 		is.Equal(s.remaining("w"), time.Duration(0))
-		s.endAssignment("w", "c", 9, 7*time.Second) // It could renew the lease until its authority ends.
+		s.endAssignment("w", "c", 9, atMost(7*time.Second)) // It could renew the lease until its authority ends.
 		is.True(s.remaining("w") > 7*time.Second)
 		is.True(s.applyRelease("c", proto.KeeperEvent{Worker: "w", Token: 9, Left: 2 * time.Second}))
 		is.Equal(s.remaining("w"), 2*time.Second)
@@ -144,7 +144,7 @@
 		s.markListed("w")
 		s.markUnresponsive("w", 5*time.Second)
 		time.Sleep(time.Second)
-		s.endAssignment("w", "d", 11, 7*time.Second) // It renewed nothing after that report.
+		s.endAssignment("w", "d", 11, atMost(7*time.Second)) // It renewed nothing after that report.
 		is.Equal(s.remaining("w"), 4*time.Second)
 		is.Equal(len(s.mirrorUpdate(nil, false)), 1)
 		s.markResponsive("w")
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -267,8 +267,9 @@
 	}
 }
 
-// authority returns how long keepers may go on without another message of this planner.
-func (l *leadership) authority() time.Duration {
+// grantable returns the authority that a keeper may be granted: how long it may go on without another message of this
+// planner.
+func (l *leadership) grantable() time.Duration {
 	return max(0, l.validity.Load().remaining()+keeperGrace)
 }
 
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -38,6 +38,8 @@
 	session    proto.Session
 	stamp      time.Duration // stamp is that of the keeper's last response.
 	granted    grants
+	// firstGrant is the authority in the session's first message, which the keeper counts from its arrival.
+	firstGrant time.Duration
 	messages   atomic.Uint64 // messages counts the messages sent to the keeper.
 	local      bool          // local is set if the keeper is the planner's own entry.
 	ctx        context.Context
@@ -51,12 +53,12 @@
 	fresh := p == nil
 	if fresh {
 		l.sessions++
-		p = &proxy{leadership: l, name: name, local: name == l.node.Name, session: proto.Session{Term: l.term, Number: l.sessions}}
+		p = &proxy{leadership: l, name: name, local: name == l.node.Name, session: proto.Session{Term: l.term, Number: l.sessions}, firstGrant: l.grantable()}
 		l.proxies[name] = p
+		p.granted.add(p.firstGrant)
 		p.ctx, p.cancel = context.WithCancel(l.ctx)
 	}
-	set := proto.AssignmentSet{Session: p.session, Authority: l.authority()}
-	p.granted.note(time.Now().Add(set.Authority))
+	set := proto.AssignmentSet{Session: p.session, Authority: p.firstGrant}
 	for id := range l.workersOf[name] {
 		a := l.assignments[id]
 		a.Left = l.expiries.remaining(id)
@@ -105,6 +107,9 @@
 			l.node.Log.Info("session with keeper ended unexpectedly", zap.String("keeper", p.name), zap.Uint64("session", p.session.Number), zap.Error(err))
 			break
 		}
+		if p.stamp == 0 {
+			p.granted.add(p.firstGrant) // The first message has arrived by now.
+		}
 		p.stamp = report.Stamp
 		if len(report.Events) > 0 {
 			l.post(func() { l.handleEvents(p, report.Events) })
@@ -134,8 +139,10 @@
 
 // pollOnce sends one poll request to the keeper.
 func (p *proxy) pollOnce(ctx context.Context) (proto.KeeperPollResponse, error) {
-	request := proto.KeeperPollRequest{Session: p.session, Authority: p.leadership.authority(), Wait: pollWait, Stamp: p.stamp}
-	p.granted.note(time.Now().Add(request.Authority))
+	request := proto.KeeperPollRequest{Session: p.session, Authority: p.leadership.grantable(), Wait: pollWait, Stamp: p.stamp}
+	if !p.granted.add(request.Authority) {
+		return proto.KeeperPollResponse{}, context.Canceled
+	}
 	if !p.local {
 		request.Messages = p.messages.Load()
 	}
@@ -154,12 +161,13 @@
 func (l *leadership) dropKeeper(p *proxy) {
 	p.cancel()
 	delete(l.proxies, p.name)
+	granted := p.granted.end()
 	l.node.Log.Info("keeper's assignments ended", zap.String("keeper", p.name), zap.Uint64("session", p.session.Number),
-		zap.Int("workers", len(l.workersOf[p.name])), zap.Duration("granted", p.granted.left()), zap.Duration("counted", l.authority()))
+		zap.Int("workers", len(l.workersOf[p.name])), zap.Duration("granted", time.Duration(granted)))
 	var ids []string
 	for id := range l.workersOf[p.name] {
 		ids = append(ids, id)
-		l.expiries.endAssignment(id, p.name, l.assignments[id].Token, l.authority())
+		l.expiries.endAssignment(id, p.name, l.assignments[id].Token, granted)
 		l.removeAssignment(id)
 	}
 	l.expiriesChanged = true
--- a/region/workerlist.go
+++ b/region/workerlist.go
@@ -137,7 +137,7 @@
 	if !assigned {
 		return
 	}
-	l.expiries.endAssignment(id, keeper, l.assignments[id].Token, l.authority())
+	l.expiries.endAssignment(id, keeper, l.assignments[id].Token, l.grantedTo(keeper))
 	l.expiriesChanged = true
 	l.removeAssignment(id)
 	if l.proxies[keeper] != nil {
