keep: stops are not dropped when many wait for one worker

No disturbance but the cancel is needed.

Cause: the keeper's queue of orders for one worker held 128 of any kind, and dropped what did not fit. A start that is dropped is reported to the planner; a stop was not, and the planner orders the stop of a run once in a session. A pace order was dropped in the same way.

Evidence: the planner's log has 400 `run stop ordered` and 260 `run ended`, 130 for each worker; with a line for dropped orders 140 stops are dropped. Ruled out: stops that the planner does not order, and stops without effect at the worker.

Fix: only starts are bounded, since the planner can place their tasks elsewhere. Other orders always fit: at most one waits for each run, so there are no more than the worker has runs, and a later one replaces it unless it is a stop. The order of sending is what it was.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"go.uber.org/zap"
 
 	"plantainwinch/duty"
 	"plantainwinch/proto"
@@ -105,7 +104,7 @@
 	startedEmpty bool // startedEmpty reports that no run existed at the worker when the assignment began.
 	nextBoot     bool // nextBoot reports that an earlier boot had the worker's ID.
 	cancel       context.CancelFunc
-	orders       chan queuedOrder
+	orders       *orderQueue
 	began        time.Time
 	// completionsRecorded wakes the next hold once no reported completion is left to record.
 	completionsRecorded chan struct{}
@@ -215,15 +214,9 @@
 		duty.Signal(h.renewalSignal)
 		return
 	}
-	select {
-	case h.orders <- queuedOrder{o, text, time.Now()}:
-	default:
+	if !h.orders.push(queuedOrder{o, text, time.Now()}) {
 		h.keeper.count("Keep.RingFull")
-		h.keeper.Log.Warn("order dropped: too many wait for the worker", zap.String("worker", h.vm.ID), zap.Uint8("kind", uint8(o.Kind)),
-			zap.String("job", o.Task.Job), zap.Uint64("run", o.Run))
-		if o.Kind == proto.OrderStart {
-			h.reportNotStarted(o)
-		}
+		h.reportNotStarted(o)
 	}
 }
 
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -24,8 +24,6 @@
 	// maxEvents bounds the events queued for the planner. A session in which more pile up ends,
 	// and in a new one everything is listed again.
 	maxEvents = 20_000
-	// orderQueueSize bounds the orders queued for one worker.
-	orderQueueSize = 128
 	// batchDelay is how long events are collected into one response: the tasks of a job
 	// complete close together, and a message costs the planner as much as ten events.
 	batchDelay = 4 * time.Millisecond
@@ -219,7 +217,7 @@
 	}
 	h := &holder{
 		keeper: k, vm: w.VM, token: w.Token, generation: w.Generation, startedEmpty: w.Empty, nextBoot: w.NextBoot, cancel: cancel, began: now, priorExpiry: now.Add(left),
-		orders: make(chan queuedOrder, orderQueueSize), runs: make(map[runKey]*runState), completionsRecorded: make(chan struct{}, 1),
+		orders: newOrderQueue(), runs: make(map[runKey]*runState), completionsRecorded: make(chan struct{}, 1),
 		renewalSignal: make(chan struct{}, 1),
 	}
 	k.holders[w.VM.ID], k.byToken[w.Token] = h, h
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -32,8 +32,11 @@
 	// maxForget is the largest Forget of the holds since the last boot.
 	maxForget uint64
 	stops     int
-	tries     int // tries counts the holds, also those without a response.
-	maxListed int // maxListed bounds the completions of one response; zero means that there is no bound.
+	stopped   uint64 // stopped counts the runs that were stopped, which numbers their completions.
+	tries     int    // tries counts the holds, also those without a response.
+	// orderDelay is how long the worker takes to respond to a start or stop.
+	orderDelay time.Duration
+	maxListed  int // maxListed bounds the completions of one response; zero means that there is no bound.
 }
 
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.begin) }
@@ -79,6 +82,7 @@
 }
 
 func (w *fakeWorker) Start(ctx context.Context, _ winch.WorkerVM, c winch.StartRequest) (winch.StartResult, time.Duration) {
+	time.Sleep(w.orderDelay)
 	w.mu.Lock()
 	lose := w.loseStarts
 	if !lose || w.late {
@@ -93,13 +97,15 @@
 }
 
 func (w *fakeWorker) Stop(_ context.Context, _ winch.WorkerVM, _ uint64, task winch.RunID, run uint64) error {
+	time.Sleep(w.orderDelay)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stops++
 	for i, r := range w.running {
 		if r.Task == task && r.Run == run {
 			w.running = append(w.running[:i:i], w.running[i+1:]...)
-			w.ended = append(w.ended, winch.Completion{Number: 1, Task: task, Run: run, Kind: winch.CompletionStopped})
+			w.stopped++
+			w.ended = append(w.ended, winch.Completion{Number: w.stopped, Task: task, Run: run, Kind: winch.CompletionStopped})
 		}
 	}
 	return nil
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -15,12 +15,11 @@
 // sendOrders sends queued orders to the worker, one at a time.
 func (h *holder) sendOrders(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		c, ok := h.orders.next(ctx)
+		if !ok {
 			return
-		case c := <-h.orders:
-			h.execute(ctx, c)
 		}
+		h.execute(ctx, c)
 	}
 }
 
