region: a job that is cancelled before it is stored is not stored later

Cause: the cancellation read the store, found nothing, and left nothing by which the late write would be refused. "There is no such job" holds only for the moment of the read.

Fix: the cancellation of an unknown job writes the record of an ended job, as cancelled, on condition that the store holds neither the job nor such a record. Submissions already require that there is none, so one that is late, or that arrives again, finds it; an ID remains one submission. If the job is stored in between, the cancellation begins again. DELETE is answered 200 now, and the state is `cancelled` for the retention period: the ID is spent, and 410 would say that it is free. The records are removed like those of other ended jobs; a planner reads those that it doesn't know every five minutes, so also what was written late or by others. As anybody may cancel any ID, an entry records 100 at once and 5 a second (then 429 and Retry-After); jobs that are known are not limited.

Before and after: TestJobThatIsCancelledBeforeItIsStoredDoesNotRun, TestSubmissionThatArrivesAgainAfterItsCancellationDoesNotRun and TestJobThatIsStoredWhileItIsCancelledDoesNotRun failed, and pass.

--- a/region/node.go
+++ b/region/node.go
@@ -101,6 +101,7 @@
 	mirror      mirror
 	prefetch    prefetcher
 	leadership  atomic.Pointer[leadership]
+	withdrawals withdrawals
 	waiting     atomic.Pointer[waitingView]
 	health      storeHealth
 	// abandonWatches is sent when calls that wait for changes of the store are to be sent again.
--- a/region/record.go
+++ b/region/record.go
@@ -33,9 +33,10 @@
 	// retentionMargin is added to how long an ended job is known. Callers count from when they
 	// see that the job has ended, which is later than the time in the record.
 	retentionMargin = 30 * time.Second
-	// endedReadDelay is how long after the takeover the records of jobs that ended under earlier
-	// planners are read.
-	endedReadDelay = 20 * time.Second
+	// endedReadDelay is how long after the takeover the records of ended jobs are first read, and
+	// endedReadInterval how often they are read again. Neither is urgent.
+	endedReadDelay    = 20 * time.Second
+	endedReadInterval = 5 * time.Minute
 	// sweepBatchSize is how many jobs, of two keys each, one transaction removes, and sweepDelay
 	// the pause between two transactions.
 	sweepBatchSize = (winch.MaxTxnItems - 1) / 2
@@ -139,18 +140,27 @@
 
 // runSweep removes the records of ended jobs after the retention period, until ctx ends.
 func (l *leadership) runSweep(ctx context.Context) {
-	old := l.readEnded(ctx)
+	var others map[string]time.Time // others holds when the jobs ended that this planner does not know.
+	nextRead := time.Now().Add(endedReadDelay)
 	for ctx.Err() == nil {
 		duty.Sleep(ctx, sweepInterval)
+		if time.Now().After(nextRead) {
+			nextRead = time.Now().Add(endedReadDelay)
+			if list, err := l.readEnded(ctx); err != nil {
+				l.node.Log.Info("records of ended jobs not read; retrying", zap.Error(err))
+			} else {
+				others, nextRead = list, time.Now().Add(endedReadInterval)
+			}
+		}
 		before := time.Now().Add(-l.node.Timing.Retention - retentionMargin)
 		var ids []string
 		if l.duty.Do(ctx, func() { ids = l.planner.ExpiredJobs(before) }) != nil {
 			return
 		}
-		for id, at := range old {
+		for id, at := range others {
 			if at.Before(before) {
 				ids = append(ids, id)
-				delete(old, id)
+				delete(others, id)
 			}
 		}
 		for batch := range slices.Chunk(ids, sweepBatchSize) {
@@ -161,27 +171,25 @@
 	}
 }
 
-// readEnded reads when the jobs ended that earlier planners recorded as ended. It waits for
-// endedReadDelay first, since the result is not urgent.
-func (l *leadership) readEnded(ctx context.Context) map[string]time.Time {
-	old := make(map[string]time.Time)
-	for ctx.Err() == nil {
-		duty.Sleep(ctx, endedReadDelay)
-		values, _, err := l.node.Table.Read(ctx, prefixEnded)
-		if err != nil {
-			l.node.Log.Info("records of ended jobs not read; retrying", zap.Error(err))
-			continue
-		}
-		for _, v := range values {
-			var r endedRecord
-			if err := decode(v.Data, &r); err != nil {
-				l.node.Log.Error("stored record cannot be decoded", zap.String("key", v.Key), zap.Error(err))
-			}
-			old[strings.TrimPrefix(v.Key, prefixEnded)] = r.At
+// readEnded reads when the jobs ended that are recorded as ended and that this planner does not know: earlier planners
+// recorded them, or they were cancelled before they were stored.
+func (l *leadership) readEnded(ctx context.Context) (map[string]time.Time, error) {
+	values, _, err := l.node.Table.Read(ctx, prefixEnded)
+	if err != nil {
+		return nil, err
+	}
+	ended := make(map[string]time.Time)
+	for _, v := range values {
+		var r endedRecord
+		if err := decode(v.Data, &r); err != nil {
+			l.node.Log.Error("stored record cannot be decoded", zap.String("key", v.Key), zap.Error(err))
 		}
-		break
+		ended[strings.TrimPrefix(v.Key, prefixEnded)] = r.At
 	}
-	return old
+	err = l.duty.Do(ctx, func() {
+		maps.DeleteFunc(ended, func(id string, _ time.Time) bool { return l.planner.HasJob(id) })
+	})
+	return ended, err
 }
 
 // sweep removes the records and commands of ended jobs and has the planner forget the jobs.
--- a/region/serve.go
+++ b/region/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -106,35 +105,6 @@
 	return nil, nil
 }
 
-// Cancel implements winch.Region. It returns when the cancellation is stored.
-func (n *Node) Cancel(ctx context.Context, id string) winch.Result {
-	if !n.storeResponsive() {
-		return winch.RefuseFor(winch.StoreUnavailable, "the store does not answer", retryAfter)
-	}
-	s, ended, err := n.readJob(ctx, id)
-	switch {
-	case err != nil:
-		return winch.RefuseFor(winch.StoreUnavailable, "the store did not answer", retryAfter)
-	case ended != nil, s.cancelled, s.progress != nil && s.progress.State.Final():
-		return winch.Result{Outcome: winch.Done}
-	case s.job == nil:
-		return winch.Refuse(winch.UnknownJob, "no such submission")
-	}
-	key := keyCancel(id)
-	_, err = n.Table.Commit(ctx, winch.Txn{
-		Expect: map[string]uint64{key: 0, keyJob(id): s.job.Revision}, Writes: []winch.Write{{Key: key, Data: encode(time.Now())}},
-	})
-	// A conflict means that the job is already cancelled or has ended.
-	if err != nil && !errors.Is(err, winch.ErrConflict) {
-		if errors.Is(err, winch.ErrUnavailable) {
-			return winch.RefuseFor(winch.StoreUnavailable, "the store did not take the cancel", retryAfter)
-		}
-		return winch.Uncertain(winch.StoreUnavailable, "the store did not answer; cancel again")
-	}
-	n.notifyPlanner(proto.KindCancel, proto.CancelJob{ID: id})
-	return winch.Result{Outcome: winch.Done}
-}
-
 // Waiting implements winch.Region.
 func (n *Node) Waiting(_ context.Context, queue string) (int, winch.Result) {
 	v := n.waiting.Load()
