keep: a pace order without a response is sent again

Cause, of the class of the dropped stops: the planner orders a percentage once and takes it as in force. A call without a response was counted and forgotten.

Fix: the keeper sends it again, every retryDelay, until the worker has responded, the run has ended or another percentage was ordered.

TestThrottleWithoutAResponseIsRepeated failed before (no percentage in force after one lost call of a series), passes 20 of 20 with the race detector.

--- a/coord/keep/holder.go
+++ b/coord/keep/holder.go
@@ -86,6 +86,8 @@
 	reported   bool
 	percent    float64
 	checkpoint string
+	// orderedPercent is the throttle percentage last ordered.
+	orderedPercent int
 }
 
 // queuedOrder is an order that waits to be sent to the worker.
@@ -214,6 +216,13 @@
 		duty.Signal(h.renewalSignal)
 		return
 	}
+	if o.Kind == proto.OrderThrottle {
+		h.mu.Lock()
+		if r := h.runs[runKey{o.Task, o.Run}]; r != nil {
+			r.orderedPercent = o.Percent
+		}
+		h.mu.Unlock()
+	}
 	if !h.orders.push(queuedOrder{o, text, time.Now()}) {
 		h.keeper.count("Keep.RingFull")
 		h.reportNotStarted(o)
--- a/coord/keep/keep_test.go
+++ b/coord/keep/keep_test.go
@@ -34,6 +34,9 @@
 	stops     int
 	stopped   uint64 // stopped counts the runs that were stopped, which numbers their completions.
 	tries     int    // tries counts the holds, also those without a response.
+	// loseThrottles is how many throttles get no response and have no effect; throttles counts all, percent is that of the last
+	// one that had an effect.
+	loseThrottles, throttles, percent int
 	// orderDelay is how long the worker takes to respond to a start or stop.
 	orderDelay time.Duration
 	maxListed  int // maxListed bounds the completions of one response; zero means that there is no bound.
@@ -111,7 +114,20 @@
 	return nil
 }
 
-func (w *fakeWorker) Throttle(context.Context, winch.WorkerVM, uint64, winch.RunID, uint64, int) error {
+func (w *fakeWorker) Throttle(ctx context.Context, _ winch.WorkerVM, _ uint64, _ winch.RunID, _ uint64, percent int) error {
+	w.mu.Lock()
+	lose := w.loseThrottles > 0
+	w.throttles++
+	if lose {
+		w.loseThrottles--
+	} else {
+		w.percent = percent
+	}
+	w.mu.Unlock()
+	if lose {
+		<-ctx.Done()
+		return winch.ErrUncertain
+	}
 	return nil
 }
 
--- a/coord/keep/queue.go
+++ b/coord/keep/queue.go
@@ -49,6 +49,18 @@
 	return true
 }
 
+// retry queues an order other than a start again, unless one waits for the same run.
+func (q *orderQueue) retry(o queuedOrder) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	key := runKey{o.Task, o.Run}
+	if q.byRun[key] == nil {
+		q.byRun[key] = &o
+		q.orders = append(q.orders, &o)
+		duty.Signal(q.wake)
+	}
+}
+
 // next waits for an order and takes it from the queue. It returns false once ctx has ended.
 func (q *orderQueue) next(ctx context.Context) (queuedOrder, bool) {
 	for ctx.Err() == nil {
--- a/coord/keep/queue_test.go
+++ b/coord/keep/queue_test.go
@@ -80,3 +80,48 @@
 	_, more := q.pop()
 	is.True(!more)
 }
+
+// Guards against tasks that go on at the wrong speed: the call that sets a percentage gets no response, and the planner does not order
+// the same percentage again.
+func TestThrottleWithoutAResponseIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		worker := &fakeWorker{begin: time.Now(), loseThrottles: 3, running: []winch.Running{{Task: oneTask, Run: 1}}}
+		r := newFixtureOf(ctx, worker)
+		time.Sleep(time.Second)
+		throttle := func(percent int) {
+			r.keeper.QueueOrders(proto.KeeperOrders{Session: r.session, Orders: []proto.Order{
+				{Kind: proto.OrderThrottle, Worker: "w", Token: 5, Task: oneTask, Run: 1, Percent: percent},
+			}})
+		}
+		throttle(40)
+		time.Sleep(3 * time.Second)
+		worker.mu.Lock()
+		is.Equal(worker.percent, 40)
+		is.Equal(worker.throttles, 4)
+		worker.loseThrottles = 2
+		worker.mu.Unlock()
+		throttle(20)
+		throttle(60)
+		time.Sleep(3 * time.Second)
+		worker.mu.Lock()
+		is.Equal(worker.percent, 60)
+		worker.loseThrottles = 1 << 30
+		worker.mu.Unlock()
+		throttle(80)
+		time.Sleep(time.Second)
+		worker.mu.Lock()
+		worker.running, worker.ended = nil, []winch.Completion{{Number: 1, Task: oneTask, Run: 1, Kind: winch.CompletionDone}}
+		worker.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		worker.mu.Lock()
+		before := worker.throttles
+		worker.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		worker.mu.Lock()
+		is.Equal(worker.throttles, before) // The run has ended.
+		worker.mu.Unlock()
+		r.end(cancel)
+	})
+}
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -31,11 +31,26 @@
 	case proto.OrderStop:
 		h.stopUntilResponse(ctx, runKey{c.Task, c.Run}, false)
 	case proto.OrderThrottle:
-		callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
-		defer cancel()
-		if err := h.keeper.Client.Throttle(callCtx, h.vm, h.token, c.Task, c.Run, c.Percent); err != nil {
-			h.keeper.count("Keep.PaceFailed")
-		}
+		h.throttle(ctx, c)
+	}
+}
+
+// throttle sets the percentage of a run. The planner orders a percentage once, so an order without a response is
+// queued again, unless the run has ended or another percentage was ordered since.
+func (h *holder) throttle(ctx context.Context, c queuedOrder) {
+	callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
+	defer cancel()
+	if isResponse(h.keeper.Client.Throttle(callCtx, h.vm, h.token, c.Task, c.Run, c.Percent)) {
+		return
+	}
+	h.keeper.count("Keep.PaceFailed")
+	duty.Sleep(ctx, retryDelay)
+	h.mu.Lock()
+	r := h.runs[runKey{c.Task, c.Run}]
+	wanted := r != nil && r.orderedPercent == c.Percent
+	h.mu.Unlock()
+	if wanted {
+		h.orders.retry(c)
 	}
 }
 
