region, known red: a refused submission may be stored by an earlier attempt

Not mended here: an entry knows only its own attempts, and a record left for a refusal would refuse the caller's next try, too.

--- a/region/withdrawn_test.go
+++ b/region/withdrawn_test.go
@@ -228,3 +228,39 @@
 	defer n.world.mu.Unlock()
 	return n.node != nil && n.node.Config() != nil
 }
+
+// Guards against a job that runs although its caller was told that it never will: the caller's first attempt got no response, a second one at
+// another entry is refused, and the store executes the first one's transaction after that.
+func TestRefusedSubmissionIsNotStoredByAnEarlierAttempt(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		const id = "00000000000000a1"
+		w := newWorld(t, 95, 3, 9)
+		settle()
+		w.setStore(func(s *simStore) {
+			s.executesLate = func(txn winch.Txn) time.Duration {
+				if submits(txn, id) {
+					return 3 * time.Second
+				}
+				return 0
+			}
+		})
+		is.True(!w.attempt(w.nodes["d0-0"], lastingJob(id), 500*time.Millisecond).OK())
+		refuse := func(on bool) {
+			w.setStore(func(s *simStore) {
+				s.refusedHosts = make(map[string]bool)
+				for host := range w.nodes {
+					s.refusedHosts[host] = on
+				}
+			})
+		}
+		refuse(true)
+		result := w.attempt(w.nodes["d1-0"], lastingJob(id), time.Second)
+		refuse(false)
+		is.True(!result.OK())
+		time.Sleep(8 * time.Second)
+		is.True(result.Outcome != winch.NotRun || w.runsOf(id) == 0)
+		w.end()
+	})
+}
