region, keep: one type for what has to end by two clocks

What remains of the office and of a keeper's authority was computed in two places. The text of an uncertain cancel says what is uncertain.

--- a/coord/keep/deadline.go
+++ b/coord/keep/deadline.go
@@ -2,25 +2,25 @@
 
 import "time"
 
-// deadline is a time by which the keeper has to stop, on two clocks: the monotonic clock stands still while the VM is
-// suspended, and the time of day may be set.
-type deadline struct {
-	monotonic time.Time
-	wall      time.Time
+// Deadline is a time by which something that an entry was allowed has to end. It is kept on two clocks, since the monotonic
+// clock stands still while the VM is suspended, and the time of day may be set.
+type Deadline struct {
+	Monotonic time.Time
+	Wall      time.Time
 }
 
-// after returns the deadline that lies d after a moment.
-func after(moment time.Time, d time.Duration) deadline {
-	return deadline{monotonic: moment.Add(d), wall: moment.Add(d).Round(0)}
+// DeadlineAt returns the deadline at a time of which both clocks are known.
+func DeadlineAt(at time.Time) Deadline {
+	return Deadline{Monotonic: at, Wall: at.Round(0)}
 }
 
-// left returns the least time that remains.
-func (d deadline) left() time.Duration {
+// Left returns how long the deadline is away by the clock that leaves less.
+func (d Deadline) Left() time.Duration {
 	now := time.Now()
-	return min(d.monotonic.Sub(now), d.wall.Sub(now.Round(0)))
+	return min(d.Monotonic.Sub(now), d.Wall.Sub(now.Round(0)))
 }
 
 // extend moves the deadline to a later one.
-func (d *deadline) extend(to deadline) {
-	d.monotonic, d.wall = later(d.monotonic, to.monotonic), later(d.wall, to.wall)
+func (d *Deadline) extend(to Deadline) {
+	d.Monotonic, d.Wall = later(d.Monotonic, to.Monotonic), later(d.Wall, to.Wall)
 }
--- a/coord/keep/deadline_test.go
+++ b/coord/keep/deadline_test.go
@@ -12,7 +12,7 @@
 // suspend lets the keeper's monotonic clock stand still while the time of day and the worker's clock go on.
 func (r *fixture) suspend(d time.Duration) {
 	r.keeper.mu.Lock()
-	r.keeper.authority.wall = r.keeper.authority.wall.Add(-d) // It lies that much closer on the time of day.
+	r.keeper.authority.Wall = r.keeper.authority.Wall.Add(-d) // It lies that much closer on the time of day.
 	r.keeper.mu.Unlock()
 	r.worker.mu.Lock()
 	r.worker.begin = r.worker.begin.Add(-d)
@@ -39,7 +39,7 @@
 		is.True(r.worker.until <= granted)
 		r.worker.mu.Unlock()
 		r.keeper.mu.Lock()
-		r.keeper.authority = deadline{}
+		r.keeper.authority = Deadline{}
 		r.keeper.mu.Unlock()
 		r.end(cut)
 	})
--- a/coord/keep/keep.go
+++ b/coord/keep/keep.go
@@ -52,7 +52,7 @@
 	mu        sync.Mutex
 	session   proto.Session
 	started   time.Time
-	authority deadline // authority is when the authority granted by the planner ends.
+	authority Deadline // authority is when the authority granted by the planner ends.
 	// answeredAt is when the last poll of the session was answered. The planner names it in the next one.
 	answeredAt time.Time
 	holders    map[string]*holder
@@ -133,7 +133,7 @@
 	}
 	if newer(set.Session, k.session) {
 		k.beginSession(set.Session)
-		k.authority = after(time.Now(), set.Authority)
+		k.authority = DeadlineAt(time.Now().Add(set.Authority))
 	}
 	k.messages++
 	wanted := make(map[string]bool, len(set.Workers))
@@ -197,7 +197,7 @@
 	}
 	k.session = s
 	k.Log.Info("keeper session started", zap.Uint64("term", s.Term), zap.Uint64("session", s.Number),
-		zap.Duration("authorityLeft", k.authority.left()))
+		zap.Duration("authorityLeft", k.authority.Left()))
 }
 
 // lastEndedAssignments returns the last ended assignment of each unassigned worker.
@@ -215,7 +215,7 @@
 	left := w.Left
 	if w.Empty {
 		// No work waits for this expiry, and the worker may take a while to respond first.
-		left = ExpiryBound(max(k.Lease, k.authority.monotonic.Sub(now)))
+		left = ExpiryBound(max(k.Lease, k.authority.Monotonic.Sub(now)))
 	}
 	h := &holder{
 		keeper: k, vm: w.VM, token: w.Token, generation: w.Generation, startedEmpty: w.Empty, nextBoot: w.NextBoot, cancel: cancel, began: now, priorExpiry: now.Add(left),
@@ -340,7 +340,7 @@
 		return proto.KeeperPollResponse{Term: k.session.Term}, true
 	}
 	if req.Stamp > 0 && req.Stamp == k.answeredAt.Sub(k.started) {
-		k.authority.extend(after(k.answeredAt, req.Authority))
+		k.authority.extend(DeadlineAt(k.answeredAt.Add(req.Authority)))
 	}
 	k.ended, k.endedSent = k.ended[k.endedSent:], 0 // Another poll means that the last response was received.
 	if len(k.events) == 0 && len(k.ended) == 0 {
@@ -384,7 +384,7 @@
 func (k *Keeper) authorityLeft() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.authority.left()
+	return k.authority.Left()
 }
 
 func (k *Keeper) count(name string) {
--- a/region/authority_test.go
+++ b/region/authority_test.go
@@ -14,7 +14,7 @@
 	w.log.note("the time of day of %s steps by %v", n.host, by)
 	if l := n.node.leadership.Load(); l != nil {
 		v := *l.validity.Load()
-		v.wall = v.wall.Add(-by) // What was recorded before the step lies that much earlier on the clock.
+		v.Wall = v.Wall.Add(-by) // What was recorded before the step lies that much earlier on the clock.
 		l.validity.Store(&v)
 	}
 }
--- a/region/cancel.go
+++ b/region/cancel.go
@@ -61,7 +61,7 @@
 }
 
 func uncertainCancel() winch.Result {
-	return winch.Uncertain(winch.StoreUnavailable, "the store did not answer; cancel again")
+	return winch.Uncertain(winch.StoreUnavailable, "it is not known whether the cancel is stored; cancel again")
 }
 
 // recordCancel records the cancellation of a stored job.
--- a/region/office.go
+++ b/region/office.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"plantainwinch/coord/keep"
 	"plantainwinch/duty"
 	"plantainwinch/winch"
 )
@@ -302,21 +303,12 @@
 }
 
 // validity is the time until which this entry is guaranteed to hold the office. It is counted from before
-// the renewal was sent, on two clocks: the monotonic clock stands still while the VM is suspended, and
-// the time of day may be set.
-type validity struct {
-	monotonic time.Time
-	wall      time.Time
-}
+// the renewal was sent.
+type validity struct{ keep.Deadline }
 
-func newValidity(until time.Time) validity {
-	return validity{monotonic: until, wall: until.Round(0)}
-}
+func newValidity(until time.Time) validity { return validity{keep.DeadlineAt(until)} }
 
 // confirmedAt returns when the call was sent with which the store last confirmed the office.
-func (v validity) confirmedAt() time.Time { return v.monotonic.Add(-officeTTL) }
+func (v validity) confirmedAt() time.Time { return v.Monotonic.Add(-officeTTL) }
 
-func (v validity) remaining() time.Duration {
-	now := time.Now()
-	return min(v.monotonic.Sub(now), v.wall.Sub(now.Round(0))) - validityMargin
-}
+func (v validity) remaining() time.Duration { return v.Left() - validityMargin }
