--- a/coord/keep/heldconn_test.go
+++ b/coord/keep/heldconn_test.go
@@ -164,7 +164,9 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		worker.restart(0)
+		worker.mu.Lock()
 		before := worker.lostCalls
+		worker.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		worker.mu.Lock()
 		is.True(worker.lostCalls > before)
