--- a/region/withdrawn_test.go
+++ b/region/withdrawn_test.go
@@ -31,11 +31,17 @@
 	})
 }
 
-// attempt submits a job at an entry; the caller leaves after the given time.
+// attempt submits a job at an entry, if that runs and has a configuration; the caller leaves after the given time.
 func (w *world) attempt(n *simNode, job *winch.PhasedJob, wait time.Duration) winch.Result {
+	w.mu.Lock()
+	node := n.node
+	w.mu.Unlock()
+	if node == nil || node.Config() == nil {
+		return winch.Refuse(winch.StoreUnavailable, "the entry does not run")
+	}
 	ctx, cancel := context.WithTimeout(w.ctx, wait)
 	defer cancel()
-	return n.node.Submit(ctx, job)
+	return node.Submit(ctx, job)
 }
 
 // Guards against tasks of a cancelled job that run: the job's submission was on its way to the store when it was cancelled at another
@@ -202,14 +208,12 @@
 // and then. It reports a violation if tasks run too long after the acknowledgement.
 func (w *world) submitAndCancel(id string) {
 	for range 1 + w.intn(2) {
-		if n := w.randomNode(); n.running() {
-			w.attempt(n, lastingJob(id), time.Duration(50+w.intn(800))*time.Millisecond)
-		}
+		w.attempt(w.randomNode(), lastingJob(id), time.Duration(50+w.intn(800))*time.Millisecond)
 	}
 	w.cancelJob(id)
 	acknowledged := time.Now()
-	if n := w.randomNode(); w.intn(3) == 0 && n.running() {
-		w.attempt(n, lastingJob(id), time.Second)
+	if w.intn(3) == 0 {
+		w.attempt(w.randomNode(), lastingJob(id), time.Second)
 	}
 	for time.Since(acknowledged) < 14*time.Second {
 		time.Sleep(200 * time.Millisecond)
@@ -222,13 +226,6 @@
 	}
 }
 
-// running reports whether the entry's process runs and has a configuration.
-func (n *simNode) running() bool {
-	n.world.mu.Lock()
-	defer n.world.mu.Unlock()
-	return n.node != nil && n.node.Config() != nil
-}
-
 // Guards against a job that runs although its caller was told that it never will: the caller's first attempt got no response, a second one at
 // another entry is refused, and the store executes the first one's transaction after that.
 func TestRefusedSubmissionIsNotStoredByAnEarlierAttempt(t *testing.T) {
