--- a/region/authority_test.go
+++ b/region/authority_test.go
@@ -35,6 +35,17 @@
 	w.noteLinks()
 }
 
+// cutOffAndCheck cuts a failure domain off for longer than any authority, checks that all lasting tasks run again afterwards, and
+// ends the world.
+func (w *world) cutOffAndCheck(is *is.I, domain string) {
+	w.breakLinks(domain, true)
+	time.Sleep(9 * time.Second)
+	w.breakLinks(domain, false)
+	time.Sleep(6 * time.Second)
+	is.Equal(w.runningLasting(), 18)
+	w.end()
+}
+
 // Guards against tasks that run twice, in a failure domain that is cut off and outside, since its keepers' leases are taken to
 // end before the authority that they were granted: the time of day of the planner's VM has stepped right before the cut.
 func TestTasksOfACutOffDomainWaitForTheGrantedAuthority(t *testing.T) {
@@ -50,12 +61,7 @@
 				domain := w.otherDomain(p)
 				w.stepClock(p, step)
 				time.Sleep(20 * time.Millisecond)
-				w.breakLinks(domain, true)
-				time.Sleep(9 * time.Second)
-				w.breakLinks(domain, false)
-				time.Sleep(6 * time.Second)
-				is.Equal(w.runningLasting(), 18)
-				w.end()
+				w.cutOffAndCheck(is, domain)
 			})
 		})
 	}
@@ -81,12 +87,7 @@
 				w.checkLeases()
 				w.stepClock(p, 5*time.Second)
 				time.Sleep(160 * time.Millisecond)
-				w.breakLinks(domain, true)
-				time.Sleep(9 * time.Second)
-				w.breakLinks(domain, false)
-				time.Sleep(6 * time.Second)
-				is.Equal(w.runningLasting(), 18)
-				w.end()
+				w.cutOffAndCheck(is, domain)
 			})
 		})
 	}
