--- a/region/cancelmany_test.go
+++ b/region/cancelmany_test.go
@@ -27,12 +27,6 @@
 	return w
 }
 
-// submitMany submits a job of many lasting tasks.
-func (w *world) submitMany(id string, count int) {
-	phase := winch.Phase{Count: count, Need: winch.Capacity{Milli: taskMilli}, Estimate: taskDuration, Lasting: true}
-	w.submitJob(&winch.PhasedJob{ID: id, Queue: "preview", Team: "choir", Command: lastingCommand, Phases: []winch.Phase{phase}})
-}
-
 // runsOf returns how many runs of a job go on at all workers.
 func (w *world) runsOf(id string) (n int) {
 	w.mu.Lock()
@@ -67,7 +61,7 @@
 		const id, other = "00000000000000a1", "00000000000000a2"
 		w := newWorldOfLargeWorkers(t, 81)
 		for job, count := range map[string]int{id: 600, other: 60} {
-			w.submitMany(job, count)
+			w.acceptLasting(job, count)
 			is.True(w.awaitRuns(job, count, 20*time.Second))
 		}
 		is.True(w.planner().node.Cancel(w.ctx, id).OK())
@@ -91,7 +85,7 @@
 				for i := range 4 {
 					id := fmt.Sprintf("%016x", i+1)
 					ids = append(ids, id)
-					w.submitMany(id, 100+w.intn(120))
+					w.acceptLasting(id, 100+w.intn(120))
 				}
 				time.Sleep(5 * time.Second)
 				faults := make(chan struct{})
