--- a/review/_stand3/cases.go
+++ b/review/_stand3/cases.go
@@ -167,65 +167,6 @@
 	return c.judgeIdle("parish", routes[1], ids)
 }
 
-// Of the crashes: how many there are, the pause between two, how many executors each takes down, and for how long.
-const (
-	crashCount   = 4
-	crashEvery   = 3 * time.Second
-	crashedAtOne = 6
-	crashedFor   = time.Second
-)
-
-// joinedFirst returns the executors, those that run a submission first.
-func (c *cluster) joinedFirst(id string) []*executor {
-	var joined, others []*executor
-	for _, e := range c.executors {
-		if e.runsJob(id) {
-			joined = append(joined, e)
-		} else {
-			others = append(others, e)
-		}
-	}
-	return append(joined, others...)
-}
-
-// playCrashes has some executors crash every few seconds, those in a gang first, while the gang works.
-func playCrashes(c *cluster, trouble bool) int {
-	const id = "00000000000f0001"
-	c.site.declareGang(id, 12)
-	special := submission{Spec: "mix 8s", Phases: []phase{{Count: 12, capacity: capacity{CPU: 2700, MemMB: 3900}, Estimate: 8000, Gang: true}}}
-	if !c.submit(0, routes[1], id, "choir", special) {
-		return unclear
-	}
-	time.Sleep(time.Second)
-	if trouble {
-		for range crashCount {
-			for _, e := range c.joinedFirst(id)[:crashedAtOne] {
-				c.rec.line("%s crashes and is back after %v", e.id, crashedFor)
-				go e.crash(c.store, crashedFor)
-			}
-			time.Sleep(crashEvery)
-		}
-	}
-	state := ""
-	for n := range 25 {
-		if _, state = c.call(n, http.MethodGet, routes[1], id, "choir", nil); state == "completed" || state == "failed" {
-			break
-		}
-		time.Sleep(time.Second)
-	}
-	c.site.mu.Lock()
-	failed := c.site.failed[id]
-	c.site.mu.Unlock()
-	if state == "failed" && failed == 0 {
-		c.rec.line("LOST: the submission is shown as failed, and no run of it has ended failed")
-		return broken
-	}
-	if state != "completed" {
-		return unclear
-	}
-	return held
-}
-
 // playSameID has a consumer of another tenant choose, on its own queue, the ID of a submission that runs.
 func playSameID(c *cluster, trouble bool) int {
 	const shared = "00000000000d0001"
@@ -311,27 +252,3 @@
 	}
 	return result
 }
-
-// playMemory hands in a wave of submissions, the tasks of one of which need more memory than any executor has.
-func playMemory(c *cluster, trouble bool) int {
-	need := int64(executorMemMB / 2)
-	if trouble {
-		need = 1 << 44
-	}
-	const id = "00000000000e0001"
-	special := submission{Spec: "preview 2s", Phases: []phase{{Count: 4, capacity: capacity{CPU: 1000, MemMB: need}, Estimate: 2000}}}
-	if !c.wave("choir", id, special) {
-		return unclear
-	}
-	time.Sleep(5 * time.Second)
-	c.call(1, http.MethodGet, routes[0], id, "choir", nil)
-	c.site.mu.Lock()
-	defer c.site.mu.Unlock()
-	for _, x := range c.site.over {
-		c.rec.line("LIMIT: %s", x)
-	}
-	if len(c.site.over) > 0 {
-		return broken
-	}
-	return held
-}
--- a/review/_stand3/executor.go
+++ b/review/_stand3/executor.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,69 +19,12 @@
 // holdMax is the longest lease that an executor grants.
 const holdMax = 6 * time.Second
 
-// gangLimit is the bound gang-ms: how long a member waits for the others.
-const gangLimit = 3 * time.Second
-
-// gang is the run of a gang, whose members work once all are present.
-type gang struct {
-	mu      sync.Mutex
-	size    int
-	present int
-	ends    time.Time // ends is set once the gang is complete.
-	broken  bool
-}
-
-// join adds a member and has the gang begin if it is the last one.
-func (g *gang) join(work time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.present++; g.present == g.size {
-		g.ends = time.Now().Add(work)
-	}
-}
-
-// leave breaks the gang unless it is done.
-func (g *gang) leave() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.broken = g.broken || g.ends.IsZero() || time.Now().Before(g.ends)
-}
-
-// due returns how a member's run has ended, or "".
-func (g *gang) due(joined time.Time) string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch {
-	case g.broken:
-		return "broken"
-	case g.ends.IsZero() && time.Since(joined) > gangLimit:
-		g.broken = true
-		return "alone"
-	case !g.ends.IsZero() && time.Now().After(g.ends):
-		return "done"
-	}
-	return ""
-}
-
 // run is a task that an executor runs.
 type run struct {
 	task   string
 	number uint64
 	spec   string
-	began  time.Time
 	ends   time.Time
-	gang   *gang // gang is nil for a task that works by itself.
-}
-
-// due returns how the run has ended, or "".
-func (r *run) due() string {
-	switch {
-	case r.gang != nil:
-		return r.gang.due(r.began)
-	case time.Now().After(r.ends):
-		return "done"
-	}
-	return ""
 }
 
 // site is all that the executors share.
@@ -96,18 +38,12 @@
 	done    map[string]map[string]bool
 	// started lists the starts of each submission, with the spec.
 	started map[string][]string
-	// sizes holds the number of tasks of the submissions that are gangs, gangs their runs, failed the ends failed.
-	sizes  map[string]int
-	gangs  map[string]*gang
-	failed map[string]int
-	used   capacity
-	total  capacity
-	// over holds what has brought an executor over its capacity.
-	over []string
+	used    capacity
+	total   capacity
 }
 
 func newSite(rec *record) *site {
-	return &site{rec: rec, needs: make(map[string]capacity), running: make(map[string]int), done: make(map[string]map[string]bool), started: make(map[string][]string), sizes: make(map[string]int), gangs: make(map[string]*gang), failed: make(map[string]int)}
+	return &site{rec: rec, needs: make(map[string]capacity), running: make(map[string]int), done: make(map[string]map[string]bool), started: make(map[string][]string)}
 }
 
 // jobOf returns the submission that a task belongs to.
@@ -130,40 +66,6 @@
 	s.used.MemMB += n * s.needs[id].MemMB
 }
 
-// declareGang notes that a submission is a gang of the given size.
-func (s *site) declareGang(id string, size int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sizes[id] = size
-}
-
-// gangOf returns the gang that a run of a task belongs to, or nil.
-func (s *site) gangOf(task string, number uint64) *gang {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	size := s.sizes[jobOf(task)]
-	if size == 0 {
-		return nil
-	}
-	name := fmt.Sprint(jobOf(task), number)
-	if s.gangs[name] == nil {
-		s.gangs[name] = &gang{size: size}
-	}
-	return s.gangs[name]
-}
-
-func (s *site) noteFailed(task string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failed[jobOf(task)]++
-}
-
-func (s *site) needOf(task string) capacity {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.needs[jobOf(task)]
-}
-
 func (s *site) noteDone(task string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -200,8 +102,6 @@
 	boot     time.Time
 
 	mu       sync.Mutex
-	server   *http.Server
-	down     bool
 	seq      int
 	token    uint64
 	until    int64 // until is the end of the lease on the executor's clock, in milliseconds.
@@ -234,7 +134,7 @@
 	return e, nil
 }
 
-// serve begins a boot, which holds and knows nothing of before.
+// serve begins to serve the executor's calls.
 func (e *executor) serve(ln net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+apiPath("run", "start"), e.order(e.start))
@@ -244,54 +144,9 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.born, e.boot, e.seq, e.token, e.until, e.last, e.finished, e.down = now.UnixMilli(), now.Add(-time.Second), 0, 0, 0, 0, nil, false
+	e.born, e.boot, e.seq, e.token, e.until, e.last, e.finished = now.UnixMilli(), now.Add(-time.Minute), 0, 0, 0, 0, nil
 	e.runs, e.ended, e.changed = make(map[string]*run), make(map[string]uint64), make(chan struct{})
-	server := &http.Server{Handler: mux}
-	e.server = server
-	go func() { _ = server.Serve(ln) }()
-}
-
-// crash ends the boot with all that it runs, and begins the next one at the same address after a time.
-func (e *executor) crash(st *store, downFor time.Duration) {
-	e.mu.Lock()
-	e.down = true
-	for _, r := range e.runs {
-		e.site.count(r.task, -1)
-		e.site.rec.run("%s %s run %d lost: the executor crashes", e.id, r.task, r.number)
-		if r.gang != nil {
-			r.gang.leave()
-		}
-	}
-	e.runs = make(map[string]*run)
-	server := e.server
-	e.mu.Unlock()
-	_ = server.Close()
-	time.Sleep(downFor)
-	for try := 0; ; try++ {
-		ln, err := net.Listen("tcp", e.address)
-		if err == nil {
-			e.serve(ln)
-			e.register(st)
-			return
-		}
-		if try == 50 {
-			e.site.rec.line("%s did not start again: %v", e.id, err)
-			return
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
-// runsJob reports whether a task of a submission runs there.
-func (e *executor) runsJob(id string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for task := range e.runs {
-		if jobOf(task) == id {
-			return true
-		}
-	}
-	return false
+	go func() { _ = http.Serve(ln, mux) }()
 }
 
 // beat writes the executor's entry into the store every heartbeat.
@@ -302,13 +157,10 @@
 	}
 }
 
-// register writes the executor's entry, unless it is down.
+// register writes the executor's entry.
 func (e *executor) register(st *store) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.down {
-		return
-	}
 	e.seq++
 	st.put("servers/"+e.id, map[string]any{
 		"service": "render", "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
@@ -326,14 +178,8 @@
 	e.last++
 	e.finished = append(e.finished, []any{e.last, r.task, r.number, how, ""})
 	e.site.count(r.task, -1)
-	switch how {
-	case "done":
+	if how == "done" {
 		e.site.noteDone(r.task)
-	case "failed":
-		e.site.noteFailed(r.task)
-	}
-	if r.gang != nil {
-		r.gang.leave()
 	}
 	e.site.rec.run("%s %s run %d ended %s", e.id, r.task, r.number, how)
 	close(e.changed)
@@ -342,11 +188,12 @@
 
 // endDue ends the runs whose work is done, and all if the lease is over. The caller holds the mutex.
 func (e *executor) endDue() {
-	lapsed := e.clock() > e.until
+	now, lapsed := time.Now(), e.clock() > e.until
 	for _, r := range e.runs {
-		if how := r.due(); how != "" {
-			e.end(r, how)
-		} else if lapsed {
+		switch {
+		case now.After(r.ends):
+			e.end(r, "done")
+		case lapsed:
 			e.end(r, "lapsed")
 		}
 	}
@@ -439,24 +286,10 @@
 			work = d
 		}
 	}
-	now := time.Now()
-	x := &run{task: task, number: number, spec: spec, began: now, ends: now.Add(work), gang: e.site.gangOf(task, number)}
-	if x.gang != nil {
-		x.gang.join(work)
-	}
-	e.runs[task] = x
+	e.runs[task] = &run{task: task, number: number, spec: spec, ends: time.Now().Add(work)}
 	e.site.count(task, 1)
-	var used capacity
-	for t := range e.runs {
-		need := e.site.needOf(t)
-		used.CPU += need.CPU
-		used.MemMB += need.MemMB
-	}
 	e.site.mu.Lock()
 	e.site.started[jobOf(task)] = append(e.site.started[jobOf(task)], spec)
-	if used.CPU > e.capacity.CPU || used.MemMB > e.capacity.MemMB {
-		e.site.over = append(e.site.over, fmt.Sprintf("%s has %+v and was brought to %+v by the start of %s", e.id, e.capacity, used, task))
-	}
 	e.site.mu.Unlock()
 	e.site.rec.run("%s %s run %d started, spec %q", e.id, task, number, spec)
 	return http.StatusOK, ""
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -67,8 +67,6 @@
 	store   *store
 	site    *site
 	entries []*entry
-
-	executors []*executor
 	// keep is how long the state of an ended submission can be asked for: the bound status_s.
 	keep string
 }
@@ -181,7 +179,6 @@
 		if err != nil {
 			return c, err
 		}
-		c.executors = append(c.executors, e)
 		go e.beat(c.store)
 	}
 	for i := range entryCount {
@@ -332,7 +329,6 @@
 	capacity
 	Estimate int64  `json:"estimate-ms"`
 	Requires string `json:"requires,omitempty"`
-	Gang     bool   `json:"gang,omitempty"`
 }
 
 // call sends a consumer's call to an entry and returns the status, 0 if there was no response, and the state in the response.
@@ -411,9 +407,9 @@
 }
 
 func play() int {
-	cases := map[string]func(*cluster, bool) int{"large": playLarge, "timed": playTimed, "hopeless": playHopeless, "crashes": playCrashes, "same-id": playSameID, "memory": playMemory, "reuse": playReuse}
+	cases := map[string]func(*cluster, bool) int{"large": playLarge, "timed": playTimed, "hopeless": playHopeless, "same-id": playSameID, "reuse": playReuse}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: _stand3 timed|large|hopeless|crashes|same-id|memory|reuse FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: _stand3 timed|large|hopeless|same-id|reuse FOLDER")
 		return unclear
 	}
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
