region: log steps of the planner that take long, and why work waits

With a submission of 100,000 small tasks every planner is replaced by its standby, one after the other; nothing said what it did meanwhile. A line names a step that takes longer than half of the silence that the standby allows, also while it has not ended, and whether it is a decision.

The load line names the waiting tasks by the reason for which they wait, and what is left free for urgent work by team.

--- a/coord/fleet/bench_test.go
+++ b/coord/fleet/bench_test.go
@@ -167,3 +167,25 @@
 		p.copyStragglers(p.now(), false)
 	}
 }
+
+// BenchmarkOneLargeJob measures the decisions that start all tasks of one job.
+func BenchmarkOneLargeJob(b *testing.B) {
+	for _, count := range []int{1000, 5000, 20_000, 100_000} {
+		b.Run(fmt.Sprintf("tasks=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				p := waitingPlanner(48, 0, false)
+				for _, w := range p.workers {
+					w.vm.Room = winch.Capacity{Milli: 1 << 30, Memory: 1 << 50}
+				}
+				phase := winch.Phase{Count: count, Need: winch.Capacity{Milli: 1, Memory: 1 << 20}, Estimate: time.Second}
+				p.Add(&winch.PhasedJob{ID: "large", Queue: "mix", Team: "choir", Phases: []winch.Phase{phase}, Accepted: time.Now(), Revision: 7}, nil, 0)
+				b.StartTimer()
+				for s := p.jobs["large"].phases[0]; s.waiting > 0; {
+					p.Schedule()
+					p.Orders()
+				}
+			}
+		})
+	}
+}
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -272,6 +272,9 @@
 	return out
 }
 
+// Ordered returns the number of orders that Orders would return.
+func (p *Planner) Ordered() int { return len(p.orders) }
+
 // AdviceRequests returns the requests to the advice service made since the last call.
 func (p *Planner) AdviceRequests() []AdviceRequest {
 	out := p.adviceRequests
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -31,6 +32,8 @@
 	queue   chan func()
 	stopped chan struct{}
 	refused metrics.Counter
+	steps   atomic.Uint64             // steps counts the functions that were begun.
+	since   atomic.Pointer[time.Time] // since is when the present one was begun; nil between two.
 }
 
 // New returns a loop that accepts functions at once and runs them after Run is called.
@@ -64,13 +67,30 @@
 		case <-ctx.Done():
 			return
 		case work := <-d.queue:
-			work()
+			d.step(work)
 		case <-tick:
-			f()
+			d.step(f)
 		}
 	}
 }
 
+func (d *Loop) step(f func()) {
+	now := time.Now()
+	d.steps.Add(1)
+	d.since.Store(&now)
+	f()
+	d.since.Store(nil)
+}
+
+// Busy returns the number of the function that runs and for how long it has; zero if none does.
+func (d *Loop) Busy() (step uint64, took time.Duration) {
+	since := d.since.Load()
+	if since == nil {
+		return 0, 0
+	}
+	return d.steps.Load(), time.Since(*since)
+}
+
 // Post queues f without waiting for it to run. It returns ErrFull if the queue is full.
 func (d *Loop) Post(f func()) error {
 	select {
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -79,6 +79,7 @@
 	ctx        context.Context
 	group      *conc.WaitGroup
 	timer      *time.Timer
+	deciding   atomic.Bool // deciding is set while the planner decides what to start.
 
 	// The fields below are accessed only in the goroutine of duty. prefetched is what this entry read
 	// as standby; jobsRevision is the revision up to which jobs have been read, and orphans are the
@@ -237,7 +238,7 @@
 		}
 		for _, f := range []func(context.Context){
 			l.followJobs, l.followWorkers, l.runCommits, l.runRoster,
-			l.runWaiting, l.runAdmission, l.runSweep, l.runLoad, l.runStallMonitor, l.runStandby, l.findAdoptedRevision, l.readCommands, l.runUnknownJobs,
+			l.runWaiting, l.runAdmission, l.runSweep, l.runLoad, l.runBusyMonitor, l.runStallMonitor, l.runStandby, l.findAdoptedRevision, l.readCommands, l.runUnknownJobs,
 		} {
 			l.group.Go(func() { f(l.ctx) })
 		}
@@ -319,9 +320,12 @@
 	if !l.closed && l.mayStart() {
 		l.planner.Quota = l.adviceQuota()
 		begin := time.Now()
+		l.deciding.Store(true)
 		l.planner.Schedule()
+		l.deciding.Store(false)
 		l.decidedAt = time.Now()
 		l.decisionTime = l.decidedAt.Sub(begin)
+		l.logLongDecision(l.planner.Ordered())
 	}
 	l.refreshStandby()
 	l.signalAdmission()
--- a/region/report.go
+++ b/region/report.go
@@ -93,7 +93,7 @@
 			zap.Int64("stopping", load.Stopping.Milli),
 			zap.Int64("memory", int64(load.Room.Memory>>20)), zap.Int64("memoryUsed", int64(load.Used.Memory>>20)),
 			zap.Int("workers", load.Workers), zap.Int("usable", load.Usable), zap.Int("running", load.Running),
-			zap.Any("waiting", load.Waiting), zap.Int("capped", load.Capped),
+			zap.Any("waiting", load.Waiting), zap.Any("reasons", load.Reasons), zap.Int("capped", load.Capped), zap.Any("reserved", load.Reserved),
 			zap.Int64("filling", load.Filling), zap.Int("asks", requests), shareFields(load.Shares),
 			zap.Any("bytes", l.node.linkBytes()))
 		l.node.updateShareGauges(load.Shares)
