fleet: count the change of one task, not the whole phase

What callers saw: after one submission of 100,000 small tasks, accepted with 200, nothing of any team was started any more, and questions for a job's state got no answer.

Cause: task.updateCounts went over all tasks of its phase at each start, end and refusal of one of them. A decision that starts a wide phase took a time that grows with the square of the width; so did a takeover that restores a wide phase's progress. The planner sends its standby nothing meanwhile, is replaced after 0.35 s, and the next planner makes the same decision.

Evidence: the log of long steps shows each planner in a decision that doesn't end.

The counters now move by the task that changed. Two sets, of the tasks that may be started and of those that were stopped for urgent work, take the place of walks over all tasks and of sorting them.

One test reads the number of stopped tasks from the set now.

--- a/coord/fleet/account.go
+++ b/coord/fleet/account.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"plantainwinch/winch"
@@ -69,9 +68,9 @@
 	switch {
 	case s.waiting == 0:
 		return 0
-	case s.evicted > 0:
+	case s.evicted.count > 0:
 		return WaitEvicted
-	case !slices.ContainsFunc(s.tasks, (*task).startable):
+	case s.startable.count == 0:
 		return WaitRun
 	case s.suspected():
 		return WaitProbe
--- a/coord/fleet/evictfail_test.go
+++ b/coord/fleet/evictfail_test.go
@@ -64,7 +64,7 @@
 		starts, _ := c.decide()
 		is.Equal(len(starts), 1)
 		is.Equal(starts[0].Task.Job, "urgent")
-		is.Equal(c.planner.jobs["batch"].phases[0].evicted, 0)
+		is.Equal(c.planner.jobs["batch"].phases[0].evicted.count, 0)
 	})
 }
 
--- a/coord/fleet/eviction.go
+++ b/coord/fleet/eviction.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -247,26 +246,8 @@
 // returning changes the rank of a phase so that tasks that were stopped for urgent work start
 // before new work of their class.
 func (s *phase) returning(r rank) rank {
-	if s.evicted > 0 && r.class != rankUrgent {
+	if s.evicted.count > 0 && r.class != rankUrgent {
 		r.key -= returnBonus
 	}
 	return r
 }
-
-// startOrder returns the tasks of the phase in the order in which they are started: those that were
-// stopped for urgent work first.
-func (s *phase) startOrder() []*task {
-	if s.evicted == 0 {
-		return s.tasks
-	}
-	return slices.SortedStableFunc(slices.Values(s.tasks), func(a, b *task) int {
-		return -cmp.Compare(a.evictedRank(), b.evictedRank())
-	})
-}
-
-func (t *task) evictedRank() int {
-	if t.evicted {
-		return 1
-	}
-	return 0
-}
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -73,7 +73,9 @@
 	waiting int
 	done    int
 	live    int
-	evicted int // evicted counts those of waiting that were stopped for urgent work.
+	// evicted holds those of waiting that were stopped for urgent work, startable the tasks that may be
+	// started, see task.startable.
+	evicted, startable taskSet
 	// finishedAt is when a task of the phase last completed successfully.
 	finishedAt time.Time
 	// remainingPath is the longest chain of estimates from this phase to the end of the repetition,
@@ -204,10 +206,14 @@
 			s.after = append(s.after, before)
 			before.next = append(before.next, s)
 		}
-		for index := range s.spec.Count {
-			s.tasks = append(s.tasks, &task{phase: s, index: index})
+		all := make([]task, s.spec.Count)
+		s.tasks = make([]*task, s.spec.Count)
+		for index := range all {
+			all[index] = task{phase: s, index: index, waiting: true}
+			s.tasks[index] = &all[index]
 		}
 		s.waiting = len(s.tasks)
+		s.startable.fill(len(s.tasks))
 		j.phases = append(j.phases, s)
 	}
 }
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -233,8 +233,8 @@
 		return
 	}
 	var pick *picker
-	for _, t := range s.startOrder() {
-		if !t.startable() || t.suspicion().suspected() {
+	for t := range s.startOrder() {
+		if t.suspicion().suspected() {
 			continue
 		}
 		if pick == nil {
--- a/coord/fleet/task.go
+++ b/coord/fleet/task.go
@@ -10,6 +10,8 @@
 	phase *phase
 	index int
 	done  bool
+	// waiting and live say how the task counts in its phase, see updateCounts.
+	waiting, live bool
 	// runs holds the runs that may exist. There is more than one only while an unwanted one is
 	// being stopped, and two if one is a copy of the other, see phase.permitsCopies.
 	runs       []*run
@@ -43,20 +45,15 @@
 	return key + "." + strconv.Itoa(t.index)
 }
 
-// updateCounts recomputes the phase's counters after a change of the task.
+// updateCounts updates the phase's counters after a change of the task.
 func (t *task) updateCounts() {
 	s := t.phase
-	s.waiting, s.live, s.evicted = 0, 0, 0
-	for _, x := range s.tasks {
-		if x.activeRun() != nil {
-			s.live++
-		} else if !x.done {
-			s.waiting++
-			if x.evicted {
-				s.evicted++
-			}
-		}
-	}
+	live := t.activeRun() != nil
+	waiting := !live && !t.done
+	s.live += change(&t.live, live)
+	s.waiting += change(&t.waiting, waiting)
+	s.evicted.set(t.index, waiting && t.evicted)
+	s.startable.set(t.index, t.startable())
 	s.job.planner.enqueueIfReady(s)
 	if s.waiting == 0 {
 		s.anticipate()
@@ -64,6 +61,19 @@
 	}
 }
 
+// change sets a flag and returns by how much the number of flags that are set changes.
+func change(flag *bool, value bool) int {
+	switch {
+	case value == *flag:
+		return 0
+	case value:
+		*flag = true
+		return 1
+	}
+	*flag = false
+	return -1
+}
+
 // activeRun returns a run that does the task's work, or nil. A task with a copy has two.
 func (t *task) activeRun() *run {
 	for _, r := range t.runs {
