fleet: one decision starts a bounded number of tasks

The standby allows 0.35 s without a message.

One decision now starts at most 512 tasks and the next one goes on, without waiting for an event. As with the workers that it examines, an eighth of the limit is left for the phases at which the last decision stopped, and one of these gets a quarter of what is left, so that wide phases that rank first do not keep others waiting. Ranks are computed anew in each decision. A gang of up to 512 is started as a whole; wider ones, which one decision cannot start, are started over several and reserve no workers.

--- a/coord/fleet/fast.go
+++ b/coord/fleet/fast.go
@@ -69,6 +69,9 @@
 	if k.now.Sub(s.readySince) >= slow-usual || !s.wouldMiss(usual, slow, k.now) {
 		return false
 	}
+	if s.waiting > maxStarts {
+		return false // There are hardly as many faster workers, and to list them would take long.
+	}
 	if !k.searchedFaster {
 		k.searchedFaster = true
 		k.faster = p.fasterSlots(s, w, k.now)
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -86,6 +86,10 @@
 	// plannedPhases counts the phases for which the last Schedule planned slots, searchedPhases
 	// those for which it computed the slots again, and examined the workers that it examined.
 	plannedPhases, searchedPhases, examined int
+	// starts counts the runs that the last Schedule started, startLimit is the count up to which the phase
+	// that is being placed may start runs, and unfinished is set if tasks were left because of such limits.
+	starts, startLimit int
+	unfinished         bool
 	// resumeAt is the phase at which the last Schedule stopped if it did not finish.
 	resumeAt *phase
 	// markRound counts the calls of markByAdvice. Marks of earlier rounds are void.
--- a/coord/fleet/gang.go
+++ b/coord/fleet/gang.go
@@ -67,10 +67,11 @@
 		return
 	}
 	pick := p.newPicker(s, now)
-	for _, t := range s.tasks {
-		if t.startable() {
-			p.placeTask(t, pick, s.gang.number, s.gang.checkpoint)
+	for t := range s.startOrder() {
+		if s.wideGang() && p.startsSpent() {
+			return
 		}
+		p.placeTask(t, pick, s.gang.number, s.gang.checkpoint)
 	}
 }
 
@@ -85,10 +86,8 @@
 }
 
 func (p *Planner) startGang(s *phase, now time.Time) {
-	for _, t := range s.tasks {
-		if !t.startable() {
-			return // A member of the last run is not known to have ended.
-		}
+	if s.startable.count < len(s.tasks) {
+		return // A member of the last run is not known to have ended.
 	}
 	x := s.tasks[0].suspicion()
 	if x.suspected() && !p.mayProbe(x) {
@@ -110,10 +109,18 @@
 	}
 	s.gang = gangRun{number: number, checkpoint: checkpoint, begun: now}
 	for i, t := range s.tasks {
+		if s.wideGang() && p.startsSpent() {
+			return
+		}
 		p.start(t, picked[i], s.gang.number, checkpoint)
 	}
 }
 
+// wideGang reports whether a gang has too many members to start all of them in one Schedule.
+func (s *phase) wideGang() bool {
+	return len(s.tasks) > maxStarts
+}
+
 // pickGang chooses a worker for each member, or returns nil if not all members fit.
 func (p *Planner) pickGang(s *phase, now time.Time) []*worker {
 	if !s.spec.Charge().Fits(p.pool(s.job.queue.Service).maxFree) || !s.job.team.allows(s.nextStartNeed()) {
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -104,12 +104,29 @@
 
 // maxExamined bounds the number of workers that one Schedule examines for waiting phases, so that a
 // decision takes a few milliseconds however many phases wait. The next Schedule resumes where the
-// last one stopped: one resumeDivisor-th of the limit is reserved for the phases from there on.
+// last one stopped: one resumeDivisor-th of the limits is reserved for the phases from there on.
 const (
 	maxExamined   = 100_000
 	resumeDivisor = 8
+	// maxStarts bounds the runs that one Schedule starts. The planner sends its standby nothing while it
+	// decides and sends the starts, and is replaced if that takes long. A gang of up to maxStarts members
+	// is started as a whole, wider ones like other phases.
+	maxStarts = 512
+	// phaseDivisor: after the phase at which the last Schedule stopped, one phase gets at most this part
+	// of the starts that are left, so that several wide phases do not keep small ones behind them waiting.
+	phaseDivisor = 4
 )
 
+// budget bounds what one Schedule does.
+type budget struct {
+	examined, starts int
+}
+
+// spent reports whether Schedule has used up a budget.
+func (p *Planner) spent(b budget) bool {
+	return p.examined >= b.examined || p.starts >= b.starts
+}
+
 // waitingPhase is a phase that may have tasks to start, with its rank as of the last Schedule.
 type waitingPhase struct {
 	phase *phase
@@ -124,7 +141,7 @@
 	p.clearReservations()
 	p.refreshSpeeds(now)
 	p.chargeUnreported(now)
-	p.plannedPhases, p.searchedPhases, p.examined, p.initialQuota = 0, 0, 0, p.Quota
+	p.plannedPhases, p.searchedPhases, p.examined, p.starts, p.unfinished, p.initialQuota = 0, 0, 0, 0, false, p.Quota
 	p.endLongProbes(now)
 	p.endCarried(now)
 	p.refreshEvictions(now)
@@ -149,15 +166,17 @@
 func (p *Planner) startReady(now time.Time) {
 	resume := p.resumeAt
 	p.resumeAt = nil
-	limit := maxExamined - maxExamined/resumeDivisor
+	limit := budget{maxExamined - maxExamined/resumeDivisor, maxStarts - maxStarts/resumeDivisor}
+	resumed := false
 	for _, e := range p.ready {
 		if e.rank.class == rankDeferred {
 			break
 		}
 		if e.phase == resume {
-			limit, resume = maxExamined, nil
+			limit, resume, resumed = budget{maxExamined, maxStarts}, nil, true
 		}
-		if p.examined >= limit {
+		if p.spent(limit) {
+			p.unfinished = p.unfinished || p.starts >= limit.starts
 			if resume == nil {
 				p.resumeAt = e.phase
 				break
@@ -170,6 +189,10 @@
 		if p.failExhausted(e.phase) {
 			continue
 		}
+		p.startLimit = limit.starts
+		if resumed {
+			p.startLimit = p.starts + max(1, (limit.starts-p.starts)/phaseDivisor)
+		}
 		p.placePhase(e.phase, now)
 		p.reserve(e.phase, now, e.rank)
 		p.requestAdvice(e.phase, now, e.rank, 0)
@@ -234,6 +257,9 @@
 	}
 	var pick *picker
 	for t := range s.startOrder() {
+		if p.startsSpent() {
+			return
+		}
 		if t.suspicion().suspected() {
 			continue
 		}
@@ -246,6 +272,20 @@
 	}
 }
 
+// startsSpent reports whether the phase that is being placed must leave its other tasks to the next
+// Schedule.
+func (p *Planner) startsSpent() bool {
+	if p.starts < p.startLimit {
+		return false
+	}
+	p.unfinished = true
+	return true
+}
+
+// Unfinished reports whether the last Schedule has left tasks that it could have started, as it had
+// started many.
+func (p *Planner) Unfinished() bool { return p.unfinished }
+
 // cannotStart reports whether it is known without examining workers that no task of the phase can
 // start now.
 func (p *Planner) cannotStart(s *phase) bool {
@@ -285,6 +325,7 @@
 
 // start orders the start of a task at a worker and returns the run.
 func (p *Planner) start(t *task, w *worker, number uint64, checkpoint string) *run {
+	p.starts++
 	w.claimHeld(t.phase)
 	r := p.addRun(w, t, t.id(), number)
 	x := p.pool(t.phase.job.queue.Service)
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -41,10 +41,14 @@
 // the phase would wait for as long as small tasks keep arriving. Tasks that end before the phase is
 // expected to start may still use the capacity.
 func (p *Planner) reserve(s *phase, now time.Time, r rank) {
-	if !p.Policy.Reserve || p.plannedPhases >= maxPlannedPhases || s.waiting == 0 || r.class >= rankExcess || !s.job.team.allows(s.nextStartNeed()) || !p.sparesUrgent(s) {
+	if !p.Policy.Reserve || s.wideGang() || p.plannedPhases >= maxPlannedPhases || s.waiting == 0 || r.class >= rankExcess || !s.job.team.allows(s.nextStartNeed()) || !p.sparesUrgent(s) {
 		s.slots = nil
 		return
 	}
+	if s.job.queue.Advice == nil && !s.spec.Gang && !s.largeSomewhere() {
+		s.slots = nil // Nothing would use them.
+		return
+	}
 	p.plannedPhases++
 	p.findSlots(s, now)
 	if len(s.slots) > 0 && (s.spec.Gang || s.large(s.slots[0].w)) {
@@ -52,9 +56,10 @@
 	}
 }
 
-// findSlots finds slots for all waiting tasks of a phase; a gang takes all or none.
+// findSlots finds slots for the waiting tasks of a phase, as many as one Schedule starts; a gang takes all
+// or none.
 func (p *Planner) findSlots(s *phase, now time.Time) {
-	wants := s.waiting
+	wants := min(s.waiting, maxStarts)
 	if s.spec.Gang && (s.gang.stopping || s.gang.number == 0) {
 		wants = len(s.tasks)
 	}
@@ -107,6 +112,11 @@
 		need.Accelerators > 0 && float64(need.Accelerators) >= largeFraction*float64(capacity.Accelerators)
 }
 
+// largeSomewhere reports whether the phase may be large at some worker.
+func (s *phase) largeSomewhere() bool {
+	return slices.ContainsFunc(s.job.planner.pool(s.job.queue.Service).workers, s.large)
+}
+
 // earliestSlots returns a slot for each of at most limit tasks of the phase, at workers where it is
 // known to be allowed, those that become free earliest first.
 func (p *Planner) earliestSlots(s *phase, now time.Time, limit int) []slot {
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -326,6 +326,9 @@
 		l.decidedAt = time.Now()
 		l.decisionTime = l.decidedAt.Sub(begin)
 		l.logLongDecision(l.planner.Ordered())
+		if l.planner.Unfinished() {
+			l.decideSoon()
+		}
 	}
 	l.refreshStandby()
 	l.signalAdmission()
