fleet: bound the starts on their way to one worker

What callers saw: nothing yet; found while looking for further bounds that one wide job exceeds.

The planner now has at most 100 unconfirmed starts at a worker. Members of a gang have to start together and are not counted against it.

--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -163,7 +163,7 @@
 	if r == nil {
 		return
 	}
-	r.started = true
+	r.confirm()
 	p.dropSaved(e.Task)
 	r.task.phase.addParallelWait(WaitStart, p.now().Sub(r.since))
 	r.since, r.progressedAt = p.now(), p.now()
--- a/coord/fleet/pick.go
+++ b/coord/fleet/pick.go
@@ -46,6 +46,11 @@
 	return shape{s.spec.Charge(), s.spec.Label, s.spec.Estimate}
 }
 
+// maxUnconfirmed bounds the starts that are on their way to one worker. It is less than the number that
+// keepers queue, as the number beyond that is reported as not started and placed again. A gang is not
+// bounded, since its members have to start together.
+const maxUnconfirmed = 100
+
 // maxMisses bounds the number of shapes per service that are remembered as fitting no worker.
 const maxMisses = 16
 
@@ -81,6 +86,9 @@
 	p.eachEligible(s, now, func(w *worker) {
 		free := p.availableCapacity(s, w, now)
 		maxTasks := remainingPerVM(s.spec.MostPerVM, counts[w])
+		if !s.spec.Gang {
+			maxTasks = min(maxTasks, maxUnconfirmed-w.unconfirmed)
+		}
 		if !k.charge.Fits(free) || maxTasks <= 0 {
 			return
 		}
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -140,13 +140,21 @@
 
 // noteListed records that the boot that a run's start was meant for has listed it.
 func (p *Planner) noteListed(r *run) {
-	r.started = true
+	r.confirm()
 	if !r.listed {
 		r.listed = true
 		p.listedRuns = append(p.listedRuns, r)
 	}
 }
 
+// confirm notes that the run's start is confirmed.
+func (r *run) confirm() {
+	if !r.started {
+		r.started = true
+		r.worker.unconfirmed--
+	}
+}
+
 // closeRun closes a run, unless it crashed its worker and the crash is not recorded yet.
 func (p *Planner) closeRun(w *worker, key runKey) {
 	if p.crashUnrecorded(w, key) {
@@ -173,6 +181,7 @@
 	}
 	w.used = w.used.Add(r.charge)
 	w.runs[r.key] = r
+	w.unconfirmed++
 	w.changes++
 	w.empty = false
 	if w.replaced { // No keeper manages the worker, so no report ends the run.
@@ -192,6 +201,9 @@
 		return
 	}
 	delete(w.runs, r.key)
+	if !r.started {
+		w.unconfirmed--
+	}
 	w.used = w.used.Sub(r.charge)
 	w.changes++
 	r.countUrgent(false)
--- a/coord/fleet/worker.go
+++ b/coord/fleet/worker.go
@@ -36,6 +36,8 @@
 	// all its runs have ended, and nothing was ordered since.
 	empty bool
 	runs  map[runKey]*run
+	// unconfirmed counts the runs whose starts are not confirmed.
+	unconfirmed int
 	// completions holds the completions that were handled and may not be recorded yet, in the order
 	// of their numbers. The worker was ordered to forget the ones up to forgottenUpTo.
 	completions   []pendingCompletion
