duty: a caller leaves the queue when its context ends

What callers saw: questions for a job's state got no answer within 3 s while a planner was busy with one long decision, where the entry could have read the state from the store instead.

Cause: Loop.Do did not look at its context any more once the function was queued. Callers stayed behind the long step beyond their deadlines, and their functions were run for nobody.

Either the loop takes the function, and the caller waits for it, or the caller leaves, and the function never runs: it may write to the caller's variables.

TestCallerLeavesABusyLoopAtItsDeadline failed before (it returned after 10 s, without an error).

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -102,13 +102,17 @@
 	}
 }
 
-// Do waits until f is queued and has run. It is meant for a bounded number of callers;
-// work that peers or callers can send without limit must go through Post.
+// Do waits until f is queued and has run. If ctx ends before f begins, it returns the error of ctx, and
+// f does not run. It is meant for a bounded number of callers; work that peers or callers can send without
+// limit must go through Post.
 func (d *Loop) Do(ctx context.Context, f func()) error {
 	done := make(chan struct{})
+	var claimed atomic.Bool // claimed is set by whoever comes first: the loop to run f, or the caller to leave.
 	task := func() {
-		f()
-		close(done)
+		if claimed.CompareAndSwap(false, true) {
+			f()
+			close(done)
+		}
 	}
 	select {
 	case d.queue <- task:
@@ -118,6 +122,16 @@
 		return ErrStopped
 	}
 	select {
+	case <-done:
+		return nil
+	case <-d.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+	}
+	if claimed.CompareAndSwap(false, true) {
+		return ctx.Err()
+	}
+	select { // It runs already.
 	case <-done:
 		return nil
 	case <-d.stopped:
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"plantainwinch/duty"
 )
@@ -24,3 +25,49 @@
 		is.Equal(duty.RunUntil(t.Context(), make(chan struct{}), func(context.Context) {}), false)
 	})
 }
+
+// Guards against a caller that waits for a busy loop beyond its deadline, and against a function that runs after
+// its caller has left.
+func TestCallerLeavesABusyLoopAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		loop := duty.New("test", 0, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		defer group.Wait()
+		defer stop()
+		group.Go(func() { loop.Run(ctx) })
+		is.NoErr(loop.Post(func() { time.Sleep(10 * time.Second) }))
+
+		begin, ran := time.Now(), false
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		is.Equal(loop.Do(short, func() { ran = true }), context.DeadlineExceeded)
+		is.Equal(time.Since(begin), time.Second)
+
+		is.NoErr(loop.Do(ctx, func() {}))
+		is.Equal(time.Since(begin), 10*time.Second)
+		is.True(!ran)
+	})
+}
+
+// Guards against a caller that leaves while its function runs, which may write to the caller's variables.
+func TestCallerWaitsForAFunctionThatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		loop := duty.New("test", 0, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		defer group.Wait()
+		defer stop()
+		group.Go(func() { loop.Run(ctx) })
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		done := false
+		is.NoErr(loop.Do(short, func() {
+			time.Sleep(5 * time.Second)
+			done = true
+		}))
+		is.True(done)
+	})
+}
