fleet: no event about a task goes over its phase or job

Comparing a run with its siblings went over all tasks of the phase, and each report of progress leads to comparisons; so did, for each event, looking for the common cause of crashes (each lost run against each task), the runs at each worker, the racks in use, the suspects, the state of a job of many phases or repetitions, and whether a job has runs.

Runs of phases of more than 256 tasks are compared with a sample, at most 128 between two decisions, and the others with their next reports. Counts are kept along: runs by worker and by rack, of a job, its phases that have not ended. What other tasks show about a crash is collected once for each lost boot. Suspects are listed from the job.

--- a/coord/fleet/ahead.go
+++ b/coord/fleet/ahead.go
@@ -49,6 +49,9 @@
 func (s *phase) startsIn(now time.Time) (time.Duration, bool) {
 	left := time.Duration(0)
 	for _, a := range s.after {
+		if a.live > maxStarts {
+			return 0, false // They hardly end at the same time.
+		}
 		for _, t := range a.tasks {
 			if t.done {
 				continue
--- a/coord/fleet/cause.go
+++ b/coord/fleet/cause.go
@@ -38,6 +38,14 @@
 	// youngestAge is the age of the run confirmed last, if ageKnown.
 	youngestAge time.Duration
 	ageKnown    bool
+	phases      map[*phase]phaseEvidence // phases holds what is known of the phases of the boot's runs.
+}
+
+// phaseEvidence is what other tasks of a phase show about a crash.
+type phaseEvidence struct {
+	// everywhere is set if all boots that were lost together ran a task of the phase, done if a task is done.
+	everywhere, done bool
+	oldest           time.Duration // oldest is the age of the phase's oldest run at a responsive worker.
 }
 
 // causeOf collects the evidence for the cause of a boot's crash.
@@ -79,18 +87,32 @@
 // together: each boot ran such a task, and no other task of the phase shows that they do not crash
 // workers, by being done or by running much longer at a responsive worker.
 func (c *cause) commonCause(f bootRun) bool {
-	s := f.task.phase
-	if slices.ContainsFunc(c.otherLosses, func(x lostBoot) bool {
-		return !slices.ContainsFunc(x.runs, func(y bootRun) bool { return y.task.phase == s })
-	}) {
-		return false
+	e := c.evidence(f.task.phase)
+	return e.everywhere && !e.done && e.oldest <= recentFactor*f.age+recentMargin
+}
+
+// evidence returns what other tasks of a phase show. It is collected once, as a boot may have run thousands of its tasks.
+func (c *cause) evidence(s *phase) phaseEvidence {
+	if e, known := c.phases[s]; known {
+		return e
 	}
-	now := s.job.planner.now()
-	return !slices.ContainsFunc(s.tasks, func(t *task) bool {
-		return t.done || slices.ContainsFunc(t.runs, func(r *run) bool {
-			return !r.stopping && r.started && r.worker.unresponsiveSince.IsZero() && now.Sub(r.since) > recentFactor*f.age+recentMargin
-		})
+	e := phaseEvidence{done: s.done > 0}
+	e.everywhere = !slices.ContainsFunc(c.otherLosses, func(x lostBoot) bool {
+		return !slices.ContainsFunc(x.runs, func(y bootRun) bool { return y.task.phase == s })
 	})
+	now := s.job.planner.now()
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if !r.stopping && r.started && r.worker.unresponsiveSince.IsZero() {
+				e.oldest = max(e.oldest, now.Sub(r.since))
+			}
+		}
+	}
+	if c.phases == nil {
+		c.phases = make(map[*phase]phaseEvidence)
+	}
+	c.phases[s] = e
+	return e
 }
 
 // proves reports whether only this probe explains the crash: there was no other suspect run and no
--- a/coord/fleet/copies.go
+++ b/coord/fleet/copies.go
@@ -34,6 +34,7 @@
 	// runTimes holds the run times of the tasks that completed successfully, divided by the factors
 	// of their workers.
 	runTimes []time.Duration
+	usual    time.Duration // usual is the usual run time as of the last check.
 }
 
 // copyRun marks a run as a copy of another run of its task.
@@ -150,7 +151,10 @@
 
 // expectedGain returns by how much a copy that ends now has ended earlier than the first run would have.
 func (s *phase) expectedGain(r *run, now time.Time) time.Duration {
-	usual, _ := s.usualRunTime()
+	usual := s.copying.usual
+	if len(s.tasks) <= maxCompared {
+		usual, _ = s.usualRunTime()
+	}
 	end, _ := r.copyOf.of.projectedEnd(usual, now)
 	return max(0, end.Sub(now))
 }
@@ -196,7 +200,7 @@
 			continue
 		}
 		kept = append(kept, s)
-		if s.job.queue != nil && now.Sub(s.copying.checkedAt) >= copyCheckInterval {
+		if s.job.queue != nil && now.Sub(s.copying.checkedAt) >= s.copyCheckInterval() {
 			s.copying.checkedAt = now
 			due = append(due, waitingPhase{phase: s})
 		}
@@ -219,6 +223,12 @@
 	}
 }
 
+// copyCheckInterval returns the minimum time between two checks of the phase for stragglers. A check goes over
+// all its tasks.
+func (s *phase) copyCheckInterval() time.Duration {
+	return copyCheckInterval * time.Duration(1+(len(s.tasks)-1)/maxCompared)
+}
+
 // copyPhase starts copies of the stragglers of a phase, or requests advice about workers for them.
 func (p *Planner) copyPhase(s *phase, room *copyRoom, now time.Time) {
 	if !room.allows(s) {
@@ -228,6 +238,7 @@
 	if !known {
 		return
 	}
+	s.copying.usual = usual
 	stragglers, rest, ok := s.stragglers(usual, now)
 	gain := copies.LeastGain(s.job.queue.Target)
 	if !ok || len(stragglers) == 0 || stragglers[0].End.Sub(later(rest, now)) < gain {
@@ -312,7 +323,7 @@
 	if !s.permitsCopies() || len(j.failed) == 0 {
 		return false
 	}
-	if !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.startable() && t.attemptsUsed() }) {
+	if !j.hasExhausted() || !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.startable() && t.attemptsUsed() }) {
 		return false
 	}
 	j.finish(winch.JobFailed)
@@ -324,11 +335,25 @@
 // attemptsUsed reports whether the task has failed as often as its queue permits.
 func (t *task) attemptsUsed() bool {
 	j := t.phase.job
-	attempts := 1
-	if j.queue != nil {
-		attempts = max(1, j.queue.Attempts)
+	return len(j.failed[t.failureKey()]) >= j.attempts()
+}
+
+// attempts returns how often a task may fail.
+func (j *job) attempts() int {
+	if j.queue == nil {
+		return 1
+	}
+	return max(1, j.queue.Attempts)
+}
+
+// hasExhausted reports whether any task of the job has used up its attempts.
+func (j *job) hasExhausted() bool {
+	for _, runs := range j.failed {
+		if len(runs) >= j.attempts() {
+			return true
+		}
 	}
-	return len(j.failed[t.failureKey()]) >= attempts
+	return false
 }
 
 // compareStragglers orders stragglers by descending end.
--- a/coord/fleet/crash.go
+++ b/coord/fleet/crash.go
@@ -138,7 +138,9 @@
 	j := x.phase.job
 	j.awaited = true // The task is not started again until the crash is recorded.
 	p.markChanged(j)
-	p.unrecordedCrashes = append(p.unrecordedCrashes, unrecordedCrash{ClosedRun{b.vm.ID, f.task.id(), f.run}, j, j.changes})
+	crashed := ClosedRun{b.vm.ID, f.task.id(), f.run}
+	p.unrecordedCrashes = append(p.unrecordedCrashes, unrecordedCrash{crashed, j, j.changes})
+	p.unrecordedRuns[crashed] = true
 	p.countedCrashes = append(p.countedCrashes, CountedCrash{
 		Task: f.task.id(), Run: f.run, Worker: b.vm.ID, Age: f.age, Weak: weak, Probe: f.probe != nil, Crashes: len(x.crashes), GivenUp: giveUp,
 	})
@@ -195,11 +197,17 @@
 
 // closeRecorded closes the runs whose crashes have been recorded.
 func (p *Planner) closeRecorded() {
+	if len(p.unrecordedCrashes) == 0 {
+		return
+	}
 	p.unrecordedCrashes = slices.DeleteFunc(p.unrecordedCrashes, func(u unrecordedCrash) bool {
 		recorded := u.job.savedChanges >= u.changes || p.jobs[u.run.Task.Job] != u.job
 		if recorded && !p.mayExist(u.run) {
 			p.closedRuns = append(p.closedRuns, u.run)
 		}
+		if recorded {
+			delete(p.unrecordedRuns, u.run)
+		}
 		return recorded
 	})
 }
@@ -224,9 +232,7 @@
 
 // crashUnrecorded reports whether a run crashed its worker and the crash is not recorded yet.
 func (p *Planner) crashUnrecorded(w *worker, key runKey) bool {
-	return slices.ContainsFunc(p.unrecordedCrashes, func(u unrecordedCrash) bool {
-		return u.run == ClosedRun{w.vm.ID, key.task, key.run}
-	})
+	return p.unrecordedRuns[ClosedRun{w.vm.ID, key.task, key.run}]
 }
 
 // CountedCrash is a crash that was counted against a task.
--- a/coord/fleet/events.go
+++ b/coord/fleet/events.go
@@ -387,7 +387,7 @@
 	}
 	took := s.job.planner.now().Sub(r.since)
 	x := r.completed(took)
-	s.completed = append(s.completed, x)
+	s.keepCompleted(x)
 	took = s.job.planner.usualTime(s, x)
 	if s.job.queue != nil {
 		s.job.queue.addUsualTime(took)
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -124,6 +124,7 @@
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
 	// recorded in the store.
 	unrecordedCrashes []unrecordedCrash
+	unrecordedRuns    map[ClosedRun]bool // unrecordedRuns holds the runs of unrecordedCrashes.
 	order             orderState
 	forecasts         forecasts
 
@@ -165,7 +166,7 @@
 		awaited:        make(map[string]map[*worker]bool),
 		carried:        make(map[*worker]time.Time),
 		pendingWorkers: make(map[*worker]bool), probes: make(map[*worker]*suspicion), pools: make(map[string]*pool), saved: make(map[winch.RunID]string), Quota: unlimitedQuota,
-		speeds: newSpeeds(),
+		speeds: newSpeeds(), unrecordedRuns: make(map[ClosedRun]bool),
 	}
 }
 
--- a/coord/fleet/forget.go
+++ b/coord/fleet/forget.go
@@ -73,13 +73,4 @@
 	}
 }
 
-func (j *job) hasRuns() bool {
-	for _, s := range j.phases {
-		for _, t := range s.tasks {
-			if len(t.runs) > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (j *job) hasRuns() bool { return j.runs > 0 }
--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -20,7 +20,10 @@
 	visibleState winch.JobState
 	cancelled    bool
 	begun        bool
-	home         string // home is the failure domain that tasks prefer, see homeDomain.
+	// unfinished counts the phases that have not ended, live and done the tasks that run and those that
+	// are done, and runs the runs that may exist.
+	unfinished, live, done, runs int
+	home                         string // home is the failure domain that tasks prefer, see homeDomain.
 	// excess is set if the job exceeded its team's share when it was accepted.
 	excess bool
 	// adopted is set if runs of an earlier planner were found.
@@ -84,7 +87,11 @@
 	criticalPath  time.Duration
 	advice        advice
 	gang          gangRun
-	copying       copyState
+	// perWorker counts the runs that may exist at each worker if the phase has a limit per worker, and
+	// racks those that do its work in each rack if its tasks prefer the same one.
+	perWorker map[*worker]int
+	racks     map[string]int
+	copying   copyState
 	// slots are where and when the waiting tasks are expected to start, as computed at
 	// slotsFoundAt.
 	slots        []slot
@@ -93,9 +100,10 @@
 	// factor of its worker.
 	meanTime time.Duration
 	samples  int
-	// completed lists the runs that completed tasks, and toleratedFactor is the factor up to which a worker
-	// is fast enough, as of the last choice.
+	// completed lists runs that completed tasks, see keepCompleted, and longest is the longest of all.
+	// toleratedFactor is the factor up to which a worker is fast enough, as of the last choice.
 	completed       []completedRun
+	longest         completedRun
 	toleratedFactor float64
 	// cachedRate is the median progress rate of cachedRateSamples tasks at cachedRateAt.
 	cachedRate        float64
@@ -215,6 +223,7 @@
 		s.waiting = len(s.tasks)
 		s.startable.fill(len(s.tasks))
 		j.phases = append(j.phases, s)
+		j.unfinished++
 	}
 }
 
@@ -313,9 +322,13 @@
 	}
 	t.done = true
 	t.phase.done++
+	t.phase.job.done++
 	t.phase.finishedAt = t.phase.job.planner.now()
 	t.updateCounts()
 	if t.phase.done == len(t.phase.tasks) {
+		if !t.phase.spec.Lasting {
+			t.phase.job.unfinished--
+		}
 		for _, s := range t.phase.next {
 			s.job.planner.enqueueIfReady(s)
 		}
@@ -327,17 +340,9 @@
 	if j.state.Final() {
 		return
 	}
-	allDone := true
-	for _, s := range j.phases {
-		if s.spec.Lasting || s.done < len(s.tasks) {
-			allDone = false
-		}
-		if s.live > 0 || s.done > 0 {
-			j.begun = true
-		}
-	}
+	j.begun = j.begun || j.live > 0 || j.done > 0
 	switch {
-	case allDone:
+	case j.unfinished == 0:
 		j.finish(winch.JobDone)
 	case j.begun:
 		j.state = winch.JobRunning
--- a/coord/fleet/largejob_test.go
+++ b/coord/fleet/largejob_test.go
@@ -121,3 +121,119 @@
 	})
 	is.New(t).True(growth < maxCostGrowth)
 }
+
+// Guards against events about one task of a wide phase that take time in proportion to its width, by what the phase asks for
+// and by what happens to its tasks.
+func TestCostOfAnEventDoesNotGrowWithItsPhase(t *testing.T) {
+	plain := func(*winch.Phase) {}
+	for _, c := range []struct {
+		name   string
+		change func(*winch.Phase)
+		then   func(*Planner, []proto.Order)
+	}{
+		{"limit per worker", func(s *winch.Phase) { s.MostPerVM = 1 << 20 }, endAll},
+		{"same rack", func(s *winch.Phase) { s.SameRack = true }, endAll},
+		{"data in a rack", func(s *winch.Phase) { s.Rack = "r2" }, endAll},
+		{"copies", func(s *winch.Phase) { s.Copies = true }, endAll},
+		{"progress", plain, reportProgress},
+		{"failures", plain, failAll},
+		{"cancellation", plain, func(p *Planner, _ []proto.Order) { p.Cancel("large") }},
+		{"crashes", plain, func(p *Planner, _ []proto.Order) { crashWorkers(p, 8) }},
+		{"takeover", plain, adoptAll},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			growth := costGrowth(func(n int) {
+				p := roomyPlanner(48)
+				phase := smallTasks(n)
+				c.change(&phase)
+				addPhased(p, "large", "mix", phase)
+				starts := startAll(p)
+				if len(starts) != n {
+					t.Fatalf("%d of %d tasks were started", len(starts), n)
+				}
+				c.then(p, starts)
+			})
+			t.Logf("the cost has grown %.1f times", growth)
+			is.New(t).True(growth < maxCostGrowth)
+		})
+	}
+}
+
+// reportProgress has the workers report progress of all runs twice.
+func reportProgress(p *Planner, starts []proto.Order) {
+	begin := time.Now()
+	for round := range 3 {
+		now := begin.Add(time.Duration(round+1) * time.Second)
+		p.Clock = func() time.Time { return now }
+		running := make(map[string][]winch.Running)
+		for _, o := range starts {
+			running[o.Worker] = append(running[o.Worker], winch.Running{Task: o.Task, Run: o.Run, Percent: float64(25 * round)})
+		}
+		for id, list := range running {
+			p.HandleEvent(proto.KeeperEvent{Kind: proto.EventStatus, Worker: id, Running: list})
+		}
+	}
+}
+
+// failAll has all runs fail, and starts the tasks again.
+func failAll(p *Planner, starts []proto.Order) {
+	numbers := make(map[string]uint64)
+	for _, o := range starts {
+		numbers[o.Worker]++
+		p.HandleEvent(proto.KeeperEvent{Kind: proto.EventEnded, Worker: o.Worker, Ended: []winch.Completion{
+			{Number: numbers[o.Worker], Task: o.Task, Run: o.Run, Kind: winch.CompletionFailed},
+		}})
+	}
+	for _, w := range p.workers {
+		w.health = health{}
+	}
+	startAll(p)
+}
+
+// crashWorkers has some workers be replaced by other boots at the same time, and makes decisions as their tasks are suspects
+// then.
+func crashWorkers(p *Planner, count int) {
+	later := time.Now().Add(5 * time.Second)
+	p.Clock = func() time.Time { return later }
+	for i := range count {
+		p.HandleEvent(proto.KeeperEvent{Kind: proto.EventUnresponsive, Worker: fmt.Sprintf("w%04d", i)})
+	}
+	for i := range count {
+		p.HandleEvent(proto.KeeperEvent{Kind: proto.EventLost, Worker: fmt.Sprintf("w%04d", i), Result: winch.StartOtherBoot})
+	}
+	for range 10 {
+		p.Schedule()
+		p.Orders()
+	}
+}
+
+// adoptAll has another planner find all runs.
+func adoptAll(p *Planner, starts []proto.Order) {
+	next := roomyPlanner(48)
+	next.Term = 2
+	next.Add(p.jobs["large"].rec, nil, 0)
+	running := make(map[string][]winch.Running)
+	for _, o := range starts {
+		running[o.Worker] = append(running[o.Worker], winch.Running{Task: o.Task, Run: o.Run})
+	}
+	for id, list := range running {
+		next.HandleEvent(proto.KeeperEvent{Kind: proto.EventListed, Worker: id, Running: list})
+	}
+}
+
+// Guards against an end of a task that takes time in proportion to the number of phases or repetitions of its job.
+func TestCostOfATaskDoesNotGrowWithTheNumberOfPhases(t *testing.T) {
+	growth := costGrowth(func(n int) {
+		p := roomyPlanner(48)
+		p.Add(&winch.PhasedJob{
+			ID: "timed", Queue: "mix", Team: "choir", Phases: []winch.Phase{smallTasks(1)}, Accepted: time.Now(), Revision: 7,
+			Times: n, First: time.Now(),
+		}, nil, 0)
+		endAll(p, startAll(p))
+		if state, _ := p.State("timed"); state != winch.JobDone {
+			t.Fatalf("the job is %s", state)
+		}
+	})
+	t.Logf("the cost has grown %.1f times", growth)
+	is.New(t).True(growth < maxCostGrowth)
+}
--- a/coord/fleet/pick.go
+++ b/coord/fleet/pick.go
@@ -123,20 +123,9 @@
 	}
 }
 
-// runsPerWorker counts the runs of the phase at each worker, including those being stopped. It
-// returns nil if the phase has no limit per worker.
-func (s *phase) runsPerWorker() map[*worker]int {
-	if s.spec.MostPerVM == 0 {
-		return nil
-	}
-	out := make(map[*worker]int)
-	for _, t := range s.tasks {
-		for _, r := range t.runs {
-			out[r.worker]++
-		}
-	}
-	return out
-}
+// runsPerWorker returns the number of runs of the phase at each worker, including those being stopped. It
+// is nil if the phase has no limit per worker.
+func (s *phase) runsPerWorker() map[*worker]int { return s.perWorker }
 
 // best returns the index of the best choice for a task, or -1 if there is none. It skips the
 // worker to avoid if another one scores high enough.
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -416,10 +416,5 @@
 
 // usesOtherRack reports whether a task of the phase runs on a rack other than the given one.
 func (s *phase) usesOtherRack(rack string) bool {
-	for _, t := range s.tasks {
-		if slices.ContainsFunc(t.runs, func(r *run) bool { return !r.stopping && r.worker.vm.Rack != rack }) {
-			return true
-		}
-	}
-	return false
+	return len(s.racks) > 1 || len(s.racks) == 1 && s.racks[rack] == 0
 }
--- a/coord/fleet/probe.go
+++ b/coord/fleet/probe.go
@@ -50,7 +50,7 @@
 	if x == nil {
 		return
 	}
-	if x.probe == r.key.run && !x.phase.hasRun(r.key.run) {
+	if x.probe == r.key.run && (!x.phase.spec.Gang || !x.phase.hasRun(r.key.run)) {
 		x.probe = 0
 	}
 	if r.worker.probe == x && !r.worker.hasProbeOf(x) {
@@ -108,11 +108,8 @@
 // probeSuspects starts probes of the phase's suspects where that is allowed, and reports whether
 // its other tasks must wait for their outcome. Lasting tasks do not wait, since their users would.
 func (p *Planner) probeSuspects(s *phase, now time.Time) (wait bool) {
-	for _, t := range s.tasks {
+	for _, t := range s.suspects() {
 		x := t.suspicion()
-		if !x.suspected() || t.done {
-			continue
-		}
 		wait = !s.spec.Lasting
 		if t.startable() && p.mayProbe(x) {
 			p.startProbe(t, x, now)
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -29,6 +29,7 @@
 	listed   bool
 	stopping bool
 	urgent   bool // urgent is set while the run counts as running urgent work.
+	inRack   bool // inRack is set while the run counts in its phase's racks.
 	adopted  bool // adopted is set if an earlier planner started the run.
 	// copyOf is set if the run is a copy of another run of its task.
 	copyOf *copyRun
@@ -171,10 +172,15 @@
 		r.need, r.charge, r.team = spec.Need, spec.Charge(), t.phase.job.team
 		r.team.used = r.team.used.Add(r.need)
 		t.runs = append(t.runs, r)
+		t.phase.job.runs++
 		t.latestRun = max(t.latestRun, number)
 		t.evicted = false
 		t.updateCounts()
 		w.countRun(spec, 1)
+		if spec.MostPerVM > 0 {
+			t.phase.perWorker = increment(t.phase.perWorker, w, 1)
+		}
+		r.countRack(true)
 	} else {
 		// The needs of a run of an unknown job are not known, so it takes all free capacity.
 		r.charge = w.free().Positive()
@@ -194,6 +200,33 @@
 	return r
 }
 
+// increment changes a count, of which the map holds none that is zero, and returns the map.
+func increment[K comparable](counts map[K]int, key K, by int) map[K]int {
+	if counts == nil {
+		counts = make(map[K]int)
+	}
+	if counts[key] += by; counts[key] == 0 {
+		delete(counts, key)
+	}
+	return counts
+}
+
+// countRack adds a run that does its task's work to those in its rack if on is set, and otherwise
+// removes it.
+func (r *run) countRack(on bool) {
+	on = on && r.task != nil && r.task.phase.spec.SameRack && !r.stopping
+	if on == r.inRack {
+		return
+	}
+	r.inRack = on
+	by := -1
+	if on {
+		by = 1
+	}
+	s := r.task.phase
+	s.racks = increment(s.racks, r.worker.vm.Rack, by)
+}
+
 // endRun releases the charges of a run that is guaranteed to have ended; how says why that is known.
 func (p *Planner) endRun(r *run, how string) {
 	w := r.worker
@@ -213,6 +246,11 @@
 		return
 	}
 	w.countRun(r.task.phase.spec, -1)
+	r.task.phase.job.runs--
+	if r.task.phase.spec.MostPerVM > 0 {
+		increment(r.task.phase.perWorker, w, -1)
+	}
+	r.countRack(false)
 	p.updateReporting(w)
 	r.team.used = r.team.used.Sub(r.need)
 	r.task.lastEnd = RunEnd{Run: r.key.run, Worker: w.vm.ID, How: how}
@@ -233,6 +271,7 @@
 	r.worker.changes++
 	r.countUrgent(false)
 	r.countEvictable(false)
+	r.countRack(false)
 	if r.task != nil {
 		r.task.updateCounts()
 	}
--- a/coord/fleet/slow.go
+++ b/coord/fleet/slow.go
@@ -65,7 +65,7 @@
 		return true, true
 	}
 	rate, ok := r.rate(now)
-	median, enough := r.task.phase.cachedMedianRate(now)
+	median, enough := r.task.phase.cachedMedianRate(r.task.index, now)
 	if !ok || !enough {
 		return ok, false
 	}
@@ -82,26 +82,27 @@
 }
 
 // cachedMedianRate returns the median rate of a phase's tasks at usual workers, including those that
-// have ended, and whether enough rates are known. The rate is recomputed after medianRateTTL.
-func (s *phase) cachedMedianRate(now time.Time) (float64, bool) {
+// have ended, and whether enough rates are known. The rate is recomputed after medianRateTTL, of a wide phase
+// by the tasks around the given one.
+func (s *phase) cachedMedianRate(around int, now time.Time) (float64, bool) {
 	if s.cachedRateAt.IsZero() || now.Sub(s.cachedRateAt) >= medianRateTTL {
-		s.cachedRate, s.cachedRateSamples = s.medianRate(now)
+		s.cachedRate, s.cachedRateSamples = s.medianRate(around, now)
 		s.cachedRateAt = now
 	}
 	return s.cachedRate, s.cachedRateSamples >= minRates
 }
 
 // medianRate returns the median rate and the number of rates it is computed from.
-func (s *phase) medianRate(now time.Time) (float64, int) {
+func (s *phase) medianRate(around int, now time.Time) (float64, int) {
 	var rates []float64
-	for _, t := range s.tasks {
+	for _, t := range s.tasksAround(around) {
 		if r := t.activeRun(); r != nil {
 			if rate, ok := r.rate(now); ok {
 				rates = append(rates, rate*r.worker.planner.factor(r.worker))
 			}
 		}
 	}
-	for range s.samples {
+	for range min(s.samples, maxCompared) {
 		rates = append(rates, 100/max(0.001, s.meanTime.Seconds()))
 	}
 	if len(rates) == 0 {
--- a/coord/fleet/speeds.go
+++ b/coord/fleet/speeds.go
@@ -18,6 +18,8 @@
 	// fasterSearches counts the phases for which the last Schedule searched faster workers, and
 	// awaitingFaster the tasks that it let wait for one.
 	fasterSearches, awaitingFaster int
+	// comparisons counts the runs whose progress was compared with their siblings' since the last Schedule.
+	comparisons int
 
 	changes []SpeedChange
 	// sent is what the last summary said, by worker or, with an empty worker, by kind; sentAt is when it
@@ -58,7 +60,7 @@
 
 // refreshSpeeds prepares for a Schedule and, once a second, updates the factors of all workers.
 func (p *Planner) refreshSpeeds(now time.Time) {
-	p.speeds.fasterSearches, p.speeds.awaitingFaster = 0, 0
+	p.speeds.fasterSearches, p.speeds.awaitingFaster, p.speeds.comparisons = 0, 0, 0
 	if !p.Policy.Speeds || !p.speeds.table.Refresh(now) {
 		return
 	}
@@ -156,7 +158,7 @@
 // data.
 func (s *phase) usualMaxTime() time.Duration {
 	longest := time.Duration(0)
-	for _, x := range s.completed {
+	for x := range s.longestRuns() {
 		longest = max(longest, s.job.planner.usualTime(s, x))
 	}
 	return longest
@@ -166,7 +168,7 @@
 // workers.
 func (s *phase) timeLostToSpeed() time.Duration {
 	longest, usual := time.Duration(0), time.Duration(0)
-	for _, x := range s.completed {
+	for x := range s.longestRuns() {
 		longest = max(longest, x.took)
 		usual = max(usual, divide(x.took, s.job.planner.likelyFactor(x.worker)))
 	}
@@ -215,6 +217,10 @@
 	return out
 }
 
+// maxComparisons bounds the runs whose progress is compared between two calls of Schedule: reports of thousands of
+// runs arrive at once. The others are compared at their next reports.
+const maxComparisons = 128
+
 // minPercent is the progress over which the rate of an active run is compared with its siblings'.
 const minPercent = 20
 
@@ -226,14 +232,15 @@
 		return
 	}
 	since := later(r.baseAt, r.comparedAt)
-	if now.Sub(since) < minRateTime {
+	if now.Sub(since) < minRateTime || p.speeds.comparisons == maxComparisons {
 		return
 	}
+	p.speeds.comparisons++
 	rate := (r.percent - r.comparedPercent) / now.Sub(since).Seconds()
 	r.comparedPercent, r.comparedAt = r.percent, now
 	s := r.task.phase
 	rates := s.siblingRates(r, now)
-	if len(rates) < minRates || 4*len(rates) < 3*(s.live+s.done-1) {
+	if len(rates) < minRates || 4*len(rates) < 3*min(s.live+s.done-1, maxCompared) {
 		return
 	}
 	slices.Sort(rates)
@@ -242,7 +249,8 @@
 }
 
 // siblingRates returns the rates of the other runs of a phase in percent per second at usual workers:
-// of those that ended, and of those that have run for minRateTime, however far they have come.
+// of those that ended, and of those that have run for minRateTime, however far they have come. Of a wide
+// phase it takes a sample.
 func (s *phase) siblingRates(r *run, now time.Time) []float64 {
 	p := s.job.planner
 	var rates []float64
@@ -251,7 +259,7 @@
 			rates = append(rates, 100/max(time.Millisecond, p.usualTime(s, x)).Seconds())
 		}
 	}
-	for _, t := range s.tasks {
+	for _, t := range s.tasksAround(r.task.index) {
 		x := t.activeRun()
 		if x == nil || x == r || now.Sub(x.baseAt) < minRateTime || !x.comparable() || !x.progressedAt.After(x.baseAt) {
 			continue
--- a/coord/fleet/suspect.go
+++ b/coord/fleet/suspect.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -24,6 +25,7 @@
 // probe has lived long enough.
 type suspicion struct {
 	phase   *phase
+	task    *task  // task is the task, or the first one of the gang that was suspected.
 	key     string // key is the failureKey of the task or gang.
 	crashes []winch.Crash
 	// probe is the number of the current or next probe run; zero if none is chosen.
@@ -57,8 +59,19 @@
 }
 
 // suspected reports whether any task of the phase must run as a probe.
-func (s *phase) suspected() bool {
-	return s.job.suspects != nil && slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && t.suspicion().suspected() })
+func (s *phase) suspected() bool { return len(s.suspects()) > 0 }
+
+// suspects returns the tasks of the phase that must run as probes in the order of their indices, of a gang one
+// task.
+func (s *phase) suspects() []*task {
+	var out []*task
+	for _, x := range s.job.suspects {
+		if x.phase == s && !x.task.done && x.suspected() {
+			out = append(out, x.task)
+		}
+	}
+	slices.SortFunc(out, func(a, b *task) int { return cmp.Compare(a.index, b.index) })
+	return out
 }
 
 // suspect returns the suspicion of a task and creates it if there is none.
@@ -69,7 +82,7 @@
 	}
 	key := t.failureKey()
 	if j.suspects[key] == nil {
-		j.suspects[key] = &suspicion{phase: t.phase, key: key}
+		j.suspects[key] = &suspicion{phase: t.phase, task: t, key: key}
 	}
 	return j.suspects[key]
 }
--- a/coord/fleet/task.go
+++ b/coord/fleet/task.go
@@ -50,7 +50,9 @@
 	s := t.phase
 	live := t.activeRun() != nil
 	waiting := !live && !t.done
-	s.live += change(&t.live, live)
+	by := change(&t.live, live)
+	s.live += by
+	s.job.live += by
 	s.waiting += change(&t.waiting, waiting)
 	s.evicted.set(t.index, waiting && t.evicted)
 	s.startable.set(t.index, t.startable())
