region: reports, orders, stops and copies of many runs are handled in parts

Some steps did as much at once as one job has runs: handling a keeper's report (in a trial 0.07 s and more for a keeper of eight workers with a thousand runs each), sending orders, stopping the runs of a job that has ended, and a message to the standby that names 13,557 ended runs took 0.1 s, during which no other is sent.

Each now goes on in the next step after 2,000: parts of a report are posted one by one, so that decisions and messages come between; orders beyond keep the token they were collected with and have no effect if their worker is assigned anew; a run that is started again under its number is not removed from the copy later. First lists are handled as a whole, as they say what runs at a worker.

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -119,6 +119,8 @@
 	evictable int
 	evictedAt time.Time
 	stopTime  evict.StopTime
+	// ending holds the ended jobs whose runs are being stopped.
+	ending []stopCursor
 	// saved holds the checkpoints of stopped tasks that have not been started again.
 	saved map[winch.RunID]string
 	// unrecordedCrashes holds the runs that crashed their workers and whose crash is not yet
--- a/coord/fleet/forget.go
+++ b/coord/fleet/forget.go
@@ -19,14 +19,43 @@
 	p.stopJob(j)
 }
 
+// maxStops bounds the runs that one step stops because their jobs have ended. The next Schedule goes on.
+const maxStops = 2000
+
+// stopJob stops all runs of a job that has ended.
 func (p *Planner) stopJob(j *job) {
-	for _, s := range j.phases {
-		for _, t := range s.tasks {
-			for _, r := range slices.Clone(t.runs) {
-				p.stopRun(r)
+	p.ending = append(p.ending, stopCursor{job: j})
+	if len(p.ending) == 1 {
+		p.stopEnded()
+	}
+}
+
+// stopCursor is a job whose runs are being stopped, with the first task that may have some.
+type stopCursor struct {
+	job         *job
+	phase, task int
+}
+
+// stopEnded stops runs of jobs that have ended.
+func (p *Planner) stopEnded() {
+	stops := 0
+	for len(p.ending) > 0 {
+		c := &p.ending[0]
+		for ; c.phase < len(c.job.phases); c.phase, c.task = c.phase+1, 0 {
+			for tasks := c.job.phases[c.phase].tasks; c.task < len(tasks); c.task++ {
+				if stops >= maxStops {
+					p.unfinished = true
+					return
+				}
+				for _, r := range slices.Clone(tasks[c.task].runs) {
+					p.stopRun(r)
+					stops++
+				}
 			}
 		}
+		p.ending = p.ending[1:]
 	}
+	p.ending = nil
 }
 
 // HasJob reports whether the planner has the job.
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -142,6 +142,7 @@
 	p.refreshSpeeds(now)
 	p.chargeUnreported(now)
 	p.plannedPhases, p.searchedPhases, p.examined, p.starts, p.unfinished, p.initialQuota = 0, 0, 0, 0, false, p.Quota
+	p.stopEnded()
 	p.endLongProbes(now)
 	p.endCarried(now)
 	p.refreshEvictions(now)
@@ -282,8 +283,8 @@
 	return true
 }
 
-// Unfinished reports whether the last Schedule has left tasks that it could have started, as it had
-// started many.
+// Unfinished reports whether the last Schedule has left tasks that it could have started, or runs that it should
+// have stopped, as there were many.
 func (p *Planner) Unfinished() bool { return p.unfinished }
 
 // cannotStart reports whether it is known without examining workers that no task of the phase can
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -128,9 +128,14 @@
 	Run    uint64
 }
 
-// ListedRuns returns the runs that their boots have listed since the last call and that have not ended.
-func (p *Planner) ListedRuns() (out []ListedRun) {
-	for _, r := range p.listedRuns {
+// ListedRuns returns at most limit runs that their boots have listed, that have not ended, and that no earlier call
+// has returned.
+func (p *Planner) ListedRuns(limit int) (out []ListedRun) {
+	for i, r := range p.listedRuns {
+		if len(out) == limit {
+			p.listedRuns = p.listedRuns[i:]
+			return out
+		}
 		if r.worker.runs[r.key] == r {
 			out = append(out, ListedRun{r.worker.vm.ID, r.key.task, r.key.run})
 		}
--- a/region/handover.go
+++ b/region/handover.go
@@ -42,7 +42,9 @@
 	_ = l.duty.Do(ctx, func() {
 		l.closed = true
 		l.expiriesChanged = true // The standby is also sent the expiries of workers that have not responded.
-		l.dispatch()
+		for more := true; more; more = len(l.collected) > 0 {
+			l.dispatch()
+		}
 		l.sendQueued()
 	})
 	mirrored := l.awaitMirror(ctx)
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -123,6 +123,7 @@
 	// namedStandby as of namedRevision. It may name one of maybeNamed instead, if such a name was written
 	// after that revision with unknown result.
 	standby         *standby
+	collected       []proto.Order // collected holds the orders that are to be queued or sent.
 	queuedOrders    []proto.Order
 	mirroredOrders  []proto.Order
 	removedRuns     []proto.MirrorRun
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -37,6 +38,9 @@
 	// heartbeatInterval is how often the planner sends its standby a message if there is nothing to
 	// report: a little less than idleInterval, so that each idle decision sends one.
 	heartbeatInterval = 90 * time.Millisecond
+	// maxMirrored bounds the ended and the listed runs that one message names, as no other is sent until it is
+	// acknowledged, and the standby must not take the planner for lost meanwhile.
+	maxMirrored = 2000
 )
 
 // mirror is the copy that an entry holds as standby of the planner: all runs that may exist at the
@@ -239,7 +243,7 @@
 	if l.standby == nil {
 		l.ackedExpiries = nil // The next standby is sent all expiries again.
 		l.planner.ClosedRuns()
-		l.planner.ListedRuns()
+		l.planner.ListedRuns(math.MaxInt)
 		l.planner.SavedCheckpoints(false)
 		l.mirroredOrders, l.queuedOrders = append(l.mirroredOrders, l.queuedOrders...), nil
 		l.release()
@@ -253,10 +257,10 @@
 		return // Runs that ended are sent with the next message.
 	}
 	msg := proto.Mirror{
-		Term: l.term, Session: s.session, Full: !s.synced, Remove: l.removedRuns,
+		Term: l.term, Session: s.session, Full: !s.synced,
 		ExpiriesUnchanged: s.synced && !l.expiriesChanged, Stamp: s.stamp, Yield: !l.node.storeResponsive(), NamesStarted: true,
 	}
-	for _, r := range l.planner.ListedRuns() {
+	for _, r := range l.planner.ListedRuns(maxMirrored) {
 		msg.Started = append(msg.Started, proto.MirrorRun{Worker: r.Worker, Task: r.Task, Run: r.Run})
 	}
 	if !msg.ExpiriesUnchanged {
@@ -267,7 +271,7 @@
 	}
 	if msg.Full {
 		msg.Add, msg.Started = l.allRuns()
-		msg.Remove = nil
+		l.removedRuns = nil
 	} else {
 		for _, o := range l.queuedOrders {
 			if o.Kind == proto.OrderStart {
@@ -275,15 +279,37 @@
 			}
 		}
 	}
+	msg.Remove, l.removedRuns = splitRemoved(l.removedRuns, msg.Add)
 	msg.Speeds = l.changedSpeeds(msg.Full)
 	for _, x := range msg.LeaseExpiries {
 		l.standbyExpiries[x.Worker] = true
 	}
 	starts := l.queuedOrders
-	l.queuedOrders, l.removedRuns, l.mirrorPending, l.expiriesChanged, l.mirroredAt = nil, nil, true, false, time.Now()
+	l.queuedOrders, l.mirrorPending, l.expiriesChanged, l.mirroredAt = nil, true, false, time.Now()
 	l.group.Go(func() { l.sendMirror(s, msg, starts) })
 }
 
+// splitRemoved returns the runs to be removed with the next message, and those to be removed later. A run that the
+// message adds again must not be removed after it.
+func splitRemoved(removed, added []proto.MirrorRun) (now, later []proto.MirrorRun) {
+	if len(removed) <= maxMirrored {
+		return removed, nil
+	}
+	again := make(map[proto.MirrorRun]bool, len(added))
+	for _, r := range added {
+		again[r] = true
+	}
+	now = removed[:maxMirrored:maxMirrored]
+	for _, r := range removed[maxMirrored:] {
+		if again[r] {
+			now = append(now, r)
+		} else {
+			later = append(later, r)
+		}
+	}
+	return now, later
+}
+
 func (l *leadership) sendMirror(s *standby, msg proto.Mirror, starts []proto.Order) {
 	ctx, cancel := context.WithTimeout(l.ctx, mirrorTimeout+time.Duration(len(msg.Add))*mirrorTimeoutPerRun)
 	defer cancel()
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"iter"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,10 @@
 )
 
 const (
+	// maxOrders bounds the orders that one step of the planner sends.
+	maxOrders = 2000
+	// maxReported bounds the runs and completions in the part of a keeper's report that one step handles.
+	maxReported = 2000
 	// pollWait is how long a keeper may wait for an event before it responds.
 	pollWait = 250 * time.Millisecond
 	// pollTimeout is how long the response may take beyond pollWait. A keeper that does not
@@ -111,8 +116,8 @@
 			p.granted.add(p.firstGrant) // The first message has arrived by now.
 		}
 		p.stamp = report.Stamp
-		if len(report.Events) > 0 {
-			l.post(func() { l.handleEvents(p, report.Events) })
+		for events := range splitEvents(report.Events, maxReported) {
+			l.post(func() { l.handleEvents(p, events) })
 		}
 	}
 	l.post(func() {
@@ -174,6 +179,38 @@
 	l.planner.SetUnready(ids)
 }
 
+// splitEvents splits a report into parts that name at most limit runs and completions, except for first lists, which
+// must be handled as a whole.
+func splitEvents(events []proto.KeeperEvent, limit int) iter.Seq[[]proto.KeeperEvent] {
+	return func(yield func([]proto.KeeperEvent) bool) {
+		var part []proto.KeeperEvent
+		left := limit
+		for _, e := range events {
+			for {
+				x := e
+				if n := max(1, left); e.Kind == proto.EventStatus || e.Kind == proto.EventEnded {
+					x.Running, x.Ended = e.Running[:min(n, len(e.Running))], e.Ended[:min(n, len(e.Ended))]
+				}
+				part = append(part, x)
+				left -= 1 + len(x.Running) + len(x.Ended)
+				if left <= 0 {
+					if !yield(part) {
+						return
+					}
+					part, left = nil, limit
+				}
+				e.Running, e.Ended = e.Running[len(x.Running):], e.Ended[len(x.Ended):]
+				if len(e.Running)+len(e.Ended) == 0 {
+					break
+				}
+			}
+		}
+		if len(part) > 0 {
+			yield(part)
+		}
+	}
+}
+
 // handleEvents handles what a keeper has reported. Reports of an ended session are stale and
 // dropped.
 func (l *leadership) handleEvents(p *proxy, events []proto.KeeperEvent) {
@@ -288,10 +325,20 @@
 // dispatch sends the planner's orders to the keepers: starts once the standby has acknowledged
 // them, and most others at once. A worker that forgets a completion forgets its checkpoint, so while
 // checkpoints are kept, the standby is sent them first.
+//
+// Many orders are sent in parts. An order whose worker is assigned anew before its turn has no effect, like one that was
+// sent before.
 func (l *leadership) dispatch() {
-	var now []proto.Order
 	for _, o := range l.planner.Orders() {
 		o.Token = l.assignments[o.Worker].Token
+		l.collected = append(l.collected, o)
+	}
+	var now []proto.Order
+	part := l.collected[:min(len(l.collected), maxOrders)]
+	if l.collected = l.collected[len(part):]; len(l.collected) > 0 {
+		l.decideSoon()
+	}
+	for _, o := range part {
 		if o.Kind == proto.OrderStart || o.Kind == proto.OrderForget && l.planner.KeepsCheckpoints() {
 			l.queuedOrders = append(l.queuedOrders, o)
 		} else {
