fleet, region: decisions do not go over all runs

Its longest steps, by trials with stacks, counted the shares of teams (each 0.1 s, over all runs), forecast the load (over all runs) and built a message to the standby (over all ended runs that it still has to name).

Shares are counted as runs start and end. The forecast and the expected releases of a worker with more than 256 runs take a sample, in which each run stands for several; of its runs, the 256 started last may be stopped for urgent work. Ended runs wait in a queue for the message that removes them. A report is followed by a message to the standby if the last one was sent a while ago, since many reports may be handled before the next decision.

TestEndsOfManyRunsAreMirroredInParts now covers the queue.

--- a/coord/fleet/evict.go
+++ b/coord/fleet/evict.go
@@ -190,12 +190,12 @@
 	return x.evictions.Allows(k.now, s.spec.Charge(), x.capacity, k.costs)
 }
 
-// victimsAt returns the runs at a worker that may be stopped.
+// victimsAt returns the runs at a worker that may be stopped, of very many those that were started last.
 func (k *evictionSearch) victimsAt(w *worker) []victim {
 	if k.victims[w.index] == nil {
 		out := make([]victim, 0, len(w.evictable))
 		if w.unresponsiveSince.IsZero() {
-			for _, r := range w.evictable {
+			for _, r := range w.evictable[max(0, len(w.evictable)-maxCompared):] {
 				if x, ok := r.evictionCandidate(k.now); ok {
 					out = append(out, victim{r, x})
 				}
@@ -211,9 +211,9 @@
 func (k *evictionSearch) freeBy(w *worker, in time.Duration) winch.Capacity {
 	if k.releases[w.index] == nil {
 		out := make([]release, 0, len(w.runs))
-		for _, r := range w.runs {
+		for r, times := range w.sampledRuns() {
 			if left, known := r.timeLeft(k.now); known {
-				out = append(out, release{left, r.charge})
+				out = append(out, release{left, r.charge.Times(times)})
 			}
 		}
 		k.releases[w.index] = out
--- a/coord/fleet/forecast.go
+++ b/coord/fleet/forecast.go
@@ -229,8 +229,8 @@
 		if w.usable() {
 			s.Capacity = s.Capacity.Add(w.vm.Room, time.Duration(float64(time.Second)/p.factor(w)))
 		}
-		for _, r := range w.runs {
-			p.addRunning(s, r, now)
+		for r, times := range w.sampledRuns() {
+			p.addRunning(s, r, times, now)
 		}
 	}
 	for _, j := range p.active {
@@ -246,15 +246,15 @@
 	return out
 }
 
-// addRunning adds a run's remaining work to that of its service. What lasting tasks use reduces the
-// capacity.
-func (p *Planner) addRunning(s *admit.Service, r *run, now time.Time) {
+// addRunning adds a run's remaining work, as often as the run is to be counted, to that of its service. What lasting tasks
+// use reduces the capacity.
+func (p *Planner) addRunning(s *admit.Service, r *run, times int, now time.Time) {
 	if r.task == nil || r.stopping {
 		return
 	}
 	if r.task.phase.spec.Lasting {
 		if r.worker.usable() {
-			s.Capacity = s.Capacity.Add(r.charge, -time.Second)
+			s.Capacity = s.Capacity.Add(r.charge.Times(times), -time.Second)
 		}
 		return
 	}
@@ -263,9 +263,9 @@
 		return
 	}
 	if j := r.task.phase.job; j.inUrgentQueue() && !j.excess {
-		s.RunningUrgent = s.RunningUrgent.Add(r.charge, end.Sub(now))
+		s.RunningUrgent = s.RunningUrgent.Add(r.charge.Times(times), end.Sub(now))
 	} else {
-		s.RunningNormal = s.RunningNormal.Add(r.charge, end.Sub(now))
+		s.RunningNormal = s.RunningNormal.Add(r.charge.Times(times), end.Sub(now))
 	}
 }
 
--- a/coord/fleet/order.go
+++ b/coord/fleet/order.go
@@ -35,7 +35,7 @@
 // teamOrder is a team's use of its share.
 type teamOrder struct {
 	usage    order.Usage
-	running  winch.Capacity // running is what the team's runs occupy as of the last measurement.
+	running  winch.Capacity // running is what the team's runs occupy.
 	waiting  winch.Capacity
 	standing order.Standing
 }
--- a/coord/fleet/reserve.go
+++ b/coord/fleet/reserve.go
@@ -177,9 +177,9 @@
 		return w.cachedReleases
 	}
 	out := w.cachedReleases[:0]
-	for _, r := range w.runs {
+	for r, times := range w.sampledRuns() {
 		if at, ok := r.expectedCompletion(now); ok {
-			out = append(out, expectedRelease{at, r.charge})
+			out = append(out, expectedRelease{at, r.charge.Times(times)})
 		}
 	}
 	slices.SortFunc(out, func(a, b expectedRelease) int {
--- a/coord/fleet/run.go
+++ b/coord/fleet/run.go
@@ -182,6 +182,9 @@
 		t.evicted = false
 		t.updateCounts()
 		w.countRun(spec, 1)
+		if t.phase.countsForShares() {
+			r.team.order.running = r.team.order.running.Add(r.need)
+		}
 		if spec.MostPerVM > 0 {
 			t.phase.perWorker = increment(t.phase.perWorker, w, 1)
 		}
@@ -251,6 +254,9 @@
 		return
 	}
 	w.countRun(r.task.phase.spec, -1)
+	if r.task.phase.countsForShares() {
+		r.team.order.running = r.team.order.running.Sub(r.need)
+	}
 	r.task.phase.job.runs--
 	if r.task.phase.spec.MostPerVM > 0 {
 		increment(r.task.phase.perWorker, w, -1)
--- a/coord/fleet/sample.go
+++ b/coord/fleet/sample.go
@@ -38,3 +38,21 @@
 		}
 	}
 }
+
+// sampledRuns returns the worker's runs, each with how many it stands for: of very many runs it returns a part, as what
+// is computed of them all would take long.
+func (w *worker) sampledRuns() iter.Seq2[*run, int] {
+	return func(yield func(*run, int) bool) {
+		times := (len(w.runs) + maxCompared - 1) / maxCompared
+		skip := 0
+		for _, r := range w.runs {
+			if skip--; skip >= 0 {
+				continue
+			}
+			skip = times - 1
+			if !yield(r, times) {
+				return
+			}
+		}
+	}
+}
--- a/coord/fleet/share.go
+++ b/coord/fleet/share.go
@@ -89,21 +89,17 @@
 	}
 }
 
-// countShares counts what runs and waits, by team. Lasting tasks, which hold their capacity for good,
-// and filling tasks, which use what others leave, do not count.
+// countsForShares reports whether the tasks of the phase count towards their team's share. Lasting tasks, which hold
+// their capacity for good, and filling tasks, which use what others leave, do not.
+func (s *phase) countsForShares() bool { return !s.spec.Lasting && !s.spec.Fills }
+
+// countShares counts what waits, by team.
 func (p *Planner) countShares() {
 	for _, t := range p.order.teams {
-		t.order.running, t.order.waiting = winch.Capacity{}, winch.Capacity{}
-	}
-	for _, w := range p.workers {
-		for _, r := range w.runs {
-			if r.task != nil && !r.task.phase.spec.Lasting && !r.task.phase.spec.Fills {
-				r.team.order.running = r.team.order.running.Add(r.need)
-			}
-		}
+		t.order.waiting = winch.Capacity{}
 	}
 	for i := range p.ready {
-		if s := p.ready[i].phase; p.ready[i].rank.class != rankDeferred && !s.spec.Lasting && !s.spec.Fills {
+		if s := p.ready[i].phase; p.ready[i].rank.class != rankDeferred && s.countsForShares() {
 			t := s.job.team
 			t.order.waiting = t.order.waiting.Add(s.spec.Need.Times(s.startableNow()))
 		}
--- a/region/largereport_test.go
+++ b/region/largereport_test.go
@@ -66,18 +66,24 @@
 func TestEndsOfManyRunsAreMirroredInParts(t *testing.T) {
 	is := is.New(t)
 	run := func(i int) proto.MirrorRun { return proto.MirrorRun{Worker: "w", Run: uint64(i)} }
-	var removed []proto.MirrorRun
+	var removed removals
 	for i := range 3*maxMirrored + 10 {
-		removed = append(removed, run(i))
+		removed.add(run(i))
 	}
 	again := run(2 * maxMirrored)
-	now, later := splitRemoved(removed, []proto.MirrorRun{again})
-	is.Equal(len(now), maxMirrored+1)
-	is.True(slices.Contains(now, again))
-	is.True(!slices.Contains(later, again))
-	for messages := 1; len(later) > 0; messages++ {
+	first := removed.take([]proto.MirrorRun{again})
+	is.Equal(len(first), maxMirrored)
+	is.True(slices.Contains(first, again))
+	total := len(first)
+	for messages := 1; ; messages++ {
+		next := removed.take(nil)
+		if len(next) == 0 {
+			break
+		}
 		is.True(messages < 4)
-		now, later = splitRemoved(later, nil)
-		is.True(len(now) <= maxMirrored)
+		is.True(len(next) <= maxMirrored)
+		is.True(!slices.Contains(next, again))
+		total += len(next)
 	}
+	is.Equal(total, 3*maxMirrored+10)
 }
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -126,7 +126,7 @@
 	collected       []proto.Order // collected holds the orders that are to be queued or sent.
 	queuedOrders    []proto.Order
 	mirroredOrders  []proto.Order
-	removedRuns     []proto.MirrorRun
+	removedRuns     removals
 	mirrorPending   bool
 	mirrorSessions  uint64
 	mirrorRoundTrip time.Duration // mirrorRoundTrip is how long the standby's last response took.
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -251,7 +251,7 @@
 	}
 	s := l.standby
 	for _, g := range l.planner.ClosedRuns() {
-		l.removedRuns = append(l.removedRuns, proto.MirrorRun{Worker: g.Worker, Task: g.Task, Run: g.Run})
+		l.removedRuns.add(proto.MirrorRun{Worker: g.Worker, Task: g.Task, Run: g.Run})
 	}
 	if s.synced && len(l.queuedOrders) == 0 && !l.expiriesChanged && time.Since(l.mirroredAt) < heartbeatInterval {
 		return // Runs that ended are sent with the next message.
@@ -271,7 +271,7 @@
 	}
 	if msg.Full {
 		msg.Add, msg.Started = l.allRuns()
-		l.removedRuns = nil
+		l.removedRuns = removals{}
 	} else {
 		for _, o := range l.queuedOrders {
 			if o.Kind == proto.OrderStart {
@@ -279,7 +279,7 @@
 			}
 		}
 	}
-	msg.Remove, l.removedRuns = splitRemoved(l.removedRuns, msg.Add)
+	msg.Remove = l.removedRuns.take(msg.Add)
 	msg.Speeds = l.changedSpeeds(msg.Full)
 	for _, x := range msg.LeaseExpiries {
 		l.standbyExpiries[x.Worker] = true
@@ -289,25 +289,42 @@
 	l.group.Go(func() { l.sendMirror(s, msg, starts) })
 }
 
-// splitRemoved returns the runs to be removed with the next message, and those to be removed later. A run that the
-// message adds again must not be removed after it.
-func splitRemoved(removed, added []proto.MirrorRun) (now, later []proto.MirrorRun) {
-	if len(removed) <= maxMirrored {
-		return removed, nil
+// removals holds ended runs that the standby's copy still has, in the order of their ends.
+type removals struct {
+	order   []proto.MirrorRun
+	pending map[proto.MirrorRun]bool
+}
+
+func (x *removals) add(r proto.MirrorRun) {
+	if x.pending == nil {
+		x.pending = make(map[proto.MirrorRun]bool)
 	}
-	again := make(map[proto.MirrorRun]bool, len(added))
+	if !x.pending[r] {
+		x.pending[r] = true
+		x.order = append(x.order, r)
+	}
+}
+
+// take returns the runs that the next message removes: at most maxMirrored, and those that it adds again, since they must
+// not be removed after it.
+func (x *removals) take(added []proto.MirrorRun) (out []proto.MirrorRun) {
 	for _, r := range added {
-		again[r] = true
-	}
-	now = removed[:maxMirrored:maxMirrored]
-	for _, r := range removed[maxMirrored:] {
-		if again[r] {
-			now = append(now, r)
-		} else {
-			later = append(later, r)
+		if x.pending[r] {
+			delete(x.pending, r)
+			out = append(out, r)
+		}
+	}
+	n := 0
+	for ; n < len(x.order) && len(out) < maxMirrored; n++ {
+		if r := x.order[n]; x.pending[r] {
+			delete(x.pending, r)
+			out = append(out, r)
 		}
 	}
-	return now, later
+	if x.order = x.order[n:]; len(x.order) == 0 {
+		*x = removals{}
+	}
+	return out
 }
 
 func (l *leadership) sendMirror(s *standby, msg proto.Mirror, starts []proto.Order) {
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -275,6 +275,9 @@
 	if changed {
 		l.reassignSoon()
 	}
+	if time.Since(l.mirroredAt) > heartbeatInterval {
+		l.sendQueued() // Many reports may be handled before the next decision.
+	}
 	l.decideSoon()
 }
 
--- a/region/standby.go
+++ b/region/standby.go
@@ -88,7 +88,7 @@
 	l.node.Log.Info("standby dropped", zap.String("standby", l.standby.name))
 	l.standbyBackoff[l.standby.name] = time.Now().Add(standbyRetryDelay)
 	l.standby = nil
-	l.removedRuns = nil
+	l.removedRuns = removals{}
 	l.queuedOrders = append(l.mirroredOrders, l.queuedOrders...)
 	l.mirroredOrders = nil
 	duty.Signal(l.standbyCh)
