fleet: a decision ranks the next phases of a job, not all its repetitions

Each decision ranked and sorted all repetitions of a job, due or not. It now ranks 1,024 phases of one job; others take the place of those that leave, in their order. A decision starts 512.

--- a/coord/fleet/job.go
+++ b/coord/fleet/job.go
@@ -23,7 +23,9 @@
 	// unfinished counts the phases that have not ended, live and done the tasks that run and those that
 	// are done, and runs the runs that may exist.
 	unfinished, live, done, runs int
-	home                         string // home is the failure domain that tasks prefer, see homeDomain.
+	// enqueued counts the phases in the planner's ready list, nextEnqueued is the first that has not had its turn.
+	enqueued, nextEnqueued int
+	home                   string // home is the failure domain that tasks prefer, see homeDomain.
 	// excess is set if the job exceeded its team's share when it was accepted.
 	excess bool
 	// adopted is set if runs of an earlier planner were found.
@@ -187,22 +189,45 @@
 	p.jobFound(rec.ID)
 }
 
+// maxEnqueued bounds the phases of one job that a decision ranks: a decision starts no more runs, and a job may have
+// 100,000 repetitions.
+const maxEnqueued = 2 * maxStarts
+
 // enqueueReady adds the job's phases that may be ready to the planner's ready list.
 func (j *job) enqueueReady() {
-	for _, s := range j.phases {
+	for _, s := range j.phases[:j.nextEnqueued] {
 		j.planner.enqueueIfReady(s)
 	}
+	j.enqueueNext()
+}
+
+// enqueueNext adds phases to the ready list in their order until it holds maxEnqueued of the job.
+func (j *job) enqueueNext() {
+	for j.enqueued < maxEnqueued && j.nextEnqueued < len(j.phases) {
+		j.nextEnqueued++
+		j.planner.enqueueIfReady(j.phases[j.nextEnqueued-1])
+	}
 }
 
 // enqueueIfReady adds a phase to the ready list if it has waiting tasks and the preceding phases are
-// done.
+// done, unless its turn has not come yet, see enqueueNext.
 func (p *Planner) enqueueIfReady(s *phase) {
+	if s.repetition*len(s.job.rec.Phases)+s.index >= s.job.nextEnqueued {
+		return
+	}
 	if !s.enqueued && s.waiting > 0 && s.job.queue != nil && s.dependenciesDone() {
 		s.enqueued, s.readySince = true, time.Time{}
+		s.job.enqueued++
 		p.ready = append(p.ready, waitingPhase{phase: s})
 	}
 }
 
+// dequeue notes that a phase has left the ready list.
+func (s *phase) dequeue() {
+	s.enqueued = false
+	s.job.enqueued--
+}
+
 func (j *job) addRepetition(repetition int) {
 	first := len(j.phases)
 	for i := range j.rec.Phases {
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -204,40 +204,48 @@
 // sortReady sorts the ready phases by rank, drops those that are no longer ready, and adds waiting
 // tasks to the demand of urgent work.
 func (p *Planner) sortReady(now time.Time, adopting bool) {
-	kept := p.ready[:0]
-	for _, e := range p.ready {
-		s := e.phase
-		if !s.ready() {
-			if s.waiting > 0 && s.dependenciesDone() && !s.job.cancelled && !s.job.state.Final() {
-				e.rank = rank{class: rankDeferred} // It is not due yet.
-				kept = append(kept, e)
-				continue
-			}
-			s.enqueued = false
+	kept := 0
+	for i := 0; i < len(p.ready); i++ { // Other phases of a job may take the place of one that is dropped.
+		e := p.ready[i]
+		if !p.updateReady(&e, now, adopting) {
+			e.phase.dequeue()
+			e.phase.job.enqueueNext()
 			continue
 		}
-		blocked := s.blockedReason()
-		if s.readySince.IsZero() {
-			s.readySince = now
-			if blocked == 0 {
-				p.noteArrival(s, now)
-			}
-		}
-		if reason := cmp.Or(p.deferReason(s.job, adopting), blocked); reason != 0 {
-			s.accountWait(now, reason)
-			e.rank = rank{class: rankDeferred}
-		} else {
-			p.countWaiting(s)
-			e.rank = rank{}
-		}
-		kept = append(kept, e)
+		p.ready[kept] = e
+		kept++
 	}
-	clear(p.ready[len(kept):])
-	p.ready = kept
+	clear(p.ready[kept:])
+	p.ready = p.ready[:kept]
 	p.rankReady(now)
 	slices.SortFunc(p.ready, compareWaitingPhases)
 }
 
+// updateReady determines whether a phase of the ready list is to be ranked or deferred, and reports whether it stays in
+// the list.
+func (p *Planner) updateReady(e *waitingPhase, now time.Time, adopting bool) bool {
+	s := e.phase
+	if !s.ready() {
+		e.rank = rank{class: rankDeferred} // It may not be due yet.
+		return s.waiting > 0 && s.dependenciesDone() && !s.job.cancelled && !s.job.state.Final()
+	}
+	blocked := s.blockedReason()
+	if s.readySince.IsZero() {
+		s.readySince = now
+		if blocked == 0 {
+			p.noteArrival(s, now)
+		}
+	}
+	if reason := cmp.Or(p.deferReason(s.job, adopting), blocked); reason != 0 {
+		s.accountWait(now, reason)
+		e.rank = rank{class: rankDeferred}
+		return true
+	}
+	p.countWaiting(s)
+	e.rank = rank{}
+	return true
+}
+
 func compareWaitingPhases(a, b waitingPhase) int {
 	if a.rank.class != b.rank.class {
 		return cmp.Compare(a.rank.class, b.rank.class)
