--- a/coord/fleet/bench_test.go
+++ b/coord/fleet/bench_test.go
@@ -168,24 +168,99 @@
 	}
 }
 
-// BenchmarkOneLargeJob measures the decisions that start all tasks of one job.
-func BenchmarkOneLargeJob(b *testing.B) {
-	for _, count := range []int{1000, 5000, 20_000, 100_000} {
-		b.Run(fmt.Sprintf("tasks=%d", count), func(b *testing.B) {
+// BenchmarkLargeJobs measures the steps that large jobs lead to, in milliseconds: to add the jobs, the longest decision while
+// all tasks are started, to handle the end of one task, to restore jobs of which all tasks but one are done, to adopt what half
+// of the tasks run, to make one record, and to answer one question for a state.
+func BenchmarkLargeJobs(b *testing.B) {
+	for _, shape := range []struct {
+		name                          string
+		jobs, phases, tasks, repeated int
+	}{
+		{"tasks=1000", 1, 1, 1000, 0},
+		{"tasks=10000", 1, 1, 10_000, 0},
+		{"tasks=100000", 1, 1, 100_000, 0},
+		{"phases=1000/tasks=100", 1, 1000, 100, 0},
+		{"jobs=10000/tasks=10", 10_000, 1, 10, 0},
+		{"repetitions=100000", 1, 1, 1, 100_000},
+	} {
+		b.Run(shape.name, func(b *testing.B) {
+			phases := make([]winch.Phase, shape.phases)
+			for i := range phases {
+				phases[i] = smallTasks(shape.tasks)
+			}
+			job := func(n int) *winch.PhasedJob {
+				return &winch.PhasedJob{
+					ID: fmt.Sprintf("large%d", n), Queue: "mix", Team: "choir", Phases: phases, Accepted: time.Now(), Revision: 7,
+					Times: shape.repeated, First: time.Now(),
+				}
+			}
+			done := &winch.Progress{Done: make(map[int][][]byte)}
+			for k := range max(1, shape.repeated) {
+				for range phases {
+					bits := make([]byte, (shape.tasks+7)/8)
+					for i := range bits {
+						bits[i] = 0xff
+					}
+					if k == 0 && len(done.Done[0]) == 0 {
+						bits[0] = 0xfe
+					}
+					done.Done[k] = append(done.Done[k], bits)
+				}
+			}
+			measured := make(map[string]time.Duration)
+			measure := func(name string, f func()) {
+				begin := time.Now()
+				f()
+				measured[name] = max(measured[name], time.Since(begin))
+			}
 			for b.Loop() {
-				b.StopTimer()
-				p := waitingPlanner(48, 0, false)
-				for _, w := range p.workers {
-					w.vm.Room = winch.Capacity{Milli: 1 << 30, Memory: 1 << 50}
+				clear(measured)
+				p := roomyPlanner(48)
+				measure("add", func() {
+					for n := range shape.jobs {
+						p.Add(job(n), nil, 0)
+					}
+				})
+				var starts []proto.Order
+				for more := true; more; {
+					measure("decision", p.Schedule)
+					more = false
+					for _, o := range p.Orders() {
+						more = true
+						starts = append(starts, o)
+						p.HandleEvent(proto.KeeperEvent{Kind: proto.EventStarted, Worker: o.Worker, Task: o.Task, Run: o.Run})
+					}
 				}
-				phase := winch.Phase{Count: count, Need: winch.Capacity{Milli: 1, Memory: 1 << 20}, Estimate: time.Second}
-				p.Add(&winch.PhasedJob{ID: "large", Queue: "mix", Team: "choir", Phases: []winch.Phase{phase}, Accepted: time.Now(), Revision: 7}, nil, 0)
-				b.StartTimer()
-				for s := p.jobs["large"].phases[0]; s.waiting > 0; {
-					p.Schedule()
-					p.Orders()
+				o := starts[len(starts)/2]
+				measure("end", func() {
+					p.HandleEvent(proto.KeeperEvent{Kind: proto.EventEnded, Worker: o.Worker, Ended: []winch.Completion{{Number: 1, Task: o.Task, Run: o.Run, Kind: winch.CompletionDone}}})
+				})
+				measure("record", func() { p.Records(1) })
+				measure("state", func() { p.State("large0"); p.EndsSoon("large0") })
+				restored := roomyPlanner(48)
+				measure("restore", func() {
+					for n := range shape.jobs {
+						restored.Add(job(n), done, 9)
+					}
+				})
+				next := roomyPlanner(48)
+				for n := range shape.jobs {
+					next.Add(job(n), nil, 0)
+				}
+				running := make(map[string][]winch.Running)
+				for _, o := range starts[:len(starts)/2] {
+					running[o.Worker] = append(running[o.Worker], winch.Running{Task: o.Task, Run: o.Run})
 				}
+				measure("adopt", func() {
+					for id, list := range running {
+						next.HandleEvent(proto.KeeperEvent{Kind: proto.EventListed, Worker: id, Running: list})
+					}
+				})
+			}
+			for name, took := range measured {
+				b.ReportMetric(float64(took)/float64(time.Millisecond), name+"-ms")
 			}
+			b.ReportMetric(0, "ns/op")
 		})
 	}
 }
