--- a/region/busy.go
+++ b/region/busy.go
@@ -36,8 +36,8 @@
 }
 
 // logLongDecision logs a decision that took long.
-func (l *leadership) logLongDecision(starts int) {
+func (l *leadership) logLongDecision(orders int) {
 	if l.decisionTime >= longStep {
-		l.node.Log.Info("long decision", zap.Uint64("term", l.term), zap.Duration("took", l.decisionTime), zap.Int("orders", starts))
+		l.node.Log.Info("long decision", zap.Uint64("term", l.term), zap.Duration("took", l.decisionTime), zap.Int("orders", orders))
 	}
 }
