region: the standby's response is handled before the events that wait

The next message to the standby is sent once the response to the last one is handled, and that waited behind all reports of runs and completions: 60 to 90 of them in trials, each of up to some milliseconds.

TestUrgentFunctionRunsBeforeTheQueue.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -22,6 +22,9 @@
 // DefaultSize is the size of the queue if none is given.
 const DefaultSize = 1024
 
+// urgentSize is the number of urgent functions that a loop queues.
+const urgentSize = 64
+
 // Loop runs queued functions one at a time in one goroutine. The state it owns may be
 // accessed only by these functions.
 type Loop struct {
@@ -30,6 +33,7 @@
 	Metrics metrics.Registry
 
 	queue   chan func()
+	urgent  chan func() // urgent holds functions that run before those in queue.
 	stopped chan struct{}
 	refused metrics.Counter
 	steps   atomic.Uint64             // steps counts the functions that were begun.
@@ -46,6 +50,7 @@
 	}
 	d := &Loop{Name: name, Size: size, Metrics: reg}
 	d.queue = make(chan func(), size)
+	d.urgent = make(chan func(), urgentSize)
 	d.stopped = make(chan struct{})
 	d.refused = metrics.GetOrRegisterCounter("Ring."+name+".Refused", reg)
 	_ = reg.Register("Ring."+name+".Depth", metrics.NewFunctionalGauge(func() int64 {
@@ -66,6 +71,16 @@
 		select {
 		case <-ctx.Done():
 			return
+		case work := <-d.urgent:
+			d.step(work)
+			continue
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case work := <-d.urgent:
+			d.step(work)
 		case work := <-d.queue:
 			d.step(work)
 		case <-tick:
@@ -102,6 +117,18 @@
 	}
 }
 
+// PostUrgent is like Post, but f runs before all that Post and Do have queued. It is meant for a few functions that
+// others wait for while the queue is long.
+func (d *Loop) PostUrgent(f func()) error {
+	select {
+	case d.urgent <- f:
+		return nil
+	default:
+		d.refused.Inc(1)
+		return ErrFull
+	}
+}
+
 // Do waits until f is queued and has run. If ctx ends before f begins, it returns the error of ctx, and
 // f does not run. It is meant for a bounded number of callers; work that peers or callers can send without
 // limit must go through Post.
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -51,6 +51,31 @@
 	})
 }
 
+// Guards against a response that others wait for and that is handled only after a long queue of events.
+func TestUrgentFunctionRunsBeforeTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		loop := duty.New("test", 0, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		defer group.Wait()
+		defer stop()
+		ran, ranAt := 0, 0
+		for range 100 {
+			is.NoErr(loop.Post(func() {
+				time.Sleep(time.Second)
+				if ran++; ran == 3 {
+					is.NoErr(loop.PostUrgent(func() { ranAt = ran }))
+				}
+			}))
+		}
+		group.Go(func() { loop.Run(ctx) })
+		is.NoErr(loop.Do(ctx, func() {}))
+		is.Equal(ran, 100)
+		is.Equal(ranAt, 3)
+	})
+}
+
 // Guards against a caller that leaves while its function runs, which may write to the caller's variables.
 func TestCallerWaitsForAFunctionThatRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/region/leadership.go
+++ b/region/leadership.go
@@ -279,7 +279,16 @@
 // post runs f in the planner's goroutine. If the queue is full, f is dropped and the leadership ends:
 // f could have reported a completion, and a new planner reads everything again.
 func (l *leadership) post(f func()) {
-	if l.duty.Post(f) != nil {
+	l.endIfFull(l.duty.Post(f))
+}
+
+// postUrgent is like post, but f runs before the events that wait.
+func (l *leadership) postUrgent(f func()) {
+	l.endIfFull(l.duty.PostUrgent(f))
+}
+
+func (l *leadership) endIfFull(err error) {
+	if err != nil {
 		l.node.Log.Error("planner event queue full; giving up the office")
 		l.cancel()
 	}
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -334,7 +334,8 @@
 	sent := time.Now()
 	err := l.node.Peers.Request(ctx, s.name, proto.KindMirror, msg, &ack)
 	took := time.Since(sent)
-	l.post(func() {
+	// No message is sent until the response is handled, and the standby must not wait for that as long as the events do.
+	l.postUrgent(func() {
 		l.mirrorPending, l.mirrorRoundTrip = false, took
 		if err == nil {
 			l.standbyAnsweredAt, s.stamp = time.Now(), ack.Stamp
