fleet: bound the siblings that runs are compared with, not the comparisons

A region of many narrow phases makes many cheap comparisons between two decisions; 128 of any width could delay what is learned of workers' speeds. The bound of the work is the same.

--- a/coord/fleet/speeds.go
+++ b/coord/fleet/speeds.go
@@ -18,8 +18,8 @@
 	// fasterSearches counts the phases for which the last Schedule searched faster workers, and
 	// awaitingFaster the tasks that it let wait for one.
 	fasterSearches, awaitingFaster int
-	// comparisons counts the runs whose progress was compared with their siblings' since the last Schedule.
-	comparisons int
+	// compared counts the siblings that runs were compared with since the last Schedule, by their progress.
+	compared int
 
 	changes []SpeedChange
 	// sent is what the last summary said, by worker or, with an empty worker, by kind; sentAt is when it
@@ -60,7 +60,7 @@
 
 // refreshSpeeds prepares for a Schedule and, once a second, updates the factors of all workers.
 func (p *Planner) refreshSpeeds(now time.Time) {
-	p.speeds.fasterSearches, p.speeds.awaitingFaster, p.speeds.comparisons = 0, 0, 0
+	p.speeds.fasterSearches, p.speeds.awaitingFaster, p.speeds.compared = 0, 0, 0
 	if !p.Policy.Speeds || !p.speeds.table.Refresh(now) {
 		return
 	}
@@ -217,9 +217,9 @@
 	return out
 }
 
-// maxComparisons bounds the runs whose progress is compared between two calls of Schedule: reports of thousands of
+// maxSiblings bounds the siblings that runs are compared with between two calls of Schedule: reports of thousands of
 // runs arrive at once. The others are compared at their next reports.
-const maxComparisons = 128
+const maxSiblings = 128 * maxCompared
 
 // minPercent is the progress over which the rate of an active run is compared with its siblings'.
 const minPercent = 20
@@ -232,10 +232,10 @@
 		return
 	}
 	since := later(r.baseAt, r.comparedAt)
-	if now.Sub(since) < minRateTime || p.speeds.comparisons == maxComparisons {
+	if now.Sub(since) < minRateTime || p.speeds.compared >= maxSiblings {
 		return
 	}
-	p.speeds.comparisons++
+	p.speeds.compared += min(len(r.task.phase.tasks), maxCompared)
 	rate := (r.percent - r.comparedPercent) / now.Sub(since).Seconds()
 	r.comparedPercent, r.comparedAt = r.percent, now
 	s := r.task.phase
