--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -26,17 +26,25 @@
 	})
 }
 
+// startLoop runs a loop until stop is called, which waits for its end.
+func startLoop(t *testing.T) (loop *duty.Loop, ctx context.Context, stop func()) {
+	loop = duty.New("test", 0, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	group.Go(func() { loop.Run(ctx) })
+	return loop, ctx, func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // Guards against a caller that waits for a busy loop beyond its deadline, and against a function that runs after
 // its caller has left.
 func TestCallerLeavesABusyLoopAtItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		loop := duty.New("test", 0, nil)
-		ctx, stop := context.WithCancel(t.Context())
-		var group conc.WaitGroup
-		defer group.Wait()
+		loop, ctx, stop := startLoop(t)
 		defer stop()
-		group.Go(func() { loop.Run(ctx) })
 		is.NoErr(loop.Post(func() { time.Sleep(10 * time.Second) }))
 
 		begin, ran := time.Now(), false
@@ -55,12 +63,10 @@
 func TestUrgentFunctionRunsBeforeTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		loop := duty.New("test", 0, nil)
-		ctx, stop := context.WithCancel(t.Context())
-		var group conc.WaitGroup
-		defer group.Wait()
+		loop, ctx, stop := startLoop(t)
 		defer stop()
 		ran, ranAt := 0, 0
+		is.NoErr(loop.Post(func() { time.Sleep(time.Second) })) // The others are queued behind it.
 		for range 100 {
 			is.NoErr(loop.Post(func() {
 				time.Sleep(time.Second)
@@ -69,7 +75,6 @@
 				}
 			}))
 		}
-		group.Go(func() { loop.Run(ctx) })
 		is.NoErr(loop.Do(ctx, func() {}))
 		is.Equal(ran, 100)
 		is.Equal(ranAt, 3)
@@ -80,12 +85,8 @@
 func TestCallerWaitsForAFunctionThatRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		loop := duty.New("test", 0, nil)
-		ctx, stop := context.WithCancel(t.Context())
-		var group conc.WaitGroup
-		defer group.Wait()
+		loop, ctx, stop := startLoop(t)
 		defer stop()
-		group.Go(func() { loop.Run(ctx) })
 		short, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
 		done := false
