server: tests of requests that a planned stop leaves without a response

An entry that is stopped as planned closes connections and its listener without looking whether a request lies unread in them. Six tests on real sockets, five of them about requests and responses that are lost, one about a stop that waits for an unused connection.

--- /dev/null
+++ b/server/drain_test.go
@@ -0,0 +1,292 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"plantainwinch/conf"
+)
+
+const (
+	// testGrace is a grace period that leaves a second for requests in progress.
+	testGrace = 4 * time.Second
+	// starvation is for how long a goroutine gets no processor once the entry begins to close its listeners.
+	starvation = 100 * time.Millisecond
+	// testTimeout bounds each wait of a test.
+	testTimeout = 20 * time.Second
+)
+
+// slowListener is a listener whose goroutines can be kept from reading and accepting until starvation after
+// the entry has begun to close it.
+type slowListener struct {
+	*net.TCPListener
+	starveAccept, starveRead atomic.Bool
+	closing                  chan struct{} // closing is closed when the entry begins to close the listener.
+	awake                    chan struct{} // awake is closed when the goroutines run again.
+	closed                   chan struct{} // closed is closed when the entry has sent the end of a connection.
+	begin, end               sync.Once
+}
+
+// noteClosing records that the entry closes the listener.
+func (l *slowListener) noteClosing() {
+	l.begin.Do(func() {
+		close(l.closing)
+		time.AfterFunc(starvation, func() { close(l.awake) })
+	})
+}
+
+// Close implements net.Listener.
+func (l *slowListener) Close() error {
+	l.noteClosing()
+	return l.TCPListener.Close()
+}
+
+// SetDeadline ends waiting calls of Accept.
+func (l *slowListener) SetDeadline(t time.Time) error {
+	l.noteClosing()
+	return l.TCPListener.SetDeadline(t)
+}
+
+// Accept implements net.Listener.
+func (l *slowListener) Accept() (net.Conn, error) {
+	if l.starveAccept.Load() {
+		<-l.awake
+	}
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{c.(*net.TCPConn), l}, nil
+}
+
+// slowConn is a connection of a slowListener.
+type slowConn struct {
+	*net.TCPConn
+	listener *slowListener
+}
+
+// Read implements net.Conn.
+func (c *slowConn) Read(p []byte) (int, error) {
+	if c.listener.starveRead.Load() {
+		<-c.listener.awake
+	}
+	return c.TCPConn.Read(p)
+}
+
+// CloseWrite implements the interface by which a server ends a connection that it still reads.
+func (c *slowConn) CloseWrite() error {
+	err := c.TCPConn.CloseWrite()
+	c.listener.end.Do(func() { close(c.listener.closed) })
+	return err
+}
+
+// Close implements net.Conn.
+func (c *slowConn) Close() error {
+	err := c.TCPConn.Close()
+	c.listener.end.Do(func() { close(c.listener.closed) })
+	return err
+}
+
+// stoppingEntry is an entry without a platform that a test stops as planned.
+type stoppingEntry struct {
+	*slowListener
+	region  *Region
+	servers map[string]*http.Server
+	group   conc.WaitGroup
+}
+
+// startEntry starts an entry that serves its callers with a handler.
+func startEntry(t *testing.T, starveAccept bool, handler http.HandlerFunc) *stoppingEntry {
+	t.Helper()
+	const address = "127.0.0.1:0"
+	s := &Region{Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Settings: conf.Region{
+		Listen: conf.RegionListen{Callers: address, Ready: address, Peers: address, Jobs: address},
+		Limits: conf.RegionLimits{Memory: 1 << 30, Processors: 1}, Timing: conf.RegionTiming{Grace: testGrace},
+	}}
+	is.New(t).NoErr(s.Prepare())
+	e := &stoppingEntry{region: s, slowListener: &slowListener{
+		TCPListener: s.listeners["Callers"].(*net.TCPListener),
+		closing:     make(chan struct{}), awake: make(chan struct{}), closed: make(chan struct{}),
+	}}
+	e.starveAccept.Store(starveAccept)
+	s.listeners["Callers"] = e.slowListener
+	e.servers = s.newServers()
+	e.servers["Callers"].Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Node.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
+		handler(w, r)
+	})
+	for name, server := range e.servers {
+		e.group.Go(func() { _ = server.Serve(s.listeners[name]) })
+	}
+	return e
+}
+
+// stop begins the entry's planned stop.
+func (e *stoppingEntry) stop() { e.group.Go(func() { e.region.stop(e.servers) }) }
+
+// dial opens a caller's connection.
+func (e *stoppingEntry) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", e.Addr().String())
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	is.New(t).NoErr(c.SetDeadline(time.Now().Add(testTimeout)))
+	return c, bufio.NewReader(c)
+}
+
+// readStatus reads a complete response and returns its status; zero if there is none.
+func readStatus(r *bufio.Reader) int {
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+const testRequest = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+// Guards against a request without a response when an entry that gets no processor closes a connection that it takes for
+// idle, while the request lies unread in the socket.
+func TestUnreadRequestOnAnIdleConnectionIsAnswered(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var e *stoppingEntry
+	e = startEntry(t, false, func(http.ResponseWriter, *http.Request) { e.starveRead.Store(true) })
+	c, r := e.dial(t)
+	_, err := io.WriteString(c, testRequest)
+	is.NoErr(err)
+	is.Equal(readStatus(r), http.StatusOK)
+	_, err = io.WriteString(c, testRequest)
+	is.NoErr(err)
+	e.stop()
+	is.Equal(readStatus(r), http.StatusOK) // the second response
+	e.group.Wait()
+}
+
+// Guards against a request without a response on a connection that was established, but not accepted when the entry closed
+// its listener.
+func TestRequestInTheAcceptQueueIsAnswered(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	e := startEntry(t, true, func(http.ResponseWriter, *http.Request) {})
+	c, r := e.dial(t)
+	_, err := io.WriteString(c, testRequest)
+	is.NoErr(err)
+	e.stop()
+	is.Equal(readStatus(r), http.StatusOK)
+	e.group.Wait()
+}
+
+// Guards against a request that is cut off without a response since it is still in progress when the grace period is nearly over.
+func TestRequestInProgressIsAnsweredBeforeTheGracePeriodEnds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	begun := make(chan struct{})
+	e := startEntry(t, false, func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	c, r := e.dial(t)
+	_, err := io.WriteString(c, testRequest)
+	is.NoErr(err)
+	<-begun
+	e.stop()
+	started := time.Now()
+	is.Equal(readStatus(r), http.StatusServiceUnavailable)
+	e.group.Wait()
+	is.True(time.Since(started) < testGrace) // The entry has ended before SIGKILL.
+}
+
+// Guards against a request that is dropped since the entry began to close its connections while parts of it were on the way.
+func TestRequestThatArrivesInPartsIsAnswered(t *testing.T) {
+	const form = "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 6\r\n\r\nabcdef"
+	for name, split := range map[string]int{"header": strings.Index(form, "Content"), "body": len(form) - 3} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var body atomic.Value
+			e := startEntry(t, false, func(_ http.ResponseWriter, r *http.Request) {
+				data, _ := io.ReadAll(r.Body) // A body that was cut is shorter.
+				body.Store(string(data))
+			})
+			c, r := e.dial(t)
+			_, err := io.WriteString(c, testRequest)
+			is.NoErr(err)
+			is.Equal(readStatus(r), http.StatusOK)
+			_, err = io.WriteString(c, form[:split])
+			is.NoErr(err)
+			e.stop()
+			<-e.awake
+			_, _ = io.WriteString(c, form[split:]) // The connection may be closed.
+			is.Equal(readStatus(r), http.StatusOK)
+			is.Equal(body.Load(), "abcdef")
+			e.group.Wait()
+		})
+	}
+}
+
+// Guards against a response that is lost on the way since the entry closes the connection while bytes that the caller has sent after
+// its request lie unread: the reset discards what the caller has not received.
+func TestResponseBeforeUnreadBytesIsComplete(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const size = 1 << 20
+	stopping := make(chan struct{})
+	e := startEntry(t, false, func(w http.ResponseWriter, _ *http.Request) {
+		<-stopping
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(make([]byte, size)) // The caller may have disconnected.
+	})
+	c, r := e.dial(t)
+	_, err := io.WriteString(c, testRequest+testRequest+strings.Repeat("x", 16<<10))
+	is.NoErr(err)
+	close(stopping)
+	<-e.closed
+	is.Equal(readStatus(r), http.StatusOK)
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+	is.NoErr(c.Close())
+	e.stop()
+	e.group.Wait()
+}
+
+// Guards against a planned stop that waits for a connection on which nothing was ever sent.
+func TestUnusedConnectionDoesNotDelayAStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	e := startEntry(t, false, func(http.ResponseWriter, *http.Request) {})
+	_, r := e.dial(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e.group.Go(func() {
+		defer cancel()
+		e.region.stop(e.servers)
+	})
+	started := time.Now()
+	_, err := r.ReadByte()
+	is.Equal(err, io.EOF)
+	<-ctx.Done()
+	is.True(time.Since(started) < unreadyDelay+closeReserve/2) // The entry has not waited for the connection.
+	e.group.Wait()
+}
