server: a planned stop leaves no request without a response

Callers that used an open connection until the entry was gone saw the connection end without a response, or a connection reset before they had read one.

http.Server.Shutdown closes a connection that it takes for idle without looking whether a request lies unread in its socket, drops requests that it reads after it has begun, resets what waits to be accepted, and waits for connections on which nothing was ever sent. What was in progress 1.5 s before the end of the grace period was cut off. A response was lost if the connection was closed while bytes lay unread in it.

The entry now shuts its servers down itself. When it drains, each read between two requests ends with a last look at the socket, and only if nothing is there is the connection closed, in the same call; other reads go on under the server's own deadlines. What is in the accept queue is accepted before the listener is closed. A second before the end of the grace period the context of the requests in progress is cancelled, so that their handlers respond at once; they have 0.7 s for it. A connection in which bytes lie unread is closed for writing and read on for up to 0.5 s, so that no reset overtakes the response.

--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -217,6 +217,28 @@
 	is.True(time.Since(started) < testGrace) // The entry has ended before SIGKILL.
 }
 
+// Guards against a stop that disturbs the requests in progress while it looks for requests on other connections.
+func TestRequestInProgressIsNotDisturbedByAStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	begun := make(chan struct{})
+	var e *stoppingEntry
+	e = startEntry(t, false, func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-e.awake
+		if r.Context().Err() != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	c, r := e.dial(t)
+	_, err := io.WriteString(c, testRequest)
+	is.NoErr(err)
+	<-begun
+	e.stop()
+	is.Equal(readStatus(r), http.StatusOK)
+	e.group.Wait()
+}
+
 // Guards against a request that is dropped since the entry began to close its connections while parts of it were on the way.
 func TestRequestThatArrivesInPartsIsAnswered(t *testing.T) {
 	const form = "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 6\r\n\r\nabcdef"
--- a/server/region.go
+++ b/server/region.go
@@ -32,9 +32,10 @@
 	// unreadyDelay is how long the platform takes to notice that an entry is not ready: it
 	// checks every second and acts on the second failed check.
 	unreadyDelay = 2300 * time.Millisecond
-	// closeReserve is the part of the grace period that is reserved for closing idle
-	// connections before SIGKILL.
-	closeReserve = 1500 * time.Millisecond
+	// closeReserve is the part of the grace period, before SIGKILL, in which requests that are still in
+	// progress are cancelled and responded to. exitReserve is the part of it for the end of the process.
+	closeReserve = time.Second
+	exitReserve  = 300 * time.Millisecond
 )
 
 // Region is one entry of a region with its listeners. Set the exported fields,
@@ -51,6 +52,7 @@
 	table        *platform.Table
 	workerClient *platform.WorkerClient
 	listeners    map[string]net.Listener
+	drained      []*drainListener // drained holds the listeners for callers.
 }
 
 // Prepare opens the listeners and builds the entry.
@@ -174,11 +176,10 @@
 	started := time.Now()
 	s.Node.Stop(context.Background())
 	time.Sleep(unreadyDelay)
-	remaining := s.gracePeriod() - closeReserve - time.Since(started)
-	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, closeReserve/2))
-	defer cancel()
-	if err := servers["Callers"].Shutdown(ctx); err != nil {
-		s.Log.Error("closing connections with unfinished requests: the grace period is over", zap.Error(err))
+	remaining := s.gracePeriod() - time.Since(started)
+	patience := max(remaining-closeReserve, closeReserve/2)
+	if !drain(s.drained, patience, max(remaining-exitReserve, patience+exitReserve)) {
+		s.Log.Error("closing connections with unfinished requests: the grace period is over")
 	}
 	for _, server := range servers {
 		_ = server.Close()
@@ -200,6 +201,13 @@
 			ErrorLog: zap.NewStdLog(s.Log.Named(name)),
 		}
 	}
+	for _, name := range []string{"Callers", "Jobs"} {
+		if ln, ok := s.listeners[name].(tcpListener); ok {
+			l := newDrainListener(ln, out[name])
+			s.listeners[name] = l
+			s.drained = append(s.drained, l)
+		}
+	}
 	return out
 }
 
