front: a body that a stop cuts off gives 503

A caller whose request was still arriving when the entry's grace period was nearly over was told 400, that the request is wrong, and would not send it again. The body is now reported as not arrived, with Retry-After: nothing was run. The program's own interface for jobs with phases also asks callers of a stopping entry to close their connections, as the others do, so that fewer are open in its drain.

--- a/trans/front/calls.go
+++ b/trans/front/calls.go
@@ -35,15 +35,14 @@
 	r.GET("/Jobs/:ID", c.job)
 	r.DELETE("/Jobs/:ID", c.cancel)
 	addCommonRoutes(r, backend, reg)
-	return closeWhenNotReady(backend, r)
+	return closeWhen(func() bool { return !backend.Ready() }, r)
 }
 
-// closeWhenNotReady asks callers to open a new connection for their next request
-// once the entry is not ready. Otherwise, a request that is being sent on a
-// connection when the planned stop closes it would be interrupted.
-func closeWhenNotReady(backend interface{ Ready() bool }, next http.Handler) http.Handler {
+// closeWhen asks callers to open a new connection for their next request once the entry is about to stop. Otherwise, a
+// request that is being sent on a connection when the planned stop closes it would be interrupted.
+func closeWhen(stops func() bool, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if !backend.Ready() {
+		if stops() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, req)
--- a/trans/front/jobs.go
+++ b/trans/front/jobs.go
@@ -67,6 +67,10 @@
 	if err == nil {
 		return true
 	}
+	if req.Context().Err() != nil {
+		writeResult(w, winch.RefuseFor(winch.Stopping, "the entry stops; the body has not arrived", time.Second))
+		return false
+	}
 	var large *http.MaxBytesError
 	reason := winch.BadRequest
 	if errors.As(err, &large) {
--- a/trans/front/oper.go
+++ b/trans/front/oper.go
@@ -69,7 +69,7 @@
 	r.PUT("/Operator/Domains/:Domain/Evacuated", o.requireRole(winch.KeyOperator, o.setDomain(entry.DomainEvacuated)))
 	r.DELETE("/Operator/Domains/:Domain/Evacuated", o.requireRole(winch.KeyOperator, o.setDomain(entry.DomainInService)))
 	addCommonRoutes(r, backend, reg)
-	return closeWhenNotReady(backend, r)
+	return closeWhen(func() bool { return !backend.Ready() }, r)
 }
 
 type operators struct {
--- a/trans/front/phases.go
+++ b/trans/front/phases.go
@@ -125,7 +125,7 @@
 	r.POST("/Queues/:Queue/Jobs/:ID", p.withQueue(p.submit))
 	r.GET("/Queues/:Queue/Jobs/:ID", p.withQueue(p.state))
 	r.DELETE("/Queues/:Queue/Jobs/:ID", p.withQueue(p.cancel))
-	return r
+	return closeWhen(region.Stopping, r)
 }
 
 type phasesHandler struct{ region winch.Region }
