soak: check that planned stops leave no request without a response

Callers keep connections open to each entry and use them until it has ended, and half of the entries that are stopped as planned get no processor for 0.35 s while they close their connections. A request that was sent in whole and ends without a complete response more than 200 ms later is a problem.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -73,8 +73,8 @@
 	if err != nil {
 		return false, err
 	}
-	cmd.Printf("seed %d: %d accepted, %d done, %d cancelled, %d refused, %d lasted, %d given up for %d workers, %d resumed, %d starts, %d of them copies, %d faults, %d problems\n",
-		o.Seed, report.Accepted, report.Done, report.Cancelled, report.Refused, report.Lasting, report.GivenUp, report.Crashed, report.Resumed, report.Starts, report.Copies, report.Faults, len(report.Problems))
+	cmd.Printf("seed %d: %d accepted, %d done, %d cancelled, %d refused, %d lasted, %d given up for %d workers, %d resumed, %d starts, %d of them copies, %d faults, %d requests on open connections, %d of them cut off, %d problems\n",
+		o.Seed, report.Accepted, report.Done, report.Cancelled, report.Refused, report.Lasting, report.GivenUp, report.Crashed, report.Resumed, report.Starts, report.Copies, report.Faults, report.Requests, report.Cut, len(report.Problems))
 	if len(report.Problems) == 0 {
 		return true, os.RemoveAll(dir)
 	}
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -60,6 +60,10 @@
 		for i := range min(len(s.procs), maxStops) {
 			p := s.procs[(first+i)%len(s.procs)]
 			s.logFault("planned stop %s", p.name)
+			stallRnd := rand.New(rand.NewPCG(s.Seed, uint64(2000+i)))
+			if stallRnd.IntN(2) == 0 {
+				s.group.Go(func() { s.stallWhileStopping(ctx, p, stallRnd) })
+			}
 			s.group.Go(func() {
 				s.platform.Checker.RecordPlannedWork(true)
 				defer s.platform.Checker.RecordPlannedWork(false)
--- a/soak/proc.go
+++ b/soak/proc.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -29,6 +30,10 @@
 	lifecycle sync.Mutex
 	mu        sync.Mutex
 	cmd       *exec.Cmd
+	// stopping is when the process was told to stop as planned; zero if it was not. disturbed is when it was last
+	// killed, paused or resumed.
+	stopping, disturbed time.Time
+	paused              bool
 }
 
 // freeAddress returns a loopback address with a free port.
@@ -111,18 +116,23 @@
 func (p *proc) setCmd(cmd *exec.Cmd) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd = cmd
+	p.cmd, p.paused = cmd, false
+	if cmd != nil {
+		p.stopping = time.Time{}
+	}
 }
 
 // signal sends signals to the process, if there is one, and returns its command.
 func (p *proc) signal(signals ...syscall.Signal) *exec.Cmd {
-	cmd := p.currentCmd()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, s := range signals {
-		if cmd != nil {
-			_ = cmd.Process.Signal(s) // The process may have exited.
+		if p.cmd != nil {
+			p.noteSignal(s)
+			_ = p.cmd.Process.Signal(s) // The process may have exited.
 		}
 	}
-	return cmd
+	return p.cmd
 }
 
 // stop stops the process with a signal and waits until it has exited. A kill takes effect at
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -61,6 +61,7 @@
 	procs      []*proc
 	partitions partitions
 	rnd        *rand.Rand
+	delay      ownDelay
 	lateRnd    *rand.Rand // lateRnd chooses whether late orders outlive the worker's boot.
 	group      conc.WaitGroup
 	mu         sync.Mutex
@@ -81,7 +82,10 @@
 	GivenUp, Crashed int
 	Resumed          int // Resumed counts the runs that started from a checkpoint.
 	Copies           int // Copies counts the runs that were started beside another run of their task.
-	Problems         []string
+	// Requests counts the requests on connections that callers keep open, and Cut those that a stopping entry left
+	// without a response.
+	Requests, Cut int
+	Problems      []string
 }
 
 // Run runs the soak to the end and returns its report. It returns an error only if the
@@ -125,6 +129,11 @@
 	if s.Returns {
 		s.group.Go(func() { s.returnWorkers(ctx, activeCtx) })
 	}
+	var open conc.WaitGroup
+	open.Go(func() { s.delay.run(plannedCtx) })
+	for i := range openConnections * len(s.procs) {
+		open.Go(func() { s.keepConnections(plannedCtx, s.procs[i%len(s.procs)], i) })
+	}
 	for activeCtx.Err() == nil {
 		s.injectFault(activeCtx)
 		duty.Sleep(activeCtx, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
@@ -135,6 +144,7 @@
 	s.runFinalGangs(ctx, &callers)
 	endPlanned()
 	callers.Wait()
+	open.Wait()
 	s.checkLogs()
 	s.mu.Lock()
 	defer s.mu.Unlock()
