server: shut the servers of a cell's entry down without losing requests

It now drains its listeners as the other does, and cancels what is in progress half a second before it closes the connections.

Failed before: TestUnreadRequestOnAnIdleConnectionIsAnswered/cell and TestRequestInTheAcceptQueueIsAnswered/cell (0 != 200 each); the packages server, cell, platform/fake and cmds pass.

--- a/server/drain.go
+++ b/server/drain.go
@@ -62,6 +62,21 @@
 	return l
 }
 
+// replaceListeners replaces the listeners of the given servers by ones that can be drained, and returns those. It sets the
+// hooks of the servers that they need.
+func replaceListeners(listeners map[string]net.Listener, servers map[string]*http.Server, names ...string) []*drainListener {
+	var out []*drainListener
+	for _, name := range names {
+		if listeners[name] == nil {
+			continue
+		}
+		l := newDrainListener(listeners[name].(tcpListener), servers[name]) // All listeners are TCP listeners.
+		listeners[name] = l
+		out = append(out, l)
+	}
+	return out
+}
+
 // drain closes the listener and each connection that has no request, as soon as this is so. It waits for that, and
 // cancels the requests that are still in progress after patience. It reports whether all requests were responded to
 // before the timeout, which counts from the beginning.
--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -104,41 +104,76 @@
 // stoppingEntry is an entry without a platform that a test stops as planned.
 type stoppingEntry struct {
 	*slowListener
-	region  *Region
-	servers map[string]*http.Server
-	group   conc.WaitGroup
+	stopEntry func()
+	group     conc.WaitGroup
 }
 
-// startEntry starts an entry that serves its callers with a handler.
-func startEntry(t *testing.T, starveAccept bool, handler http.HandlerFunc) *stoppingEntry {
-	t.Helper()
-	const address = "127.0.0.1:0"
-	s := &Region{Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Settings: conf.Region{
-		Listen: conf.RegionListen{Callers: address, Ready: address, Peers: address, Jobs: address},
-		Limits: conf.RegionLimits{Memory: 1 << 30, Processors: 1}, Timing: conf.RegionTiming{Grace: testGrace},
-	}}
-	is.New(t).NoErr(s.Prepare())
-	e := &stoppingEntry{region: s, slowListener: &slowListener{
-		TCPListener: s.listeners["Callers"].(*net.TCPListener),
+// startFunc starts an entry that serves its callers with a handler.
+type startFunc func(t *testing.T, starveAccept bool, handler http.HandlerFunc) *stoppingEntry
+
+// starts holds the functions that start an entry of a region or of a cell.
+var starts = map[string]startFunc{"region": startEntry, "cell": startCellEntry}
+
+// newStoppingEntry puts a slowListener in the place of the callers' listener.
+func newStoppingEntry(listeners map[string]net.Listener, starveAccept bool) *stoppingEntry {
+	e := &stoppingEntry{slowListener: &slowListener{
+		TCPListener: listeners["Callers"].(*net.TCPListener),
 		closing:     make(chan struct{}), awake: make(chan struct{}), closed: make(chan struct{}),
 	}}
 	e.starveAccept.Store(starveAccept)
-	s.listeners["Callers"] = e.slowListener
-	e.servers = s.newServers()
-	e.servers["Callers"].Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.Node.Stopping() {
+	listeners["Callers"] = e.slowListener
+	return e
+}
+
+// serve runs the servers, with the test's handler for callers.
+func (e *stoppingEntry) serve(servers map[string]*http.Server, listeners map[string]net.Listener, stopping func() bool, handler http.HandlerFunc) {
+	servers["Callers"].Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stopping() {
 			w.Header().Set("Connection", "close")
 		}
 		handler(w, r)
 	})
-	for name, server := range e.servers {
-		e.group.Go(func() { _ = server.Serve(s.listeners[name]) })
+	for name, server := range servers {
+		e.group.Go(func() { _ = server.Serve(listeners[name]) })
+	}
+}
+
+// startCellEntry starts an entry of a cell, of which only the shutdown of its servers is tested.
+func startCellEntry(t *testing.T, starveAccept bool, handler http.HandlerFunc) *stoppingEntry {
+	t.Helper()
+	const address = "127.0.0.1:0"
+	s := &Server{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
+	s.Settings.Listen = conf.Listen{Callers: address, Operators: address, Peers: address}
+	is.New(t).NoErr(s.listen())
+	e := newStoppingEntry(s.listeners, starveAccept)
+	servers := s.newServers()
+	var stopping atomic.Bool
+	e.stopEntry = func() {
+		stopping.Store(true)
+		s.shutdown(servers)
 	}
+	e.serve(servers, s.listeners, stopping.Load, handler)
+	return e
+}
+
+// startEntry starts an entry of a region.
+func startEntry(t *testing.T, starveAccept bool, handler http.HandlerFunc) *stoppingEntry {
+	t.Helper()
+	const address = "127.0.0.1:0"
+	s := &Region{Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Settings: conf.Region{
+		Listen: conf.RegionListen{Callers: address, Ready: address, Peers: address, Jobs: address},
+		Limits: conf.RegionLimits{Memory: 1 << 30, Processors: 1}, Timing: conf.RegionTiming{Grace: testGrace},
+	}}
+	is.New(t).NoErr(s.Prepare())
+	e := newStoppingEntry(s.listeners, starveAccept)
+	servers := s.newServers()
+	e.stopEntry = func() { s.stop(servers) }
+	e.serve(servers, s.listeners, s.Node.Stopping, handler)
 	return e
 }
 
 // stop begins the entry's planned stop.
-func (e *stoppingEntry) stop() { e.group.Go(func() { e.region.stop(e.servers) }) }
+func (e *stoppingEntry) stop() { e.group.Go(e.stopEntry) }
 
 // dial opens a caller's connection.
 func (e *stoppingEntry) dial(t *testing.T) (net.Conn, *bufio.Reader) {
@@ -167,33 +202,41 @@
 // Guards against a request without a response when an entry that gets no processor closes a connection that it takes for
 // idle, while the request lies unread in the socket.
 func TestUnreadRequestOnAnIdleConnectionIsAnswered(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	var e *stoppingEntry
-	e = startEntry(t, false, func(http.ResponseWriter, *http.Request) { e.starveRead.Store(true) })
-	c, r := e.dial(t)
-	_, err := io.WriteString(c, testRequest)
-	is.NoErr(err)
-	is.Equal(readStatus(r), http.StatusOK)
-	_, err = io.WriteString(c, testRequest)
-	is.NoErr(err)
-	e.stop()
-	is.Equal(readStatus(r), http.StatusOK) // the second response
-	e.group.Wait()
+	for name, start := range starts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var e *stoppingEntry
+			e = start(t, false, func(http.ResponseWriter, *http.Request) { e.starveRead.Store(true) })
+			c, r := e.dial(t)
+			_, err := io.WriteString(c, testRequest)
+			is.NoErr(err)
+			is.Equal(readStatus(r), http.StatusOK)
+			_, err = io.WriteString(c, testRequest)
+			is.NoErr(err)
+			e.stop()
+			is.Equal(readStatus(r), http.StatusOK) // the second response
+			e.group.Wait()
+		})
+	}
 }
 
 // Guards against a request without a response on a connection that was established, but not accepted when the entry closed
 // its listener.
 func TestRequestInTheAcceptQueueIsAnswered(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	e := startEntry(t, true, func(http.ResponseWriter, *http.Request) {})
-	c, r := e.dial(t)
-	_, err := io.WriteString(c, testRequest)
-	is.NoErr(err)
-	e.stop()
-	is.Equal(readStatus(r), http.StatusOK)
-	e.group.Wait()
+	for name, start := range starts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := start(t, true, func(http.ResponseWriter, *http.Request) {})
+			c, r := e.dial(t)
+			_, err := io.WriteString(c, testRequest)
+			is.NoErr(err)
+			e.stop()
+			is.Equal(readStatus(r), http.StatusOK)
+			e.group.Wait()
+		})
+	}
 }
 
 // Guards against a request that is cut off without a response since it is still in progress when the grace period is nearly over.
@@ -303,7 +346,7 @@
 	defer cancel()
 	e.group.Go(func() {
 		defer cancel()
-		e.region.stop(e.servers)
+		e.stopEntry()
 	})
 	started := time.Now()
 	_, err := r.ReadByte()
--- a/server/region.go
+++ b/server/region.go
@@ -201,13 +201,7 @@
 			ErrorLog: zap.NewStdLog(s.Log.Named(name)),
 		}
 	}
-	for _, name := range []string{"Callers", "Jobs"} {
-		if ln, ok := s.listeners[name].(tcpListener); ok {
-			l := newDrainListener(ln, out[name])
-			s.listeners[name] = l
-			s.drained = append(s.drained, l)
-		}
-	}
+	s.drained = replaceListeners(s.listeners, out, "Callers", "Jobs")
 	return out
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -29,8 +29,10 @@
 	// headerTimeout bounds how long a client may take to send its request headers.
 	headerTimeout = 10 * time.Second
 	// closeTimeout bounds how long shutdown waits for open connections after the entry has
-	// drained.
-	closeTimeout = 2 * time.Second
+	// drained, and cancelTimeout how long the handlers of requests that are still in progress
+	// then may take to respond.
+	closeTimeout  = 2 * time.Second
+	cancelTimeout = 500 * time.Millisecond
 )
 
 // Server is one entry of a cell with its listeners. Set the exported fields, then call
@@ -49,6 +51,7 @@
 	store     *store.Client
 	agent     *agent.Client
 	listeners map[string]net.Listener
+	drained   []*drainListener // drained holds the listeners for callers and operators.
 }
 
 // Prepare opens the listeners and builds the entry. It opens the listeners first, to
@@ -171,20 +174,19 @@
 	for name, h := range handlers {
 		out[name] = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(s.Log.Named(name))}
 	}
+	s.drained = replaceListeners(s.listeners, out, "Callers", "Operators")
 	return out
 }
 
-// shutdown closes the servers of callers and operators once their requests are done or
-// closeTimeout is over. It closes the connections to peers last.
+// shutdown closes the servers once the requests of callers and operators are done or
+// closeTimeout is over.
 func (s *Server) shutdown(servers map[string]*http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	for _, name := range []string{"Callers", "Operators"} {
-		if servers[name].Shutdown(ctx) != nil {
-			_ = servers[name].Close()
-		}
+	if !drain(s.drained, closeTimeout, closeTimeout+cancelTimeout) {
+		s.Log.Error("closing connections with unfinished requests")
+	}
+	for _, server := range servers {
+		_ = server.Close()
 	}
-	_ = servers["Peers"].Close()
 }
 
 // CallersAddress returns the address at which callers reach the entry.
