region: test that a submission that a stop cancels has a truthful result

An entry that stops now cancels the requests in progress before its grace period ends. What was sent to the store, by this entry or the one that a submission was passed on to, must then have an unknown result, and what was not must be refused and never run.

--- a/region/forward_test.go
+++ b/region/forward_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"plantainwinch/winch"
 )
@@ -67,3 +68,57 @@
 		w.end()
 	})
 }
+
+// Guards against a caller that is told that a submission does not run although it may, or that waits on, when the entry cancels the requests in
+// progress as it stops: what was sent to the store, by this entry or by one that it was passed on to, has an unknown
+// result, and what was not is refused.
+func TestSubmissionThatAStopCancelsHasATruthfulResult(t *testing.T) {
+	t.Parallel()
+	const responseDelay = 400 * time.Millisecond
+	for _, passedOn := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			w := newWorld(t, 63, 3, 9)
+			settle()
+			n := w.nodes["d1-0"]
+			w.setStore(func(s *simStore) {
+				s.commitDelay = func(string, winch.Txn) time.Duration { return responseDelay }
+				if passedOn {
+					s.refusedHosts = map[string]bool{n.host: true}
+				}
+			})
+			var results [concurrentAccepts + 1]winch.Result
+			var group conc.WaitGroup
+			ctx, cancel := context.WithCancel(w.ctx)
+			defer cancel()
+			for i := range results {
+				group.Go(func() {
+					results[i] = n.node.Submit(ctx, &winch.PhasedJob{
+						ID: fmt.Sprintf("%016x", i), Queue: "preview", Team: "choir", Command: "work", Accepted: time.Now(), Phases: []winch.Phase{simPhase(2)},
+					})
+				})
+				time.Sleep(responseDelay / 10) // Each is sent by itself, and none is left to send the last.
+			}
+			cancelled := time.Now()
+			cancel()
+			group.Wait()
+			is.True(time.Since(cancelled) < 50*time.Millisecond)
+			is.Equal(results[0].Outcome, winch.Unknown)
+			if !passedOn {
+				is.Equal(results[concurrentAccepts].Outcome, winch.NotRun)
+			}
+			w.setStore(func(s *simStore) { s.refusedHosts = nil })
+			time.Sleep(10 * time.Second)
+			for i, result := range results {
+				state, known := n.node.State(w.ctx, fmt.Sprintf("%016x", i))
+				if result.Outcome == winch.NotRun {
+					is.True(result.RetryAfter > 0)
+					is.Equal(known.Reason, winch.UnknownJob) // It was refused.
+				} else if !passedOn {
+					is.Equal(state, winch.JobDone) // It was stored.
+				}
+			}
+			w.end()
+		})
+	}
+}
