coord/fleet: failing tests of lasting tasks that wait for each other's probes

After a crash soon after their start, more lasting tasks of a job than there are workers are tested on a worker each.

--- a/coord/fleet/crash_test.go
+++ b/coord/fleet/crash_test.go
@@ -477,3 +477,86 @@
 		is.Equal(len(c.running), 6)
 	})
 }
+
+// roomTasks is the number of lasting tasks of crashUnderLasting: under half of what six workers have room for.
+const roomTasks = 46
+
+// crashUnderLasting starts lasting tasks on six workers, crashes one of them soon after, and lets the region go on for a
+// time.
+func crashUnderLasting(t *testing.T, goOn time.Duration) *simRegion {
+	c := newSimRegion(t, 6, urgentQueue(), normalQueue())
+	c.add("rooms", "mix", "duct", lastingPhase(roomTasks, 1000))
+	c.settle()
+	time.Sleep(2 * time.Second)
+	c.crash("w0")
+	for begin := time.Now(); time.Since(begin) < goOn; time.Sleep(100 * time.Millisecond) {
+		c.reportStatus()
+		c.settle()
+	}
+	return c
+}
+
+// Guards against lasting tasks that wait for seconds because a worker has crashed soon after the start of more of them than
+// there are workers: each is tested on a worker of its own.
+func TestLastingTasksThatCrashedTogetherDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := crashUnderLasting(t, 1500*time.Millisecond)
+		is.True(c.suspected("rooms"))
+		is.Equal(len(c.running), roomTasks)
+	})
+}
+
+// Guards against other work that cannot start anywhere while the lasting tasks of a crashed worker are tested.
+func TestProbesOfLastingTasksLeaveWorkersToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := crashUnderLasting(t, 1500*time.Millisecond)
+		is.True(c.suspected("rooms"))
+		c.add("part", "preview", "choir", tasks(4, 1000))
+		is.Equal(len(c.settle()), 4)
+	})
+}
+
+// Lasting tasks that are tested together must still be given up, and with them their job, if one of them crashes its workers.
+func TestLastingTaskThatCrashesItsWorkersIsGivenUpBesideOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := crashUnderLasting(t, 0)
+		crashes := 1
+		for ; c.state("rooms") != winch.JobFailed && crashes < 10; crashes++ {
+			c.settle()
+			bad := slices.IndexFunc(c.running, func(o proto.Order) bool { return o.Task.Index == 0 })
+			is.True(bad >= 0)
+			time.Sleep(2 * time.Second)
+			c.reportStatus()
+			c.crash(c.running[bad].Worker)
+			c.saveRecords()
+		}
+		is.True(crashes <= maxStrongCrashes)
+	})
+}
+
+// Once the tasks that are tested together have lived long enough, other work must start beside them, and not before.
+func TestNothingStartsBesideProbesUntilAllAreCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := crashUnderLasting(t, 0)
+		c.settle()
+		probing := make(map[string]bool)
+		for w := range c.planner.probes {
+			probing[w.vm.ID] = true
+		}
+		is.True(len(probing) > 0)
+		c.add("part", "preview", "choir", tasks(8, 1000))
+		for _, o := range c.settle() {
+			is.True(!probing[o.Worker] || o.Task.Job == "rooms")
+		}
+		for begin := time.Now(); c.suspected("rooms") && time.Since(begin) < 12*time.Second; time.Sleep(100 * time.Millisecond) {
+			c.reportStatus()
+			c.settle()
+		}
+		is.True(!c.suspected("rooms"))
+		is.Equal(len(c.planner.probes), 0)
+	})
+}
