coord/fleet: test lasting tasks that crashed together on one worker

Callers saw lasting tasks down for 9 to 35 s, and accepted jobs that did not start for 3 s and more, with 55 of 192 slots in use. A worker had crashed within four seconds of the start of more lasting tasks than the service has workers. Each of them counted as a likely cause, was started as a probe on a worker of its own, and kept all else away from there until it had lived for up to nine seconds. The rest waited, and other jobs found no worker. Planned stops in series made it longer, since each planner begins to count a probe's life again.

Lasting tasks of one phase now share a worker. That weakens no verdict: a task that is given up fails its job, so which task of the job it was does not matter. Likely causes keep a quarter of the workers from other work, as probes of all teams may; beyond that they join. Others join after the second that a probe waits for a suitable worker anyway.

--- a/coord/fleet/pick.go
+++ b/coord/fleet/pick.go
@@ -104,11 +104,20 @@
 // eachEligible calls f for the workers that may run the phase now, regardless of their free
 // capacity, in the order of their IDs.
 func (p *Planner) eachEligible(s *phase, now time.Time, f func(*worker)) {
+	p.eachUsable(s, now, func(w *worker) {
+		if w.acceptsBesideProbe(s) {
+			f(w)
+		}
+	})
+}
+
+// eachUsable is eachEligible regardless of probes.
+func (p *Planner) eachUsable(s *phase, now time.Time, f func(*worker)) {
 	if s.job.queue.Advice == nil {
 		workers := p.pool(s.job.queue.Service).workers
 		p.examined += len(workers)
 		for _, w := range workers {
-			if p.suits(s, w, now) {
+			if p.usableFor(s, w, now) {
 				f(w)
 			}
 		}
@@ -117,7 +126,7 @@
 	p.examined += len(s.advice.allowed)
 	for i := range s.advice.allowed {
 		t := &s.advice.allowed[i]
-		if t.valid(now) && p.suits(s, t.worker, now) {
+		if t.valid(now) && p.usableFor(s, t.worker, now) {
 			f(t.worker)
 		}
 	}
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -372,7 +372,12 @@
 
 // suits reports whether a worker may be given work and is of the kind that the phase needs.
 func (p *Planner) suits(s *phase, w *worker, now time.Time) bool {
-	return w.usable() && !w.health.quarantined(now) && s.ofKind(w) && w.acceptsBesideProbe(s)
+	return p.usableFor(s, w, now) && w.acceptsBesideProbe(s)
+}
+
+// usableFor is suits regardless of probes.
+func (*Planner) usableFor(s *phase, w *worker, now time.Time) bool {
+	return w.usable() && !w.health.quarantined(now) && s.ofKind(w)
 }
 
 // ofKind reports whether a worker has the service and the label that the phase needs.
--- a/coord/fleet/probe.go
+++ b/coord/fleet/probe.go
@@ -54,10 +54,24 @@
 		x.probe = 0
 	}
 	if r.worker.probe == x && !r.worker.hasProbeOf(x) {
-		p.endProbe(r.worker)
+		p.continueProbe(r.worker, p.now())
 	}
 }
 
+// continueProbe prevents other starts on a worker as long as it runs another probe, once one has ended.
+func (p *Planner) continueProbe(w *worker, now time.Time) {
+	for _, r := range w.runs {
+		if x := r.probe; x != nil && x.open() && x.isolates(r, now) {
+			w.probe, p.probes[w] = x, x
+			return
+		}
+	}
+	p.endProbe(w)
+}
+
+// open reports whether the suspicion has not been cleared.
+func (x *suspicion) open() bool { return x.phase.job.suspects[x.key] == x }
+
 // hasRun reports whether a task of the phase has a run with the given number.
 func (s *phase) hasRun(number uint64) bool {
 	return slices.ContainsFunc(s.tasks, func(t *task) bool {
@@ -94,11 +108,29 @@
 			}
 		}
 		if expired {
-			p.endProbe(w)
+			p.continueProbe(w, now)
 		}
 	}
 }
 
+// joins reports whether a probe of the phase may be started beside those on the worker: lasting tasks of one phase may be
+// tested together, since a task that is given up fails its job in any case.
+func (s *phase) joins(w *worker) bool {
+	return w.probe != nil && w.probe.phase == s && s.spec.Lasting && !s.spec.Gang
+}
+
+// lastingProbesFull reports whether probes of lasting tasks keep so many workers of the phase's service from other work
+// that no more of them should be.
+func (p *Planner) lastingProbesFull(s *phase) bool {
+	taken := 0
+	for w, x := range p.probes {
+		if x.phase.spec.Lasting && w.vm.Service == s.job.queue.Service {
+			taken++
+		}
+	}
+	return taken >= max(1, len(p.pool(s.job.queue.Service).workers)/totalProbeDivisor)
+}
+
 // acceptsBesideProbe reports whether probes allow a task of the phase to be started on the worker:
 // beside a probe, only another member of the same gang may be.
 func (w *worker) acceptsBesideProbe(s *phase) bool {
@@ -174,17 +206,26 @@
 	return inJob <= j.cleared && inTeam < max(1, workers/teamProbeDivisor) && total < max(1, workers/totalProbeDivisor)
 }
 
-// startProbe starts a suspect on the worker where a crash would cost least.
+// startProbe starts a suspect on the worker where a crash would cost least. A lasting task starts beside other probes of its
+// phase if there is no other worker for placementTimeout, and at once if probes keep enough workers from other work, which
+// may be for long if the task is a likely cause.
 func (p *Planner) startProbe(t *task, x *suspicion, now time.Time) {
 	s := t.phase
 	if !s.job.team.allows(s.spec.Need) {
 		return
 	}
-	var best *worker
+	var best, shared *worker
 	lowest := 0
 	counts := s.runsPerWorker()
-	p.eachEligible(s, now, func(w *worker) {
-		if !s.spec.Charge().Fits(p.availableCapacity(s, w, now)) || remainingPerVM(s.spec.MostPerVM, counts[w]) <= 0 {
+	p.eachUsable(s, now, func(w *worker) {
+		alone := w.acceptsBesideProbe(s)
+		if !alone && !s.joins(w) || !s.spec.Charge().Fits(p.availableCapacity(s, w, now)) || remainingPerVM(s.spec.MostPerVM, counts[w]) <= 0 {
+			return
+		}
+		if !alone {
+			if shared == nil || w.vm.ID < shared.vm.ID {
+				shared = w
+			}
 			return
 		}
 		if cost := s.crashCost(w, now); best == nil || cost < lowest {
@@ -194,7 +235,12 @@
 	if x.searchedSince.IsZero() {
 		x.searchedSince = now
 	}
-	if best != nil && (lowest < recentStartCost || now.Sub(x.searchedSince) > placementTimeout) {
+	late := now.Sub(x.searchedSince) > placementTimeout
+	if shared != nil && (best == nil && late || x.strongCrashes() > 0 && p.lastingProbesFull(s)) {
+		p.start(t, shared, x.probe, t.checkpoint)
+		return
+	}
+	if best != nil && (lowest < recentStartCost || late) {
 		p.start(t, best, x.probe, t.checkpoint)
 	}
 }
--- a/coord/fleet/suspect.go
+++ b/coord/fleet/suspect.go
@@ -100,7 +100,7 @@
 	}
 	for w, other := range p.probes {
 		if other == x {
-			p.endProbe(w)
+			p.continueProbe(w, p.now())
 		}
 	}
 	p.markChanged(j)
