soak: let the limit of the second team grow with the region

The limit of 9 processors stayed when the region grew tenfold. Up to 12 workers, the default, nothing changes.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,8 +29,10 @@
 	// cancelGrace is how long after an acknowledged cancellation a task may still start: the
 	// start may already be in flight, or a planner may be taking over.
 	cancelGrace = 5 * time.Second
-	// limitMilli is the second team's limit, low enough to be always in use.
-	limitMilli = 9000
+	// limitMilli is the second team's limit for up to limitWorkers workers, low enough to be always in use. It grows with
+	// their number.
+	limitMilli   = 9000
+	limitWorkers = 12
 	// workerMilli is the capacity of each worker in thousandths of a processor.
 	workerMilli = 8000
 	// meanJobInterval is the mean time between two jobs of one caller.
@@ -144,6 +146,12 @@
 	return s.report, nil
 }
 
+// teams returns the teams in the operator's configuration.
+func (s *Soak) teams() []fake.Team {
+	limit := int64(limitMilli) * int64(max(limitWorkers, s.Domains*s.Workers)) / limitWorkers
+	return []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limit}, {Name: "echo", Weight: overloadWeight}}
+}
+
 // prepare starts the platform stand-in, and the relays and the process of each entry.
 func (s *Soak) prepare() error {
 	faults, err := os.Create(filepath.Join(s.Dir, "faults.log"))
@@ -154,7 +162,7 @@
 	if s.runLog, err = os.Create(filepath.Join(s.Dir, "runs.log")); err != nil {
 		return merry.Wrap(err)
 	}
-	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, SlowEvery: 3, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}, {Name: "echo", Weight: overloadWeight}}}
+	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, SlowEvery: 3, Teams: s.teams()}
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
