--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -58,6 +58,9 @@
 	cmd.Flags().IntVar(&o.Workers, "workers", 4, "number of workers in each failure domain")
 	cmd.Flags().IntVar(&o.Callers, "callers", 4, "number of callers")
 	cmd.Flags().BoolVar(&o.Returns, "returns", true, "workers return under their IDs and are cut off; without it, a seed is what it was before")
+	cmd.Flags().BoolVar(&o.Steady, "steady", false, "no faults: entries are stopped as planned in series, and no accepted job may stand still")
+	cmd.Flags().BoolVar(&o.Pauses, "pauses", false, "with --steady, all entries are paused at once for moments, as on a busy machine")
+	cmd.Flags().IntVar(&o.Lasting, "lasting", 0, "number of lasting tasks of every second caller's jobs; zero means a few")
 	return cmd
 }
 
@@ -85,6 +88,15 @@
 	if !o.Returns {
 		flags += " --returns=false"
 	}
+	if o.Steady {
+		flags += " --steady"
+	}
+	if o.Pauses {
+		flags += " --pauses"
+	}
+	if o.Lasting > 0 {
+		flags += fmt.Sprintf(" --lasting %d", o.Lasting)
+	}
 	for _, p := range report.Problems {
 		cmd.Println("  " + p)
 	}
--- a/soak/lasting.go
+++ b/soak/lasting.go
@@ -31,6 +31,9 @@
 		}
 		if i%2 == 0 {
 			j.Tasks[0] = 4 + rnd.IntN(5)
+			if s.Lasting > 0 {
+				j.Tasks[0] = s.Lasting
+			}
 		}
 		if rnd.IntN(2) == 0 {
 			j.Tasks = append([]int{1}, j.Tasks...)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,6 +53,12 @@
 	// Returns has workers return under their IDs and be cut off, with work and late orders to match. Without it a seed is
 	// what it was before these faults existed.
 	Returns bool
+	// Steady injects no faults. Entries are stopped as planned, one after the other, and no accepted job may stand still.
+	Steady bool
+	// Pauses has Steady pause all entries at once for moments, as a busy machine does.
+	Pauses bool
+	// Lasting is the number of lasting tasks of every second caller's jobs; zero means a few.
+	Lasting int
 }
 
 // Soak is one run. Set the options before Run.
@@ -97,7 +103,7 @@
 	defer s.close()
 	duty.Sleep(ctx, startupTime)
 	var callers conc.WaitGroup
-	if s.Returns {
+	if s.Returns && !s.Steady {
 		s.returnWorkersAlone(ctx, &callers)
 	}
 
@@ -113,6 +119,25 @@
 		callers.Go(func() { s.runGangJobs(ctx, activeCtx, i, 0) })
 		callers.Go(func() { s.runCopiedJobs(ctx, activeCtx, i) })
 	}
+	if s.Steady {
+		s.stopInSeries(ctx, activeCtx)
+	} else {
+		s.injectFaults(ctx, activeCtx, &callers)
+	}
+	endPlanned()
+	callers.Wait()
+	s.checkLogs()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.Problems = append(s.report.Problems, s.platform.Checker.Problems()...)
+	s.report.Starts, s.report.Resumed = s.platform.Checker.Starts(), s.platform.Checker.Resumed()
+	s.report.Copies = s.platform.Checker.Copies()
+	return s.report, nil
+}
+
+// injectFaults injects faults until activeCtx ends, while jobs run that need them or fill the region, and then has planned
+// operations follow.
+func (s *Soak) injectFaults(ctx, activeCtx context.Context, callers *conc.WaitGroup) {
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
 	if s.Returns {
@@ -134,16 +159,7 @@
 	s.startPlannedOperations(ctx)
 	s.group.Wait() // Each fault reverts itself.
 	duty.Sleep(ctx, lastingRestartTime-finalGangsTime)
-	s.runFinalGangs(ctx, &callers)
-	endPlanned()
-	callers.Wait()
-	s.checkLogs()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.report.Problems = append(s.report.Problems, s.platform.Checker.Problems()...)
-	s.report.Starts, s.report.Resumed = s.platform.Checker.Starts(), s.platform.Checker.Resumed()
-	s.report.Copies = s.platform.Checker.Copies()
-	return s.report, nil
+	s.runFinalGangs(ctx, callers)
 }
 
 // teams returns the teams in the operator's configuration.
@@ -251,6 +267,9 @@
 	switch {
 	case accepted:
 		s.updateReport(func(r *Report) { r.Accepted++ })
+		if s.Steady {
+			s.platform.Checker.ExpectProgress(&j)
+		}
 	case uncertain:
 		return // The job may or may not have been accepted, so there is nothing to check.
 	default:
