--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,8 +29,10 @@
 	// cancelGrace is how long after an acknowledged cancellation a task may still start: the
 	// start may already be in flight, or a planner may be taking over.
 	cancelGrace = 5 * time.Second
-	// limitMilli is the second team's limit, low enough to be always in use.
-	limitMilli = 9000
+	// limitMilli is the second team's limit for up to limitWorkers workers, low enough to be always in use. It grows with
+	// their number.
+	limitMilli   = 9000
+	limitWorkers = 12
 	// workerMilli is the capacity of each worker in thousandths of a processor.
 	workerMilli = 8000
 	// meanJobInterval is the mean time between two jobs of one caller.
@@ -51,6 +53,12 @@
 	// Returns has workers return under their IDs and be cut off, with work and late orders to match. Without it a seed is
 	// what it was before these faults existed.
 	Returns bool
+	// Steady injects no faults. Entries are stopped as planned, one after the other, and no accepted job may stand still.
+	Steady bool
+	// Pauses has Steady pause all entries at once for moments, as a busy machine does.
+	Pauses bool
+	// Lasting is the number of lasting tasks of every second caller's jobs; zero means a few.
+	Lasting int
 }
 
 // Soak is one run. Set the options before Run.
@@ -99,7 +107,7 @@
 	defer s.close()
 	duty.Sleep(ctx, startupTime)
 	var callers conc.WaitGroup
-	if s.Returns {
+	if s.Returns && !s.Steady {
 		s.returnWorkersAlone(ctx, &callers)
 	}
 
@@ -115,6 +123,31 @@
 		callers.Go(func() { s.runGangJobs(ctx, activeCtx, i, 0) })
 		callers.Go(func() { s.runCopiedJobs(ctx, activeCtx, i) })
 	}
+	var open conc.WaitGroup
+	open.Go(func() { s.delay.run(plannedCtx) })
+	for i := range openConnections * len(s.procs) {
+		open.Go(func() { s.keepConnections(plannedCtx, s.procs[i%len(s.procs)], i) })
+	}
+	if s.Steady {
+		s.stopInSeries(ctx, activeCtx)
+	} else {
+		s.injectFaults(ctx, activeCtx, &callers)
+	}
+	endPlanned()
+	callers.Wait()
+	open.Wait()
+	s.checkLogs()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.Problems = append(s.report.Problems, s.platform.Checker.Problems()...)
+	s.report.Starts, s.report.Resumed = s.platform.Checker.Starts(), s.platform.Checker.Resumed()
+	s.report.Copies = s.platform.Checker.Copies()
+	return s.report, nil
+}
+
+// injectFaults injects faults until activeCtx ends, while jobs run that need them or fill the region, and then has planned
+// operations follow.
+func (s *Soak) injectFaults(ctx, activeCtx context.Context, callers *conc.WaitGroup) {
 	callers.Go(func() { s.runCrashingJobs(ctx, activeCtx) })
 	callers.Go(func() { s.runSavingJobs(ctx, activeCtx) })
 	if s.Returns {
@@ -129,11 +162,6 @@
 	if s.Returns {
 		s.group.Go(func() { s.returnWorkers(ctx, activeCtx) })
 	}
-	var open conc.WaitGroup
-	open.Go(func() { s.delay.run(plannedCtx) })
-	for i := range openConnections * len(s.procs) {
-		open.Go(func() { s.keepConnections(plannedCtx, s.procs[i%len(s.procs)], i) })
-	}
 	for activeCtx.Err() == nil {
 		s.injectFault(activeCtx)
 		duty.Sleep(activeCtx, time.Duration(100+s.rnd.IntN(1500))*time.Millisecond)
@@ -141,17 +169,13 @@
 	s.startPlannedOperations(ctx)
 	s.group.Wait() // Each fault reverts itself.
 	duty.Sleep(ctx, lastingRestartTime-finalGangsTime)
-	s.runFinalGangs(ctx, &callers)
-	endPlanned()
-	callers.Wait()
-	open.Wait()
-	s.checkLogs()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.report.Problems = append(s.report.Problems, s.platform.Checker.Problems()...)
-	s.report.Starts, s.report.Resumed = s.platform.Checker.Starts(), s.platform.Checker.Resumed()
-	s.report.Copies = s.platform.Checker.Copies()
-	return s.report, nil
+	s.runFinalGangs(ctx, callers)
+}
+
+// teams returns the teams in the operator's configuration.
+func (s *Soak) teams() []fake.Team {
+	limit := int64(limitMilli) * int64(max(limitWorkers, s.Domains*s.Workers)) / limitWorkers
+	return []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limit}, {Name: "echo", Weight: overloadWeight}}
 }
 
 // prepare starts the platform stand-in, and the relays and the process of each entry.
@@ -164,7 +188,7 @@
 	if s.runLog, err = os.Create(filepath.Join(s.Dir, "runs.log")); err != nil {
 		return merry.Wrap(err)
 	}
-	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, SlowEvery: 3, Teams: []fake.Team{{Name: "choir"}, {Name: "duct", Milli: limitMilli}, {Name: "echo", Weight: overloadWeight}}}
+	s.platform = &fake.Platform{Workers: s.Workers, Milli: workerMilli, SlowEvery: 3, Teams: s.teams()}
 	for d := range s.Domains {
 		s.platform.Domains = append(s.platform.Domains, fmt.Sprintf("d%d", d))
 	}
@@ -253,6 +277,9 @@
 	switch {
 	case accepted:
 		s.updateReport(func(r *Report) { r.Accepted++ })
+		if s.Steady {
+			s.platform.Checker.ExpectProgress(&j)
+		}
 	case uncertain:
 		return // The job may or may not have been accepted, so there is nothing to check.
 	default:
