region: log when an entry itself did not run

On a machine where entries share processors, an entry's log named keepers, workers and the store as silent and did not tell whether the entry had run itself: in a run of the soak on a busy machine the polls of all twelve keepers timed out within one millisecond, 0.9 s after the planner's last line.

--- a/region/node.go
+++ b/region/node.go
@@ -185,10 +185,22 @@
 	return n.health.responsive(time.Now())
 }
 
+// logPause logs that this process did not run for a while, because it was paused or others had the processor, given the time of
+// the last check.
+func (n *Node) logPause(checked time.Time) {
+	if late := time.Since(checked) - healthCheckInterval; late > maxCheckDelay {
+		n.Log.Info("entry did not run for a while", zap.Duration("late", late))
+		metrics.GetOrRegisterCounter("Entry.Pauses", n.Metrics).Inc(1)
+	}
+}
+
 // runHealth watches whether the store answers this entry, until ctx ends.
 func (n *Node) runHealth(ctx context.Context) {
 	responsive := false
+	checked := time.Now()
 	for ctx.Err() == nil {
+		n.logPause(checked)
+		checked = time.Now()
 		if now := n.storeResponsive(); now != responsive {
 			responsive = now
 			n.Log.Info("store responsiveness changed", zap.Bool("answers", now))
--- a/region/storehealth_test.go
+++ b/region/storehealth_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 )
 
 // clockAt returns times relative to an arbitrary moment.
@@ -96,3 +98,15 @@
 	is.True(!h.suspect(at(8290)))
 	is.True(h.suspect(at(8610)))
 }
+
+// Guards against logs that do not tell a pause of the entry from a silence of all others, and against ordinary delays that are
+// logged as pauses.
+func TestPauseOfTheEntryIsCounted(t *testing.T) {
+	is := is.New(t)
+	n := &Node{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
+	pauses := metrics.GetOrRegisterCounter("Entry.Pauses", n.Metrics)
+	n.logPause(time.Now().Add(-healthCheckInterval))
+	is.Equal(pauses.Count(), int64(0))
+	n.logPause(time.Now().Add(-time.Second))
+	is.Equal(pauses.Count(), int64(1))
+}
