region: test that one pause does not make the planner slow

The mean goes by the time that has passed and not by the decisions, so that one that is late outweighs all before it.

--- a/region/lag_test.go
+++ b/region/lag_test.go
@@ -45,3 +45,32 @@
 	l.note(time.Now())
 	is.Equal(l.mean, time.Duration(0))
 }
+
+// Guards against a planner that yields the office because of one pause: on a machine where entries share processors, all of them
+// may be paused at once, and its successor is no faster. A planner that is late again and again still yields soon.
+func TestOnePauseDoesNotMakeThePlannerSlow(t *testing.T) {
+	is := is.New(t)
+	at := clockAt()
+	var l lag
+	decide := func(due, late int) {
+		l.due = at(due)
+		l.note(at(due + late))
+	}
+	for i := range 20 {
+		decide(100*i, 1)
+	}
+	for _, pause := range []int{200, 900, 3000} {
+		began := 10 * pause
+		decide(began, pause)
+		is.True(l.mean <= maxLag)
+		for i := range 20 {
+			decide(began+pause+100*(i+1), 1)
+			is.True(l.mean <= maxLag)
+		}
+	}
+	slow := 0
+	for ; l.mean <= maxLag && slow < 10; slow++ {
+		decide(100_000+400*slow, 300)
+	}
+	is.True(slow <= 3)
+}
