Do not count an entry's own pauses in its timeouts

Callers saw accepted jobs stand still after entries had been paused at once for moments, as on a machine where they share processors: the planner took all keepers for silent, ended their sessions and gave all workers new assignments, and nothing started until these had listed their runs.

A timer that came due during a pause fires before what has arrived meanwhile is read, and where nobody runs nobody responds. In a soak on a busy machine the polls of all twelve keepers ended in the same millisecond, 0.9 s after the planner's last line.

What an entry may do is not longer for it: leases, authority and expiries are points in time as before, and a start keeps its timeout, by which the lease of a late one is bounded.

--- a/coord/keep/hold.go
+++ b/coord/keep/hold.go
@@ -164,7 +164,7 @@
 		limit = min(limit, max(time.Until(h.leaseExpiry()), minExpiryTimeout))
 	}
 	h.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, limit)
+	callCtx, cancel := duty.WithTimeout(ctx, limit)
 	defer cancel()
 	resp, err := h.keeper.Client.Hold(callCtx, h.vm, call)
 	h.recordCall(isResponse(err))
@@ -189,7 +189,7 @@
 		return // The next hold is sent without a wait.
 	}
 	sent := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
+	callCtx, cancel := duty.WithTimeout(ctx, h.callTimeout())
 	defer cancel()
 	resp, err := h.keeper.Client.Hold(callCtx, h.vm, winch.HoldRequest{Token: h.token})
 	if err != nil || ctx.Err() != nil || h.updateClock(sent, resp.Clock) {
@@ -268,7 +268,7 @@
 	if !ahead {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.callTimeout())
+	ctx, cancel := duty.WithTimeout(ctx, h.callTimeout())
 	defer cancel()
 	_, err := h.keeper.Client.Hold(ctx, h.vm, winch.HoldRequest{Token: h.token})
 	return err
--- a/coord/keep/send.go
+++ b/coord/keep/send.go
@@ -38,7 +38,7 @@
 // throttle sets the percentage of a run. The planner orders a percentage once, so an order without a response is
 // queued again, unless the run has ended or another percentage was ordered since.
 func (h *holder) throttle(ctx context.Context, c queuedOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
+	callCtx, cancel := duty.WithTimeout(ctx, h.callTimeout())
 	defer cancel()
 	if isResponse(h.keeper.Client.Throttle(callCtx, h.vm, h.token, c.Task, c.Run, c.Percent)) {
 		return
@@ -75,6 +75,7 @@
 		h.reportNotStarted(c.Order)
 		return
 	}
+	// A pause of this process counts: nextBootExpiry bounds how late a start may be sent.
 	callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
 	defer cancel()
 	result, clock := h.keeper.Client.Start(callCtx, h.vm, winch.StartRequest{
@@ -192,7 +193,7 @@
 func (h *holder) stopUntilResponse(ctx context.Context, key runKey, startUncertain bool) {
 	for ctx.Err() == nil {
 		sent := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, h.callTimeout())
+		callCtx, cancel := duty.WithTimeout(ctx, h.callTimeout())
 		err := h.keeper.Client.Stop(callCtx, h.vm, h.token, key.task, key.run)
 		cancel()
 		h.recordOrder(sent, isResponse(err))
--- a/region/mirror.go
+++ b/region/mirror.go
@@ -1,7 +1,6 @@
 package region
 
 import (
-	"context"
 	"maps"
 	"math"
 	"slices"
@@ -328,7 +327,7 @@
 }
 
 func (l *leadership) sendMirror(s *standby, msg proto.Mirror, starts []proto.Order) {
-	ctx, cancel := context.WithTimeout(l.ctx, mirrorTimeout+time.Duration(len(msg.Add))*mirrorTimeoutPerRun)
+	ctx, cancel := duty.WithTimeout(l.ctx, mirrorTimeout+time.Duration(len(msg.Add))*mirrorTimeoutPerRun)
 	defer cancel()
 	var ack proto.MirrorAck
 	sent := time.Now()
--- a/region/proxy.go
+++ b/region/proxy.go
@@ -154,7 +154,7 @@
 	if p.local {
 		return p.leadership.node.keeper.Poll(ctx, request), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollTimeout)
+	ctx, cancel := duty.WithTimeout(ctx, pollWait+pollTimeout)
 	defer cancel()
 	var report proto.KeeperPollResponse
 	err := p.leadership.node.Peers.Request(ctx, p.name, proto.KindKeeperPoll, request, &report)
@@ -417,7 +417,7 @@
 // the planner.
 func (l *leadership) callAdvice(lane string, a fleet.AdviceRequest) {
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(l.ctx, a.Cost+adviceTimeout)
+	ctx, cancel := duty.WithTimeout(l.ctx, a.Cost+adviceTimeout)
 	defer cancel()
 	request := proto.AdviseRequest{Phase: a.Phase, Workers: a.Workers}
 	var response proto.AdviseResponse
--- a/trans/peer/link.go
+++ b/trans/peer/link.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -121,7 +122,7 @@
 			return
 		case <-l.pingRequested:
 		}
-		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		pingCtx, cancel := duty.WithTimeout(ctx, pingTimeout)
 		err := l.conn.Ping(pingCtx)
 		cancel()
 		if err != nil {
