region: do not count an entry's own pauses as a silence of the store

An entry that had not run for more than silenceTimeout while a call was on its way took the store for unresponsive, although the answer may have arrived: it passed submissions on, and a planner asked its standby to take over. The time between two checks that are more than 100 ms late is not counted now, three times for a call at most, so that an entry that is always late finds a silent store unresponsive, too.

--- a/region/node.go
+++ b/region/node.go
@@ -201,6 +201,7 @@
 	for ctx.Err() == nil {
 		n.logPause(checked)
 		checked = time.Now()
+		n.health.look(checked)
 		if now := n.storeResponsive(); now != responsive {
 			responsive = now
 			n.Log.Info("store responsiveness changed", zap.Bool("answers", now))
--- a/region/storehealth.go
+++ b/region/storehealth.go
@@ -26,13 +26,18 @@
 	roundTripGain       = 1.0 / 8
 	deviationGain       = 1.0 / 4
 	suspicionDeviations = 4
+	// maxPauses bounds the pauses of this process that do not count as a silence of the store, by call. A process that is
+	// always late finds a silent store unresponsive, too.
+	maxPauses = 3
 )
 
 // storeHealth judges from the calls of this entry whether the store answers it. Its zero value stands
 // for a store that has never been called.
 type storeHealth struct {
-	mu      sync.Mutex
-	pending map[*storeCall]bool // pending holds the calls without an answer, except long polls.
+	mu sync.Mutex
+	// lookedAt is when look was last called, which happens each healthCheckInterval while this process runs; zero if never.
+	lookedAt time.Time
+	pending  map[*storeCall]bool // pending holds the calls without an answer, except long polls.
 	// answeredAt is when the store last answered a call, refusedSince when it first refused one after
 	// that.
 	answeredAt   time.Time
@@ -42,7 +47,12 @@
 }
 
 // storeCall is a call to the store.
-type storeCall struct{ sent time.Time }
+type storeCall struct {
+	sent time.Time
+	// paused is how long this process did not run since then, in the given number of pauses.
+	paused time.Duration
+	pauses int
+}
 
 // begin records that a call is sent.
 func (h *storeHealth) begin(now time.Time) *storeCall {
@@ -102,15 +112,40 @@
 func (h *storeHealth) silence(now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for c := range h.pending {
-		longest = max(longest, now.Sub(c.sent))
+		longest = max(longest, now.Sub(c.sent)-c.paused)
 	}
 	return longest
 }
 
+// look records that this process runs.
+func (h *storeHealth) look(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaveOutPause(now)
+	h.lookedAt = now
+}
+
+// leaveOutPause does not count time in which this process did not run: answers may have arrived and not been read, and where
+// nobody runs the store is not silent either. The caller holds the mutex.
+func (h *storeHealth) leaveOutPause(now time.Time) {
+	since := now.Sub(h.lookedAt)
+	if h.lookedAt.IsZero() || since <= healthCheckInterval+maxCheckDelay {
+		return
+	}
+	h.lookedAt = now
+	for c := range h.pending {
+		if c.pauses < maxPauses {
+			c.paused += min(since, now.Sub(c.sent))
+			c.pauses++
+		}
+	}
+}
+
 // responsive reports whether the store answers this entry.
 func (h *storeHealth) responsive(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.leaveOutPause(now)
 	switch {
 	case h.answeredAt.IsZero():
 		return false
@@ -125,6 +160,7 @@
 func (h *storeHealth) suspect(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.leaveOutPause(now)
 	usual := h.mean + suspicionDeviations*h.deviation
 	return h.silence(now) > min(max(usual, minSuspicionTime), maxSuspicionTime)
 }
--- a/region/storehealth_test.go
+++ b/region/storehealth_test.go
@@ -99,6 +99,32 @@
 	is.True(h.suspect(at(8610)))
 }
 
+// Guards against a pause of this entry that counts as a silence of the store: an answer may have arrived and not been read. The
+// silence after a pause counts, and pauses without end do not keep a silent store responsive.
+func TestPauseOfTheEntryIsNoSilenceOfTheStore(t *testing.T) {
+	is := is.New(t)
+	at := clockAt()
+	var h storeHealth
+	h.answered(at(0))
+	for i := range 20 {
+		h.look(at(50 * i))
+	}
+	h.begin(at(960))
+	is.True(h.responsive(at(1900))) // The last look was at 950.
+	is.True(!h.suspect(at(1900)))
+	for i := range 12 {
+		h.look(at(1950 + 50*i))
+	}
+	is.True(h.responsive(at(2490)))
+	is.True(!h.responsive(at(2510)))
+	h.answered(at(2520))
+	h.begin(at(2530))
+	for i := range 6 {
+		h.look(at(2800 + 300*i))
+	}
+	is.True(!h.responsive(at(4310)))
+}
+
 // Guards against logs that do not tell a pause of the entry from a silence of all others, and against ordinary delays that are
 // logged as pauses.
 func TestPauseOfTheEntryIsCounted(t *testing.T) {
