region: do not count late checks of the standby as a silence of the planner

A standby whose checks were late by up to 100 ms counted that time as a silence of the planner, which may have waited for a processor as well. Only the time by which a check was more than 25 ms late is left out, so a planner that is lost is replaced by a standby that is always late, too; a longer delay begins the count anew, as before.

--- a/region/preempt.go
+++ b/region/preempt.go
@@ -38,16 +38,26 @@
 	for ctx.Err() == nil {
 		duty.Sleep(ctx, preemptCheckInterval)
 		now := time.Now()
-		if now.Sub(checked) > preemptCheckInterval+maxCheckDelay {
-			contact = now
-		}
-		checked = now
+		last, _, _ := n.mirror.contact(n.cell.officeTerm())
+		contact, checked = leaveOutPause(contact, last, checked, now), now
 		if held, silent := n.silentPlanner(now, contact); silent {
 			n.preempt(ctx, held)
 		}
 	}
 }
 
+// leaveOutPause returns the time after which only silence counts, given the last message and the last check. The time by which a
+// check is late is no silence: where processes wait for a processor, the planner may wait for one, too.
+func leaveOutPause(contact, last, checked, now time.Time) time.Time {
+	switch late := now.Sub(checked) - preemptCheckInterval; {
+	case late > maxCheckDelay:
+		return now
+	case late > duty.MaxTimerDelay:
+		return earlierTime(later(contact, last).Add(late), now)
+	}
+	return contact
+}
+
 // silentPlanner returns the office of a planner that this entry should replace as its standby, if there
 // is one.
 func (n *Node) silentPlanner(now, contact time.Time) (office, bool) {
@@ -114,6 +124,13 @@
 	return m.lastContact, m.yields, m.runs != nil && m.term == term
 }
 
+// officeTerm returns the term of the office as last seen.
+func (c *cellView) officeTerm() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.office.Term
+}
+
 // dropOffice records that the office of a term is known to have ended.
 func (c *cellView) dropOffice(term uint64) {
 	c.mu.Lock()
--- a/region/preempt_test.go
+++ b/region/preempt_test.go
@@ -141,3 +141,29 @@
 		w.end()
 	})
 }
+
+// Guards against a standby that takes the time in which it was itself late for a silence of the planner. Checks in time count,
+// and after a long pause the count begins anew.
+func TestLateChecksAreNoSilenceOfThePlanner(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		checks  []int // checks holds the times of the checks in milliseconds.
+		silence int   // silence is what has been counted at the last one.
+	}{
+		{"in time", []int{50, 100, 150, 200, 250, 300, 350, 400}, 400},
+		{"a little late", []int{70, 140, 210, 280, 350, 420}, 420},
+		{"one late", []int{50, 100, 190, 240, 290}, 250},
+		{"always late", []int{90, 180, 270, 360, 450, 540, 630}, 350},
+		{"a long pause", []int{50, 100, 900, 950, 1000}, 100},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			at := clockAt()
+			last, contact, checked := at(0), at(-1000), at(0)
+			for _, ms := range x.checks {
+				contact, checked = leaveOutPause(contact, last, checked, at(ms)), at(ms)
+			}
+			is.Equal(checked.Sub(later(last, contact)), time.Duration(x.silence)*time.Millisecond)
+		})
+	}
+}
