region: one pause does not make the planner slow

Callers saw work stand still for a moment after each pause of all entries: the planner decided late once, took itself for too slow and gave the office to its standby, which had been paused as well, and all keepers and workers began anew.

One late decision outweighed all before it, since the mean goes by the time that has passed. A decision now counts as late by more than maxLag only if the one before was late, too, so one pause cannot bring the mean over maxLag, and a planner that is late again and again yields one decision later than before.

--- a/region/lag.go
+++ b/region/lag.go
@@ -22,6 +22,8 @@
 	due       time.Time // due is when the next decision is scheduled.
 	mean      time.Duration
 	updatedAt time.Time // updatedAt is when mean was last updated.
+	// last is how late the last decision was.
+	last time.Duration
 }
 
 // note records that a decision begins.
@@ -30,11 +32,14 @@
 		return // No decision was scheduled.
 	}
 	late := max(0, now.Sub(l.due))
+	// One late decision may be due to a pause, maybe of all entries, and does not make the planner slow. Two in a row do.
+	counted := min(late, max(l.last, maxLag))
+	l.last = late
 	weight := 0.0 // weight is the weight of the old mean.
 	if !l.updatedAt.IsZero() {
 		weight = math.Exp2(-(now.Sub(l.updatedAt) + time.Millisecond).Seconds() / lagHalfLife.Seconds())
 	}
-	l.mean = late + time.Duration(weight*float64(l.mean-late))
+	l.mean = counted + time.Duration(weight*float64(l.mean-counted))
 	l.updatedAt = now
 }
 
