--- a/region/lastrand_test.go
+++ b/region/lastrand_test.go
@@ -189,7 +189,7 @@
 	r.workerIDs++
 	id := fmt.Sprintf("x%d", r.workerIDs)
 	drift := workerClockDrift * float64(r.rand.IntN(2))
-	r.world.bootWorker(simVM(id, id, domain), drift)
+	r.world.bootWorker(r.world.vm(id, id, domain), drift)
 	r.world.log.note("worker %s is added", id)
 	return id
 }
@@ -323,7 +323,7 @@
 			address = id
 		}
 		w.log.note("worker %s is added at %s", id, address)
-		w.bootWorker(simVM(id, address, x.vm.Domain), 0)
+		w.bootWorker(w.vm(id, address, x.vm.Domain), 0)
 	})
 }
 
--- a/region/simpeers_test.go
+++ b/region/simpeers_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"plantainwinch/duty"
 	"plantainwinch/proto"
 	"plantainwinch/winch"
 )
@@ -162,6 +163,9 @@
 	if err != nil {
 		return err
 	}
+	if p.world.mayBeLate() {
+		return p.requestLate(ctx, to, kind, data, reply)
+	}
 	time.Sleep(networkDelay)
 	n := p.target(to)
 	if n == nil || p.drops(to, kind) || !p.delivers(p.node.Host, n.Host) || !p.carry(ctx, p.node.Host, n.Host, len(data)) {
@@ -198,6 +202,41 @@
 	return proto.Decode(data, reply)
 }
 
+// requestLate is Request where messages may be late. The receiver handles the request even if the sender no longer waits.
+func (p *simPeers) requestLate(ctx context.Context, to string, kind winch.Kind, data []byte, reply any) error {
+	if n := p.target(to); n != nil {
+		response := callLate(ctx, p.world, p.node.Host, n.Host, func() []byte { return p.exchange(to, kind, data) }, nil)
+		if response != nil && p.target(to) != nil {
+			return proto.Decode(response, reply)
+		}
+	}
+	<-ctx.Done()
+	return winch.ErrPeerLost
+}
+
+// exchange has the receiver handle a request and returns the response, or nil if the request or the response is lost.
+func (p *simPeers) exchange(to string, kind winch.Kind, data []byte) []byte {
+	time.Sleep(networkDelay)
+	n := p.target(to)
+	if n == nil || !p.delivers(p.node.Host, n.Host) {
+		return nil
+	}
+	decode := func(into any) error { return proto.Decode(data, into) }
+	if p.world.queueIfPaused(n, false, func() { n.Handle(context.Background(), p.node.Name, kind, decode) }) {
+		return nil
+	}
+	response := n.Handle(p.world.ctx, p.node.Name, kind, decode)
+	time.Sleep(networkDelay)
+	if !p.delivers(n.Host, p.node.Host) {
+		return nil
+	}
+	data, err := proto.Encode(response)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
 // countCopy counts a configuration, or a part of one, that is sent to an entry.
 func (p *simPeers) countCopy(to string, body any) {
 	settings, ok := body.(proto.Settings)
@@ -266,6 +305,14 @@
 		p.world.send(p.node.Host, n.Host, len(data), deliver)
 		return nil
 	}
+	if p.world.mayBeLate() {
+		at := p.world.arrival(p.node.Host, n.Host)
+		p.world.group.Go(func() {
+			duty.Sleep(p.world.ctx, time.Until(at))
+			deliver()
+		})
+		return nil
+	}
 	p.world.mu.Lock()
 	delay := p.world.notifyDelay
 	p.world.mu.Unlock()
--- a/region/simrunner_test.go
+++ b/region/simrunner_test.go
@@ -32,6 +32,11 @@
 		<-ctx.Done()
 		return winch.ErrUncertain
 	}
+	if w.late.silent(r.node.Host, vm.Address) {
+		w.mu.Unlock()
+		<-ctx.Done()
+		return winch.ErrUncertain
+	}
 	x.mu.Lock()
 	var err error
 	if x.vm.ID != vm.ID || x.vm.Born != vm.Born && !x.unnamed {
@@ -121,10 +126,24 @@
 }
 
 func (r *simRunner) Hold(ctx context.Context, vm winch.WorkerVM, c winch.HoldRequest) (out winch.HoldResponse, err error) {
-	begin := time.Now()
 	if r.postpone(ctx, vm, c, func(x *simWorker) { _, _ = r.hold(x, c) }) { // Nobody learns the result.
 		return out, winch.ErrUncertain
 	}
+	result := callLate(ctx, r.world, r.node.Host, vm.Address, func() (v holdResult) {
+		v.response, v.err = r.holdWithWait(ctx, vm, c, time.Now())
+		return v
+	}, holdResult{err: winch.ErrUncertain})
+	return result.response, result.err
+}
+
+// holdResult is the result of a hold.
+type holdResult struct {
+	response winch.HoldResponse
+	err      error
+}
+
+// holdWithWait carries out a hold that has arrived at the worker, until something ends there or its wait is over.
+func (r *simRunner) holdWithWait(ctx context.Context, vm winch.WorkerVM, c winch.HoldRequest, begin time.Time) (out winch.HoldResponse, err error) {
 	for {
 		err = r.call(ctx, vm, func(x *simWorker) (err error) {
 			out, err = r.hold(x, c)
@@ -160,14 +179,22 @@
 }
 
 func (r *simRunner) Start(ctx context.Context, vm winch.WorkerVM, c winch.StartRequest) (winch.StartResult, time.Duration) {
-	result, clock := winch.StartOK, time.Duration(0)
 	if r.postpone(ctx, vm, c, func(x *simWorker) { r.order(x, c) }) {
 		return winch.StartUncertain, 0
 	}
-	err := r.call(ctx, vm, func(x *simWorker) error {
-		result, clock = r.order(x, c), x.clock()
-		return nil
-	})
+	type outcome struct {
+		result winch.StartResult
+		clock  time.Duration
+		err    error
+	}
+	v := callLate(ctx, r.world, r.node.Host, vm.Address, func() (v outcome) {
+		v.err = r.call(ctx, vm, func(x *simWorker) error {
+			v.result, v.clock = r.order(x, c), x.clock()
+			return nil
+		})
+		return v
+	}, outcome{err: winch.ErrUncertain})
+	result, clock, err := v.result, v.clock, v.err
 	switch {
 	case errors.Is(err, winch.ErrOtherBoot):
 		return winch.StartOtherBoot, 0
@@ -180,7 +207,7 @@
 }
 
 func (r *simRunner) Stop(ctx context.Context, vm winch.WorkerVM, token uint64, task winch.RunID, run uint64) error {
-	return r.call(ctx, vm, func(x *simWorker) error {
+	return r.send(ctx, vm, func(x *simWorker) error {
 		if err := x.fence(token); err != nil {
 			return err
 		}
@@ -195,7 +222,12 @@
 }
 
 func (r *simRunner) Throttle(ctx context.Context, vm winch.WorkerVM, token uint64, _ winch.RunID, _ uint64, _ int) error {
-	return r.call(ctx, vm, func(x *simWorker) error { return x.fence(token) })
+	return r.send(ctx, vm, func(x *simWorker) error { return x.fence(token) })
+}
+
+// send carries out an order at a worker, however late it arrives there.
+func (r *simRunner) send(ctx context.Context, vm winch.WorkerVM, f func(x *simWorker) error) error {
+	return callLate(ctx, r.world, r.node.Host, vm.Address, func() error { return r.call(ctx, vm, f) }, winch.ErrUncertain)
 }
 
 func (r *simRunner) Disconnect(winch.WorkerVM) {}
--- a/region/simstore_test.go
+++ b/region/simstore_test.go
@@ -142,7 +142,10 @@
 
 // callForData is callWithWait for a call whose response holds as many bytes as f returns.
 func (t *simTable) callForData(ctx context.Context, wait time.Duration, f func() (bytes int)) error {
-	w := t.store.world
+	w, polled := t.store.world, isPoll(ctx)
+	if !polled {
+		w.awaitArrival(ctx, t.node.Host, storeHost)
+	}
 	t.store.mu.Lock()
 	delay := 2*time.Millisecond + t.store.extraDelay/2
 	t.store.mu.Unlock()
@@ -151,8 +154,12 @@
 		return winch.ErrUncertain // As from a client that stops waiting for the response.
 	}
 	w.mu.Lock()
+	silent := w.late.silent(t.node.Host, storeHost)
 	reached := w.canReach(t.node.Domain, "") && w.paused[t.node.Host] == nil && w.liveNodes()[t.node.Name] != nil
 	w.mu.Unlock()
+	if silent {
+		return t.awaitTimeout(ctx, time.Now().Add(wait+clientTimeout))
+	}
 	t.store.mu.Lock()
 	if t.store.refusedHosts[t.node.Host] {
 		t.store.mu.Unlock()
@@ -163,7 +170,10 @@
 		bytes := f()
 		t.store.mu.Unlock()
 		time.Sleep(delay)
-		if ctx.Err() == nil {
+		if !polled {
+			w.awaitArrival(ctx, storeHost, t.node.Host)
+		}
+		if ctx.Err() == nil && !polled {
 			t.node.NoteStoreResponse()
 		}
 		if ctx.Err() != nil || w.rated() && !w.transfer(ctx, "", t.node.Host, bytes, func(n int) { winch.ReportProgress(ctx, n) }) {
@@ -179,6 +189,11 @@
 	return t.awaitTimeout(ctx, time.Now().Add(timeout))
 }
 
+// pollKey marks the context of calls by which the simulated store looks for changes itself.
+type pollKey struct{}
+
+func isPoll(ctx context.Context) bool { return ctx.Value(pollKey{}) != nil }
+
 // clientTimeout is how long a client waits for a response beyond the time that the store may take.
 const clientTimeout = 1500 * time.Millisecond
 
@@ -251,6 +266,11 @@
 func encodedSize(v winch.Value) int { return len(v.Key) + len(v.Data)*4/3 + 100 }
 
 func (t *simTable) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (out []winch.Event, next uint64, err error) {
+	w, caller := t.store.world, ctx
+	if w.mayBeLate() {
+		w.awaitArrival(ctx, t.node.Host, storeHost)
+		ctx = context.WithValue(ctx, pollKey{}, true)
+	}
 	begin := time.Now()
 	for {
 		if t.hangs(prefix, begin) {
@@ -285,6 +305,12 @@
 			t.store.noteCellEvents(len(out))
 		}
 		if err != nil || len(out) > 0 || time.Since(begin) >= wait {
+			if isPoll(ctx) {
+				w.awaitArrival(caller, storeHost, t.node.Host)
+			}
+			if isPoll(ctx) && err == nil && caller.Err() == nil {
+				t.node.NoteStoreResponse()
+			}
 			return out, next, err
 		}
 		if ctx.Err() != nil {
--- a/region/simworker_test.go
+++ b/region/simworker_test.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// vm returns the record of a worker VM of the size that the scenario uses.
+func (w *world) vm(id, address, domain string) winch.WorkerVM {
+	vm := simVM(id, address, domain)
+	if w.workerMilli > 0 {
+		vm.Room.Milli = w.workerMilli
+	}
+	return vm
+}
+
 // bootWorker starts a worker process and lists its record. It replaces earlier boots with the same
 // address or ID.
 func (w *world) bootWorker(vm winch.WorkerVM, clockDrift float64) {
--- a/region/world_test.go
+++ b/region/world_test.go
@@ -82,7 +82,9 @@
 	configCopies map[string]int         // configCopies counts the configurations, or parts of one, sent to each entry by others.
 	configBytes  int                    // configBytes is their size.
 	rates        simRates
-	violations   []string // violations holds the invariant violations seen so far.
+	late         *lateness // late, if set, delays messages.
+	workerMilli  int64     // workerMilli is the capacity of workers that the scenario starts; zero stands for that of simVM.
+	violations   []string  // violations holds the invariant violations seen so far.
 	log          *simLog
 	group        conc.WaitGroup
 	ctx          context.Context
