region: failing tests of leases that each hand-over counts anew

A planner without a standby records at its hand-over for how long leases still run. The next one counts that from its own beginning. The field that the tests need is there, and nobody sets or reads it yet.

--- a/region/handedover_test.go
+++ b/region/handedover_test.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,3 +76,68 @@
 		w.end()
 	})
 }
+
+// Guards against leases that are waited for anew at each hand-over: the time from the record of the last planner to the next
+// planner's beginning has passed for them, too. What is not known of it does not count.
+func TestTimeBetweenTwoTermsCountsForRecordedExpiries(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct{ age, low, high time.Duration }{
+		"recorded soon":           {time.Second, 3900 * time.Millisecond, 4200 * time.Millisecond},
+		"recorded at the end":     {3 * time.Second, 5900 * time.Millisecond, 6 * time.Second},
+		"recorded later than now": {5 * time.Second, 5900 * time.Millisecond, 6 * time.Second},
+		"not recorded":            {0, 5900 * time.Millisecond, 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(t, 102, 3, 3)
+				settle()
+				n := w.planner().node
+				n.cell.noteTerm(8)
+				time.Sleep(3 * time.Second)
+				l := newLeadership(n, 9, 100, 0, time.Now())
+				v := handedOver("d0", "w0", 6*time.Second, 8)
+				var part roster
+				is.NoErr(decode(v.Data, &part))
+				part.LeftAge = c.age
+				v.Data = encode(part)
+				is.NoErr(l.loadRoster(v))
+				l.applyInherited()
+				left := l.expiries.remaining("w0")
+				is.True(left >= c.low && left <= c.high)
+				is.True(time.Until(l.planner.Barrier) <= c.high)
+				w.end()
+			})
+		})
+	}
+}
+
+// Guards against a record that says that the leases expire sooner than they do: the age of the term in it must not be less than
+// the time since the term began, as others saw it.
+func TestRecordedAgeOfATermIsNotTooLow(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(t, 103, 3, 3)
+		settle()
+		p := w.planner()
+		l := p.node.leadership.Load()
+		time.Sleep(2 * time.Second)
+		l.recordRuns(t.Context())
+		began, seen := p.node.cell.termSeen(l.term)
+		is.True(seen)
+		parts := 0
+		w.setStore(func(s *simStore) {
+			for key, v := range s.items {
+				var part roster
+				if strings.HasPrefix(key, keyRoster) && decode(v.Data, &part) == nil && part.LeftTerm == l.term {
+					parts++
+					is.True(part.LeftAge >= time.Since(began)-100*time.Millisecond)
+					is.True(part.LeftAge < time.Since(began)+time.Second)
+				}
+			}
+		})
+		is.True(parts > 0)
+		w.end()
+	})
+}
--- a/region/keys.go
+++ b/region/keys.go
@@ -111,6 +111,8 @@
 	Left time.Duration
 	// LeftTerm is the term of the planner that set Left. A later one may have renewed leases.
 	LeftTerm uint64
+	// LeftAge is at least how long that term had lasted when Left was set; zero if it is not known.
+	LeftAge time.Duration
 	// Generation changes whenever the worker is assigned to another keeper. What a keeper
 	// reports of an earlier generation is incomplete, since the worker may have been assigned
 	// to others in between.
@@ -159,7 +161,9 @@
 	Earlier   []earlierRow
 	Bounds    []uint64 // Bounds holds the bound of each of Workers; it is empty if none has one.
 	LeftTerm  uint64   `cbor:",omitempty"` // LeftTerm is that of all workers whose Left is set.
-	NextBoots []int    `cbor:",omitempty"` // NextBoots holds the indexes of the Workers whose NextBoot is set.
+	// LeftAge is that of all workers whose Left is set.
+	LeftAge   time.Duration `cbor:",omitempty"`
+	NextBoots []int         `cbor:",omitempty"` // NextBoots holds the indexes of the Workers whose NextBoot is set.
 }
 
 // earlierRow is the stored form of an earlier keeper of a worker.
@@ -209,7 +213,7 @@
 		})
 		out.Turns, out.Bounds = append(out.Turns, w.Generation), append(out.Bounds, w.Bound)
 		bound = bound || w.Bound != 0
-		out.LeftTerm = max(out.LeftTerm, w.LeftTerm)
+		out.LeftTerm, out.LeftAge = max(out.LeftTerm, w.LeftTerm), max(out.LeftAge, w.LeftAge)
 	}
 	if !bound {
 		out.Bounds = nil
@@ -221,7 +225,7 @@
 func (r *roster) list() []rosteredWorker {
 	out := make([]rosteredWorker, 0, len(r.Workers))
 	for i, w := range r.Workers {
-		x := rosteredWorker{VM: winch.WorkerVM{ID: w.ID, Address: w.Address, Domain: w.Domain, Born: w.Born}, Settled: w.Settled, Runs: w.Runs, Left: w.Left, LeftTerm: r.LeftTerm}
+		x := rosteredWorker{VM: winch.WorkerVM{ID: w.ID, Address: w.Address, Domain: w.Domain, Born: w.Born}, Settled: w.Settled, Runs: w.Runs, Left: w.Left, LeftTerm: r.LeftTerm, LeftAge: r.LeftAge}
 		x.Keeper, x.Address = r.keeper(w.Keeper)
 		if i < len(r.Turns) {
 			x.Generation = r.Turns[i]
