region: count the time between a hand-over's record and the next term

A planner without a standby records at its hand-over for how long the leases of lost workers still run, and its successor counted that from its own beginning: 0.4 s late where nothing is slow, 0.8 and 2.9 s after slow entries, and again at each planned stop. In the logs the keepers' "lapsesIn" of such a worker ends later from term to term.

The record now says how long the term had lasted, as an upper bound, and each entry knows a lower bound of how long ago the term began; at least the difference has passed since.

--- a/region/leadership.go
+++ b/region/leadership.go
@@ -152,6 +152,7 @@
 	mirroredAt        time.Time
 	standbyAnsweredAt time.Time
 	startedAt         time.Time
+	requestedAt       time.Time // requestedAt is a time before the term began.
 	standbysAsked     bool      // standbysAsked says that possible standbys are being asked for a later term.
 	standbyCheckedAt  time.Time // standbyCheckedAt is when the standby was last compared with other entries.
 	decisionPending   bool
@@ -204,6 +205,7 @@
 		standbyExpiries: make(map[string]bool),
 		rosterStore:     newRosterStore(), rosterLock: make(chan struct{}, 1), group: conc.NewWaitGroup(), startedAt: time.Now(),
 	}
+	l.requestedAt = until.Add(-officeTTL)
 	v := newValidity(until)
 	l.validity.Store(&v)
 	l.planner.Policy = n.Policy
--- a/region/record.go
+++ b/region/record.go
@@ -282,8 +282,10 @@
 	workers := make(map[string]rosteredWorker)
 	if l.duty.Do(ctx, func() {
 		l.runsRecorded = true
+		age := l.maxAge()
 		for id, w := range l.roster {
 			w.Settled, w.Runs, w.Left, w.LeftTerm = l.planner.RunsKnown(id), nil, l.expiries.expiresIn(id), l.term
+			w.LeftAge = age
 			if w.Settled {
 				w.Runs, w.Bound = l.planner.RunsAt(id), 0
 			}
--- a/region/takeover.go
+++ b/region/takeover.go
@@ -101,6 +101,7 @@
 		if w.LeftTerm+1 != l.term {
 			w.Left = 0 // A planner in between may have renewed leases without changing the record.
 		}
+		w.Left = l.stillLeft(w)
 		l.previousRoster[w.VM.ID] = w
 		l.roster[w.VM.ID] = w
 		l.desired[w.VM.ID] = rosteredWorker{
@@ -123,6 +124,28 @@
 	return nil
 }
 
+// minLeft is the least time that a recorded lease counts as running: zero stands for none recorded.
+const minLeft = time.Millisecond
+
+// stillLeft returns how much of the time that the last planner recorded for a worker is left at the beginning of this term. Of
+// the time since then at least as much has passed as its term has lasted by now, less what it had lasted when the record was made.
+func (l *leadership) stillLeft(w rosteredWorker) time.Duration {
+	began, seen := l.node.cell.termSeen(w.LeftTerm)
+	if w.Left == 0 || w.LeftAge == 0 || !seen {
+		return w.Left
+	}
+	age := l.startedAt.Sub(began)
+	passed := age - time.Duration(maxClockDrift*float64(age)) - w.LeftAge
+	return max(minLeft, w.Left-max(0, passed))
+}
+
+// maxAge returns the longest time that this term can have lasted, on the clock of any entry.
+func (l *leadership) maxAge() time.Duration {
+	now := time.Now()
+	age := max(now.Sub(l.requestedAt), now.Round(0).Sub(l.requestedAt.Round(0))) // Either clock may have stood still or been set.
+	return age + time.Duration(maxClockDrift*float64(age))
+}
+
 // handedOverLeft returns how long work may still run at the workers whose runs the previous planner did
 // not record when it handed the office over. It reports false if there are none, or if the roster lacks
 // that time for one of them.
