--- a/region/slowrand_test.go
+++ b/region/slowrand_test.go
@@ -53,7 +53,7 @@
 func newSlowScenario(t *testing.T, seed uint64) *slowScenario {
 	w := newWorld(t, seed, 3, 0)
 	w.enableLateness()
-	workers := 6 + 6*int(seed%2)
+	workers := 3 << (seed / 2 % 3)
 	w.workerMilli = int64(regionMilli / workers)
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
