coord/fleet: reserve capacity for urgent work by its arrivals

After a burst of urgent work or an outage, accepted batch jobs of which nothing ran waited for 20 s and more beside workers that were half free, with "capacity reserved for urgent work", though no urgent work was left.

The reserve was the peak of all urgent work that had waited, halved every 6 s. A backlog of several times the capacity kept it at its bound, half of the service and all of a team's limit, long after the backlog was gone.

What is expected is now the tasks that arrive, each for as long as it takes if it meets its target, and what has run at once. What waits is left free as long as it waits; what a new planner finds waiting is no arrival. Once nothing has arrived for longer than the longest recent interval and the mean of these times, 2 s at most, nothing else is reserved. And a job of which nothing runs waits 2 s at most for urgent work that may arrive while half of its service and of its team's limit is free.

--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -23,6 +23,9 @@
 	// seconds.
 	maxPoolReserve = 0.5
 	maxTeamReserve = 1.0
+	// maxReserveWait is the longest time for which a job of which nothing runs waits for urgent work
+	// that may arrive, while half of its service and of its team's limit is free.
+	maxReserveWait = 2 * time.Second
 )
 
 // signaturePrime is the multiplier of the hash function FNV-1a.
@@ -59,14 +62,59 @@
 	return x
 }
 
-// demand is how much urgent work of a team or a service has recently wanted to run at once. Other
+// demand is how much urgent work of a team or a service is expected to want to run at once. Other
 // work leaves that much capacity free: it runs for long, and an urgent task that found the limit
 // reached because of it would have to wait for its end.
+//
+// What is expected is what recent arrivals would have used if each had started at once, and what has
+// run at once. A backlog is no forecast of arrivals: it counts as wanted, for as long as it waits.
 type demand struct {
-	used    winch.Capacity // used is what runs now.
-	wanted  winch.Capacity // wanted is used plus what waits.
+	used   winch.Capacity // used is what runs now.
+	wanted winch.Capacity // wanted is used plus what waits.
+	// offered is what has arrived, each arrival for as long as its tasks take if they meet their
+	// target; it decays with the mean of these times, holding.
+	offered winch.Capacity
+	holding time.Duration
+	updated time.Time // updated is the time of offered and of peak.
 	peak    winch.Capacity
-	updated time.Time
+	// arrived is when work last arrived, interval the longest recent time between arrivals.
+	arrived  time.Time
+	interval time.Duration
+	// quiet is set while nothing has arrived for longer than that. Nothing is reserved then but for
+	// what waits.
+	quiet bool
+}
+
+// add counts work that has arrived and takes the given time.
+func (d *demand) add(now time.Time, need winch.Capacity, takes time.Duration) {
+	if need == (winch.Capacity{}) {
+		return
+	}
+	d.decay(now)
+	if !d.arrived.IsZero() {
+		d.interval = max(d.interval, now.Sub(d.arrived))
+	}
+	d.arrived = now
+	before, added := float64(d.offered.Milli), float64(need.Milli)
+	if before+added > 0 {
+		takes = time.Duration((float64(d.holding)*before + float64(takes)*added) / (before + added))
+	}
+	d.holding = takes
+	d.offered = d.offered.Add(need)
+}
+
+// decay brings what has arrived up to date.
+func (d *demand) decay(now time.Time) {
+	since := max(0, now.Sub(d.updated)).Seconds()
+	if d.updated.IsZero() {
+		since = 0
+	}
+	d.updated = now
+	past := math.Exp2(-since / peakHalfLife.Seconds())
+	d.peak, d.interval = scaleAll(d.peak, past), time.Duration(past*float64(d.interval))
+	if d.holding > 0 {
+		d.offered = scaleAll(d.offered, math.Exp(-since/d.holding.Seconds()))
+	}
 }
 
 // beginCount starts a new count of the wanted capacity.
@@ -74,27 +122,46 @@
 	d.wanted = d.used
 }
 
-// endCount updates the decaying peak with the new count.
-func (d *demand) endCount(now time.Time) {
-	decay := 1.0
-	if !d.updated.IsZero() {
-		decay = math.Exp2(-now.Sub(d.updated).Seconds() / peakHalfLife.Seconds())
-	}
-	d.updated = now
+// endCount updates the expected demand, given the most that may be reserved.
+func (d *demand) endCount(now time.Time, limit winch.Capacity) {
+	d.decay(now)
 	d.peak = winch.Capacity{
-		Milli:        max(d.wanted.Milli, int64(decay*float64(d.peak.Milli))),
-		Memory:       max(d.wanted.Memory, winch.Bytes(decay*float64(d.peak.Memory))),
-		Accelerators: max(d.wanted.Accelerators, int(decay*float64(d.peak.Accelerators))),
+		Milli:        max(d.peak.Milli, min(max(d.used.Milli, d.offered.Milli), limit.Milli)),
+		Memory:       max(d.peak.Memory, min(max(d.used.Memory, d.offered.Memory), limit.Memory)),
+		Accelerators: max(d.peak.Accelerators, min(max(d.used.Accelerators, d.offered.Accelerators), limit.Accelerators)),
+	}
+	// While the last arrivals are being done, a longer interval than before is chance. The interval
+	// of a single arrival is not known.
+	interval := maxReserveWait
+	if d.interval > 0 {
+		interval = min(interval, max(d.interval, d.holding))
 	}
+	d.quiet = now.Sub(d.arrived) > interval
 }
 
 // reserve returns how much of the whole, a limit or a capacity, to leave free for urgent work, at
 // most the given fraction of it.
 func (d *demand) reserve(whole winch.Capacity, fraction float64) winch.Capacity {
+	if d.quiet {
+		return d.reserveWaiting(whole, fraction)
+	}
+	return d.reserveFor(winch.Capacity{
+		Milli:        max(d.peak.Milli, d.wanted.Milli),
+		Memory:       max(d.peak.Memory, d.wanted.Memory),
+		Accelerators: max(d.peak.Accelerators, d.wanted.Accelerators),
+	}, whole, fraction)
+}
+
+// reserveWaiting returns how much of the whole to leave free for urgent work that waits now.
+func (d *demand) reserveWaiting(whole winch.Capacity, fraction float64) winch.Capacity {
+	return d.reserveFor(d.wanted, whole, fraction)
+}
+
+func (d *demand) reserveFor(expected, whole winch.Capacity, fraction float64) winch.Capacity {
 	return winch.Capacity{
-		Milli:        max(0, min(d.peak.Milli, scale(whole.Milli, fraction))-d.used.Milli),
-		Memory:       max(0, min(d.peak.Memory, scale(whole.Memory, fraction))-d.used.Memory),
-		Accelerators: max(0, min(d.peak.Accelerators, scale(whole.Accelerators, fraction))-d.used.Accelerators),
+		Milli:        max(0, min(expected.Milli, scale(whole.Milli, fraction))-d.used.Milli),
+		Memory:       max(0, min(expected.Memory, scale(whole.Memory, fraction))-d.used.Memory),
+		Accelerators: max(0, min(expected.Accelerators, scale(whole.Accelerators, fraction))-d.used.Accelerators),
 	}
 }
 
@@ -130,10 +197,10 @@
 	p.updateDomains()
 	p.sortReady(now, adopting)
 	for _, x := range p.pools {
-		x.urgent.endCount(now)
+		x.urgent.endCount(now, scaleAll(x.capacity, maxPoolReserve))
 	}
 	for _, t := range p.teams {
-		t.urgent.endCount(now)
+		t.urgent.endCount(now, scaleAll(t.Cap, maxTeamReserve))
 	}
 }
 
@@ -181,6 +248,19 @@
 	}
 }
 
+// countArrival adds the tasks of a phase that has become ready to the expected urgent work. What a new
+// planner finds waiting is a backlog.
+func (p *Planner) countArrival(s *phase, now time.Time) {
+	if !s.job.urgent() || s.job.addedAt.Sub(s.job.rec.Accepted) > recentAcceptance {
+		return
+	}
+	q := s.job.queue
+	need, takes := s.spec.Need.Times(s.startableNow()), s.expectedRunTime()+q.adviceTime()+q.Target
+	for _, d := range s.job.demands() {
+		d.add(now, need, takes)
+	}
+}
+
 // demands returns the demands that the job's work counts towards.
 func (j *job) demands() [2]*demand {
 	return [2]*demand{&j.planner.pool(j.queue.Service).urgent, &j.team.urgent}
@@ -218,3 +298,57 @@
 		}
 	}
 }
+
+// sparesUrgent reports whether the phase may take what it needs without using capacity reserved for
+// urgent work. Urgent and lasting work always may; other work must leave the reserve free, both of
+// its team's limit and of the capacity of its service's workers.
+func (p *Planner) sparesUrgent(s *phase) bool {
+	if !p.Policy.UrgentRoom || s.job.inUrgentQueue() || s.spec.Lasting {
+		return true
+	}
+	t, x := s.job.team, p.pool(s.job.queue.Service)
+	if !t.allows(s.spec.Need.Add(t.reserveFor(s, x))) {
+		return false
+	}
+	reserved := x.reserveFor(s)
+	return s.spec.Fills || reserved == (winch.Capacity{}) || s.spec.Need.Add(reserved).Fits(x.free)
+}
+
+// reserveFor returns how much of the team's limit the phase must leave free for urgent work.
+func (t *team) reserveFor(s *phase, x *pool) winch.Capacity {
+	if s.waitedForUrgent() && x.halfFree(s.spec.Need) && t.halfFree() {
+		return t.urgent.reserveWaiting(t.Cap, maxTeamReserve)
+	}
+	return t.urgent.reserve(t.Cap, maxTeamReserve)
+}
+
+// reserveFor returns how much of the service's capacity the phase must leave free for urgent work.
+func (x *pool) reserveFor(s *phase) winch.Capacity {
+	if s.waitedForUrgent() && x.halfFree(s.spec.Need) {
+		return x.urgent.reserveWaiting(x.capacity, maxPoolReserve)
+	}
+	return x.urgent.reserve(x.capacity, maxPoolReserve)
+}
+
+// waitedForUrgent reports whether nothing of the phase's job runs and it has waited for as long as it may
+// for urgent work that may arrive.
+func (s *phase) waitedForUrgent() bool {
+	return s.job.live == 0 && s.job.planner.now().Sub(s.readySince) > maxReserveWait
+}
+
+// halfFree reports whether under half of the service is in use and a task could be started twice.
+func (x *pool) halfFree(need winch.Capacity) bool {
+	used := x.capacity.Sub(x.free)
+	return underHalf(used, x.capacity) && need.Times(2).Fits(x.free)
+}
+
+// halfFree reports whether under half of the team's limit is in use.
+func (t *team) halfFree() bool {
+	return underHalf(t.used.Add(t.unreported), t.Cap)
+}
+
+// underHalf reports whether under half of the whole is used; a whole of zero is no limit.
+func underHalf(used, whole winch.Capacity) bool {
+	return (whole.Milli == 0 || 2*used.Milli < whole.Milli) && (whole.Memory == 0 || 2*used.Memory < whole.Memory) &&
+		(whole.Accelerators == 0 || 2*used.Accelerators < whole.Accelerators)
+}
--- a/coord/fleet/demand_test.go
+++ b/coord/fleet/demand_test.go
@@ -115,7 +115,9 @@
 				batches = append(batches, u.addBatch(tasks, time.Minute))
 			}
 		}
-	}, func() bool { return len(batches) > 0 && len(u.urgent) == 0 && u.planner.pool("render").urgent.wanted.Milli == 0 })
+	}, func() bool {
+		return len(batches) > 0 && len(u.urgent) == 0 && u.planner.pool("render").urgent.wanted.Milli == 0
+	})
 	u.steps, u.idle = 0, 0
 	waiting := func() int {
 		return len(slices.DeleteFunc(slices.Clone(batches), func(id string) bool { return u.planner.jobs[id].begun }))
--- a/coord/fleet/place.go
+++ b/coord/fleet/place.go
@@ -234,6 +234,7 @@
 		s.readySince = now
 		if blocked == 0 {
 			p.noteArrival(s, now)
+			p.countArrival(s, now)
 		}
 	}
 	if reason := cmp.Or(p.deferReason(s.job, adopting), blocked); reason != 0 {
@@ -354,22 +355,6 @@
 	return r
 }
 
-// sparesUrgent reports whether the phase may take what it needs without using capacity reserved for
-// urgent work. Urgent and lasting work always may; other work must leave the reserve free, both of
-// its team's limit and of the capacity of its service's workers.
-func (p *Planner) sparesUrgent(s *phase) bool {
-	if !p.Policy.UrgentRoom || s.job.inUrgentQueue() || s.spec.Lasting {
-		return true
-	}
-	t := s.job.team
-	if !t.allows(s.spec.Need.Add(t.urgent.reserve(t.Cap, maxTeamReserve))) {
-		return false
-	}
-	x := p.pool(s.job.queue.Service)
-	reserved := x.urgent.reserve(x.capacity, maxPoolReserve)
-	return s.spec.Fills || reserved == (winch.Capacity{}) || s.spec.Need.Add(reserved).Fits(x.free)
-}
-
 // suits reports whether a worker may be given work and is of the kind that the phase needs.
 func (p *Planner) suits(s *phase, w *worker, now time.Time) bool {
 	return w.usable() && !w.health.quarantined(now) && s.ofKind(w) && w.acceptsBesideProbe(s)
