coord/fleet: bound the wait behind a steady reserve, with tests

A team's job waited for good beside urgent work that wants most of the team's limit for a part of each interval: nothing was reserved for nothing, but most of the limit was free most of the time. With the arrivals at a regular interval the reserve was also dropped shortly before each of them, as the longest interval faded while the next one ran; it fades at arrivals now.

TestReserveOfALimitEndsWithTheBurst has a second, denser load.

--- a/coord/fleet/demand.go
+++ b/coord/fleet/demand.go
@@ -92,7 +92,8 @@
 	}
 	d.decay(now)
 	if !d.arrived.IsZero() {
-		d.interval = max(d.interval, now.Sub(d.arrived))
+		since := now.Sub(d.arrived)
+		d.interval = max(time.Duration(fade(since)*float64(d.interval)), since)
 	}
 	d.arrived = now
 	before, added := float64(d.offered.Milli), float64(need.Milli)
@@ -105,18 +106,22 @@
 
 // decay brings what has arrived up to date.
 func (d *demand) decay(now time.Time) {
-	since := max(0, now.Sub(d.updated)).Seconds()
-	if d.updated.IsZero() {
-		since = 0
+	since := time.Duration(0)
+	if !d.updated.IsZero() {
+		since = max(0, now.Sub(d.updated))
 	}
 	d.updated = now
-	past := math.Exp2(-since / peakHalfLife.Seconds())
-	d.peak, d.interval = scaleAll(d.peak, past), time.Duration(past*float64(d.interval))
+	d.peak = scaleAll(d.peak, fade(since))
 	if d.holding > 0 {
-		d.offered = scaleAll(d.offered, math.Exp(-since/d.holding.Seconds()))
+		d.offered = scaleAll(d.offered, math.Exp(-since.Seconds()/d.holding.Seconds()))
 	}
 }
 
+// fade returns the factor of something past after the given time.
+func fade(since time.Duration) float64 {
+	return math.Exp2(-since.Seconds() / peakHalfLife.Seconds())
+}
+
 // beginCount starts a new count of the wanted capacity.
 func (d *demand) beginCount() {
 	d.wanted = d.used
--- a/coord/fleet/demand_test.go
+++ b/coord/fleet/demand_test.go
@@ -127,24 +127,57 @@
 	is.True(took <= 3*time.Second)
 }
 
-// Guards against a job that waits for as long as urgent work of its team arrives: a burst has wanted the team's whole limit, and
-// what arrives since uses a small part of it.
+// Guards against a job that waits for as long as urgent work of its team arrives: bursts want the team's whole limit, once or
+// every two seconds, and what arrives between them uses less than half of it.
 func TestReserveOfALimitEndsWithTheBurst(t *testing.T) {
+	bursts := map[string]func(time.Duration) bool{
+		"one":       func(at time.Duration) bool { return at < 2*time.Second },
+		"recurring": func(at time.Duration) bool { return at%(2*time.Second) < 500*time.Millisecond },
+	}
+	for name, burst := range bursts {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				u := newUrgentLoad(t, true, 0, func(at time.Duration) float64 {
+					if burst(at) {
+						return 20
+					}
+					return 3
+				})
+				u.planner.teams["choir"].Cap.Milli = 40_000
+				u.runUntil(time.Minute, u.step, func() bool {
+					return u.next > 2*time.Second && u.planner.teams["choir"].urgent.wanted.Milli <= 12_000
+				})
+				u.add("batch", "mix", "choir", tasks(8, 5000))
+				took := u.runUntil(20*time.Second, u.step, u.begun("batch"))
+				u.report(t, fmt.Sprintf("begun after %s", took))
+				is.True(took <= 3*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a job that waits for good beside a team's urgent work that comes at a steady rate: the reserve is nearly the
+// team's limit, of which most is free most of the time.
+func TestJobDoesNotWaitForUrgentWorkThatMayArrive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		u := newUrgentLoad(t, true, 0, func(at time.Duration) float64 {
-			if at < 2*time.Second {
-				return 20
+		c := newSimRegion(t, 8, urgentQueue(), normalQueue())
+		c.planner.teams["choir"].Cap.Milli = 20_000
+		n := 0
+		arrive := func(at time.Duration) {
+			for ; time.Duration(n)*500*time.Millisecond <= at; n++ {
+				phase := tasks(16, 1000)
+				phase.Estimate = 200 * time.Millisecond
+				c.add(fmt.Sprintf("urgent-%d-%d", time.Now().UnixMilli(), n), "preview", "choir", phase)
 			}
-			return 2
-		})
-		u.planner.teams["choir"].Cap.Milli = 50_000
-		u.runUntil(time.Minute, u.step, func() bool {
-			return u.next > 2*time.Second && u.planner.teams["choir"].urgent.wanted.Milli <= 8_000
-		})
-		u.add("batch", "mix", "choir", tasks(8, 5000))
-		took := u.runUntil(20*time.Second, u.step, u.begun("batch"))
-		u.report(t, fmt.Sprintf("begun after %s", took))
+		}
+		c.runUntil(5*time.Second, arrive, never)
+		n = 0
+		c.add("batch", "mix", "choir", tasks(1, 5000))
+		took := c.runUntil(20*time.Second, arrive, c.begun("batch"))
+		t.Log("begun after", took)
+		is.True(took >= time.Second) // The reserve is kept for a while.
 		is.True(took <= 3*time.Second)
 	})
 }
