duty: leave at most two pauses of a timeout out

A pause makes one part of a timeout late, however long it is. With eight parts left out a timeout was twice as long where timers are always late, and what was really silent was found late. Now it is a quarter longer at most.

--- a/duty/timeout.go
+++ b/duty/timeout.go
@@ -11,6 +11,9 @@
 	// maxTimeoutParts is the number of parts that a timeout is waited for in, and minTimeoutPart the minimum length of one.
 	maxTimeoutParts = 8
 	minTimeoutPart  = 25 * time.Millisecond
+	// maxPausedParts bounds the parts of a timeout that are not counted. A pause makes one late, however long it is, and where
+	// timers are always late a timeout must not become much longer.
+	maxPausedParts = 2
 	// MaxTimerDelay is how late a timer may fire. After a longer delay this process may not have run, and what it waits for
 	// may have arrived and not been read.
 	MaxTimerDelay = 25 * time.Millisecond
@@ -124,7 +127,7 @@
 }
 
 func newPatience(d time.Duration) patience {
-	return patience{left: d, length: max(minTimeoutPart, d/maxTimeoutParts), uncounted: maxTimeoutParts}
+	return patience{left: d, length: max(minTimeoutPart, d/maxTimeoutParts), uncounted: maxPausedParts}
 }
 
 // part returns the length of the next part.
--- a/duty/timeout_test.go
+++ b/duty/timeout_test.go
@@ -83,7 +83,7 @@
 		{"a pause at the beginning", func(i int) time.Duration { return map[int]time.Duration{0: late}[i] }, 9},
 		{"a pause at the end", func(i int) time.Duration { return map[int]time.Duration{7: late}[i] }, 9},
 		{"two pauses", func(i int) time.Duration { return map[int]time.Duration{3: late, 7: late}[i] }, 10},
-		{"always late", func(int) time.Duration { return late }, 16},
+		{"always late", func(int) time.Duration { return late }, 10},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			is := is.New(t)
