coord/fleet: a cleared task is not blamed as a probe

Lasting tasks that are tested together share a worker, and one of them may be cleared before the others. If the worker crashed then, the cleared task was still taken for its probe and the crash for proved; two of those give its job up, which callers see as failed without cause.

A run counts as a probe at a crash only while its suspicion is open. TestClearedTaskIsNotBlamedAsAProbe failed before: 1 strong crash, want 0. TestNothingStartsBesideAProbeOnceAnotherIsCleared passes before and after; it fails if continueProbe ends the isolation.

--- a/coord/fleet/crash.go
+++ b/coord/fleet/crash.go
@@ -64,7 +64,11 @@
 		if r.task == nil || !r.started && !r.adopted && !w.unresponsiveSince.IsZero() && r.since.After(w.unresponsiveSince) {
 			continue
 		}
-		b.runs = append(b.runs, bootRun{task: r.task, run: r.key.run, confirmed: r.started, adopted: r.adopted, probe: r.probe, age: r.age(), provenAge: w.lastContact.Sub(r.since)})
+		probe := r.probe
+		if probe != nil && !probe.open() {
+			probe = nil // The task has been cleared; another one is tested there.
+		}
+		b.runs = append(b.runs, bootRun{task: r.task, run: r.key.run, confirmed: r.started, adopted: r.adopted, probe: probe, age: r.age(), provenAge: w.lastContact.Sub(r.since)})
 	}
 	slices.SortFunc(b.runs, func(x, y bootRun) int { return cmp.Or(cmp.Compare(x.age, y.age), cmp.Compare(x.run, y.run)) })
 	age, known := youngestAge(b.runs)
--- a/coord/fleet/probe.go
+++ b/coord/fleet/probe.go
@@ -113,9 +113,9 @@
 	}
 }
 
-// joins reports whether a probe of the phase may be started beside those on the worker: lasting tasks of one phase may be
+// mayJoin reports whether a probe of the phase may be started beside those on the worker: lasting tasks of one phase may be
 // tested together, since a task that is given up fails its job in any case.
-func (s *phase) joins(w *worker) bool {
+func (s *phase) mayJoin(w *worker) bool {
 	return w.probe != nil && w.probe.phase == s && s.spec.Lasting && !s.spec.Gang
 }
 
@@ -131,7 +131,7 @@
 	return taken >= max(1, len(p.pool(s.job.queue.Service).workers)/totalProbeDivisor)
 }
 
-// acceptsBesideProbe reports whether probes allow a task of the phase to be started on the worker:
+// acceptsBesideProbe reports whether probes allow a task of the phase to be started on the worker that is no probe itself:
 // beside a probe, only another member of the same gang may be.
 func (w *worker) acceptsBesideProbe(s *phase) bool {
 	return w.probe == nil || w.probe.phase == s && s.spec.Gang
@@ -179,8 +179,8 @@
 
 // withinProbeLimits reports whether a suspect may have a probe. A job may have one at a time, and
 // one more for each suspect already cleared; the probes of a team and of all teams are limited to
-// a part of the workers. Lasting tasks are neither limited nor counted, since their probes may
-// take long.
+// a part of the workers. Lasting tasks are neither limited here nor counted, since their probes may
+// take long; startProbe has those of one phase share workers.
 func (p *Planner) withinProbeLimits(x *suspicion) bool {
 	if x.phase.spec.Lasting {
 		return true
@@ -206,9 +206,9 @@
 	return inJob <= j.cleared && inTeam < max(1, workers/teamProbeDivisor) && total < max(1, workers/totalProbeDivisor)
 }
 
-// startProbe starts a suspect on the worker where a crash would cost least. A lasting task starts beside other probes of its
-// phase if there is no other worker for placementTimeout, and at once if probes keep enough workers from other work, which
-// may be for long if the task is a likely cause.
+// startProbe starts a suspect on the worker where a crash would cost least. A lasting task may start beside other probes of
+// its phase instead: a likely cause once probes keep as many workers from other work as they may, any other after
+// placementTimeout without a worker of its own.
 func (p *Planner) startProbe(t *task, x *suspicion, now time.Time) {
 	s := t.phase
 	if !s.job.team.allows(s.spec.Need) {
@@ -219,7 +219,7 @@
 	counts := s.runsPerWorker()
 	p.eachUsable(s, now, func(w *worker) {
 		alone := w.acceptsBesideProbe(s)
-		if !alone && !s.joins(w) || !s.spec.Charge().Fits(p.availableCapacity(s, w, now)) || remainingPerVM(s.spec.MostPerVM, counts[w]) <= 0 {
+		if !alone && !s.mayJoin(w) || !s.spec.Charge().Fits(p.availableCapacity(s, w, now)) || remainingPerVM(s.spec.MostPerVM, counts[w]) <= 0 {
 			return
 		}
 		if !alone {
--- a/coord/fleet/suspect.go
+++ b/coord/fleet/suspect.go
@@ -21,8 +21,8 @@
 // suspicion holds the crashes counted against a task or a whole gang. A crash is strong if the task
 // is a likely cause of it, and weak otherwise. A suspect is a task that has a strong crash or at
 // least minWeakCrashes weak ones. It is started only as a probe: at first one per job at a time, on
-// the worker where a crash would cost least, and nothing else is started on that worker until the
-// probe has lived long enough.
+// the worker where a crash would cost least, and nothing but other probes of a lasting phase is started on that
+// worker until the probe has lived long enough.
 type suspicion struct {
 	phase   *phase
 	task    *task  // task is the task, or the first one of the gang that was suspected.
