coord/fleet: failing test of many lasting jobs whose probes take all workers

Found in the review of: lasting tasks of one phase share a worker for their probes, those of different jobs do not, as one would be blamed for what the other does. With 46 jobs of one task each on six workers, one of which crashes, no worker is left for other work for some seconds: 0 of 4 tasks start 3 s after the crash.

--- a/coord/fleet/sharedprobe_test.go
+++ b/coord/fleet/sharedprobe_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,3 +69,23 @@
 		is.Equal(c.state("part"), winch.JobRunning)
 	})
 }
+
+// Guards against jobs that cannot start anywhere while many lasting jobs of one task, which were on a crashed worker, are
+// tested on a worker each.
+func TestProbesOfManyLastingJobsLeaveWorkersToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newSimRegion(t, 6, urgentQueue(), normalQueue())
+		for i := range roomTasks {
+			c.add(fmt.Sprintf("room%d", i), "mix", "duct", lastingPhase(1, 1000))
+		}
+		c.settle()
+		is.Equal(len(c.running), roomTasks)
+		time.Sleep(2 * time.Second)
+		c.crash("w0")
+		c.goOn(3 * time.Second)
+		c.add("part", "preview", "choir", tasks(4, 1000))
+		is.Equal(len(c.settle()), 4)
+		is.Equal(len(c.running), roomTasks+4)
+	})
+}
