server: test for a request whose first byte is read ahead

While net/http serves a request it reads the first byte of the next one. Nothing failed if a planned stop took the connection for idle then and dropped the rest.

The test passes, and fails if noteRead and readNow never set ahead:

drain_test.go:344: 0 != 200 --- FAIL: TestRequestWhoseFirstByteIsReadAheadIsAnswered/cell (0.10s) --- FAIL: TestRequestWhoseFirstByteIsReadAheadIsAnswered/region (2.40s)

--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -38,6 +38,7 @@
 	closing                  chan struct{} // closing is closed when the entry begins to close the listener.
 	awake                    chan struct{} // awake is closed when the goroutines run again.
 	closed                   chan struct{} // closed is closed when the entry has sent the end of a connection.
+	arrived                  chan int      // arrived receives the sizes of the first reads.
 	begin, end               sync.Once
 }
 
@@ -84,7 +85,12 @@
 	if c.listener.starveRead.Load() {
 		<-c.listener.awake
 	}
-	return c.TCPConn.Read(p)
+	n, err := c.TCPConn.Read(p)
+	select {
+	case c.listener.arrived <- n:
+	default:
+	}
+	return n, err
 }
 
 // CloseWrite implements the interface by which a server ends a connection that it still reads.
@@ -119,6 +125,7 @@
 	e := &stoppingEntry{slowListener: &slowListener{
 		TCPListener: listeners["Callers"].(*net.TCPListener),
 		closing:     make(chan struct{}), awake: make(chan struct{}), closed: make(chan struct{}),
+		arrived: make(chan int, 2),
 	}}
 	e.starveAccept.Store(starveAccept)
 	listeners["Callers"] = e.slowListener
@@ -310,6 +317,36 @@
 	}
 }
 
+// Guards against a request that is dropped since the server had read its first byte while it served the one before.
+func TestRequestWhoseFirstByteIsReadAheadIsAnswered(t *testing.T) {
+	for name, start := range starts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			begun, finish := make(chan struct{}, 2), make(chan struct{})
+			e := start(t, false, func(http.ResponseWriter, *http.Request) {
+				begun <- struct{}{}
+				<-finish
+			})
+			c, r := e.dial(t)
+			_, err := io.WriteString(c, testRequest)
+			is.NoErr(err)
+			is.Equal(<-e.arrived, len(testRequest))
+			<-begun
+			_, err = io.WriteString(c, testRequest[:1])
+			is.NoErr(err)
+			is.Equal(<-e.arrived, 1)
+			close(finish)
+			is.Equal(readStatus(r), http.StatusOK)
+			e.stop()
+			<-e.awake
+			_, _ = io.WriteString(c, testRequest[1:]) // The connection may be closed.
+			is.Equal(readStatus(r), http.StatusOK)
+			e.group.Wait()
+		})
+	}
+}
+
 // Guards against a response that is lost on the way since the entry closes the connection while bytes that the caller has sent after
 // its request lie unread: the reset discards what the caller has not received.
 func TestResponseBeforeUnreadBytesIsComplete(t *testing.T) {
