server: a planned stop answers a request that is partly in the server's buffer

Callers that had sent a request and the first part of the next one together saw the connection end without a response to the second.

net/http had read that part with the first request. It was in neither the socket nor a later read, so the connection counted as idle, and a drain ended it.

Failed before, for each of five parts of one byte to the whole request but one:

drain_test.go:367: 0 != 200 --- FAIL: TestRequestWhoseFirstPartIsPipelinedIsAnswered/cell_1 (0.24s) --- FAIL: TestRequestWhoseFirstPartIsPipelinedIsAnswered/region_20 (2.53s)

net/http fills its buffer with one read, after it has moved what is in it to the front. A read with less space than the first one of the connection thus means that part of a request is in the buffer, and is not at the boundary of two. This also covers the byte that is read ahead while a request is served, which needs no record of its own any more: without the comparison of the space, both tests fail.

--- a/server/drain.go
+++ b/server/drain.go
@@ -226,18 +226,16 @@
 	deadline time.Time // deadline is the server's deadline for reads.
 	// atBoundary means that no byte of a request has been read that is not responded to.
 	atBoundary bool
-	// ahead means that the server has read the first byte of the next request, as it does while it serves one.
-	ahead bool
+	// bufferSize is the size of the server's buffer. A read between two requests with less space means that the buffer
+	// holds the first part of a request.
+	bufferSize int
 }
 
 // noteState records the state that the server reports.
 func (c *drainConn) noteState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.atBoundary = state == http.StateNew || state == http.StateIdle && !c.ahead
-	if state == http.StateIdle {
-		c.ahead = false
-	}
+	c.atBoundary = state == http.StateNew || state == http.StateIdle
 }
 
 // wake ends a read as described at drainListener.wake.
@@ -267,10 +265,11 @@
 
 // Read implements net.Conn.
 func (c *drainConn) Read(p []byte) (int, error) {
+	c.noteSpace(len(p))
 	for !c.lastRead() {
 		n, err := c.tcpConn.Read(p)
 		if n > 0 {
-			c.noteRead(len(p))
+			c.noteRead()
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.timedOut() {
@@ -305,12 +304,23 @@
 	return !c.deadline.IsZero() && !time.Now().Before(c.deadline)
 }
 
-// noteRead records a read with a buffer of the given size. The server uses one of a single byte only to look for the next
-// request while it serves one.
-func (c *drainConn) noteRead(size int) {
+// noteSpace records the space of the server's buffer for a read. The first read of a connection finds the buffer empty.
+func (c *drainConn) noteSpace(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	if size < c.bufferSize {
+		c.atBoundary = false
+	}
+}
+
+// noteRead records that bytes were read.
+func (c *drainConn) noteRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.atBoundary, c.ahead = false, size == 1
+	c.atBoundary = false
 }
 
 // readNow reads what has arrived. If there is nothing at the boundary of two requests, it ends the connection at once,
@@ -320,7 +330,7 @@
 	defer c.mu.Unlock()
 	n, err := c.readSocket(p, c.atBoundary)
 	if n > 0 {
-		c.atBoundary, c.ahead = false, len(p) == 1
+		c.atBoundary = false
 		return n, nil
 	}
 	if errors.Is(err, syscall.EAGAIN) {
--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -347,6 +347,30 @@
 	}
 }
 
+// Guards against a request that is dropped since its first part was read together with the request before, and lies in the
+// server's buffer instead of the socket.
+func TestRequestWhoseFirstPartIsPipelinedIsAnswered(t *testing.T) {
+	for name, start := range starts {
+		for _, split := range []int{1, 3, 4, 20, len(testRequest) - 1} {
+			t.Run(name+" "+strconv.Itoa(split), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				e := start(t, false, func(http.ResponseWriter, *http.Request) {})
+				c, r := e.dial(t)
+				_, err := io.WriteString(c, testRequest+testRequest[:split])
+				is.NoErr(err)
+				is.Equal(<-e.arrived, len(testRequest)+split)
+				is.Equal(readStatus(r), http.StatusOK)
+				e.stop()
+				<-e.awake
+				_, _ = io.WriteString(c, testRequest[split:]) // The connection may be closed.
+				is.Equal(readStatus(r), http.StatusOK)
+				e.group.Wait()
+			})
+		}
+	}
+}
+
 // Guards against a response that is lost on the way since the entry closes the connection while bytes that the caller has sent after
 // its request lie unread: the reset discards what the caller has not received.
 func TestResponseBeforeUnreadBytesIsComplete(t *testing.T) {
