server: a planned stop waits for descriptors for its accept queue

Callers whose connections lay in the accept queue of a process without free descriptors saw a reset when the entry stopped, and nothing was logged.

The error of accept ended the loop, and closing the listener reset its queue. A connection that was accepted with the last descriptor was dropped, too, since net.FileConn needs one more.

Failed before:

drain_test.go:269: 0 != 200 --- FAIL: TestRequestInTheAcceptQueueIsAnsweredOnceThereAreDescriptors/0 (0.10s) --- FAIL: TestRequestInTheAcceptQueueIsAnsweredOnceThereAreDescriptors/1 (0.10s) drain_test.go:292: not true: strings.Contains(text.String(), "too many open files") --- FAIL: TestConnectionsAreDroppedWithAMessageIfThereAreNoDescriptors/0 (0.10s) --- FAIL: TestConnectionsAreDroppedWithAMessageIfThereAreNoDescriptors/1 (0.10s)

The queue is now accepted one connection at a time, so that the first ones free their descriptors for the next. If there is none, the entry tries again for up to a second in all, and not once requests are no longer waited for. What it drops then is logged. The package's tests pass, once with the race detector.

--- a/server/drain.go
+++ b/server/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,13 @@
 // unread, the reset would discard what the peer has not yet received.
 const lingerTimeout = 500 * time.Millisecond
 
+const (
+	// descriptorTimeout bounds how long a listener that is to be closed waits in all for descriptors for the connections
+	// in its queue, and descriptorInterval is the pause between two attempts.
+	descriptorTimeout  = time.Second
+	descriptorInterval = 10 * time.Millisecond
+)
+
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
@@ -44,8 +52,9 @@
 	// draining is set when the listener and idle connections are to be closed, expired when requests are no longer
 	// waited for, and forced when connections are closed whatever is in them.
 	draining, expired, forced atomic.Bool
-	queued                    []net.Conn // queued holds the last connections; it is used by Accept only.
-	closed                    bool       // closed means that queued is set; it is used by Accept only.
+	closing                   bool      // closing means that only the queue is left to accept; it is used by Accept only.
+	giveUp                    time.Time // giveUp is when descriptors are no longer waited for; it is used by Accept only.
+	log                       *log.Logger
 
 	mu    sync.Mutex
 	conns map[*drainConn]bool
@@ -55,7 +64,7 @@
 
 // newDrainListener returns a listener for a server, and sets the hooks of the server that it needs.
 func newDrainListener(ln tcpListener, server *http.Server) *drainListener {
-	l := &drainListener{tcpListener: ln, conns: make(map[*drainConn]bool), done: make(chan struct{})}
+	l := &drainListener{tcpListener: ln, log: server.ErrorLog, conns: make(map[*drainConn]bool), done: make(chan struct{})}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	server.BaseContext = func(net.Listener) context.Context { return l.ctx }
 	server.ConnState = func(c net.Conn, state http.ConnState) { c.(*drainConn).noteState(state) }
@@ -128,7 +137,7 @@
 
 // Accept implements net.Listener.
 func (l *drainListener) Accept() (net.Conn, error) {
-	if !l.closed {
+	if !l.closing {
 		c, err := l.tcpListener.Accept()
 		if err == nil {
 			return l.track(c), nil
@@ -136,13 +145,16 @@
 		if !l.draining.Load() {
 			return nil, err
 		}
-		l.queued, l.closed = l.closeListener(), true
+		l.closing = true
 	}
-	if len(l.queued) > 0 {
-		c := l.queued[0]
-		l.queued = l.queued[1:]
+	c, err := l.acceptQueued()
+	if err == nil {
 		return l.track(c), nil
 	}
+	if !errors.Is(err, syscall.EAGAIN) {
+		l.log.Printf("dropping the connections that are not accepted yet: %v", err)
+	}
+	_ = l.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended = true
@@ -150,33 +162,58 @@
 	return nil, net.ErrClosed
 }
 
-// closeListener accepts the connections that are established and closes the listener.
-func (l *drainListener) closeListener() []net.Conn {
-	var fds []int
-	if raw, err := l.SyscallConn(); err == nil {
-		_ = raw.Control(func(listener uintptr) {
-			for {
-				fd, err := acceptNow(int(listener))
-				if errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
-					continue
-				}
-				if err != nil {
-					return
-				}
-				fds = append(fds, fd)
+// acceptQueued accepts a connection that is established. It returns EAGAIN if there is none.
+func (l *drainListener) acceptQueued() (net.Conn, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	for {
+		var fd int
+		controlErr := raw.Control(func(listener uintptr) { fd, err = acceptNow(int(listener)) })
+		switch {
+		case controlErr != nil:
+			return nil, controlErr
+		case err == nil:
+			c, err := l.newConn(fd)
+			if err == nil || noDescriptor(err) {
+				return c, err
 			}
-		})
+			l.log.Printf("dropping a connection: %v", err)
+		case errors.Is(err, syscall.EINTR), errors.Is(err, syscall.ECONNABORTED):
+		case !noDescriptor(err) || !l.awaitDescriptor():
+			return nil, err
+		}
 	}
-	_ = l.Close()
-	var out []net.Conn
-	for _, fd := range fds {
-		file := os.NewFile(uintptr(fd), "")
-		if c, err := net.FileConn(file); err == nil {
-			out = append(out, c)
+}
+
+// newConn returns the connection of a descriptor, which it closes since the connection has one of its own.
+func (l *drainListener) newConn(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "")
+	defer func() { _ = file.Close() }()
+	for {
+		c, err := net.FileConn(file)
+		if err == nil || !noDescriptor(err) || !l.awaitDescriptor() {
+			return c, err
 		}
-		_ = file.Close() // The connection has a descriptor of its own.
 	}
-	return out
+}
+
+// noDescriptor reports whether an error means that no descriptor is left, which ends when other connections are closed.
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// awaitDescriptor pauses before the next attempt, and reports whether there is to be one.
+func (l *drainListener) awaitDescriptor() bool {
+	if l.giveUp.IsZero() {
+		l.giveUp = time.Now().Add(descriptorTimeout)
+	}
+	if l.expired.Load() || time.Now().After(l.giveUp) {
+		return false
+	}
+	time.Sleep(descriptorInterval)
+	return true
 }
 
 // acceptNow accepts a connection if there is one.
--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -111,6 +114,7 @@
 type stoppingEntry struct {
 	*slowListener
 	stopEntry func()
+	errorLog  *log.Logger // errorLog is the log of the callers' server.
 	group     conc.WaitGroup
 }
 
@@ -134,6 +138,7 @@
 
 // serve runs the servers, with the test's handler for callers.
 func (e *stoppingEntry) serve(servers map[string]*http.Server, listeners map[string]net.Listener, stopping func() bool, handler http.HandlerFunc) {
+	e.errorLog = servers["Callers"].ErrorLog
 	servers["Callers"].Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if stopping() {
 			w.Header().Set("Connection", "close")
@@ -246,6 +251,72 @@
 	}
 }
 
+// Guards against a request that is dropped in the accept queue since the process has no descriptor left when the entry begins to
+// close its listener.
+func TestRequestInTheAcceptQueueIsAnsweredOnceThereAreDescriptors(t *testing.T) {
+	for free := range 2 { // With one descriptor the connection can be accepted, but not be converted.
+		t.Run(strconv.Itoa(free), func(t *testing.T) {
+			is := is.New(t)
+			limit := reserveDescriptor(t)
+			e := startCellEntry(t, true, func(http.ResponseWriter, *http.Request) {})
+			c, r := e.dial(t)
+			_, err := io.WriteString(c, testRequest)
+			is.NoErr(err)
+			restore := limit(free)
+			e.stop()
+			<-e.awake
+			time.AfterFunc(descriptorTimeout/2, restore)
+			is.Equal(readStatus(r), http.StatusOK)
+			e.group.Wait()
+		})
+	}
+}
+
+// Guards against a stop that waits without end for a descriptor, and against a connection that is dropped without a word.
+func TestConnectionsAreDroppedWithAMessageIfThereAreNoDescriptors(t *testing.T) {
+	for free := range 2 {
+		t.Run(strconv.Itoa(free), func(t *testing.T) {
+			is := is.New(t)
+			limit := reserveDescriptor(t)
+			e := startCellEntry(t, true, func(http.ResponseWriter, *http.Request) {})
+			var text strings.Builder
+			e.errorLog.SetOutput(&text)
+			_, r := e.dial(t)
+			limit(free)
+			e.stop()
+			<-e.awake
+			started := time.Now()
+			is.Equal(readStatus(r), 0)
+			e.group.Wait()
+			is.True(time.Since(started) < closeTimeout)
+			is.True(strings.Contains(text.String(), "too many open files"))
+		})
+	}
+}
+
+// reserveDescriptor reserves the lowest free descriptor. The returned function leaves the process the given number of free
+// descriptors, at most one, until the test ends or the function that it returns is called. What is opened in between has higher
+// descriptors, so that none is gained when that is closed.
+func reserveDescriptor(t *testing.T) func(free int) func() {
+	t.Helper()
+	is := is.New(t)
+	f, err := os.Open(os.DevNull)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = f.Close() }) // It may have been closed.
+	lowest := uint64(f.Fd())
+	return func(free int) func() {
+		var old syscall.Rlimit
+		is.NoErr(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old))
+		restore := func() { _ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old) } // Raising it to an old value succeeds.
+		t.Cleanup(restore)
+		is.NoErr(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: lowest + uint64(free), Max: old.Max}))
+		if free > 0 {
+			is.NoErr(f.Close())
+		}
+		return restore
+	}
+}
+
 // Guards against a request that is cut off without a response since it is still in progress when the grace period is nearly over.
 func TestRequestInProgressIsAnsweredBeforeTheGracePeriodEnds(t *testing.T) {
 	t.Parallel()
