server: a listener without a socket does not panic; names and comments

Prepare accepts listeners of any kind from its caller, and the entry panicked as it began to serve if one was not a TCP listener. Such a listener is now served and closed as it is.

Failed before:

panic: interface conversion: struct { net.Listener } is not server.tcpListener: missing method SetDeadline

resume, which also restores the deadline, and mustNotWait are named after what they do.

--- a/server/drain.go
+++ b/server/drain.go
@@ -72,14 +72,15 @@
 }
 
 // replaceListeners replaces the listeners of the given servers by ones that can be drained, and returns those. It sets the
-// hooks of the servers that they need.
+// hooks of the servers that they need. Listeners of other kinds than TCP stay, and are closed without being drained.
 func replaceListeners(listeners map[string]net.Listener, servers map[string]*http.Server, names ...string) []*drainListener {
 	var out []*drainListener
 	for _, name := range names {
-		if listeners[name] == nil {
+		ln, ok := listeners[name].(tcpListener)
+		if !ok {
 			continue
 		}
-		l := newDrainListener(listeners[name].(tcpListener), servers[name]) // All listeners are TCP listeners.
+		l := newDrainListener(ln, servers[name])
 		listeners[name] = l
 		out = append(out, l)
 	}
@@ -303,37 +304,37 @@
 // Read implements net.Conn.
 func (c *drainConn) Read(p []byte) (int, error) {
 	c.noteSpace(len(p))
-	for !c.lastRead() {
+	for !c.mustNotWait() {
 		n, err := c.tcpConn.Read(p)
 		if n > 0 {
 			c.noteRead()
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.timedOut() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.resume() {
 			return n, err
 		}
 	}
 	return c.readNow(p)
 }
 
-// lastRead reports whether the next read must not wait: between two requests while the listener drains or when the server's
+// mustNotWait reports whether the next read must not wait: between two requests while the listener drains or when the server's
 // deadline has passed, and everywhere once requests are no longer waited for.
-func (c *drainConn) lastRead() bool {
+func (c *drainConn) mustNotWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.listener.expired.Load() || c.atBoundary && (c.listener.draining.Load() || c.passed())
 }
 
-// timedOut reports whether the server's deadline has passed during a request. If not, the read was woken in vain, and the
-// server's deadline is restored.
-func (c *drainConn) timedOut() bool {
+// resume reports whether to read again after a read that a deadline has ended. It returns false if the server's deadline has
+// passed during a request; if that has not passed, the read was woken, and it is restored.
+func (c *drainConn) resume() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.passed() {
-		return !c.atBoundary
+		return c.atBoundary
 	}
 	_ = c.tcpConn.SetReadDeadline(c.deadline)
-	return false
+	return true
 }
 
 // passed reports whether the server's deadline has passed. The mutex is held.
@@ -360,8 +361,8 @@
 	c.atBoundary = false
 }
 
-// readNow reads what has arrived. If there is nothing at the boundary of two requests, it ends the connection at once,
-// so that hardly any time is left in which a request arrives and is not seen.
+// readNow reads what has arrived. If there is nothing at the boundary of two requests, it ends the connection:
+// only what arrives between the two system calls is not seen.
 func (c *drainConn) readNow(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -487,3 +487,16 @@
 	is.True(time.Since(started) < unreadyDelay+closeReserve/2) // The entry has not waited for the connection.
 	e.group.Wait()
 }
+
+// Guards against a panic when the listener that is given for an entry has no socket.
+func TestListenerWithoutASocketIsServed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listeners := map[string]net.Listener{"Callers": struct{ net.Listener }{ln}}
+	servers := map[string]*http.Server{"Callers": {}}
+	is.Equal(len(replaceListeners(listeners, servers, "Callers", "Operators")), 0)
+	is.Equal(listeners["Callers"], net.Listener(struct{ net.Listener }{ln}))
+	is.NoErr(ln.Close())
+}
