--- a/server/drain.go
+++ b/server/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,13 @@
 // unread, the reset would discard what the peer has not yet received.
 const lingerTimeout = 500 * time.Millisecond
 
+const (
+	// descriptorTimeout bounds how long a listener that is to be closed waits in all for descriptors for the connections
+	// in its queue, and descriptorInterval is the pause between two attempts.
+	descriptorTimeout  = time.Second
+	descriptorInterval = 10 * time.Millisecond
+)
+
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
@@ -44,8 +52,9 @@
 	// draining is set when the listener and idle connections are to be closed, expired when requests are no longer
 	// waited for, and forced when connections are closed whatever is in them.
 	draining, expired, forced atomic.Bool
-	queued                    []net.Conn // queued holds the last connections; it is used by Accept only.
-	closed                    bool       // closed means that queued is set; it is used by Accept only.
+	closing                   bool      // closing means that only the queue is left to accept; it is used by Accept only.
+	giveUp                    time.Time // giveUp is when descriptors are no longer waited for; it is used by Accept only.
+	log                       *log.Logger
 
 	mu    sync.Mutex
 	conns map[*drainConn]bool
@@ -55,7 +64,7 @@
 
 // newDrainListener returns a listener for a server, and sets the hooks of the server that it needs.
 func newDrainListener(ln tcpListener, server *http.Server) *drainListener {
-	l := &drainListener{tcpListener: ln, conns: make(map[*drainConn]bool), done: make(chan struct{})}
+	l := &drainListener{tcpListener: ln, log: server.ErrorLog, conns: make(map[*drainConn]bool), done: make(chan struct{})}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	server.BaseContext = func(net.Listener) context.Context { return l.ctx }
 	server.ConnState = func(c net.Conn, state http.ConnState) { c.(*drainConn).noteState(state) }
@@ -63,14 +72,15 @@
 }
 
 // replaceListeners replaces the listeners of the given servers by ones that can be drained, and returns those. It sets the
-// hooks of the servers that they need.
+// hooks of the servers that they need. Listeners of other kinds than TCP stay, and are closed without being drained.
 func replaceListeners(listeners map[string]net.Listener, servers map[string]*http.Server, names ...string) []*drainListener {
 	var out []*drainListener
 	for _, name := range names {
-		if listeners[name] == nil {
+		ln, ok := listeners[name].(tcpListener)
+		if !ok {
 			continue
 		}
-		l := newDrainListener(listeners[name].(tcpListener), servers[name]) // All listeners are TCP listeners.
+		l := newDrainListener(ln, servers[name])
 		listeners[name] = l
 		out = append(out, l)
 	}
@@ -128,7 +138,7 @@
 
 // Accept implements net.Listener.
 func (l *drainListener) Accept() (net.Conn, error) {
-	if !l.closed {
+	if !l.closing {
 		c, err := l.tcpListener.Accept()
 		if err == nil {
 			return l.track(c), nil
@@ -136,13 +146,16 @@
 		if !l.draining.Load() {
 			return nil, err
 		}
-		l.queued, l.closed = l.closeListener(), true
+		l.closing = true
 	}
-	if len(l.queued) > 0 {
-		c := l.queued[0]
-		l.queued = l.queued[1:]
+	c, err := l.acceptQueued()
+	if err == nil {
 		return l.track(c), nil
 	}
+	if !errors.Is(err, syscall.EAGAIN) {
+		l.log.Printf("dropping the connections that are not accepted yet: %v", err)
+	}
+	_ = l.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended = true
@@ -150,33 +163,58 @@
 	return nil, net.ErrClosed
 }
 
-// closeListener accepts the connections that are established and closes the listener.
-func (l *drainListener) closeListener() []net.Conn {
-	var fds []int
-	if raw, err := l.SyscallConn(); err == nil {
-		_ = raw.Control(func(listener uintptr) {
-			for {
-				fd, err := acceptNow(int(listener))
-				if errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
-					continue
-				}
-				if err != nil {
-					return
-				}
-				fds = append(fds, fd)
+// acceptQueued accepts a connection that is established. It returns EAGAIN if there is none.
+func (l *drainListener) acceptQueued() (net.Conn, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	for {
+		var fd int
+		controlErr := raw.Control(func(listener uintptr) { fd, err = acceptNow(int(listener)) })
+		switch {
+		case controlErr != nil:
+			return nil, controlErr
+		case err == nil:
+			c, err := l.newConn(fd)
+			if err == nil || noDescriptor(err) {
+				return c, err
 			}
-		})
+			l.log.Printf("dropping a connection: %v", err)
+		case errors.Is(err, syscall.EINTR), errors.Is(err, syscall.ECONNABORTED):
+		case !noDescriptor(err) || !l.awaitDescriptor():
+			return nil, err
+		}
 	}
-	_ = l.Close()
-	var out []net.Conn
-	for _, fd := range fds {
-		file := os.NewFile(uintptr(fd), "")
-		if c, err := net.FileConn(file); err == nil {
-			out = append(out, c)
+}
+
+// newConn returns the connection of a descriptor, which it closes since the connection has one of its own.
+func (l *drainListener) newConn(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "")
+	defer func() { _ = file.Close() }()
+	for {
+		c, err := net.FileConn(file)
+		if err == nil || !noDescriptor(err) || !l.awaitDescriptor() {
+			return c, err
 		}
-		_ = file.Close() // The connection has a descriptor of its own.
 	}
-	return out
+}
+
+// noDescriptor reports whether an error means that no descriptor is left, which ends when other connections are closed.
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// awaitDescriptor pauses before the next attempt, and reports whether there is to be one.
+func (l *drainListener) awaitDescriptor() bool {
+	if l.giveUp.IsZero() {
+		l.giveUp = time.Now().Add(descriptorTimeout)
+	}
+	if l.expired.Load() || time.Now().After(l.giveUp) {
+		return false
+	}
+	time.Sleep(descriptorInterval)
+	return true
 }
 
 // acceptNow accepts a connection if there is one.
@@ -226,18 +264,16 @@
 	deadline time.Time // deadline is the server's deadline for reads.
 	// atBoundary means that no byte of a request has been read that is not responded to.
 	atBoundary bool
-	// ahead means that the server has read the first byte of the next request, as it does while it serves one.
-	ahead bool
+	// bufferSize is the size of the server's buffer. A read between two requests with less space means that the buffer
+	// holds the first part of a request.
+	bufferSize int
 }
 
 // noteState records the state that the server reports.
 func (c *drainConn) noteState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.atBoundary = state == http.StateNew || state == http.StateIdle && !c.ahead
-	if state == http.StateIdle {
-		c.ahead = false
-	}
+	c.atBoundary = state == http.StateNew || state == http.StateIdle
 }
 
 // wake ends a read as described at drainListener.wake.
@@ -267,37 +303,38 @@
 
 // Read implements net.Conn.
 func (c *drainConn) Read(p []byte) (int, error) {
-	for !c.lastRead() {
+	c.noteSpace(len(p))
+	for !c.mustNotWait() {
 		n, err := c.tcpConn.Read(p)
 		if n > 0 {
-			c.noteRead(len(p))
+			c.noteRead()
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.timedOut() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.resume() {
 			return n, err
 		}
 	}
 	return c.readNow(p)
 }
 
-// lastRead reports whether the next read must not wait: between two requests while the listener drains or when the server's
+// mustNotWait reports whether the next read must not wait: between two requests while the listener drains or when the server's
 // deadline has passed, and everywhere once requests are no longer waited for.
-func (c *drainConn) lastRead() bool {
+func (c *drainConn) mustNotWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.listener.expired.Load() || c.atBoundary && (c.listener.draining.Load() || c.passed())
 }
 
-// timedOut reports whether the server's deadline has passed during a request. If not, the read was woken in vain, and the
-// server's deadline is restored.
-func (c *drainConn) timedOut() bool {
+// resume reports whether to read again after a read that a deadline has ended. It returns false if the server's deadline has
+// passed during a request; if that has not passed, the read was woken, and it is restored.
+func (c *drainConn) resume() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.passed() {
-		return !c.atBoundary
+		return c.atBoundary
 	}
 	_ = c.tcpConn.SetReadDeadline(c.deadline)
-	return false
+	return true
 }
 
 // passed reports whether the server's deadline has passed. The mutex is held.
@@ -305,22 +342,33 @@
 	return !c.deadline.IsZero() && !time.Now().Before(c.deadline)
 }
 
-// noteRead records a read with a buffer of the given size. The server uses one of a single byte only to look for the next
-// request while it serves one.
-func (c *drainConn) noteRead(size int) {
+// noteSpace records the space of the server's buffer for a read. The first read of a connection finds the buffer empty.
+func (c *drainConn) noteSpace(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	if size < c.bufferSize {
+		c.atBoundary = false
+	}
+}
+
+// noteRead records that bytes were read.
+func (c *drainConn) noteRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.atBoundary, c.ahead = false, size == 1
+	c.atBoundary = false
 }
 
-// readNow reads what has arrived. If there is nothing at the boundary of two requests, it ends the connection at once,
-// so that hardly any time is left in which a request arrives and is not seen.
+// readNow reads what has arrived. If there is nothing at the boundary of two requests, it ends the connection:
+// only what arrives between the two system calls is not seen.
 func (c *drainConn) readNow(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.readSocket(p, c.atBoundary)
 	if n > 0 {
-		c.atBoundary, c.ahead = false, len(p) == 1
+		c.atBoundary = false
 		return n, nil
 	}
 	if errors.Is(err, syscall.EAGAIN) {
--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -38,6 +41,7 @@
 	closing                  chan struct{} // closing is closed when the entry begins to close the listener.
 	awake                    chan struct{} // awake is closed when the goroutines run again.
 	closed                   chan struct{} // closed is closed when the entry has sent the end of a connection.
+	arrived                  chan int      // arrived receives the sizes of the first reads.
 	begin, end               sync.Once
 }
 
@@ -84,7 +88,12 @@
 	if c.listener.starveRead.Load() {
 		<-c.listener.awake
 	}
-	return c.TCPConn.Read(p)
+	n, err := c.TCPConn.Read(p)
+	select {
+	case c.listener.arrived <- n:
+	default:
+	}
+	return n, err
 }
 
 // CloseWrite implements the interface by which a server ends a connection that it still reads.
@@ -105,6 +114,7 @@
 type stoppingEntry struct {
 	*slowListener
 	stopEntry func()
+	errorLog  *log.Logger // errorLog is the log of the callers' server.
 	group     conc.WaitGroup
 }
 
@@ -119,6 +129,7 @@
 	e := &stoppingEntry{slowListener: &slowListener{
 		TCPListener: listeners["Callers"].(*net.TCPListener),
 		closing:     make(chan struct{}), awake: make(chan struct{}), closed: make(chan struct{}),
+		arrived: make(chan int, 2),
 	}}
 	e.starveAccept.Store(starveAccept)
 	listeners["Callers"] = e.slowListener
@@ -127,6 +138,7 @@
 
 // serve runs the servers, with the test's handler for callers.
 func (e *stoppingEntry) serve(servers map[string]*http.Server, listeners map[string]net.Listener, stopping func() bool, handler http.HandlerFunc) {
+	e.errorLog = servers["Callers"].ErrorLog
 	servers["Callers"].Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if stopping() {
 			w.Header().Set("Connection", "close")
@@ -239,6 +251,72 @@
 	}
 }
 
+// Guards against a request that is dropped in the accept queue since the process has no descriptor left when the entry begins to
+// close its listener.
+func TestRequestInTheAcceptQueueIsAnsweredOnceThereAreDescriptors(t *testing.T) {
+	for free := range 2 { // With one descriptor the connection can be accepted, but not be converted.
+		t.Run(strconv.Itoa(free), func(t *testing.T) {
+			is := is.New(t)
+			limit := reserveDescriptor(t)
+			e := startCellEntry(t, true, func(http.ResponseWriter, *http.Request) {})
+			c, r := e.dial(t)
+			_, err := io.WriteString(c, testRequest)
+			is.NoErr(err)
+			restore := limit(free)
+			e.stop()
+			<-e.awake
+			time.AfterFunc(descriptorTimeout/2, restore)
+			is.Equal(readStatus(r), http.StatusOK)
+			e.group.Wait()
+		})
+	}
+}
+
+// Guards against a stop that waits without end for a descriptor, and against a connection that is dropped without a word.
+func TestConnectionsAreDroppedWithAMessageIfThereAreNoDescriptors(t *testing.T) {
+	for free := range 2 {
+		t.Run(strconv.Itoa(free), func(t *testing.T) {
+			is := is.New(t)
+			limit := reserveDescriptor(t)
+			e := startCellEntry(t, true, func(http.ResponseWriter, *http.Request) {})
+			var text strings.Builder
+			e.errorLog.SetOutput(&text)
+			_, r := e.dial(t)
+			limit(free)
+			e.stop()
+			<-e.awake
+			started := time.Now()
+			is.Equal(readStatus(r), 0)
+			e.group.Wait()
+			is.True(time.Since(started) < closeTimeout)
+			is.True(strings.Contains(text.String(), "too many open files"))
+		})
+	}
+}
+
+// reserveDescriptor reserves the lowest free descriptor. The returned function leaves the process the given number of free
+// descriptors, at most one, until the test ends or the function that it returns is called. What is opened in between has higher
+// descriptors, so that none is gained when that is closed.
+func reserveDescriptor(t *testing.T) func(free int) func() {
+	t.Helper()
+	is := is.New(t)
+	f, err := os.Open(os.DevNull)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = f.Close() }) // It may have been closed.
+	lowest := uint64(f.Fd())
+	return func(free int) func() {
+		var old syscall.Rlimit
+		is.NoErr(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old))
+		restore := func() { _ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old) } // Raising it to an old value succeeds.
+		t.Cleanup(restore)
+		is.NoErr(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: lowest + uint64(free), Max: old.Max}))
+		if free > 0 {
+			is.NoErr(f.Close())
+		}
+		return restore
+	}
+}
+
 // Guards against a request that is cut off without a response since it is still in progress when the grace period is nearly over.
 func TestRequestInProgressIsAnsweredBeforeTheGracePeriodEnds(t *testing.T) {
 	t.Parallel()
@@ -310,6 +388,60 @@
 	}
 }
 
+// Guards against a request that is dropped since the server had read its first byte while it served the one before.
+func TestRequestWhoseFirstByteIsReadAheadIsAnswered(t *testing.T) {
+	for name, start := range starts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			begun, finish := make(chan struct{}, 2), make(chan struct{})
+			e := start(t, false, func(http.ResponseWriter, *http.Request) {
+				begun <- struct{}{}
+				<-finish
+			})
+			c, r := e.dial(t)
+			_, err := io.WriteString(c, testRequest)
+			is.NoErr(err)
+			is.Equal(<-e.arrived, len(testRequest))
+			<-begun
+			_, err = io.WriteString(c, testRequest[:1])
+			is.NoErr(err)
+			is.Equal(<-e.arrived, 1)
+			close(finish)
+			is.Equal(readStatus(r), http.StatusOK)
+			e.stop()
+			<-e.awake
+			_, _ = io.WriteString(c, testRequest[1:]) // The connection may be closed.
+			is.Equal(readStatus(r), http.StatusOK)
+			e.group.Wait()
+		})
+	}
+}
+
+// Guards against a request that is dropped since its first part was read together with the request before, and lies in the
+// server's buffer instead of the socket.
+func TestRequestWhoseFirstPartIsPipelinedIsAnswered(t *testing.T) {
+	for name, start := range starts {
+		for _, split := range []int{1, 3, 4, 20, len(testRequest) - 1} {
+			t.Run(name+" "+strconv.Itoa(split), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				e := start(t, false, func(http.ResponseWriter, *http.Request) {})
+				c, r := e.dial(t)
+				_, err := io.WriteString(c, testRequest+testRequest[:split])
+				is.NoErr(err)
+				is.Equal(<-e.arrived, len(testRequest)+split)
+				is.Equal(readStatus(r), http.StatusOK)
+				e.stop()
+				<-e.awake
+				_, _ = io.WriteString(c, testRequest[split:]) // The connection may be closed.
+				is.Equal(readStatus(r), http.StatusOK)
+				e.group.Wait()
+			})
+		}
+	}
+}
+
 // Guards against a response that is lost on the way since the entry closes the connection while bytes that the caller has sent after
 // its request lie unread: the reset discards what the caller has not received.
 func TestResponseBeforeUnreadBytesIsComplete(t *testing.T) {
@@ -355,3 +487,16 @@
 	is.True(time.Since(started) < unreadyDelay+closeReserve/2) // The entry has not waited for the connection.
 	e.group.Wait()
 }
+
+// Guards against a panic when the listener that is given for an entry has no socket.
+func TestListenerWithoutASocketIsServed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listeners := map[string]net.Listener{"Callers": struct{ net.Listener }{ln}}
+	servers := map[string]*http.Server{"Callers": {}}
+	is.Equal(len(replaceListeners(listeners, servers, "Callers", "Operators")), 0)
+	is.Equal(listeners["Callers"], net.Listener(struct{ net.Listener }{ln}))
+	is.NoErr(ln.Close())
+}
